Check settings and service documents, and add the check command

Cause: operators need every fault of a file in one pass, with its position, before anything changes.

--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -1,4 +1,88 @@
 // Command wigeonstep manages the capacity and maintenance of a fleet.
 package main
 
-func main() {}
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// usageError is an error in how the command was called or in a file that it was given.
+type usageError struct{ error }
+
+func (e usageError) Unwrap() error { return e.error }
+
+func usagef(format string, args ...any) error {
+	return usageError{fmt.Errorf(format, args...)}
+}
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run executes the command line and returns the exit status.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	root := newRoot(out, errOut)
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
+		fmt.Fprintf(errOut, "wigeonstep: %v\n", err)
+		return exitUsage
+	}
+	err := root.Run(ctx)
+	var usage usageError
+	switch {
+	case err == nil, errors.Is(err, context.Canceled):
+		return 0
+	case errors.Is(err, flag.ErrHelp):
+		return exitUsage
+	case errors.As(err, &usage):
+		fmt.Fprintln(errOut, err)
+		return exitUsage
+	}
+	fmt.Fprintf(errOut, "wigeonstep: %v\n", err)
+	return exitFailure
+}
+
+func newRoot(out, errOut io.Writer) *ffcli.Command {
+	flags := flag.NewFlagSet("wigeonstep", flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	return &ffcli.Command{
+		Name:       "wigeonstep",
+		ShortUsage: "wigeonstep <command> [flags] [arguments]",
+		ShortHelp:  "manages the capacity and maintenance of a fleet",
+		FlagSet:    flags,
+		Subcommands: []*ffcli.Command{
+			newCheck(out, errOut),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return usagef("unknown command %q; see wigeonstep -h", args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+// newFlags returns the flag set of a subcommand.
+func newFlags(name string, errOut io.Writer) *flag.FlagSet {
+	flags := flag.NewFlagSet("wigeonstep "+name, flag.ContinueOnError)
+	flags.SetOutput(errOut)
+	return flags
+}
--- /dev/null
+++ b/wigeontelemetry/admin.go
@@ -0,0 +1,67 @@
+package wigeontelemetry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+)
+
+const plainText = "text/plain; charset=utf-8"
+
+// Admin serves /metrics, /healthz and /readyz of one process.
+type Admin struct {
+	// Metrics is the set that /metrics writes, after the metrics of the Go runtime.
+	Metrics *metrics.Set
+	// Ready decides the answer of /readyz; nil means always ready.
+	Ready func() bool
+}
+
+// Serve serves on the listener until ctx ends.
+func (a *Admin) Serve(ctx context.Context, listener net.Listener) error {
+	hlog.SetLevel(hlog.LevelFatal)
+	h := server.New(
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(100*time.Millisecond),
+	)
+	h.GET("/metrics", a.metrics)
+	h.GET("/healthz", func(_ context.Context, c *app.RequestContext) { c.String(http.StatusOK, "ok\n") })
+	h.GET("/readyz", a.ready)
+	done := make(chan error, 1)
+	go func() { done <- h.Run() }()
+	select {
+	case err := <-done:
+		return fmt.Errorf("serve admin endpoints %s: %w", listener.Addr(), err)
+	case <-ctx.Done():
+		stop, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		return h.Shutdown(stop)
+	}
+}
+
+func (a *Admin) metrics(_ context.Context, c *app.RequestContext) {
+	var b bytes.Buffer
+	if a.Metrics != nil {
+		a.Metrics.WritePrometheus(&b)
+	}
+	metrics.WriteProcessMetrics(&b)
+	c.Data(http.StatusOK, plainText, b.Bytes())
+}
+
+func (a *Admin) ready(_ context.Context, c *app.RequestContext) {
+	if a.Ready == nil || a.Ready() {
+		c.String(http.StatusOK, "ready\n")
+		return
+	}
+	c.String(http.StatusServiceUnavailable, "not ready\n")
+}
