--- a/wigeonyaml/decode.go
+++ b/wigeonyaml/decode.go
@@ -22,9 +22,9 @@
 	places map[string]*token.Position
 }
 
-// Fault returns a fault at the key, or at its nearest parent that the file holds.
+// Fault returns a fault at the key, at its nearest parent that the file holds, or at the start of the file.
 func (p Positions) Fault(key, format string, args ...any) Fault {
-	fault := Fault{File: p.file, Key: key, Expected: fmt.Sprintf(format, args...)}
+	fault := Fault{File: p.file, Line: 1, Column: 1, Key: key, Expected: fmt.Sprintf(format, args...)}
 	for at := key; ; {
 		if place, ok := p.places[at]; ok {
 			fault.Line, fault.Column = place.Line, place.Column
@@ -127,21 +127,21 @@
 			byKey[name] = pair
 		}
 	}
-	d.fields(node, path, value, byKey)
+	d.fields(path, value, byKey)
 }
 
-func (d *decoder) fields(parent ast.Node, path string, value reflect.Value, byKey map[string]*ast.MappingValueNode) {
+func (d *decoder) fields(path string, value reflect.Value, byKey map[string]*ast.MappingValueNode) {
 	for i := range value.NumField() {
 		field := value.Type().Field(i)
 		if field.Anonymous {
-			d.fields(parent, path, value.Field(i), byKey)
+			d.fields(path, value.Field(i), byKey)
 			continue
 		}
-		d.field(parent, path, field, value.Field(i), byKey)
+		d.field(path, field, value.Field(i), byKey)
 	}
 }
 
-func (d *decoder) field(parent ast.Node, path string, field reflect.StructField, value reflect.Value, byKey map[string]*ast.MappingValueNode) {
+func (d *decoder) field(path string, field reflect.StructField, value reflect.Value, byKey map[string]*ast.MappingValueNode) {
 	name := field.Tag.Get("yaml")
 	if name == "" {
 		return
@@ -152,7 +152,7 @@
 	if !ok || isNull(pair.Value) {
 		switch {
 		case rules.required:
-			d.fault(parent, key, "required key is missing; expected %s", rules.describe(field.Type))
+			d.faults = append(d.faults, d.positions.Fault(key, "required key is missing; expected %s", rules.describe(field.Type)))
 		case value.Kind() == reflect.Struct:
 			d.structure(nil, key, value)
 		case rules.fallback != "":
