--- /dev/null
+++ b/wigeonoperator/status.go
@@ -0,0 +1,239 @@
+// Package wigeonoperator speaks to operators: it applies documents, shows the status of the fleet and explains decisions.
+package wigeonoperator
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonstate"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// Status is what the status command shows. All times are those of the fold unless a field says otherwise.
+type Status struct {
+	// NextOffset is the offset of the first record that the view does not hold.
+	NextOffset wigeonstep.Offset `json:"next_offset"`
+	// ConfirmedAgeMS is how long ago the view was known to be at the end of the log, in milliseconds.
+	ConfirmedAgeMS    int64             `json:"confirmed_age_ms"`
+	FoldTime          time.Time         `json:"fold_time"`
+	UnreadableRecords uint64            `json:"unreadable_records"`
+	DuplicateBatches  uint64            `json:"duplicate_batches"`
+	DataCentres       []DataCentreState `json:"data_centres"`
+	Pools             []PoolState       `json:"pools"`
+	Services          []ServiceState    `json:"services"`
+	Waves             []WaveState       `json:"waves"`
+}
+
+// DataCentreState counts the processes and VMs of one data centre.
+type DataCentreState struct {
+	Name             wigeonstep.DataCentreName `json:"name"`
+	EntryProcesses   int                       `json:"entry_processes"`
+	ReadyProcesses   int                       `json:"ready_processes"`
+	ControlProcesses int                       `json:"control_processes"`
+	ExpiredSessions  int                       `json:"expired_sessions"`
+	VMs              int                       `json:"vms"`
+	// CutOff is set when the data centre has VMs but no open control session.
+	CutOff bool `json:"cut_off"`
+}
+
+// PoolState counts the VMs of one pool by phase.
+type PoolState struct {
+	Name   wigeonstep.PoolName `json:"name"`
+	VMs    int                 `json:"vms"`
+	Slots  int                 `json:"slots"`
+	Phases map[string]int      `json:"phases"`
+}
+
+// ServiceState is a document in force and the use of its disruption budget.
+type ServiceState struct {
+	Name     wigeonstep.ServiceName `json:"name"`
+	Team     wigeonstep.TeamName    `json:"team"`
+	Pool     wigeonstep.PoolName    `json:"pool"`
+	Version  wigeonstep.Version     `json:"version"`
+	Operator string                 `json:"operator"`
+	// InService is the number of workers of the pool that take work; Wanted is what the document asks for.
+	InService int `json:"in_service"`
+	Wanted    int `json:"wanted"`
+	// Unavailable counts planned and unplanned losses; Budget is the greatest number allowed.
+	Unavailable int `json:"unavailable"`
+	Budget      int `json:"budget"`
+	// NotMet says why the fleet does not follow the document, empty when it does.
+	NotMet string `json:"not_met"`
+}
+
+// WaveState is the progress of one maintenance wave.
+type WaveState struct {
+	ID      wigeonstep.WaveID   `json:"id"`
+	Pool    wigeonstep.PoolName `json:"pool"`
+	Done    int                 `json:"done"`
+	Total   int                 `json:"total"`
+	Started time.Time           `json:"started"`
+	// ExpectedEnd is worked out from the progress so far, zero before the first VM is done.
+	ExpectedEnd time.Time `json:"expected_end"`
+}
+
+// NewStatus returns the status of a view.
+func NewStatus(view *wigeonstate.View, confirmedAge time.Duration) Status {
+	return Status{
+		NextOffset:     view.Next,
+		ConfirmedAgeMS: confirmedAge.Milliseconds(),
+		FoldTime:       view.Time,
+		DataCentres:    dataCentres(view),
+		Pools:          pools(view),
+		Services:       services(view),
+		Waves:          waves(view),
+	}
+}
+
+func dataCentres(view *wigeonstate.View) []DataCentreState {
+	byName := make(map[wigeonstep.DataCentreName]*DataCentreState)
+	get := func(name wigeonstep.DataCentreName) *DataCentreState {
+		if byName[name] == nil {
+			byName[name] = &DataCentreState{Name: name}
+		}
+		return byName[name]
+	}
+	for _, s := range view.Sessions {
+		state := get(s.DataCentre)
+		switch {
+		case s.Expired:
+			state.ExpiredSessions++
+		case s.Role == wigeonwire.Role_ROLE_CONTROL:
+			state.ControlProcesses++
+		case s.Role == wigeonwire.Role_ROLE_ENTRY:
+			state.EntryProcesses++
+			if s.Ready && !s.Closing {
+				state.ReadyProcesses++
+			}
+		}
+	}
+	for _, vm := range view.VMs {
+		get(vm.DataCentre).VMs++
+	}
+	var states []DataCentreState
+	for _, state := range byName {
+		state.CutOff = state.VMs > 0 && state.ControlProcesses == 0
+		states = append(states, *state)
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].Name < states[j].Name })
+	return states
+}
+
+func pools(view *wigeonstate.View) []PoolState {
+	var states []PoolState
+	for name, vms := range view.Pools {
+		state := PoolState{Name: name, VMs: len(vms), Phases: make(map[string]int)}
+		for _, vm := range vms {
+			state.Phases[PhaseName(vm.Phase)]++
+			if vm.InService() {
+				state.Slots += vm.Shape.Slots
+			}
+		}
+		states = append(states, state)
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].Name < states[j].Name })
+	return states
+}
+
+func services(view *wigeonstate.View) []ServiceState {
+	var states []ServiceState
+	for name, service := range view.Services {
+		document := service.Document
+		state := ServiceState{
+			Name: name, Team: document.Team, Pool: document.Pool,
+			Version: service.Version, Operator: service.Operator,
+			Wanted: document.Capacity.Workers,
+			Budget: document.Availability.MaxUnavailableWorkers,
+		}
+		for _, vm := range view.Pools[document.Pool] {
+			if vm.InService() && vm.Shape.Fits(document.Capacity.Shape()) {
+				state.InService++
+			} else {
+				state.Unavailable++
+			}
+		}
+		state.NotMet = notMet(state)
+		states = append(states, state)
+	}
+	sort.Slice(states, func(i, j int) bool { return states[i].Name < states[j].Name })
+	return states
+}
+
+func notMet(s ServiceState) string {
+	if missing := s.Wanted - s.InService; missing > 0 {
+		return fmt.Sprintf("pool %s has %d workers in service that fit; the document asks for %d", s.Pool, s.InService, s.Wanted)
+	}
+	return ""
+}
+
+func waves(view *wigeonstate.View) []WaveState {
+	var states []WaveState
+	for _, wave := range view.Waves {
+		state := WaveState{ID: wave.ID, Pool: wave.Pool, Done: wave.Done, Total: wave.Total, Started: wave.Started}
+		if wave.Done > 0 {
+			each := view.Time.Sub(wave.Started) / time.Duration(wave.Done)
+			state.ExpectedEnd = view.Time.Add(each * time.Duration(wave.Total-wave.Done))
+		}
+		states = append(states, state)
+	}
+	return states
+}
+
+// PhaseName returns the name of a phase in snake case, for example "in_service".
+func PhaseName(phase wigeonwire.Phase) string {
+	return strings.ToLower(strings.TrimPrefix(phase.String(), "PHASE_"))
+}
+
+// WriteText writes the status as tables.
+func (s Status) WriteText(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "offset\t%d\nview confirmed\t%s ago\nfold time\t%s\n", s.NextOffset, time.Duration(s.ConfirmedAgeMS)*time.Millisecond, formatTime(s.FoldTime))
+	fmt.Fprintf(w, "unreadable records\t%d\nduplicate batches\t%d\n", s.UnreadableRecords, s.DuplicateBatches)
+	fmt.Fprint(w, "\nDATA CENTRE\tENTRY\tREADY\tCONTROL\tEXPIRED\tVMS\tSTATE\n")
+	for _, d := range s.DataCentres {
+		state := "ok"
+		if d.CutOff {
+			state = "cut off: no control session"
+		}
+		fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%s\n", d.Name, d.EntryProcesses, d.ReadyProcesses, d.ControlProcesses, d.ExpiredSessions, d.VMs, state)
+	}
+	fmt.Fprint(w, "\nPOOL\tVMS\tSLOTS IN SERVICE\tPHASES\n")
+	for _, p := range s.Pools {
+		fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", p.Name, p.VMs, p.Slots, formatPhases(p.Phases))
+	}
+	fmt.Fprint(w, "\nSERVICE\tTEAM\tPOOL\tVERSION\tBY\tWORKERS\tUNAVAILABLE/BUDGET\tNOT MET\n")
+	for _, v := range s.Services {
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%d of %d\t%d/%d\t%s\n", v.Name, v.Team, v.Pool, v.Version, v.Operator, v.InService, v.Wanted, v.Unavailable, v.Budget, v.NotMet)
+	}
+	fmt.Fprint(w, "\nWAVE\tPOOL\tDONE\tSTARTED\tEXPECTED END\n")
+	for _, v := range s.Waves {
+		fmt.Fprintf(w, "%s\t%s\t%d of %d\t%s\t%s\n", v.ID, v.Pool, v.Done, v.Total, formatTime(v.Started), formatTime(v.ExpectedEnd))
+	}
+	return w.Flush()
+}
+
+func formatTime(t time.Time) string {
+	if t.IsZero() {
+		return "-"
+	}
+	return t.UTC().Format(time.RFC3339)
+}
+
+func formatPhases(phases map[string]int) string {
+	var names []string
+	for name := range phases {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	parts := make([]string, len(names))
+	for i, name := range names {
+		parts[i] = fmt.Sprintf("%s=%d", name, phases[name])
+	}
+	return strings.Join(parts, " ")
+}
