--- a/wigeonstate/view.go
+++ b/wigeonstate/view.go
@@ -27,7 +27,8 @@
 	Waves []*Wave
 
 	routes map[route]*Route
-	owners [Partitions]*Session
+	// owners is nil in the view before the first record.
+	owners *[Partitions]*Session
 }
 
 // Session is one incarnation of a process.
@@ -122,5 +123,8 @@
 
 // Owner returns the session that owns the key's partition, or nil when no entry process is ready.
 func (v *View) Owner(key wigeonstep.Key) *Session {
+	if v.owners == nil {
+		return nil
+	}
 	return v.owners[PartitionOf(key)]
 }
