--- a/wigeonstate/session.go
+++ b/wigeonstate/session.go
@@ -166,3 +166,12 @@
 	}
 	return sorted
 }
+
+// OpenSession reports whether the session is open, and the sequence number of its last folded batch.
+func (s *State) OpenSession(id wigeonstep.SessionID) (sequence uint64, open bool) {
+	known := s.sessions[id]
+	if known == nil {
+		return 0, false
+	}
+	return known.sequence, known.open()
+}
