Let a follower read without a session

Cause: the status and explain commands must not add records to the log. Change: Config.ReadOnly follows the log and the peers and appends nothing.

--- a/wigeonfollow/follower.go
+++ b/wigeonfollow/follower.go
@@ -47,6 +47,8 @@
 	// BusyVMs returns VMs out of service on which the process still has requests in flight; nil for control daemons.
 	// It is called after View returns the view whose offset the renewal reports.
 	BusyVMs func() []wigeonstep.VMID
+	// ReadOnly follows the log without a session: nothing is appended, and Propose fails. Default false.
+	ReadOnly bool
 	// Logger gets one line for each change of reach, session or snapshot, default none.
 	Logger *zap.Logger
 }
@@ -105,16 +107,30 @@
 	return f
 }
 
+func (c *Config) validate() error {
+	switch {
+	case c.Log == nil:
+		return errors.New("follow: the log must be set")
+	case c.ReadOnly:
+		return nil
+	case c.Session == 0 || c.Open.GetRole() == wigeonwire.Role_ROLE_UNSPECIFIED:
+		return errors.New("follow: the session id and the role must be set")
+	}
+	return nil
+}
+
 // Run follows the log until ctx ends. It opens a session, renews it, and opens a new one with a new id after an expiry.
 func (f *Follower) Run(ctx context.Context) error {
-	if f.config.Log == nil || f.config.Session == 0 || f.config.Open.GetRole() == wigeonwire.Role_ROLE_UNSPECIFIED {
-		return errors.New("follow: the log, the session id and the role must be set")
+	if err := f.config.validate(); err != nil {
+		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return f.followLog(ctx) })
 	group.Go(func() error { return f.followPeers(ctx) })
-	group.Go(func() error { return f.appendBatches(ctx) })
-	group.Go(func() error { return f.writeSnapshots(ctx) })
+	if !f.config.ReadOnly {
+		group.Go(func() error { return f.appendBatches(ctx) })
+		group.Go(func() error { return f.writeSnapshots(ctx) })
+	}
 	err := group.Wait()
 	f.mu.Lock()
 	f.own.stopped = true
