Add the backend server stand-in and a fleet of them

Cause: the traffic packages need workers that refuse, die, pause and count runs, and the fleet packages need VMs whose reboots have an effect.

Change: BackendServer is an HTTP server with slots, faults, fencing and a ledger of runs by key, request id and body. Fleet lets the drains, reboots, assignments and losses of Platform act on such servers.

--- /dev/null
+++ b/wigeonfake/backend_test.go
@@ -0,0 +1,167 @@
+package wigeonfake_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonfake"
+)
+
+type sent struct {
+	status int
+	header http.Header
+	body   []byte
+	err    error
+}
+
+// send posts the body with pairs of header names and values.
+func send(t testing.TB, address, body string, headers ...string) sent {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/order", strings.NewReader(body))
+	qt.Assert(t, err, qt.IsNil)
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
+	response, err := client.Do(request)
+	if err != nil {
+		return sent{err: err}
+	}
+	defer response.Body.Close()
+	read, err := io.ReadAll(response.Body)
+	return sent{status: response.StatusCode, header: response.Header, body: read, err: err}
+}
+
+func startBackend(t testing.TB, backend *wigeonfake.BackendServer) *wigeonfake.BackendServer {
+	t.Helper()
+	qt.Assert(t, backend.Start("127.0.0.1:0"), qt.IsNil)
+	t.Cleanup(backend.Stop)
+	return backend
+}
+
+func waitFor(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("%s did not happen within 10 s", what)
+		}
+	}
+}
+
+// Guards against answers that a test could not match to their request, and against runs that are not counted.
+func TestBackendAnswersAndCounts(t *testing.T) {
+	backend := startBackend(t, &wigeonfake.BackendServer{VM: "a1"})
+	for run := 1; run <= 2; run++ {
+		got := send(t, backend.Address(), "wax", wigeonstep.HeaderRequestID, "r1", wigeonstep.HeaderIdempotencyKey, "k1",
+			wigeonfake.HeaderAnswerBytes, "100000")
+		qt.Assert(t, got.err, qt.IsNil)
+		qt.Assert(t, got.header.Get(wigeonstep.HeaderRequestID), qt.Equals, "r1")
+		answer, err := wigeonfake.CheckAnswer(got.body, []byte("wax"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, answer.Run, qt.Equals, run)
+		_, err = wigeonfake.CheckAnswer(got.body, []byte("other"))
+		qt.Assert(t, err, qt.ErrorIs, wigeonfake.ErrNotOwn)
+		_, err = wigeonfake.CheckAnswer(got.body[:len(got.body)-1], []byte("wax"))
+		qt.Assert(t, err, qt.ErrorIs, wigeonfake.ErrNotWhole)
+	}
+	qt.Assert(t, backend.Runs().RunsOfKey("k1"), qt.Equals, 2)
+	qt.Assert(t, backend.Runs().RunsOfRequest("r1"), qt.Equals, 2)
+	qt.Assert(t, backend.Runs().RunsOfBody([]byte("wax")), qt.Equals, 2)
+}
+
+// Guards against a refusal that ran, or that does not say not_run.
+func TestBackendRefusals(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		prepare func(backend *wigeonfake.BackendServer)
+		leaving string
+		reason  string
+	}{
+		{"stale epoch", func(b *wigeonfake.BackendServer) { b.RaiseFence(8) }, "", "stale epoch"},
+		{"leaving", func(b *wigeonfake.BackendServer) { b.SetFaults(wigeonfake.BackendFaults{Leaving: true}) }, "1", "leaving"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			backend := startBackend(t, &wigeonfake.BackendServer{})
+			test.prepare(backend)
+			got := send(t, backend.Address(), "x", wigeonstep.HeaderFence, "7")
+			qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+			qt.Assert(t, got.header.Get(wigeonstep.HeaderOutcome), qt.Equals, "not_run")
+			qt.Assert(t, got.header.Get(wigeonstep.HeaderLeaving), qt.Equals, test.leaving)
+			qt.Assert(t, string(got.body), qt.Contains, test.reason)
+			qt.Assert(t, backend.Runs().Counts().Total, qt.Equals, 0)
+		})
+	}
+}
+
+// Guards against a paused server that runs requests, and against a pause that loses them.
+func TestBackendPause(t *testing.T) {
+	backend := startBackend(t, &wigeonfake.BackendServer{})
+	backend.SetFaults(wigeonfake.BackendFaults{Paused: true})
+	held := make(chan sent)
+	go func() { held <- send(t, backend.Address(), "a") }()
+	waitFor(t, "the arrival of the request", func() bool { return backend.Stats().Waiting == 1 })
+	qt.Assert(t, backend.Runs().Counts().Total, qt.Equals, 0)
+	backend.SetFaults(wigeonfake.BackendFaults{})
+	qt.Assert(t, (<-held).status, qt.Equals, http.StatusOK)
+}
+
+// Guards against a full server that runs more than its slots, and against a stop that waits for runs.
+func TestBackendBusyWhileOthersRun(t *testing.T) {
+	backend := startBackend(t, &wigeonfake.BackendServer{Slots: 1})
+	hold := make(chan sent)
+	go func() { hold <- send(t, backend.Address(), "b", wigeonfake.HeaderRunMS, "60000") }()
+	waitFor(t, "the run of the second request", func() bool { return backend.Stats().InFlight == 1 })
+	got := send(t, backend.Address(), "c")
+	qt.Assert(t, got.status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, string(got.body), qt.Contains, "busy")
+	backend.Stop()
+	qt.Assert(t, (<-hold).err, qt.IsNotNil)
+	qt.Assert(t, backend.Stats().CutOff, qt.Equals, 1)
+}
+
+// Guards against faults of answers that a caller could take for whole answers.
+func TestBackendAnswerFaults(t *testing.T) {
+	backend := startBackend(t, &wigeonfake.BackendServer{Seed: 3})
+	backend.SetFaults(wigeonfake.BackendFaults{DieNextAnswers: 20})
+	for range 20 {
+		got := send(t, backend.Address(), "x", wigeonfake.HeaderAnswerBytes, "5000")
+		qt.Assert(t, got.err, qt.IsNotNil)
+	}
+	backend.SetFaults(wigeonfake.BackendFaults{WrongNextIDs: 1})
+	got := send(t, backend.Address(), "x", wigeonstep.HeaderRequestID, "r")
+	qt.Assert(t, got.header.Get(wigeonstep.HeaderRequestID), qt.Not(qt.Equals), "r")
+	_, err := wigeonfake.CheckAnswer(got.body, []byte("x"))
+	qt.Assert(t, errors.Is(err, wigeonfake.ErrNotOwn), qt.IsTrue)
+	backend.SetFaults(wigeonfake.BackendFaults{FailAll: true})
+	qt.Assert(t, send(t, backend.Address(), "x").status, qt.Equals, http.StatusInternalServerError)
+	backend.SetFaults(wigeonfake.BackendFaults{})
+	qt.Assert(t, send(t, backend.Address(), "x").status, qt.Equals, http.StatusOK)
+}
+
+// Guards against a fleet whose servers do not follow the platform, and against a reboot that loses the address.
+func TestFleetFollowsThePlatform(t *testing.T) {
+	ctx := t.Context()
+	var fleet wigeonfake.Fleet
+	t.Cleanup(fleet.Close)
+	backend, err := fleet.Add(wigeonstep.ListedVM{ID: "a1", Pool: "wax"})
+	qt.Assert(t, err, qt.IsNil)
+	address := backend.Address()
+	qt.Assert(t, fleet.Platform.DrainVM(ctx, "a1", 1), qt.IsNil)
+	qt.Assert(t, send(t, address, "x").header.Get(wigeonstep.HeaderLeaving), qt.Equals, "1")
+	qt.Assert(t, fleet.Platform.RebootVM(ctx, "a1", 2), qt.IsNil)
+	waitFor(t, "the end of the reboot", func() bool {
+		state, _ := fleet.Platform.VM("a1")
+		return state.Up && send(t, address, "x").err == nil
+	})
+	qt.Assert(t, fleet.Platform.AssignVM(ctx, "a1", "orders", 3), qt.IsNil)
+	qt.Assert(t, send(t, address, "x", wigeonstep.HeaderFence, "2").status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, send(t, address, "x", wigeonstep.HeaderFence, "3").status, qt.Equals, http.StatusOK)
+	qt.Assert(t, fleet.Platform.Reboots("a1"), qt.Equals, 1)
+}
--- /dev/null
+++ b/wigeonfake/ledger.go
@@ -0,0 +1,96 @@
+package wigeonfake
+
+import (
+	"sync"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+// Ledger counts the runs of requests at the backend servers that share it. The zero value works.
+type Ledger struct {
+	mu     sync.Mutex
+	counts RunCounts
+}
+
+// RunCounts says how often work ran. A run counts from its start, whether or not it ended.
+type RunCounts struct {
+	// Total counts all runs.
+	Total int `json:"total"`
+	// ByKey counts the runs for each idempotency key; runs without a key are not counted here.
+	ByKey map[wigeonstep.Key]int `json:"by_key"`
+	// ByRequest counts the runs for each value of Wigeonstep-Request-Id.
+	ByRequest map[wigeonstep.RequestID]int `json:"by_request"`
+	// ByBody counts the runs for each hash of a request body as BodyHash returns it.
+	ByBody map[string]int `json:"by_body"`
+}
+
+// add counts a run and returns how often the body has run.
+func (l *Ledger) add(key wigeonstep.Key, request wigeonstep.RequestID, body string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counts.ByKey == nil {
+		l.counts = newRunCounts()
+	}
+	l.counts.Total++
+	if key != "" {
+		l.counts.ByKey[key]++
+	}
+	if request != "" {
+		l.counts.ByRequest[request]++
+	}
+	l.counts.ByBody[body]++
+	return l.counts.ByBody[body]
+}
+
+// Counts returns a copy of the counts.
+func (l *Ledger) Counts() RunCounts {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	counts := newRunCounts()
+	counts.Add(l.counts)
+	return counts
+}
+
+// RunsOfKey returns how often requests with the key ran.
+func (l *Ledger) RunsOfKey(key wigeonstep.Key) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts.ByKey[key]
+}
+
+// RunsOfRequest returns how often the request with the id ran.
+func (l *Ledger) RunsOfRequest(id wigeonstep.RequestID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts.ByRequest[id]
+}
+
+// RunsOfBody returns how often a request with the body ran.
+func (l *Ledger) RunsOfBody(body []byte) int {
+	hash := BodyHash(body)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts.ByBody[hash]
+}
+
+func newRunCounts() RunCounts {
+	return RunCounts{
+		ByKey:     map[wigeonstep.Key]int{},
+		ByRequest: map[wigeonstep.RequestID]int{},
+		ByBody:    map[string]int{},
+	}
+}
+
+// Add adds the other counts to these. The maps must not be nil.
+func (c *RunCounts) Add(other RunCounts) {
+	c.Total += other.Total
+	for key, n := range other.ByKey {
+		c.ByKey[key] += n
+	}
+	for id, n := range other.ByRequest {
+		c.ByRequest[id] += n
+	}
+	for body, n := range other.ByBody {
+		c.ByBody[body] += n
+	}
+}
