--- a/wigeonfake/http.go
+++ b/wigeonfake/http.go
@@ -116,7 +116,6 @@
 		return nil
 	}
 	l.done = true
-	close(l.closed)
 	conns := l.conns
 	l.conns = map[*cutConn]struct{}{}
 	l.mu.Unlock()
@@ -124,6 +123,8 @@
 	for conn := range conns {
 		conn.reset()
 	}
+	// Handlers that wait for this channel must find their connections reset, so that none of them answers.
+	close(l.closed)
 	return err
 }
 
