--- a/wigeonfake/platform.go
+++ b/wigeonfake/platform.go
@@ -14,6 +14,8 @@
 
 const platformPeer = "platform"
 
+var errCutOff = fmt.Errorf("%w: cut off", wigeonstep.ErrUnavailable)
+
 // Platform is an in-memory platform. The zero value works and is safe for concurrent use.
 // Its methods of wigeonstep.Log and wigeonstep.Platform act as the client with the empty name.
 type Platform struct {
@@ -33,6 +35,7 @@
 	cut     map[string]bool
 	fleet   fleet
 	appends int
+	started int64 // makes the tokens of the VM list unlike those of other platforms
 }
 
 var (
@@ -134,7 +137,7 @@
 // reachLocked returns an error when the client cannot reach the log.
 func (p *Platform) reachLocked(name, step string) error {
 	if p.cut[name] {
-		return stepError(step, fmt.Errorf("%w: client %q is cut off", wigeonstep.ErrUnavailable, name))
+		return stepError(step, fmt.Errorf("%w: client %q", errCutOff, name))
 	}
 	if p.faults.LogDown {
 		return stepError(step, fmt.Errorf("%w: the log is down", wigeonstep.ErrUnavailable))
--- /dev/null
+++ b/wigeonfake/platform_control.go
@@ -0,0 +1,149 @@
+package wigeonfake
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonplatform"
+)
+
+func (s *PlatformServer) controlRoutes(engine *server.Hertz) {
+	control := engine.Group("/control")
+	control.GET("/faults", func(_ context.Context, c *app.RequestContext) {
+		writeJSON(c, http.StatusOK, wireOf(s.Platform.Faults()))
+	})
+	control.PUT("/faults", func(_ context.Context, c *app.RequestContext) {
+		var faults wireFaults
+		if !decodeBody(c, &faults) {
+			return
+		}
+		s.Platform.SetFaults(faults.faults())
+		c.Status(http.StatusNoContent)
+	})
+	control.PUT("/cut/:client", func(_ context.Context, c *app.RequestContext) {
+		s.Platform.CutOff(c.Param("client"), true)
+		c.Status(http.StatusNoContent)
+	})
+	control.DELETE("/cut/:client", func(_ context.Context, c *app.RequestContext) {
+		s.Platform.CutOff(c.Param("client"), false)
+		c.Status(http.StatusNoContent)
+	})
+	control.GET("/vms", func(_ context.Context, c *app.RequestContext) {
+		writeJSON(c, http.StatusOK, s.Platform.VMs())
+	})
+	control.POST("/vms", s.controlAdd)
+	control.DELETE("/vms/:id", func(_ context.Context, c *app.RequestContext) {
+		writeFound(c, s.Platform.RemoveVM(wigeonstep.VMID(c.Param("id"))))
+	})
+	control.PUT("/vms/:id/:state", s.controlVM)
+}
+
+func (s *PlatformServer) controlAdd(_ context.Context, c *app.RequestContext) {
+	var vm wigeonstep.ListedVM
+	if !decodeBody(c, &vm) {
+		return
+	}
+	if vm.ID == "" {
+		writeJSON(c, http.StatusBadRequest, wigeonplatform.Problem{Reason: "the VM has no id"})
+		return
+	}
+	s.Platform.AddVM(vm)
+	c.Status(http.StatusNoContent)
+}
+
+func (s *PlatformServer) controlVM(_ context.Context, c *app.RequestContext) {
+	id := wigeonstep.VMID(c.Param("id"))
+	switch c.Param("state") {
+	case "up":
+		writeFound(c, s.Platform.SetVMUp(id, true))
+	case "down":
+		writeFound(c, s.Platform.SetVMUp(id, false))
+	case "leaving":
+		writeFound(c, s.Platform.SetVMLeaving(id, true))
+	case "staying":
+		writeFound(c, s.Platform.SetVMLeaving(id, false))
+	default:
+		writeJSON(c, http.StatusNotFound, wigeonplatform.Problem{Reason: "the states are up, down, leaving and staying"})
+	}
+}
+
+func decodeBody(c *app.RequestContext, value any) bool {
+	if err := decodeJSON(c.Request.Body(), value); err != nil {
+		writeJSON(c, http.StatusBadRequest, wigeonplatform.Problem{Reason: err.Error()})
+		return false
+	}
+	return true
+}
+
+func writeFound(c *app.RequestContext, found bool) {
+	if !found {
+		writeJSON(c, http.StatusNotFound, wigeonplatform.Problem{Reason: "no such VM"})
+		return
+	}
+	c.Status(http.StatusNoContent)
+}
+
+// wireFaults is Faults as the control endpoint shows them.
+type wireFaults struct {
+	LogDown               bool    `json:"log_down"`
+	LogDelayMS            int64   `json:"log_delay_ms"`
+	LogDelayJitterMS      int64   `json:"log_delay_jitter_ms"`
+	AppendsPerSecond      int     `json:"appends_per_second"`
+	LoseAppendAnswers     float64 `json:"lose_append_answers"`
+	LoseNextAppendAnswers int     `json:"lose_next_append_answers"`
+	RetainRecords         int     `json:"retain_records"`
+	RetainAgeMS           int64   `json:"retain_age_ms"`
+	VMsDown               bool    `json:"vms_down"`
+	ListLagMS             int64   `json:"list_lag_ms"`
+	ListStale             bool    `json:"list_stale"`
+	ListEmpty             bool    `json:"list_empty"`
+	RebootTimeMS          int64   `json:"reboot_time_ms"`
+	NeverBack             float64 `json:"never_back"`
+}
+
+func wireOf(f Faults) wireFaults {
+	return wireFaults{
+		LogDown:               f.LogDown,
+		LogDelayMS:            f.LogDelay.Milliseconds(),
+		LogDelayJitterMS:      f.LogDelayJitter.Milliseconds(),
+		AppendsPerSecond:      f.AppendsPerSecond,
+		LoseAppendAnswers:     f.LoseAppendAnswers,
+		LoseNextAppendAnswers: f.LoseNextAppendAnswers,
+		RetainRecords:         f.RetainRecords,
+		RetainAgeMS:           f.RetainAge.Milliseconds(),
+		VMsDown:               f.VMsDown,
+		ListLagMS:             f.ListLag.Milliseconds(),
+		ListStale:             f.ListStale,
+		ListEmpty:             f.ListEmpty,
+		RebootTimeMS:          f.RebootTime.Milliseconds(),
+		NeverBack:             f.NeverBack,
+	}
+}
+
+func (w wireFaults) faults() Faults {
+	return Faults{
+		LogDown:               w.LogDown,
+		LogDelay:              milliseconds(w.LogDelayMS),
+		LogDelayJitter:        milliseconds(w.LogDelayJitterMS),
+		AppendsPerSecond:      w.AppendsPerSecond,
+		LoseAppendAnswers:     w.LoseAppendAnswers,
+		LoseNextAppendAnswers: w.LoseNextAppendAnswers,
+		RetainRecords:         w.RetainRecords,
+		RetainAge:             milliseconds(w.RetainAgeMS),
+		VMsDown:               w.VMsDown,
+		ListLag:               milliseconds(w.ListLagMS),
+		ListStale:             w.ListStale,
+		ListEmpty:             w.ListEmpty,
+		RebootTime:            milliseconds(w.RebootTimeMS),
+		NeverBack:             w.NeverBack,
+	}
+}
+
+func milliseconds(n int64) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/wigeonfake/platform_http.go
@@ -0,0 +1,168 @@
+package wigeonfake
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonplatform"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// serverTimeout ends a call that the faults delay for ever.
+const serverTimeout = 2 * wigeonplatform.MaxWait
+
+// PlatformServer serves a Platform over HTTP with the API of wigeonplatform, and with a control endpoint:
+//
+//	GET /control/faults            the faults as JSON; durations are in milliseconds
+//	PUT /control/faults            replaces the faults; absent fields take their defaults
+//	PUT, DELETE /control/cut/{client}  cuts a client off, or connects it again
+//	GET /control/vms               the true states of the VMs
+//	POST /control/vms              adds or replaces a VM, with the fields of an element of the VM list
+//	DELETE /control/vms/{id}       removes a VM
+//	PUT /control/vms/{id}/up|down|leaving|staying  what the platform itself does to a VM
+//
+// A call of a client that is cut off, and an append whose answer is lost, end with a closed connection and no answer.
+type PlatformServer struct {
+	// Platform is set before Start.
+	Platform *Platform
+
+	http *httpServer
+}
+
+// Start listens on host:port and serves.
+func (s *PlatformServer) Start(address string) error {
+	started, err := startHTTP(address, 0, s.routes)
+	s.http = started
+	return err
+}
+
+// Address returns host:port.
+func (s *PlatformServer) Address() string {
+	return s.http.address()
+}
+
+// Close resets all connections.
+func (s *PlatformServer) Close() {
+	s.http.kill()
+}
+
+func (s *PlatformServer) routes(engine *server.Hertz) {
+	engine.POST(wigeonplatform.PathLog+":stream", s.append)
+	engine.GET(wigeonplatform.PathLog+":stream", s.read)
+	engine.GET(wigeonplatform.PathVMs, s.list)
+	engine.POST(wigeonplatform.PathVMs+"/:action", s.act)
+	s.controlRoutes(engine)
+	engine.NoRoute(func(_ context.Context, c *app.RequestContext) {
+		writeJSON(c, http.StatusNotFound, wigeonplatform.Problem{Reason: "no such path"})
+	})
+}
+
+func clientOf(c *app.RequestContext) string {
+	return c.Request.Header.Get(wigeonplatform.HeaderClient)
+}
+
+func (s *PlatformServer) append(ctx context.Context, c *app.RequestContext) {
+	ctx, cancel := context.WithTimeout(ctx, serverTimeout)
+	defer cancel()
+	offset, err := s.Platform.append(ctx, clientOf(c), wigeonstep.Stream(c.Param("stream")), c.Request.Body())
+	if err != nil {
+		s.fail(ctx, c, err)
+		return
+	}
+	writeJSON(c, http.StatusOK, wigeonplatform.AppendAnswer{Offset: &offset})
+}
+
+func (s *PlatformServer) read(ctx context.Context, c *app.RequestContext) {
+	from, err := strconv.ParseUint(c.Query("from"), 10, 64)
+	limit, limitErr := strconv.Atoi(c.Query("limit"))
+	waitMS, waitErr := strconv.ParseInt(c.Query("wait_ms"), 10, 64)
+	if err := errors.Join(err, limitErr, waitErr); err != nil || waitMS < 0 {
+		writeJSON(c, http.StatusBadRequest, wigeonplatform.Problem{Reason: "from, limit and wait_ms must be whole numbers"})
+		return
+	}
+	wait := min(time.Duration(waitMS)*time.Millisecond, wigeonplatform.MaxWait)
+	ctx, cancel := context.WithTimeout(ctx, serverTimeout)
+	defer cancel()
+	read, err := s.Platform.read(ctx, clientOf(c), wigeonstep.Stream(c.Param("stream")), wigeonstep.Offset(from), limit, wait)
+	if errors.Is(err, wigeonstep.ErrCompacted) {
+		writeJSON(c, http.StatusGone, wigeonplatform.Problem{Reason: err.Error(), First: read.First, Next: read.Next})
+		return
+	}
+	if err != nil {
+		s.fail(ctx, c, err)
+		return
+	}
+	records := &wigeonwire.Records{FirstOffset: uint64(read.First), NextOffset: uint64(read.Next)}
+	for _, r := range read.Records {
+		records.Records = append(records.Records, &wigeonwire.LogRecord{Offset: uint64(r.Offset), Payload: r.Payload})
+	}
+	body, err := proto.Marshal(records)
+	if err != nil {
+		s.fail(ctx, c, err)
+		return
+	}
+	c.Data(http.StatusOK, "application/x-protobuf", body)
+}
+
+func (s *PlatformServer) list(ctx context.Context, c *app.RequestContext) {
+	changes, err := s.Platform.listChanges(ctx, clientOf(c), c.Query("since"))
+	if err != nil {
+		s.fail(ctx, c, err)
+		return
+	}
+	writeJSON(c, http.StatusOK, changes)
+}
+
+func (s *PlatformServer) act(ctx context.Context, c *app.RequestContext) {
+	var request wigeonplatform.VMRequest
+	if err := decodeJSON(c.Request.Body(), &request); err != nil {
+		writeJSON(c, http.StatusBadRequest, wigeonplatform.Problem{Reason: err.Error()})
+		return
+	}
+	client := s.Platform.Client(clientOf(c))
+	var err error
+	switch wigeonplatform.VMAction(c.Param("action")) {
+	case wigeonplatform.ActionDrain:
+		err = client.DrainVM(ctx, request.VM, request.Epoch)
+	case wigeonplatform.ActionReboot:
+		err = client.RebootVM(ctx, request.VM, request.Epoch)
+	case wigeonplatform.ActionAssign:
+		err = client.AssignVM(ctx, request.VM, request.Pool, request.Epoch)
+	case wigeonplatform.ActionCheckpoint:
+		err = client.CheckpointVM(ctx, request.VM, request.Epoch)
+	default:
+		writeJSON(c, http.StatusNotFound, wigeonplatform.Problem{Reason: "no such action"})
+		return
+	}
+	if err != nil {
+		s.fail(ctx, c, err)
+		return
+	}
+	c.Status(http.StatusNoContent)
+}
+
+// fail sends the status that stands for the error, or no answer at all.
+func (s *PlatformServer) fail(ctx context.Context, c *app.RequestContext, err error) {
+	status := http.StatusInternalServerError
+	switch {
+	case errors.Is(err, wigeonstep.ErrAnswerLost), errors.Is(err, errCutOff):
+		connOf(ctx).cutAfter(0)
+	case errors.Is(err, wigeonstep.ErrUnavailable):
+		status = http.StatusServiceUnavailable
+	case errors.Is(err, errRate):
+		status = http.StatusTooManyRequests
+	case errors.Is(err, errTooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, wigeonstep.ErrRejected):
+		status = http.StatusConflict
+	}
+	writeJSON(c, status, wigeonplatform.Problem{Reason: err.Error()})
+}
--- a/wigeonfake/platform_log.go
+++ b/wigeonfake/platform_log.go
@@ -9,19 +9,23 @@
 	"golang.org/x/time/rate"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonplatform"
 )
 
 const (
 	stepAppend = "log append"
 	stepRead   = "log read"
 
-	// maxPayloadBytes leaves room for a snapshot chunk of 256 KB and its framing.
-	maxPayloadBytes = 1 << 20
 	// maxReadRecords and maxReadBytes bound one answer.
 	maxReadRecords = 1000
 	maxReadBytes   = 4 << 20
 )
 
+var (
+	errRate     = fmt.Errorf("%w: append rate exceeded", wigeonstep.ErrRejected)
+	errTooLarge = fmt.Errorf("%w: payload too large", wigeonstep.ErrRejected)
+)
+
 // stream is one stream of the log. The first record of an empty stream gets offset 0.
 type stream struct {
 	records []storedRecord
@@ -116,11 +120,11 @@
 	if err := p.reachLocked(client, stepAppend); err != nil {
 		return 0, err
 	}
-	if len(payload) > maxPayloadBytes {
-		return 0, stepError(stepAppend, fmt.Errorf("%w: the payload has %d bytes, the limit is %d", wigeonstep.ErrRejected, len(payload), maxPayloadBytes))
+	if len(payload) > wigeonplatform.MaxPayloadBytes {
+		return 0, stepError(stepAppend, fmt.Errorf("%w: %d bytes, the limit is %d", errTooLarge, len(payload), wigeonplatform.MaxPayloadBytes))
 	}
 	if !p.allowAppendLocked() {
-		return 0, stepError(stepAppend, fmt.Errorf("%w: more than %d appends a second", wigeonstep.ErrRejected, p.faults.appendsPerSecond()))
+		return 0, stepError(stepAppend, fmt.Errorf("%w: more than %d appends a second", errRate, p.faults.appendsPerSecond()))
 	}
 	s := p.streamLocked(name)
 	offset := s.next
--- a/wigeonfake/platform_vms.go
+++ b/wigeonfake/platform_vms.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonplatform"
 )
 
 const (
@@ -60,10 +63,14 @@
 type fleet struct {
 	vms      map[wigeonstep.VMID]*VMState
 	pools    []wigeonstep.PoolName
-	listed   map[wigeonstep.VMID]wigeonstep.ListedVM
 	pending  []listChange
 	frozenAt time.Time
 	timers   []*time.Timer
+
+	// listed is what the list shows; changedIn holds for each id, also of removed VMs, the version that last changed it.
+	listed    map[wigeonstep.VMID]wigeonstep.ListedVM
+	changedIn map[wigeonstep.VMID]uint64
+	version   uint64
 }
 
 type listChange struct {
@@ -79,12 +86,15 @@
 	}
 	if f.listed == nil {
 		f.listed = map[wigeonstep.VMID]wigeonstep.ListedVM{}
+		f.changedIn = map[wigeonstep.VMID]uint64{}
 	}
 	shown := 0
 	for _, c := range f.pending {
 		if now.Sub(c.at) < faults.ListLag {
 			break
 		}
+		f.version++
+		f.changedIn[c.vm.ID] = f.version
 		if c.removed {
 			delete(f.listed, c.vm.ID)
 		} else {
@@ -229,7 +239,7 @@
 	case ctx.Err() != nil:
 		return stepError(step, fmt.Errorf("%w: %w", wigeonstep.ErrUnavailable, ctx.Err()))
 	case p.cut[client]:
-		return stepError(step, fmt.Errorf("%w: client %q is cut off", wigeonstep.ErrUnavailable, client))
+		return stepError(step, fmt.Errorf("%w: client %q", errCutOff, client))
 	case p.faults.VMsDown:
 		return stepError(step, fmt.Errorf("%w: the VM service is down", wigeonstep.ErrUnavailable))
 	}
@@ -237,23 +247,58 @@
 }
 
 func (p *Platform) listVMs(ctx context.Context, client string) (wigeonstep.VMList, error) {
+	changes, err := p.listChanges(ctx, client, "")
+	if err != nil {
+		return wigeonstep.VMList{}, err
+	}
+	return wigeonstep.VMList{VMs: changes.VMs, Pools: changes.Pools, Age: changes.Age}, nil
+}
+
+// listChanges returns the changes of the list since the token, or the whole list when the token is not of this platform.
+func (p *Platform) listChanges(ctx context.Context, client, since string) (wigeonplatform.VMChanges, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := p.reachVMsLocked(ctx, client, stepListVMs); err != nil {
-		return wigeonstep.VMList{}, err
+		return wigeonplatform.VMChanges{}, err
 	}
-	list := wigeonstep.VMList{Age: p.faults.ListLag}
+	changes := wigeonplatform.VMChanges{Age: p.faults.ListLag}
 	if p.faults.ListEmpty {
-		return list, nil
+		changes.Full = true
+		return changes, nil
 	}
 	p.fleet.show(p.now(), p.faults)
 	if p.faults.ListStale {
-		list.Age += p.now().Sub(p.fleet.frozenAt)
+		changes.Age += p.now().Sub(p.fleet.frozenAt)
+	}
+	changes.Pools = slices.Clone(p.fleet.pools)
+	changes.Token = p.tokenLocked(p.fleet.version)
+	version, known := p.fleet.version, false
+	if prefix, number, found := strings.Cut(since, "-"); found && prefix == strconv.FormatInt(p.startedLocked(), 36) {
+		n, err := strconv.ParseUint(number, 10, 64)
+		version, known = n, err == nil && n <= version
 	}
-	list.Pools = slices.Clone(p.fleet.pools)
-	list.VMs = make([]wigeonstep.ListedVM, 0, len(p.fleet.listed))
-	for _, id := range slices.Sorted(maps.Keys(p.fleet.listed)) {
-		list.VMs = append(list.VMs, p.fleet.listed[id])
+	changes.Full = !known
+	for _, id := range slices.Sorted(maps.Keys(p.fleet.changedIn)) {
+		vm, listed := p.fleet.listed[id]
+		switch {
+		case known && p.fleet.changedIn[id] <= version:
+		case listed:
+			changes.VMs = append(changes.VMs, vm)
+		case known:
+			changes.Removed = append(changes.Removed, id)
+		}
+	}
+	return changes, nil
+}
+
+// tokenLocked names a version of the list; it differs between platforms, so that a token does not outlive a restart.
+func (p *Platform) tokenLocked(version uint64) string {
+	return strconv.FormatInt(p.startedLocked(), 36) + "-" + strconv.FormatUint(version, 10)
+}
+
+func (p *Platform) startedLocked() int64 {
+	if p.started == 0 {
+		p.started = time.Now().UnixNano()
 	}
-	return list, nil
+	return p.started
 }
