--- a/wigeonfake/backend_handler.go
+++ b/wigeonfake/backend_handler.go
@@ -118,6 +118,8 @@
 	if dies {
 		connOf(ctx).cutAfter(cut)
 	}
+	// A Caller that talks to the server without an entry process between them expects an outcome.
+	c.Response.Header.Set(wigeonstep.HeaderOutcome, string(wigeonstep.OutcomeDone))
 	writeJSON(c, http.StatusOK, answer)
 }
 
@@ -161,6 +163,7 @@
 func (b *BackendServer) refuse(c *app.RequestContext, reason string) {
 	b.markLeaving(c)
 	c.Response.Header.Set(wigeonstep.HeaderOutcome, string(wigeonstep.OutcomeNotRun))
+	c.Response.Header.Set("Retry-After", "1")
 	writeJSON(c, http.StatusServiceUnavailable, wigeonstep.Refusal{Reason: reason, Step: "backend run", Peer: string(b.VM)})
 }
 
