--- /dev/null
+++ b/wigeonpool/observations.go
@@ -0,0 +1,58 @@
+// Package wigeonpool plans which VM belongs to which pool: targets, placement, moves, repair and observation of the VM list.
+//
+// It decides from the folded state, the time and the observations of one daemon, and does no I/O.
+package wigeonpool
+
+import (
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+// Listing is one reading of the VM list with an index by VM. It is immutable.
+type Listing struct {
+	List *wigeonstep.VMList
+	// TakenAt is when the platform took the list, on the reader's clock: the arrival less the reported age.
+	TakenAt time.Time
+
+	byID map[wigeonstep.VMID]*wigeonstep.ListedVM
+}
+
+// NewListing indexes a VM list that arrived at the given time.
+func NewListing(list *wigeonstep.VMList, arrived time.Time) *Listing {
+	l := &Listing{List: list, TakenAt: arrived.Add(-list.Age), byID: make(map[wigeonstep.VMID]*wigeonstep.ListedVM, len(list.VMs))}
+	for i := range list.VMs {
+		l.byID[list.VMs[i].ID] = &list.VMs[i]
+	}
+	return l
+}
+
+// VM returns the list's record of the VM, or nil when the VM is not listed.
+func (l *Listing) VM(id wigeonstep.VMID) *wigeonstep.ListedVM {
+	if l == nil {
+		return nil
+	}
+	return l.byID[id]
+}
+
+// Reach sums the recent connection results towards one VM over the entry processes that reported.
+type Reach struct {
+	// Succeeded and Failed count connection attempts.
+	Succeeded int
+	Failed    int
+}
+
+// Lost reports whether every attempt failed and there was at least one.
+func (r Reach) Lost() bool { return r.Failed > 0 && r.Succeeded == 0 }
+
+// Observations is what one daemon knows besides the folded state.
+type Observations struct {
+	// Listing is the last VM list that was read, nil before the first.
+	Listing *Listing
+	// Loads are the slots that each pool's work wants, held and queued together. A pool without a value is not judged by load.
+	Loads map[wigeonstep.PoolName]int
+	// Reach holds connection results of VMs. A VM without a value has none.
+	Reach map[wigeonstep.VMID]Reach
+	// Confirmed holds the actions that the platform has accepted since this process started.
+	Confirmed map[Action]bool
+}
