--- a/wigeonmaintenance/planner.go
+++ b/wigeonmaintenance/planner.go
@@ -3,16 +3,78 @@
 // It decides from the folded state, the time and the observations of one daemon, and does no I/O.
 package wigeonmaintenance
 
-import "github.com/wigeonstep/wigeonstep/wigeonpool"
+import (
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonpool"
+	"github.com/wigeonstep/wigeonstep/wigeonstate"
+)
 
 // Config configures a Planner. The zero value works.
-type Config struct{}
+type Config struct {
+	// Period is the time in which every VM is maintained once, default 3 weeks.
+	Period time.Duration
+	// Policy decides how many VMs of a pool may drain now, default BudgetPolicy.
+	Policy Policy
+}
+
+// Policy returns how many more VMs of the pool may drain now.
+type Policy func(fleet *wigeonpool.Fleet, pool *wigeonpool.Pool) int
+
+// BudgetPolicy lets as many VMs drain as the disruption budget allows, less the reserve for failures during one drain.
+func BudgetPolicy(fleet *wigeonpool.Fleet, pool *wigeonpool.Pool) int { return pool.Room(fleet) }
+
+// BatchPolicy lets a fixed number of VMs be out for maintenance at once, whatever fails meanwhile. It is a baseline for comparison.
+func BatchPolicy(size int) Policy {
+	return func(_ *wigeonpool.Fleet, pool *wigeonpool.Pool) int { return size - pool.Planned }
+}
+
+// Planner plans waves and the phases of VMs. Everything that must last is in the fold; the planner remembers only
+// what it waited for in other data centres. Its methods are called from one goroutine.
+type Planner struct {
+	config  Config
+	waiting map[wigeonstep.PoolName]awaited
+}
 
-// Planner plans waves and the phases of VMs. Its methods are called from one goroutine.
-type Planner struct{}
+// awaited is a drain that the planner of another data centre was expected to propose.
+type awaited struct {
+	vm    wigeonstep.VMID
+	since time.Time
+}
 
 // NewPlanner returns a Planner.
-func NewPlanner(config Config) *Planner { return &Planner{} }
+func NewPlanner(config Config) *Planner {
+	if config.Period <= 0 {
+		config.Period = 3 * 7 * 24 * time.Hour
+	}
+	if config.Policy == nil {
+		config.Policy = BudgetPolicy
+	}
+	return &Planner{config: config, waiting: map[wigeonstep.PoolName]awaited{}}
+}
 
 // Plan returns the proposals and actions of one round.
-func (p *Planner) Plan(fleet *wigeonpool.Fleet) wigeonpool.Plan { return wigeonpool.Plan{} }
+func (p *Planner) Plan(fleet *wigeonpool.Fleet) wigeonpool.Plan {
+	var plan wigeonpool.Plan
+	waves := make(map[wigeonstep.PoolName]*wigeonstate.Wave, len(fleet.View.Waves))
+	for _, w := range fleet.View.Waves {
+		waves[w.Pool] = w
+	}
+	for _, pool := range fleet.Pools {
+		for _, vm := range pool.Out {
+			if fleet.Own(vm) {
+				step(&plan, fleet, pool, vm)
+			}
+		}
+		if fleet.RunsSessions(pool) {
+			continue
+		}
+		if wave := waves[pool.Name]; wave != nil {
+			p.continueWave(&plan, fleet, pool, wave)
+		} else {
+			p.startWave(&plan, fleet, pool)
+		}
+	}
+	return plan
+}
--- /dev/null
+++ b/wigeonmaintenance/step.go
@@ -0,0 +1,149 @@
+package wigeonmaintenance
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep/wigeonpool"
+	"github.com/wigeonstep/wigeonstep/wigeonstate"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+const (
+	// ReturnTimeout is how long a VM may take to come back after a reboot, and then to pass its verification.
+	ReturnTimeout = 10 * time.Minute
+	// checkpointGrace is how long tasks have to end after a checkpoint was asked for.
+	checkpointGrace = time.Minute
+	// listMargin is how much later than a transition a VM list must be taken to prove something about the time after it.
+	// It covers the difference between the clocks of the authors of the fold time and of this process.
+	listMargin = 5 * time.Second
+)
+
+// step plans the next step of one VM of this data centre that is out of service.
+func step(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) {
+	switch vm.Phase {
+	case wigeonwire.Phase_PHASE_DRAINING:
+		stepDraining(plan, fleet, pool, vm)
+	case wigeonwire.Phase_PHASE_DRAINED:
+		stepDrained(plan, fleet, vm)
+	case wigeonwire.Phase_PHASE_REBOOTING:
+		stepRebooting(plan, fleet, vm)
+	case wigeonwire.Phase_PHASE_VERIFYING:
+		stepVerifying(plan, fleet, vm)
+	case wigeonwire.Phase_PHASE_FAILED:
+		if up(fleet, vm) && !vm.Leaving {
+			plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_VERIFYING, "", "", wigeonpool.Reason{
+				Cause: "the VM list shows the failed VM up", Rule: "a failed VM is verified before it returns", Figures: elapsed(fleet, vm),
+			})
+		}
+	}
+}
+
+func stepDraining(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) {
+	if vm.Leaving {
+		// The platform announced the departure, so it needs no call; a call would hide that it may withdraw it.
+		if Idle(fleet, vm) {
+			drained(plan, fleet, vm)
+		}
+		return
+	}
+	plan.Act(fleet, wigeonpool.Action{Kind: wigeonpool.ActionDrain, VM: vm.ID, Epoch: vm.Epoch})
+	spent := fleet.View.Time.Sub(vm.PhaseSince)
+	switch {
+	case Idle(fleet, vm):
+		drained(plan, fleet, vm)
+	case spent <= pool.MaxDrain:
+	case pool.Checkpoint && spent <= pool.MaxDrain+checkpointGrace:
+		plan.Act(fleet, wigeonpool.Action{Kind: wigeonpool.ActionCheckpoint, VM: vm.ID, Epoch: vm.Epoch})
+	default:
+		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_IN_SERVICE, "", "", wigeonpool.Reason{
+			Cause:   "work was still in flight when max_drain_s had passed",
+			Rule:    "no work is cut off; the VM returns to service and drains again later",
+			Figures: fmt.Sprintf("%s max_drain_s=%d checkpoint=%t", elapsed(fleet, vm), int(pool.MaxDrain.Seconds()), pool.Checkpoint),
+		})
+	}
+}
+
+func drained(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
+	plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_DRAINED, "", "", wigeonpool.Reason{
+		Cause: "every entry session applied the drain and has no request in flight on the VM",
+		Rule:  "a VM is drained once no process uses it", Figures: elapsed(fleet, vm),
+	})
+}
+
+// stepDrained reboots a VM that drained for a wave. A VM that drained for a move is the concern of the pool planner.
+func stepDrained(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
+	if vm.Wave == "" || vm.Leaving {
+		return
+	}
+	// The platform reboots only a VM that it knows as draining, and the call of the draining phase may have failed.
+	drain := wigeonpool.Action{Kind: wigeonpool.ActionDrain, VM: vm.ID, Epoch: vm.Epoch}
+	reboot := wigeonpool.Action{Kind: wigeonpool.ActionReboot, VM: vm.ID, Epoch: vm.Epoch}
+	switch {
+	case fleet.Confirmed(reboot):
+		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_REBOOTING, "", "", wigeonpool.Reason{
+			Cause: "the platform accepted the reboot", Rule: "one reboot for each epoch", Figures: fmt.Sprintf("epoch=%d wave=%s", vm.Epoch, vm.Wave),
+		})
+	case fleet.Confirmed(drain):
+		plan.Act(fleet, reboot)
+	default:
+		plan.Act(fleet, drain)
+	}
+}
+
+func stepRebooting(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
+	if up(fleet, vm) {
+		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_VERIFYING, "", "", wigeonpool.Reason{
+			Cause: "the VM list shows the VM up after its reboot", Rule: "a rebooted VM is verified before it returns", Figures: elapsed(fleet, vm),
+		})
+		return
+	}
+	failLate(plan, fleet, vm, "the VM did not come back from its reboot")
+}
+
+func stepVerifying(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
+	probe := wigeonpool.Action{Kind: wigeonpool.ActionProbe, VM: vm.ID, Epoch: vm.Epoch}
+	listed := fleet.Listed(vm)
+	if listed != nil && listed.Up && fleet.Confirmed(probe) {
+		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_IN_SERVICE, "", "", wigeonpool.Reason{
+			Cause: "the VM is up and its backend server takes connections", Rule: "a verified VM returns to service", Figures: elapsed(fleet, vm),
+		})
+		return
+	}
+	plan.Act(fleet, probe)
+	failLate(plan, fleet, vm, "the VM did not pass its verification")
+}
+
+// failLate declares the VM failed after ReturnTimeout, unless the VM list proves nothing.
+func failLate(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM, cause string) {
+	if trusted, _ := fleet.ListTrusted(vm.DataCentre); !trusted || fleet.View.Time.Sub(vm.PhaseSince) <= ReturnTimeout {
+		return
+	}
+	plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_FAILED, "", "", wigeonpool.Reason{
+		Cause: cause, Rule: "a VM that does not come back in 10 minutes is failed", Figures: elapsed(fleet, vm),
+	})
+}
+
+// up reports whether a VM list that was taken after the VM's last transition shows it up.
+func up(fleet *wigeonpool.Fleet, vm *wigeonstate.VM) bool {
+	listed := fleet.Listed(vm)
+	return listed != nil && listed.Up && fleet.Seen.Listing.TakenAt.Sub(vm.PhaseSince) > listMargin
+}
+
+// Idle reports whether no entry process can still use a draining VM, by the rule of the fold.
+// An expired session does not block when its VM is gone from a trusted VM list, or when it is in another data centre.
+func Idle(fleet *wigeonpool.Fleet, vm *wigeonstate.VM) bool {
+	for _, s := range fleet.View.Sessions {
+		if s.Role != wigeonwire.Role_ROLE_ENTRY || (s.Expired && s.DataCentre != vm.DataCentre) {
+			continue
+		}
+		if s.LastRenewal == 0 || s.AppliedOffset < vm.PhaseOffset || s.BusyVMs[vm.ID] {
+			return false
+		}
+	}
+	return true
+}
+
+func elapsed(fleet *wigeonpool.Fleet, vm *wigeonstate.VM) string {
+	return fmt.Sprintf("phase_s=%d epoch=%d", int(fleet.View.Time.Sub(vm.PhaseSince).Seconds()), vm.Epoch)
+}
--- /dev/null
+++ b/wigeonmaintenance/wave.go
@@ -0,0 +1,164 @@
+package wigeonmaintenance
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonpool"
+	"github.com/wigeonstep/wigeonstep/wigeonstate"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// foreignPatience is how long the planner waits for the planner of another data centre to propose the drain that is due there.
+// After that it goes on with its own VMs; the fold still judges every drain.
+const foreignPatience = 30 * time.Second
+
+// cycle returns the id of the wave that is due in the pool at the time, and when its period began.
+// The id depends only on the pool and the time, so that all planners propose the same wave. Pools begin their periods
+// at different times, so that their waves spread over the period.
+func (p *Planner) cycle(pool wigeonstep.PoolName, at time.Time) (wigeonstep.WaveID, time.Time) {
+	period := p.config.Period.Milliseconds()
+	shift := int64(xxhash.Sum64String(string(pool)) % uint64(period))
+	number := (at.UnixMilli() + shift) / period
+	return wigeonstep.WaveID(fmt.Sprintf("%s-%d", pool, number)), time.UnixMilli(number*period - shift)
+}
+
+func (p *Planner) startWave(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool) {
+	if !fleet.Leads(pool) {
+		return
+	}
+	id, began := p.cycle(pool.Name, fleet.View.Time)
+	due := false
+	for _, vm := range pool.VMs {
+		if vm.LastWave == id {
+			return
+		}
+		due = due || (fleet.Available(vm) && vm.LastMaintained.Before(began))
+	}
+	if due {
+		plan.Entries = append(plan.Entries, &wigeonwire.Entry{Body: &wigeonwire.Entry_WaveStart{
+			WaveStart: &wigeonwire.WaveStart{Wave: string(id), Pool: string(pool.Name)},
+		}})
+	}
+}
+
+// continueWave proposes the drains that the policy allows now, or the end of the wave when no VM is left to maintain.
+func (p *Planner) continueWave(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, wave *wigeonstate.Wave) {
+	left, failed := 0, 0
+	var ready []*wigeonstate.VM
+	for _, vm := range pool.VMs {
+		switch {
+		case vm.LastWave == wave.ID || vm.Leaving:
+		case vm.Phase == wigeonwire.Phase_PHASE_FAILED:
+			failed++
+		default:
+			left++
+			if drainable(fleet, pool, vm) {
+				ready = append(ready, vm)
+			}
+		}
+	}
+	if left == 0 {
+		if fleet.Leads(pool) {
+			plan.Entries = append(plan.Entries, &wigeonwire.Entry{Body: &wigeonwire.Entry_WaveEnd{WaveEnd: &wigeonwire.WaveEnd{
+				Wave: string(wave.ID), Reason: fmt.Sprintf("done=%d failed=%d total=%d", wave.Done, failed, wave.Total),
+			}}})
+		}
+		return
+	}
+	p.drain(plan, fleet, pool, wave, ready)
+}
+
+// drainable reports whether the VM may be chosen for a drain. A VM that changed its phase lately is left alone for as long
+// as a drain may take: it may have returned from a drain that did not end in time.
+func drainable(fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) bool {
+	if !fleet.Available(vm) || fleet.View.Time.Sub(vm.PhaseSince) < pool.MaxDrain {
+		return false
+	}
+	trusted, _ := fleet.ListTrusted(vm.DataCentre)
+	return trusted
+}
+
+func (p *Planner) drain(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, wave *wigeonstate.Wave, ready []*wigeonstate.VM) {
+	ready = p.withoutIdleCentres(fleet, pool, ready)
+	foreign := wigeonstep.VMID("")
+	for room := p.config.Policy(fleet, pool); room > 0; room = p.config.Policy(fleet, pool) {
+		i := next(fleet, pool, ready)
+		if i < 0 {
+			break
+		}
+		vm := ready[i]
+		ready = append(ready[:i], ready[i+1:]...)
+		if fleet.Own(vm) {
+			plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_DRAINING, "", wave.ID, wigeonpool.Reason{
+				Cause:   "maintenance wave " + string(wave.ID),
+				Rule:    "as many drains as the disruption budget allows, less the reserve for failures during one drain",
+				Figures: pool.BudgetFigures(fleet),
+			})
+		} else if foreign == "" {
+			foreign = vm.ID
+		}
+		pool.Take(fleet, vm)
+	}
+	if foreign == "" {
+		delete(p.waiting, pool.Name)
+	} else if p.waiting[pool.Name].vm != foreign {
+		p.waiting[pool.Name] = awaited{vm: foreign, since: fleet.Now}
+	}
+}
+
+// withoutIdleCentres leaves only own VMs when the drain due in another data centre was not proposed in time.
+func (p *Planner) withoutIdleCentres(fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, ready []*wigeonstate.VM) []*wigeonstate.VM {
+	w, waits := p.waiting[pool.Name]
+	if !waits || fleet.Now.Sub(w.since) < foreignPatience {
+		return ready
+	}
+	var own []*wigeonstate.VM
+	late := false
+	for _, vm := range ready {
+		if fleet.Own(vm) {
+			own = append(own, vm)
+		}
+		late = late || vm.ID == w.vm
+	}
+	if !late {
+		delete(p.waiting, pool.Name)
+		return ready
+	}
+	return own
+}
+
+// next returns the index of the VM to drain next, or -1. It spreads drains over data centres and racks, and takes the VM
+// that was maintained longest ago first.
+func next(fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, ready []*wigeonstate.VM) int {
+	best := -1
+	var bestKey [2]int
+	for i, vm := range ready {
+		rack := pool.RackCount(fleet, wigeonpool.RackOf(vm))
+		if pool.MaxPerRack > 0 && rack.Lost >= pool.MaxPerRack {
+			continue
+		}
+		key := [2]int{pool.ZoneCount(fleet, vm.DataCentre).Lost, rack.Lost}
+		if best < 0 || before(key, bestKey, vm, ready[best]) {
+			best, bestKey = i, key
+		}
+	}
+	return best
+}
+
+func before(a, b [2]int, x, y *wigeonstate.VM) bool {
+	switch {
+	case a[0] != b[0]:
+		return a[0] < b[0]
+	case a[1] != b[1]:
+		return a[1] < b[1]
+	case !x.LastMaintained.Equal(y.LastMaintained):
+		return x.LastMaintained.Before(y.LastMaintained)
+	case !x.PhaseSince.Equal(y.PhaseSince):
+		return x.PhaseSince.Before(y.PhaseSince)
+	}
+	return x.ID < y.ID
+}
--- /dev/null
+++ b/wigeonpool/budget.go
@@ -0,0 +1,77 @@
+package wigeonpool
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep/wigeonstate"
+)
+
+const (
+	// FailuresPerVMDay is how often a VM fails or restarts without a plan: 55 failures and 880 restarts a day at 7,300 VMs.
+	FailuresPerVMDay = (55.0 + 880.0) / 7300
+	// reserveConfidence is the probability with which the reserve covers the failures during one drain.
+	reserveConfidence = 0.99
+	// rebootAllowance is the part of a planned stop that follows the drain: reboot and verification.
+	rebootAllowance = 10 * time.Minute
+)
+
+// Lost returns how many VMs of the pool are unavailable, planned and unplanned together.
+func (p *Pool) Lost() int { return p.Planned + p.Unplanned }
+
+// Reserve returns how much of the disruption budget stays free for losses that may happen during one drain:
+// the failures of single VMs that are to be expected, or one rack, whichever is larger. The loss of a domain that
+// takes the whole budget cannot be provided for and is left out.
+func (p *Pool) Reserve(f *Fleet) int {
+	if len(p.Services) == 0 {
+		return 0
+	}
+	drain := (p.MaxDrain + rebootAllowance).Hours() / 24
+	single := poissonQuantile(float64(len(p.VMs))*FailuresPerVMDay*drain, reserveConfidence)
+	return max(min(single, p.MaxUnavailable-1), p.largestLoss(f, p.MaxUnavailable-1))
+}
+
+// Room returns how many more VMs may drain now. When the pool has lost nothing, one VM may always drain,
+// since a pool whose budget is no larger than the reserve would otherwise never be maintained.
+func (p *Pool) Room(f *Fleet) int {
+	if p.Lost() == 0 {
+		return max(1, p.MaxUnavailable-p.Reserve(f))
+	}
+	return p.MaxUnavailable - p.Lost() - p.Reserve(f)
+}
+
+// CanDrain reports whether the VM may drain within the budget, and the figures of the verdict.
+// A VM that is unavailable already costs nothing more.
+func (p *Pool) CanDrain(f *Fleet, vm *wigeonstate.VM) (bool, string) {
+	figures := p.BudgetFigures(f)
+	if !f.Available(vm) {
+		return true, figures
+	}
+	if p.Room(f) < 1 {
+		return false, figures
+	}
+	if p.MaxPerRack > 0 && p.RackCount(f, RackOf(vm)).Lost >= p.MaxPerRack {
+		return false, figures
+	}
+	return true, figures
+}
+
+// BudgetFigures returns the figures of the pool's budget for explain.
+func (p *Pool) BudgetFigures(f *Fleet) string {
+	return fmt.Sprintf("max_unavailable=%d max_per_rack=%d planned=%d unplanned=%d reserve=%d vms=%d",
+		p.MaxUnavailable, p.MaxPerRack, p.Planned, p.Unplanned, p.Reserve(f), len(p.VMs))
+}
+
+// poissonQuantile returns the smallest count that a Poisson variable with the mean exceeds with a probability of at most 1-confidence.
+func poissonQuantile(mean, confidence float64) int {
+	term := math.Exp(-mean)
+	sum := term
+	n := 0
+	for sum < confidence && n < 1000 {
+		n++
+		term *= mean / float64(n)
+		sum += term
+	}
+	return n
+}
--- a/wigeonpool/fleet.go
+++ b/wigeonpool/fleet.go
@@ -1,10 +1,13 @@
 package wigeonpool
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonstate"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
 // Fleet is the input of one planning round: the folded state, the time and the observations.
@@ -15,9 +18,117 @@
 	// DataCentre is the data centre of the daemon; it changes only VMs of this one.
 	DataCentre wigeonstep.DataCentreName
 	Seen       Observations
+	// Pools holds every pool that has a VM or a document, sorted by name.
+	Pools []*Pool
+
+	zones map[wigeonstep.DataCentreName]*zone
+	byID  map[wigeonstep.PoolName]*Pool
+	// down holds the VMs of this data centre that do not work by the observations, in whatever phase.
+	down []*wigeonstate.VM
+	// entryPools holds the pools with a VM that runs a process of wigeonstep.
+	entryPools map[wigeonstep.PoolName]bool
+}
+
+// zone is what a round knows of one data centre.
+type zone struct {
+	// control is set while the data centre has an open control session.
+	control bool
+	// total and missing count VMs that the fold holds as working, and those of them that the list lacks.
+	total, missing int
 }
 
 // NewFleet prepares a planning round.
 func NewFleet(view *wigeonstate.View, now time.Time, dataCentre wigeonstep.DataCentreName, seen Observations) *Fleet {
-	return &Fleet{View: view, Now: now, DataCentre: dataCentre, Seen: seen}
+	f := &Fleet{
+		View: view, Now: now, DataCentre: dataCentre, Seen: seen,
+		zones: map[wigeonstep.DataCentreName]*zone{},
+		byID:  make(map[wigeonstep.PoolName]*Pool, len(view.Pools)),
+
+		entryPools: map[wigeonstep.PoolName]bool{},
+	}
+	for _, s := range view.Sessions {
+		if vm := view.VMs[s.VM]; vm != nil {
+			f.entryPools[vm.Pool] = true
+		}
+		if s.Role == wigeonwire.Role_ROLE_CONTROL && !s.Expired {
+			f.zone(s.DataCentre).control = true
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(view.Pools)) {
+		f.addPool(name).VMs = view.Pools[name]
+	}
+	for _, name := range slices.Sorted(maps.Keys(view.Services)) {
+		s := view.Services[name]
+		f.addPool(s.Document.Pool).addService(s)
+	}
+	slices.SortFunc(f.Pools, func(a, b *Pool) int { return compareNames(a.Name, b.Name) })
+	f.countMissing()
+	for _, p := range f.Pools {
+		p.count(f)
+	}
+	return f
+}
+
+// Pool returns the pool, or nil when no VM and no document names it.
+func (f *Fleet) Pool(name wigeonstep.PoolName) *Pool { return f.byID[name] }
+
+// Own reports whether this daemon's data centre holds the VM.
+func (f *Fleet) Own(vm *wigeonstate.VM) bool { return vm.DataCentre == f.DataCentre }
+
+// HasControl reports whether the data centre has an open control session.
+func (f *Fleet) HasControl(dataCentre wigeonstep.DataCentreName) bool {
+	z := f.zones[dataCentre]
+	return z != nil && z.control
+}
+
+// Available reports whether the VM can take work, by the fold, the VM list and the connection results together.
+func (f *Fleet) Available(vm *wigeonstate.VM) bool {
+	return vm.InService() && f.HasControl(vm.DataCentre) && !f.Down(vm)
 }
+
+func (f *Fleet) zone(name wigeonstep.DataCentreName) *zone {
+	z := f.zones[name]
+	if z == nil {
+		z = &zone{}
+		f.zones[name] = z
+	}
+	return z
+}
+
+func (f *Fleet) addPool(name wigeonstep.PoolName) *Pool {
+	p := f.byID[name]
+	if p == nil {
+		p = &Pool{Name: name}
+		f.byID[name] = p
+		f.Pools = append(f.Pools, p)
+	}
+	return p
+}
+
+func compareNames[T ~string](a, b T) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// Leads reports whether this daemon's data centre is the first by name that has VMs of the pool and an open control session.
+// Only its planner proposes what concerns the pool as a whole; the fold would refuse the others' copies.
+func (f *Fleet) Leads(pool *Pool) bool {
+	first := wigeonstep.DataCentreName("")
+	for _, vm := range pool.VMs {
+		if f.HasControl(vm.DataCentre) && (first == "" || vm.DataCentre < first) {
+			first = vm.DataCentre
+		}
+	}
+	return first != "" && first == f.DataCentre
+}
+
+// RunsSessions reports whether a VM of the pool runs a process of wigeonstep. The platform maintains those VMs itself.
+func (f *Fleet) RunsSessions(pool *Pool) bool { return f.entryPools[pool.Name] }
+
+// Confirmed reports whether the platform has accepted the action since this process started.
+func (f *Fleet) Confirmed(action Action) bool { return !f.Seen.Confirmed[action].IsZero() }
--- a/wigeonpool/observations.go
+++ b/wigeonpool/observations.go
@@ -53,6 +53,6 @@
 	Loads map[wigeonstep.PoolName]int
 	// Reach holds connection results of VMs. A VM without a value has none.
 	Reach map[wigeonstep.VMID]Reach
-	// Confirmed holds the actions that the platform has accepted since this process started.
-	Confirmed map[Action]bool
+	// Confirmed holds when the platform accepted each action, since this process started.
+	Confirmed map[Action]time.Time
 }
--- a/wigeonpool/plan.go
+++ b/wigeonpool/plan.go
@@ -17,6 +17,8 @@
 	ActionAssign ActionKind = "assign"
 	// ActionCheckpoint calls Platform.CheckpointVM.
 	ActionCheckpoint ActionKind = "checkpoint"
+	// ActionProbe checks that the VM's backend server takes connections. It changes nothing.
+	ActionProbe ActionKind = "probe"
 )
 
 // Action is one call to the platform that the folded state allows. Every call is idempotent for its epoch,
@@ -61,7 +63,7 @@
 
 // Act adds an action unless the platform has confirmed it already.
 func (p *Plan) Act(fleet *Fleet, action Action) {
-	if !fleet.Seen.Confirmed[action] {
+	if !fleet.Confirmed(action) {
 		p.Actions = append(p.Actions, action)
 	}
 }
