--- /dev/null
+++ b/wigeoncontrol/wave_test.go
@@ -0,0 +1,25 @@
+package wigeoncontrol_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A wave over a healthy pool must reach every VM and never exceed the budget.
+func TestWaveMaintainsEveryVMOnce(t *testing.T) {
+	w := newWorld(t, planners{}, "a", "b", "c")
+	w.addVMs("orders", 12, 32)
+	w.addVMs("spare", 3, 32)
+	w.run(10*time.Second, nil)
+	w.document("orders", 0, 10, "availability: {max_unavailable_workers: 3, max_unavailable_per_rack: 1, survive: none}\nmaintenance: {max_drain_s: 60}\n")
+	done := w.run(3*time.Hour, func() bool { return w.maintained("orders") && w.maintained("spare") })
+	w.c.Assert(done, qt.IsTrue)
+	w.c.Assert(w.run(time.Minute, func() bool { return len(w.state.View().Waves) == 0 }), qt.IsTrue)
+	t.Logf("%+v after %s", w.stats, w.now.Sub(time.Unix(1_800_000_000, 0)))
+	w.c.Assert(w.stats.breaches, qt.Equals, 0)
+	for _, id := range w.ids {
+		w.c.Assert(w.machines[id].reboots, qt.Equals, 1, qt.Commentf("%s", id))
+	}
+}
--- a/wigeonmaintenance/wave.go
+++ b/wigeonmaintenance/wave.go
@@ -16,6 +16,9 @@
 // After that it goes on with its own VMs; the fold still judges every drain.
 const foreignPatience = 30 * time.Second
 
+// maxRest bounds how long a VM stays in service between two attempts to drain it; a drain itself may take a week.
+const maxRest = time.Hour
+
 // cycle returns the id of the wave that is due in the pool at the time, and when its period began.
 // The id depends only on the pool and the time, so that all planners propose the same wave. Pools begin their periods
 // at different times, so that their waves spread over the period.
@@ -73,9 +76,9 @@
 }
 
 // drainable reports whether the VM may be chosen for a drain. A VM that changed its phase lately is left alone for as long
-// as a drain may take: it may have returned from a drain that did not end in time.
+// as a drain may take, at most maxRest: it may have returned from a drain that did not end in time.
 func drainable(fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) bool {
-	if !fleet.Available(vm) || fleet.View.Time.Sub(vm.PhaseSince) < pool.MaxDrain {
+	if !fleet.Available(vm) || fleet.View.Time.Sub(vm.PhaseSince) < min(pool.MaxDrain, maxRest) {
 		return false
 	}
 	trusted, _ := fleet.ListTrusted(vm.DataCentre)
--- a/wigeonpool/budget.go
+++ b/wigeonpool/budget.go
@@ -21,15 +21,15 @@
 func (p *Pool) Lost() int { return p.Planned + p.Unplanned }
 
 // Reserve returns how much of the disruption budget stays free for losses that may happen during one drain:
-// the failures of single VMs that are to be expected, or one rack, whichever is larger. The loss of a domain that
-// takes the whole budget cannot be provided for and is left out.
+// the failures of single VMs that are to be expected, or one rack, whichever is larger. A rack whose loss would exceed
+// the budget even if nothing drained is left out, since no order of drains provides for it.
 func (p *Pool) Reserve(f *Fleet) int {
 	if len(p.Services) == 0 {
 		return 0
 	}
 	drain := (p.MaxDrain + rebootAllowance).Hours() / 24
 	single := poissonQuantile(float64(len(p.VMs))*FailuresPerVMDay*drain, reserveConfidence)
-	return max(min(single, p.MaxUnavailable-1), p.largestLoss(f, p.MaxUnavailable-1))
+	return max(min(single, p.MaxUnavailable-1), p.largestLoss(f, p.MaxUnavailable-p.Unplanned-1))
 }
 
 // Room returns how many more VMs may drain now. When the pool has lost nothing, one VM may always drain,
