Add the apply, status and explain commands

Cause: operators change only their document and need to see what the fleet does with it. The settings key for the platform is platform_address, since the client takes host:port.

--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -69,7 +69,10 @@
 		ShortHelp:  "manages the capacity and maintenance of a fleet",
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
+			newApply(out, errOut),
 			newCheck(out, errOut),
+			newStatus(out, errOut),
+			newExplain(out, errOut),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- /dev/null
+++ b/cmd/wigeonstep/session.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/user"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonfollow"
+	"github.com/wigeonstep/wigeonstep/wigeonpeer"
+	"github.com/wigeonstep/wigeonstep/wigeonplatform"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// sourceFlags are the flags of commands that read the folded state.
+type sourceFlags struct {
+	platform string
+	peer     string
+	timeout  time.Duration
+	asJSON   bool
+}
+
+func (s *sourceFlags) register(flags *flag.FlagSet) {
+	flags.StringVar(&s.platform, "platform", "", "host:port of the platform, whose log is read")
+	flags.StringVar(&s.peer, "peer", "", "peer address of a process to ask in place of the platform")
+	flags.DurationVar(&s.timeout, "timeout", 10*time.Second, "longest time that the command takes")
+	flags.BoolVar(&s.asJSON, "json", false, "write JSON")
+}
+
+func (s *sourceFlags) validate(command string) error {
+	if (s.platform == "") == (s.peer == "") {
+		return usagef("%s: name either -platform or -peer", command)
+	}
+	return nil
+}
+
+// query asks a process, or folds the log without adding to it, and writes the JSON answer to a status query into target.
+func (s *sourceFlags) query(ctx context.Context, view string, target any) error {
+	ctx, cancel := context.WithTimeout(ctx, s.timeout)
+	defer cancel()
+	var data []byte
+	var err error
+	if s.peer != "" {
+		data, err = askPeer(ctx, s.peer, view)
+	} else {
+		err = withFollower(ctx, wigeonfollow.Config{ReadOnly: true}, s.platform, func(ctx context.Context, follower *wigeonfollow.Follower) error {
+			answer, err := answerQuery(view, follower)
+			data = answer
+			return err
+		})
+	}
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, target); err != nil {
+		return fmt.Errorf("decode answer to %q: %w", view, err)
+	}
+	return nil
+}
+
+func askPeer(ctx context.Context, address, view string) ([]byte, error) {
+	client := &wigeonpeer.Client{}
+	defer func() { _ = client.Close() }()
+	response, err := client.Call(ctx, address, &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Status{Status: &wigeonwire.StatusQuery{View: view}}})
+	if err != nil {
+		return nil, err
+	}
+	return response.GetStatus().GetJson(), nil
+}
+
+// withFollower runs fn with a follower that has reached the end of the log.
+func withFollower(ctx context.Context, config wigeonfollow.Config, platform string, fn func(ctx context.Context, follower *wigeonfollow.Follower) error) error {
+	log, err := wigeonplatform.New(wigeonplatform.Config{Address: platform, Name: "operator"})
+	if err != nil {
+		return err
+	}
+	config.Log = log
+	follower := wigeonfollow.New(config)
+	running, stop := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- follower.Run(running) }()
+	err = follower.WaitReady(ctx)
+	if err != nil {
+		err = fmt.Errorf("platform %s: %w", platform, err)
+	} else {
+		err = fn(ctx, follower)
+	}
+	stop()
+	return errors.Join(err, <-done)
+}
+
+// operatorSession is the configuration of a follower that an operator's change goes through.
+func operatorSession() wigeonfollow.Config {
+	return wigeonfollow.Config{
+		Session: newSessionID(),
+		Open:    &wigeonwire.SessionOpen{Role: wigeonwire.Role_ROLE_OPERATOR},
+	}
+}
+
+func newSessionID() wigeonstep.SessionID {
+	return wigeonstep.SessionID(rand.Uint64() | 1)
+}
+
+func operatorName() string {
+	if u, err := user.Current(); err == nil {
+		return u.Username
+	}
+	return os.Getenv("USER")
+}
+
+func writeJSON(out io.Writer, value any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(value)
+}
--- a/wigeonsettings/settings.go
+++ b/wigeonsettings/settings.go
@@ -18,8 +18,8 @@
 	DataCentre wigeonstep.DataCentreName `yaml:"data_centre" check:"required,format=name"`
 	// VM is the entry VM that the process runs on.
 	VM wigeonstep.VMID `yaml:"vm" check:"required,format=name"`
-	// PlatformURL is where the platform's log service and VM list are.
-	PlatformURL string `yaml:"platform_url" check:"required,format=url"`
+	// PlatformAddress is host:port of the platform.
+	PlatformAddress string `yaml:"platform_address" check:"required,format=host_port"`
 	// PeerAddress is where other wigeonstep processes reach this one.
 	PeerAddress string `yaml:"peer_address" check:"required,format=host_port"`
 	// AdminAddress serves /metrics, /healthz and /readyz.
--- a/wigeonyaml/decode.go
+++ b/wigeonyaml/decode.go
@@ -40,7 +40,7 @@
 
 // Decode reads one YAML document into the struct that target points to and fills in defaults.
 // Fields take their key from the tag "yaml" and their rules from the tag "check": required, min=, max=, default=,
-// oneof=a|b, format=name, format=host_port and format=url. Embedded structs share the keys of their parent. Unknown keys and keys given twice are faults.
+// oneof=a|b, format=name and format=host_port. Embedded structs share the keys of their parent. Unknown keys and keys given twice are faults.
 func Decode(file string, data []byte, target any) (Positions, Faults) {
 	d := &decoder{positions: Positions{file: file, places: make(map[string]*token.Position)}}
 	value := reflect.ValueOf(target).Elem()
--- a/wigeonyaml/rules.go
+++ b/wigeonyaml/rules.go
@@ -60,8 +60,6 @@
 		return "a name of 1 to 63 characters from a-z, 0-9, '.', '_' and '-'"
 	case r.format == "host_port":
 		return "an IP address and a port, such as 127.0.0.1:8080"
-	case r.format == "url":
-		return "an http URL with an IP address, such as http://127.0.0.1:9000"
 	}
 	switch t.Kind() {
 	case reflect.Slice:
@@ -86,9 +84,6 @@
 		ok = namePattern.MatchString(text)
 	case r.format == "host_port":
 		ok = isHostPort(text)
-	case r.format == "url":
-		address, found := strings.CutPrefix(text, "http://")
-		ok = found && isHostPort(address)
 	case r.required:
 		ok = text != ""
 	}
