--- /dev/null
+++ b/wigeonbackend/reader.go
@@ -0,0 +1,102 @@
+package wigeonbackend
+
+import (
+	"io"
+	"net"
+)
+
+const (
+	initialBuffer = 4 << 10
+	// keptBuffer bounds the buffer that an idle connection keeps, so that one large response does not hold memory.
+	keptBuffer = 64 << 10
+)
+
+// reader implements the network.Reader of hertz over one connection. It is used by one goroutine at a time.
+type reader struct {
+	conn net.Conn
+	buf  []byte
+	// buf[start:end] holds bytes that were read and not yet consumed.
+	start, end int
+	// total counts the bytes that the connection delivered since it was opened.
+	total uint64
+	// err is the last error of the connection; hertz hides the cause of some of them.
+	err error
+}
+
+// Peek returns the next n bytes without consuming them; fewer bytes come with an error.
+func (r *reader) Peek(n int) ([]byte, error) {
+	for r.end-r.start < n {
+		if err := r.fill(n); err != nil {
+			return r.buf[r.start:r.end], err
+		}
+	}
+	return r.buf[r.start : r.start+n], nil
+}
+
+func (r *reader) fill(n int) error {
+	if r.start > 0 && len(r.buf)-r.start < n {
+		copy(r.buf, r.buf[r.start:r.end])
+		r.end -= r.start
+		r.start = 0
+	}
+	if len(r.buf) < n {
+		grown := make([]byte, max(n, initialBuffer))
+		copy(grown, r.buf[r.start:r.end])
+		r.buf, r.end, r.start = grown, r.end-r.start, 0
+	}
+	got, err := r.conn.Read(r.buf[r.end:])
+	r.end += got
+	r.total += uint64(got)
+	if got > 0 {
+		return nil
+	}
+	if err == nil {
+		err = io.ErrNoProgress
+	}
+	r.err = err
+	return err
+}
+
+// Skip consumes n bytes.
+func (r *reader) Skip(n int) error {
+	if _, err := r.Peek(n); err != nil {
+		return err
+	}
+	r.start += n
+	if r.start == r.end {
+		r.start, r.end = 0, 0
+	}
+	return nil
+}
+
+// Release implements network.Reader; slices of Peek stay valid until the next read.
+func (r *reader) Release() error { return nil }
+
+// Len returns the number of bytes that were read and not yet consumed.
+func (r *reader) Len() int { return r.end - r.start }
+
+// ReadByte consumes one byte.
+func (r *reader) ReadByte() (byte, error) {
+	b, err := r.Peek(1)
+	if err != nil {
+		return 0, err
+	}
+	c := b[0]
+	return c, r.Skip(1)
+}
+
+// ReadBinary consumes n bytes and returns a copy.
+func (r *reader) ReadBinary(n int) ([]byte, error) {
+	b, err := r.Peek(n)
+	if err != nil {
+		return nil, err
+	}
+	p := append([]byte(nil), b...)
+	return p, r.Skip(n)
+}
+
+func (r *reader) shrink() {
+	if len(r.buf) > keptBuffer && r.Len() == 0 {
+		r.buf = nil
+	}
+}
--- /dev/null
+++ b/wigeoncaller/problem.go
@@ -0,0 +1,89 @@
+package wigeoncaller
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+const (
+	problemType = "application/problem+json"
+	jsonType    = "application/json"
+	stepRead    = "read request"
+	peerCaller  = "caller"
+)
+
+// problem is the RFC 9457 body of a response without an answer.
+type problem struct {
+	Type    string             `json:"type"`
+	Title   string             `json:"title"`
+	Status  int                `json:"status"`
+	Outcome wigeonstep.Outcome `json:"outcome"`
+	wigeonstep.Refusal
+	// RetryAfterS is in seconds and zero when a repetition would not help.
+	RetryAfterS int `json:"retry_after_s,omitempty"`
+}
+
+// BadInput returns the response to a request that is refused for what it says. Repeating it does not help, so it carries no Retry-After.
+func BadInput(status int, reason string) wigeonstep.Response {
+	return wigeonstep.NotRun(status, reason, stepRead, peerCaller, 0)
+}
+
+// JSON returns the response that carries a document of wigeonstep itself.
+func JSON(status int, outcome wigeonstep.Outcome, document any) wigeonstep.Response {
+	body, err := json.Marshal(document)
+	if err != nil {
+		return wigeonstep.Unknown(false, "the answer cannot be encoded: "+err.Error(), "encode answer", "entry process")
+	}
+	return wigeonstep.Response{Outcome: outcome, Status: status, ContentType: jsonType, Body: append(body, '\n')}
+}
+
+// retryAfterSeconds rounds up, so that a caller never comes back before the time that was stated.
+func retryAfterSeconds(after time.Duration) int {
+	return int(math.Ceil(after.Seconds()))
+}
+
+func fill(answer *protocol.Response, response *wigeonstep.Response, id wigeonstep.RequestID) {
+	h := &answer.Header
+	h.SetNoDefaultContentType(true)
+	h.SetStatusCode(response.Status)
+	if response.Outcome != "" {
+		h.Set(wigeonstep.HeaderOutcome, string(response.Outcome))
+	}
+	if id != "" {
+		h.Set(wigeonstep.HeaderRequestID, string(id))
+	}
+	seconds := retryAfterSeconds(response.RetryAfter)
+	if response.Outcome == wigeonstep.OutcomeNotRun && (response.Status == http.StatusTooManyRequests || response.Status == http.StatusServiceUnavailable) {
+		seconds = max(seconds, 1)
+	}
+	if seconds > 0 {
+		h.Set("Retry-After", strconv.Itoa(seconds))
+	}
+	if response.Refusal == nil {
+		if response.ContentType != "" {
+			h.SetContentTypeBytes([]byte(response.ContentType))
+		}
+		answer.SetBodyRaw(response.Body)
+		return
+	}
+	body, err := json.Marshal(problem{
+		Type:        "about:blank",
+		Title:       http.StatusText(response.Status),
+		Status:      response.Status,
+		Outcome:     response.Outcome,
+		Refusal:     *response.Refusal,
+		RetryAfterS: seconds,
+	})
+	if err != nil {
+		body = []byte("{}")
+	}
+	h.SetContentTypeBytes([]byte(problemType))
+	answer.SetBodyRaw(body)
+}
