Add the state machine and the table of at-most-once keys

Cause: a non-idempotent request must run at most once, whatever happens to its owner, its log record or its caller. Change: Core decides over events of one key and Table executes its actions with goroutines, the follower and the peers.

--- /dev/null
+++ b/wigeononce/core.go
@@ -0,0 +1,489 @@
+// Package wigeononce runs a non-idempotent request at most once and gives each of its repetitions the same answer.
+//
+// Core decides; it reads no clock and does no I/O. Table executes its actions.
+package wigeononce
+
+import (
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+// Limits bounds what a Core keeps. Zero fields get their defaults.
+type Limits struct {
+	// AnswersFor is how long an answer is kept, default 10 min.
+	AnswersFor time.Duration
+	// AnswerBytes bounds the kept answers, default 64 MB.
+	AnswerBytes int
+	// IssuedFor is how long an issued key may be used, default 24 h.
+	IssuedFor time.Duration
+	// Issued bounds the issued keys that are not used yet, default 200,000.
+	Issued int
+}
+
+func (l *Limits) fill() {
+	if l.AnswersFor <= 0 {
+		l.AnswersFor = 10 * time.Minute
+	}
+	if l.AnswerBytes <= 0 {
+		l.AnswerBytes = 64 << 20
+	}
+	if l.IssuedFor <= 0 {
+		l.IssuedFor = 24 * time.Hour
+	}
+	if l.Issued <= 0 {
+		l.Issued = 200_000
+	}
+}
+
+type runState int
+
+const (
+	// runQueued waits for a slot; nothing is on the log.
+	runQueued runState = iota
+	// runIntending holds a slot; its intent may be on the log.
+	runIntending
+	// runDispatched may have reached a backend server.
+	runDispatched
+	// runRefusing has no slot and no intent; its answer waits until the view is confirmed.
+	runRefusing
+	// runEnded has its final answer.
+	runEnded
+)
+
+// run is what the process knows of one key that it runs, ran or tried to run.
+type run struct {
+	id      RunID
+	key     wigeonstep.Key
+	hash    uint64
+	request *wigeonstep.Request
+	state   runState
+	// issued is set for a key of an own session, which needs no intent.
+	issued  bool
+	waiters []WaiterID
+	// response is the refusal in runRefusing and the final answer in runEnded.
+	response wigeonstep.Response
+	// refusedAt is when runRefusing began.
+	refusedAt time.Time
+}
+
+// waiter is one request that has no answer yet.
+type waiter struct {
+	arrive  Arrive
+	arrived time.Time
+	// run is the key's run that the waiter is attached to, nil while the waiter is forwarded, asks or waits.
+	run *run
+	// target is the session that the waiter was sent to.
+	target wigeonstep.SessionID
+}
+
+// Core is the state machine of one process. It is not safe for concurrent use.
+type Core struct {
+	limits  Limits
+	current wigeonstep.SessionID
+	// mine are all sessions that this process has had.
+	mine    map[wigeonstep.SessionID]bool
+	runs    map[wigeonstep.Key]*run
+	waiters map[WaiterID]*waiter
+	kept    keptAnswers
+	issued  issuedKeys
+	lastRun RunID
+}
+
+// NewCore returns a Core without a session.
+func NewCore(limits Limits) *Core {
+	limits.fill()
+	return &Core{
+		limits:  limits,
+		mine:    map[wigeonstep.SessionID]bool{},
+		runs:    map[wigeonstep.Key]*run{},
+		waiters: map[WaiterID]*waiter{},
+		issued:  issuedKeys{unused: map[wigeonstep.Key]struct{}{}},
+	}
+}
+
+// Step applies one event and returns what is to be done, in order.
+func (c *Core) Step(now time.Time, event Event) []Action {
+	c.expire(now)
+	switch e := event.(type) {
+	case Arrive:
+		return c.arrive(now, e)
+	case Admitted:
+		return c.admitted(now, e)
+	case Refused:
+		return c.refused(now, e)
+	case ViewConfirmed:
+		return c.viewConfirmed(now, e)
+	case IntentJudged:
+		return c.intentJudged(now, e)
+	case Finished:
+		return c.finished(now, e)
+	case ForwardEnded:
+		return c.forwardEnded(e)
+	case AskEnded:
+		return c.askEnded(e)
+	case TimedOut:
+		return c.timedOut(now, e)
+	case SessionOpened:
+		c.current = e.Session
+		if e.Session != 0 {
+			c.mine[e.Session] = true
+		}
+	}
+	return nil
+}
+
+// Lookup answers another session's query for a key that this process ran.
+func (c *Core) Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
+	r := c.runs[key]
+	if r == nil {
+		return wigeonstep.Response{}, false, false
+	}
+	if r.state != runEnded {
+		return wigeonstep.Response{}, true, true
+	}
+	return r.response, true, false
+}
+
+// Waiting returns the number of requests without an answer.
+func (c *Core) Waiting() int { return len(c.waiters) }
+
+func (c *Core) arrive(now time.Time, e Arrive) []Action {
+	w := c.waiters[e.Waiter]
+	if w == nil {
+		w = &waiter{arrived: now}
+		c.waiters[e.Waiter] = w
+	}
+	w.arrive, w.run, w.target = e, nil, 0
+	if r := c.runs[e.Request.Key]; r != nil {
+		return c.attach(w, r)
+	}
+	if issuer, ok := IssuedBy(e.Request.Key); ok {
+		return c.arriveIssued(w, issuer)
+	}
+	if fold := e.Place.Fold; fold != nil {
+		return c.arriveKnown(w, fold)
+	}
+	if !c.mine[e.Place.Owner] {
+		return c.pass(w, e.Place.Owner)
+	}
+	if !e.Place.LeaseValid {
+		return c.answer(w, unknown("the lease of the owner has run out, so another process may have run the key"))
+	}
+	return c.begin(w, false)
+}
+
+// attach joins a request to the run of its key.
+func (c *Core) attach(w *waiter, r *run) []Action {
+	if r.hash != w.arrive.Hash {
+		return c.answer(w, reusedKey())
+	}
+	if r.state == runEnded {
+		return c.answer(w, r.response)
+	}
+	w.run = r
+	r.waiters = append(r.waiters, w.arrive.Waiter)
+	return nil
+}
+
+func (c *Core) arriveIssued(w *waiter, issuer wigeonstep.SessionID) []Action {
+	if !c.mine[issuer] {
+		if w.arrive.Place.Owner != issuer {
+			return c.answer(w, unknown("the process that issued the key is gone"))
+		}
+		return c.pass(w, issuer)
+	}
+	if !c.issued.use(w.arrive.Request.Key) {
+		return c.answer(w, unknown("the issued key was used or has run out, and its answer is not kept"))
+	}
+	return c.begin(w, true)
+}
+
+// arriveKnown handles a key that has an intent but no run in this process.
+func (c *Core) arriveKnown(w *waiter, fold *FoldKey) []Action {
+	if fold.Hash != w.arrive.Hash {
+		return c.answer(w, reusedKey())
+	}
+	if c.mine[fold.Session] {
+		return c.answer(w, unknown("the answer of the key is not kept any more"))
+	}
+	w.target = fold.Session
+	return []Action{Ask{Waiter: w.arrive.Waiter, Key: w.arrive.Request.Key, Session: fold.Session}}
+}
+
+// pass sends a request on to the session that may run its key.
+func (c *Core) pass(w *waiter, owner wigeonstep.SessionID) []Action {
+	id := w.arrive.Waiter
+	if w.arrive.Forwarded {
+		delete(c.waiters, id)
+		return []Action{NotOwner{Waiter: id}}
+	}
+	if owner == 0 {
+		return []Action{Wait{Waiter: id}}
+	}
+	w.target = owner
+	return []Action{Forward{Waiter: id, Session: owner}}
+}
+
+func (c *Core) begin(w *waiter, issued bool) []Action {
+	c.lastRun++
+	r := &run{
+		id: c.lastRun, key: w.arrive.Request.Key, hash: w.arrive.Hash, request: w.arrive.Request,
+		issued: issued, waiters: []WaiterID{w.arrive.Waiter},
+	}
+	c.runs[r.key] = r
+	w.run = r
+	return []Action{Admit{Key: r.key, Run: r.id, Request: r.request}}
+}
+
+func (c *Core) find(key wigeonstep.Key, id RunID, state runState) *run {
+	r := c.runs[key]
+	if r == nil || r.id != id || r.state != state {
+		return nil
+	}
+	return r
+}
+
+func (c *Core) admitted(now time.Time, e Admitted) []Action {
+	r := c.find(e.Key, e.Run, runQueued)
+	if r == nil {
+		return []Action{Release{Key: e.Key, Run: e.Run}}
+	}
+	if len(r.waiters) == 0 {
+		c.drop(r)
+		return []Action{Release{Key: e.Key, Run: e.Run}}
+	}
+	if r.issued {
+		return c.dispatch(now, r)
+	}
+	if !c.mine[e.Place.Owner] || e.Place.Fold != nil {
+		return append([]Action{Release{Key: e.Key, Run: e.Run}}, c.again(r)...)
+	}
+	r.state = runIntending
+	return []Action{Propose{Key: r.key, Run: r.id, Request: r.request, Hash: r.hash}}
+}
+
+func (c *Core) refused(now time.Time, e Refused) []Action {
+	r := c.find(e.Key, e.Run, runQueued)
+	if r == nil {
+		return nil
+	}
+	return c.refuse(now, r, e.Response, e.Place)
+}
+
+// refuse ends a run without a slot and without an intent.
+func (c *Core) refuse(now time.Time, r *run, response wigeonstep.Response, place Place) []Action {
+	if r.issued {
+		c.issued.giveBack(r.key)
+		return c.dropAll(r, response)
+	}
+	r.state, r.response, r.refusedAt = runRefusing, response, now
+	if c.confirmedSince(r, place.Confirmed) {
+		return c.settleRefusal(r, place)
+	}
+	return []Action{ConfirmView{Key: r.key, Run: r.id}}
+}
+
+// confirmedSince reports whether the view has held the whole log at some time since the last waiter arrived. The lease alone does not prove that the process is still the owner: a session that joins may take the partition over while the lease runs.
+func (c *Core) confirmedSince(r *run, confirmed time.Time) bool {
+	for _, id := range r.waiters {
+		if confirmed.Before(c.waiters[id].arrived) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) viewConfirmed(_ time.Time, e ViewConfirmed) []Action {
+	r := c.find(e.Key, e.Run, runRefusing)
+	if r == nil {
+		return nil
+	}
+	if !e.Confirmed {
+		return c.dropAll(r, unknown("the request was refused, but the log cannot be read to tell whether the key ran elsewhere"))
+	}
+	return c.settleRefusal(r, e.Place)
+}
+
+// settleRefusal answers the waiters that the confirmed view covers, and lets the others arrive again.
+func (c *Core) settleRefusal(r *run, place Place) []Action {
+	if place.Fold != nil || !c.mine[place.Owner] {
+		return c.again(r)
+	}
+	if !place.LeaseValid {
+		return c.dropAll(r, unknown("the request was refused after the lease of the owner had run out"))
+	}
+	c.drop(r)
+	var actions []Action
+	for _, id := range r.waiters {
+		w := c.waiters[id]
+		if place.Confirmed.Before(w.arrived) {
+			actions = append(actions, c.rewait(w))
+			continue
+		}
+		actions = append(actions, c.answer(w, r.response)...)
+	}
+	return actions
+}
+
+func (c *Core) intentJudged(now time.Time, e IntentJudged) []Action {
+	r := c.find(e.Key, e.Run, runIntending)
+	if r == nil {
+		return []Action{Release{Key: e.Key, Run: e.Run}}
+	}
+	release := []Action{Release{Key: r.key, Run: r.id}}
+	switch e.Verdict {
+	case IntentAccepted:
+		if len(r.waiters) == 0 {
+			return append(release, c.end(now, r, unknown("the request was given up before its key was recorded; it did not run and will not run"))...)
+		}
+		return c.dispatch(now, r)
+	case IntentRefused:
+		return append(release, c.again(r)...)
+	case IntentNotAppended:
+		response := wigeonstep.NotRun(503, "the log did not take the record of the key", "append intent", "platform log", time.Second)
+		return append(release, c.refuse(now, r, response, e.Place)...)
+	default:
+		return append(release, c.end(now, r, unknown("the log did not confirm the record of the key"))...)
+	}
+}
+
+func (c *Core) dispatch(_ time.Time, r *run) []Action {
+	r.state = runDispatched
+	var deadline time.Time
+	for _, id := range r.waiters {
+		if d := c.waiters[id].arrive.Deadline; d.After(deadline) {
+			deadline = d
+		}
+	}
+	return []Action{Dispatch{Key: r.key, Run: r.id, Request: r.request, Deadline: deadline}}
+}
+
+func (c *Core) finished(now time.Time, e Finished) []Action {
+	r := c.find(e.Key, e.Run, runDispatched)
+	if r == nil {
+		return nil
+	}
+	if e.Response.Outcome != wigeonstep.OutcomeNotRun {
+		return c.end(now, r, e.Response)
+	}
+	if r.issued {
+		c.issued.giveBack(r.key)
+		return c.dropAll(r, e.Response)
+	}
+	// The key has an intent, so it never runs again, and a caller that read not_run would repeat it in vain.
+	reason := "the key is recorded and is not run again"
+	if e.Response.Refusal != nil {
+		reason += ": " + e.Response.Refusal.Reason
+	}
+	return c.end(now, r, unknown(reason))
+}
+
+func (c *Core) forwardEnded(e ForwardEnded) []Action {
+	w := c.waiters[e.Waiter]
+	if w == nil {
+		return nil
+	}
+	if e.Answered {
+		return c.answer(w, e.Response)
+	}
+	return []Action{c.rewait(w)}
+}
+
+func (c *Core) askEnded(e AskEnded) []Action {
+	w := c.waiters[e.Waiter]
+	switch {
+	case w == nil:
+		return nil
+	case e.Running:
+		return []Action{c.rewait(w)}
+	case e.Found:
+		return c.answer(w, e.Response)
+	default:
+		return c.answer(w, unknown("the session that recorded the key has no answer or is gone"))
+	}
+}
+
+func (c *Core) timedOut(_ time.Time, e TimedOut) []Action {
+	w := c.waiters[e.Waiter]
+	if w == nil {
+		return nil
+	}
+	r := w.run
+	actions := c.answer(w, wigeonstep.Unknown(true, "the deadline passed before the answer was known", stepOnce, peerOwner))
+	if r == nil {
+		return actions
+	}
+	for i, id := range r.waiters {
+		if id == e.Waiter {
+			r.waiters = append(r.waiters[:i], r.waiters[i+1:]...)
+			break
+		}
+	}
+	if len(r.waiters) == 0 && r.state == runQueued {
+		actions = append(actions, CancelAdmit{Key: r.key, Run: r.id})
+	}
+	return actions
+}
+
+// answer gives a waiter its only answer.
+func (c *Core) answer(w *waiter, response wigeonstep.Response) []Action {
+	id := w.arrive.Waiter
+	delete(c.waiters, id)
+	return []Action{Answer{Waiter: id, Response: response}}
+}
+
+func (c *Core) rewait(w *waiter) Action {
+	w.run = nil
+	return Wait{Waiter: w.arrive.Waiter, Failed: w.target}
+}
+
+// again forgets a run that left no trace and lets its waiters arrive again.
+func (c *Core) again(r *run) []Action {
+	c.drop(r)
+	actions := make([]Action, 0, len(r.waiters))
+	for _, id := range r.waiters {
+		actions = append(actions, c.rewait(c.waiters[id]))
+	}
+	return actions
+}
+
+// dropAll forgets a run that left no trace and answers its waiters.
+func (c *Core) dropAll(r *run, response wigeonstep.Response) []Action {
+	c.drop(r)
+	return c.answerAll(r, response)
+}
+
+func (c *Core) answerAll(r *run, response wigeonstep.Response) []Action {
+	var actions []Action
+	for _, id := range r.waiters {
+		actions = append(actions, c.answer(c.waiters[id], response)...)
+	}
+	r.waiters = nil
+	return actions
+}
+
+func (c *Core) drop(r *run) {
+	if c.runs[r.key] == r {
+		delete(c.runs, r.key)
+	}
+}
+
+// end keeps the final answer of a run and gives it to the waiters.
+func (c *Core) end(now time.Time, r *run, response wigeonstep.Response) []Action {
+	r.state, r.response, r.request = runEnded, response, nil
+	actions := c.answerAll(r, response)
+	c.kept.add(r, now.Add(c.limits.AnswersFor))
+	return actions
+}
+
+func (c *Core) expire(now time.Time) {
+	for {
+		r := c.kept.removeOldest(now, c.limits.AnswerBytes)
+		if r == nil {
+			break
+		}
+		c.drop(r)
+	}
+	c.issued.expire(now)
+}
--- /dev/null
+++ b/wigeononce/key.go
@@ -0,0 +1,39 @@
+package wigeononce
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+// issuedPrefix begins the keys that a session issued: the prefix, the session as 16 hexadecimal digits, a dash, and a suffix that is unique in the session.
+const issuedPrefix = "wigeonstep-"
+
+// IssuedBy returns the session that issued the key; false for a key of a caller's own.
+func IssuedBy(key wigeonstep.Key) (wigeonstep.SessionID, bool) {
+	rest, ok := strings.CutPrefix(string(key), issuedPrefix)
+	if !ok || len(rest) < 18 || rest[16] != '-' {
+		return 0, false
+	}
+	session, err := wigeonstep.ParseSessionID(rest[:16])
+	return session, err == nil
+}
+
+func issuedKey(session wigeonstep.SessionID, serial, random uint64) wigeonstep.Key {
+	return wigeonstep.Key(issuedPrefix + session.String() + "-" + strconv.FormatUint(serial, 36) + "-" + strconv.FormatUint(random, 36))
+}
+
+// HashRequest returns the hash that tells a repeated request from another request with the same key.
+func HashRequest(request *wigeonstep.Request) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range []string{request.Method, request.Path, string(request.Team), string(request.Class)} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(request.Body)
+	return d.Sum64()
+}
