--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -129,8 +129,8 @@
 	if ctx.Err() != nil {
 		return
 	}
-	p.ready.Store(true)
 	p.config.Follower.SetReady(true, false)
+	p.ready.Store(true)
 	p.config.Logger.Info("ready", zap.String("data_centre", string(p.config.DataCentre)), zap.Stringer("address", p.config.Listener.Addr()))
 }
 
--- a/wigeononce/table.go
+++ b/wigeononce/table.go
@@ -7,8 +7,9 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/wigeonstep/wigeonstep"
-	"github.com/wigeonstep/wigeonstep/wigeonretry"
 	"github.com/wigeonstep/wigeonstep/wigeonstate"
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
@@ -74,8 +75,8 @@
 	last    WaiterID
 	inboxes map[WaiterID]chan Action
 	runs    map[RunID]*liveRun
-	// forwards bounds the repeated forwards, over all keys.
-	forwards wigeonretry.Budget
+	// forwards bounds the repeated forwards to a session that failed, over all keys. A share of the first forwards would allow none while few requests arrive.
+	forwards *rate.Limiter
 }
 
 type liveRun struct {
@@ -98,6 +99,7 @@
 	return &Table{
 		config: config, core: NewCore(config.Limits),
 		inboxes: map[WaiterID]chan Action{}, runs: map[RunID]*liveRun{},
+		forwards: rate.NewLimiter(repeatsPerSecond, repeatsPerSecond),
 	}
 }
 
@@ -201,6 +203,8 @@
 const (
 	firstWait = 10 * time.Millisecond
 	maxWait   = 250 * time.Millisecond
+	// repeatsPerSecond is the budget of repeated forwards of one process.
+	repeatsPerSecond = 100
 )
 
 // wait delays the next arrival with jitter. A request goes to the session that failed before only within the budget.
@@ -216,19 +220,13 @@
 		case <-timer.C:
 		}
 		w.arrive.Place = w.table.place(w.arrive.Request.Key)
-		if a.Failed == 0 || w.arrive.Place.Owner != a.Failed || w.table.mayForwardAgain() {
+		if a.Failed == 0 || w.arrive.Place.Owner != a.Failed || w.table.forwards.Allow() {
 			w.table.step(w.arrive)
 			return
 		}
 	}
 }
 
-func (t *Table) mayForwardAgain() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.forwards.Allow(t.config.Now())
-}
-
 // sessionOf returns a session that is in reach, or nil.
 func (t *Table) sessionOf(id wigeonstep.SessionID) *wigeonstate.Session {
 	for _, s := range t.config.Follower.View().Sessions {
@@ -278,9 +276,6 @@
 	actions := t.core.Step(t.config.Now(), event)
 	var own []Action
 	for _, action := range actions {
-		if _, ok := action.(Forward); ok {
-			t.forwards.First(t.config.Now())
-		}
 		if id, ok := waiterOf(action); ok {
 			t.inboxes[id] <- action
 			continue
