Run the two processes from settings, and start three data centres locally

Cause: the parts had to be joined into processes; and the status command hung, because Answer called ConfirmedAge inside Read, which holds the follower's lock. Change: wigeonprocess builds both processes from their settings; the commands entry and control; the control daemon takes demand reports as loads; examples/local/run. The age is read before Read.

--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -69,6 +69,8 @@
 		ShortHelp:  "manages the capacity and maintenance of a fleet",
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
+			newEntry(errOut),
+			newControl(errOut),
 			newApply(out, errOut),
 			newCheck(out, errOut),
 			newStatus(out, errOut),
--- /dev/null
+++ b/cmd/wigeonstep/process.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+
+	"github.com/wigeonstep/wigeonstep/wigeonprocess"
+	"github.com/wigeonstep/wigeonstep/wigeonsettings"
+	"github.com/wigeonstep/wigeonstep/wigeontelemetry"
+	"github.com/wigeonstep/wigeonstep/wigeonyaml"
+)
+
+func newEntry(errOut io.Writer) *ffcli.Command {
+	return newProcess("entry", "serves callers and sends their requests to backend servers", errOut, wigeonsettings.ParseEntry,
+		func(settings wigeonsettings.Entry) string { return settings.LogLevel },
+		wigeonprocess.RunEntry)
+}
+
+func newControl(errOut io.Writer) *ffcli.Command {
+	return newProcess("control", "plans drains, reboots, repairs and moves in its data centre", errOut, wigeonsettings.ParseControl,
+		func(settings wigeonsettings.Control) string { return settings.LogLevel },
+		wigeonprocess.RunControl)
+}
+
+// newProcess returns the command of a process that runs until SIGTERM or SIGINT.
+func newProcess[T any](name, help string, errOut io.Writer, parse func(string, []byte) (T, wigeonyaml.Faults),
+	level func(T) string, run func(context.Context, T, wigeonprocess.Deps) error,
+) *ffcli.Command {
+	flags := newFlags(name, errOut)
+	file := flags.String("settings", "", "settings file of the process (YAML)")
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "wigeonstep " + name + " -settings FILE",
+		ShortHelp:  help,
+		LongHelp: fmt.Sprintf(`Logs one key=value line for each event to the standard error.
+SIGTERM stops the process gracefully; the exit status is then 0.
+
+Example:
+  wigeonstep %s -settings examples/local/%s-budapest.yaml`, name, name),
+		FlagSet: flags,
+		Exec: func(ctx context.Context, args []string) error {
+			if *file == "" || len(args) > 0 {
+				return usagef("%s: name -settings and no arguments", name)
+			}
+			settings, err := wigeonsettings.Load(*file, parse)
+			if err != nil {
+				return usageError{err}
+			}
+			logger, err := wigeontelemetry.NewLogger(errOut, level(settings))
+			if err != nil {
+				return usageError{err}
+			}
+			return run(ctx, settings, wigeonprocess.Deps{Logger: logger.With(zap.String("process", name))})
+		},
+	}
+}
--- a/wigeonoperator/query.go
+++ b/wigeonoperator/query.go
@@ -16,7 +16,7 @@
 
 // StateReader gives access to the folded state of a process.
 type StateReader interface {
-	// Read calls fn while no record is applied.
+	// Read calls fn while no record is applied. fn must not call the reader.
 	Read(fn func(state *wigeonstate.State))
 	// ConfirmedAge returns the time since the state was known to be at the end of the log.
 	ConfirmedAge() time.Duration
@@ -25,10 +25,16 @@
 // Answer answers a status query of a peer from the state of this process.
 func Answer(query *wigeonwire.StatusQuery, reader StateReader) (*wigeonwire.StatusData, error) {
 	var answer any
-	if query.View == StatusView {
-		reader.Read(func(state *wigeonstate.State) { answer = NewStatus(state.View(), reader.ConfirmedAge()) })
+	if query.GetView() == StatusView {
+		// The age is read first, because Read excludes the other methods of a follower.
+		age := reader.ConfirmedAge()
+		reader.Read(func(state *wigeonstate.State) {
+			status := NewStatus(state.View(), age)
+			status.UnreadableRecords, status.DuplicateBatches = state.Counters()
+			answer = status
+		})
 	} else {
-		kind, subject, err := ParseSubject(query.View)
+		kind, subject, err := ParseSubject(query.GetView())
 		if err != nil {
 			return nil, err
 		}
@@ -36,7 +42,7 @@
 	}
 	data, err := json.Marshal(answer)
 	if err != nil {
-		return nil, fmt.Errorf("encode answer to %q: %w", query.View, err)
+		return nil, fmt.Errorf("encode answer to %q: %w", query.GetView(), err)
 	}
 	return &wigeonwire.StatusData{Json: data}, nil
 }
--- /dev/null
+++ b/wigeonprocess/demand.go
@@ -0,0 +1,108 @@
+package wigeonprocess
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonpeer"
+	"github.com/wigeonstep/wigeonstep/wigeonpool"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+type (
+	poolName = wigeonstep.PoolName
+	vmID     = wigeonstep.VMID
+	reach    = wigeonpool.Reach
+)
+
+// reportMaxAge is the age from which a demand report no longer counts. Entry processes report every 200 ms.
+const reportMaxAge = 5 * time.Second
+
+// reachWindow is the time over which connection results are added up.
+const reachWindow = 10 * time.Second
+
+// demandBook keeps the demand reports of entry processes for the planner. The zero value works.
+type demandBook struct {
+	next wigeonpeer.Handler
+
+	mu      sync.Mutex
+	reports map[wigeonstep.SessionID]heardReport
+	reached []heardReach
+}
+
+type heardReport struct {
+	report *wigeonwire.DemandReport
+	at     time.Time
+}
+
+type heardReach struct {
+	reach []*wigeonwire.VMReach
+	at    time.Time
+}
+
+// HandlePeer keeps demand reports and passes all other requests on.
+func (b *demandBook) HandlePeer(ctx context.Context, request *wigeonwire.PeerRequest) *wigeonwire.PeerResponse {
+	report := request.GetDemandReport()
+	if report == nil {
+		return b.next.HandlePeer(ctx, request)
+	}
+	b.take(time.Now(), report)
+	return &wigeonwire.PeerResponse{}
+}
+
+func (b *demandBook) take(now time.Time, report *wigeonwire.DemandReport) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.reports == nil {
+		b.reports = make(map[wigeonstep.SessionID]heardReport)
+	}
+	id := wigeonstep.SessionID(report.GetSession())
+	if last, ok := b.reports[id]; ok && last.report.GetReport() >= report.GetReport() {
+		return
+	}
+	b.reports[id] = heardReport{report: report, at: now}
+	if len(report.GetReach()) > 0 {
+		b.reached = append(b.reached, heardReach{reach: report.GetReach(), at: now})
+	}
+}
+
+// loads returns the slots that the work of each pool wants, over all entry processes heard of lately.
+func (b *demandBook) loads(now time.Time) map[poolName]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	wanted := make(map[poolName]int)
+	for id, heard := range b.reports {
+		if now.Sub(heard.at) > reportMaxAge {
+			delete(b.reports, id)
+			continue
+		}
+		for _, p := range heard.report.GetPools() {
+			wanted[poolName(p.GetPool())] += int(p.GetWanted())
+		}
+	}
+	return wanted
+}
+
+// reach returns the connection results of the last seconds for each VM.
+func (b *demandBook) reach(now time.Time) map[vmID]reach {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	kept := b.reached[:0]
+	sums := make(map[vmID]reach)
+	for _, heard := range b.reached {
+		if now.Sub(heard.at) > reachWindow {
+			continue
+		}
+		kept = append(kept, heard)
+		for _, v := range heard.reach {
+			sum := sums[vmID(v.GetVm())]
+			sum.Succeeded += int(v.GetSucceeded())
+			sum.Failed += int(v.GetFailed())
+			sums[vmID(v.GetVm())] = sum
+		}
+	}
+	b.reached = kept
+	return sums
+}
--- a/wigeonsettings/settings.go
+++ b/wigeonsettings/settings.go
@@ -67,8 +67,6 @@
 	ListIntervalMS int `yaml:"list_interval_ms" check:"min=10,max=60000,default=2000"`
 	// WaveIntervalS is the time between two maintenances of a VM, in seconds, default three weeks.
 	WaveIntervalS int `yaml:"wave_interval_s" check:"min=10,max=31536000,default=1814400"`
-	// FailAfterS is how long a VM may take to come back from a reboot, in seconds, default 600.
-	FailAfterS int `yaml:"fail_after_s" check:"min=1,max=86400,default=600"`
 }
 
 // ParseEntry reads the settings of an entry process.
