--- a/wigeonpeer/client.go
+++ b/wigeonpeer/client.go
@@ -23,6 +23,8 @@
 	DialTimeout time.Duration
 	// CallTimeout bounds a call whose context has no deadline, default 5 s.
 	CallTimeout time.Duration
+	// WriteTimeout bounds a write to a connection that takes no bytes, and the wait for the answer to a ping, default 5 s.
+	WriteTimeout time.Duration
 	// MinRedialDelay and MaxRedialDelay bound the delay, with jitter, after a failure to connect, default 50 ms and 2 s.
 	MinRedialDelay time.Duration
 	MaxRedialDelay time.Duration
--- a/wigeonpeer/frame.go
+++ b/wigeonpeer/frame.go
@@ -65,9 +65,8 @@
 		_, err := io.ReadFull(r, body)
 		return body, err
 	}
-	var body bytes.Buffer
-	body.Grow(firstReadBytes)
-	n, err := io.CopyN(&body, r, int64(size))
+	body := bytes.NewBuffer(make([]byte, 0, firstReadBytes))
+	n, err := io.CopyN(body, r, int64(size))
 	if err != nil && n < int64(size) {
 		return nil, fmt.Errorf("%d bytes arrived: %w", n, err)
 	}
--- a/wigeonpeer/link.go
+++ b/wigeonpeer/link.go
@@ -79,7 +79,7 @@
 		}
 		return nil, fmt.Errorf("connect: %w", err)
 	}
-	session, err := yamux.Client(conn, sessionConfig())
+	session, err := yamux.Client(conn, sessionConfig(orDefault(l.client.WriteTimeout, defaultWriteTimeout)))
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("start session: %w", err)
@@ -103,7 +103,7 @@
 	l.retryAt = time.Now().Add(l.delays.NextBackOff())
 }
 
-// check pings the session after a call timed out and closes it when no answer comes within writeTimeout, so that a peer
+// check pings the session after a call timed out and closes it when no answer comes within WriteTimeout, so that a peer
 // behind a dead connection does not cost every later call its whole timeout.
 func (l *link) check(session *yamux.Session) {
 	l.mu.Lock()
--- a/wigeonpeer/server.go
+++ b/wigeonpeer/server.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -30,8 +31,9 @@
 
 // Handler answers the requests of peers.
 type Handler interface {
-	// HandlePeer returns the response; it sets PeerResponse.error only when the request had no effect. It is called on
-	// many goroutines at once. ctx ends when the caller gives up, when the connection is lost, and when the server closes.
+	// HandlePeer returns the response, or nil to send none; it sets PeerResponse.error only when the request had no
+	// effect. It is called on many goroutines at once. ctx ends when the caller gives up, when the connection is lost,
+	// and when the server closes; no response reaches the caller after that.
 	HandlePeer(ctx context.Context, request *wigeonwire.PeerRequest) *wigeonwire.PeerResponse
 }
 
@@ -48,12 +50,14 @@
 	listener net.Listener
 	handler  Handler
 	logger   *zap.Logger
-	ctx      context.Context
-	cancel   context.CancelFunc
+	// closing is closed first by Close; ctx ends only once the sessions are closed, so that no handler answers because
+	// its context ended.
+	closing chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
 
 	mu       sync.Mutex
 	sessions map[*yamux.Session]struct{}
-	closed   bool
 	running  sync.WaitGroup
 }
 
@@ -64,6 +68,7 @@
 		listener: listener,
 		handler:  handler,
 		logger:   logger,
+		closing:  make(chan struct{}),
 		ctx:      ctx,
 		cancel:   cancel,
 		sessions: map[*yamux.Session]struct{}{},
@@ -83,7 +88,7 @@
 			s.start(conn)
 			continue
 		}
-		if s.ctx.Err() != nil {
+		if s.isClosing() {
 			break
 		}
 		if errors.Is(err, net.ErrClosed) {
@@ -91,7 +96,7 @@
 		}
 		s.logger.Warn("cannot accept a peer connection", zap.String("address", s.Addr()), zap.Error(err))
 		select {
-		case <-s.ctx.Done():
+		case <-s.closing:
 		case <-time.After(acceptRetryDelay):
 		}
 	}
@@ -101,9 +106,10 @@
 // Close closes the listener and all sessions, and waits until no handler runs. Requests in flight lose their answers;
 // their callers get ErrAnswerLost.
 func (s *Server) Close() error {
-	s.cancel()
 	s.mu.Lock()
-	s.closed = true
+	if !s.isClosing() {
+		close(s.closing)
+	}
 	sessions := make([]*yamux.Session, 0, len(s.sessions))
 	for session := range s.sessions {
 		sessions = append(sessions, session)
@@ -113,6 +119,7 @@
 	for _, session := range sessions {
 		_ = session.Close()
 	}
+	s.cancel()
 	s.running.Wait()
 	if err != nil && !errors.Is(err, net.ErrClosed) {
 		return fmt.Errorf("close peer listener: %w", err)
@@ -120,18 +127,27 @@
 	return nil
 }
 
+func (s *Server) isClosing() bool {
+	select {
+	case <-s.closing:
+		return true
+	default:
+		return false
+	}
+}
+
 func (s *Server) start(conn net.Conn) {
 	peer := conn.RemoteAddr().String()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.sessions) >= maxSessions {
+	if s.isClosing() || len(s.sessions) >= maxSessions {
 		_ = conn.Close()
-		if !s.closed {
+		if !s.isClosing() {
 			s.logger.Warn("refused a peer connection over the limit", zap.String("peer", peer), zap.Int("limit", maxSessions))
 		}
 		return
 	}
-	session, err := yamux.Server(conn, sessionConfig())
+	session, err := yamux.Server(conn, sessionConfig(defaultWriteTimeout))
 	if err != nil {
 		_ = conn.Close()
 		s.logger.Error("cannot start a peer session", zap.String("peer", peer), zap.Error(err))
@@ -142,44 +158,49 @@
 }
 
 func (s *Server) serveSession(session *yamux.Session, peer string) {
-	ctx, cancel := context.WithCancelCause(s.ctx)
+	ctx, cancel := context.WithCancel(s.ctx)
 	var calls sync.WaitGroup
+	var violation atomic.Pointer[error]
 	slots := make(chan struct{}, maxCallsPerSession)
-	var end error
-	for {
-		stream, err := session.AcceptStream()
-		if err != nil {
-			end = err
-			break
-		}
-		select {
-		case slots <- struct{}{}:
-		case <-session.CloseChan():
-			continue
-		}
+	end := s.acceptStreams(session, slots, func(stream *yamux.Stream) {
 		calls.Go(func() {
 			defer func() { <-slots }()
 			if err := s.serveStream(ctx, stream); errors.Is(err, errBadFrame) {
-				cancel(err)
+				violation.CompareAndSwap(nil, &err)
 				_ = session.Close()
 			}
 		})
-	}
-	if cause := context.Cause(ctx); errors.Is(cause, errBadFrame) {
-		end = cause
-	}
-	cancel(end)
+	})
 	_ = session.Close()
+	cancel()
 	calls.Wait()
 	s.mu.Lock()
 	delete(s.sessions, session)
 	s.mu.Unlock()
+	if err := violation.Load(); err != nil {
+		end = *err
+	}
 	s.logEnd(peer, end)
 }
 
+// acceptStreams takes a slot for each stream, and returns why the session ended.
+func (s *Server) acceptStreams(session *yamux.Session, slots chan<- struct{}, serve func(stream *yamux.Stream)) error {
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return err
+		}
+		select {
+		case slots <- struct{}{}:
+			serve(stream)
+		case <-session.CloseChan():
+		}
+	}
+}
+
 // logEnd logs the end of a session once, when it was neither the peer's nor this server's wish.
 func (s *Server) logEnd(peer string, end error) {
-	if s.ctx.Err() != nil || errors.Is(end, io.EOF) || errors.Is(end, yamux.ErrSessionShutdown) {
+	if s.isClosing() || errors.Is(end, io.EOF) || errors.Is(end, yamux.ErrSessionShutdown) {
 		return
 	}
 	s.logger.Warn("closed a peer connection", zap.String("peer", peer), zap.Error(end))
@@ -204,12 +225,15 @@
 		_, _ = stream.Read(make([]byte, 1))
 		cancel()
 	}()
-	frame, err := encodeFrame(s.handler.HandlePeer(ctx, request))
+	response := s.handler.HandlePeer(ctx, request)
+	if response == nil {
+		return nil
+	}
+	frame, err := encodeFrame(response)
 	if err != nil {
-		frame, err = encodeFrame(&wigeonwire.PeerResponse{Error: err.Error()})
-		if err != nil {
-			return err
-		}
+		// The request may have had its effect, so the peer must not read an error that denies it.
+		s.logger.Error("cannot encode a response to a peer", zap.String("peer", stream.RemoteAddr().String()), zap.Error(err))
+		return err
 	}
 	_ = stream.SetWriteDeadline(time.Now().Add(responseTimeout))
 	if _, err := stream.Write(frame); err != nil {
--- a/wigeonpeer/session.go
+++ b/wigeonpeer/session.go
@@ -12,13 +12,13 @@
 	// keepAliveInterval bounds how long a silent, dead connection stays open. At 15 s an idle session costs one ping of
 	// 24 bytes each way every 15 s.
 	keepAliveInterval = 15 * time.Second
-	// writeTimeout bounds a write to a connection that takes no bytes, and the wait for the answer to a ping.
-	writeTimeout = 5 * time.Second
+	// defaultWriteTimeout bounds a write to a connection that takes no bytes, and the wait for the answer to a ping.
+	defaultWriteTimeout = 5 * time.Second
 	// streamCloseTimeout frees a stream whose other side does not close it.
 	streamCloseTimeout = 10 * time.Second
 )
 
-func sessionConfig() *yamux.Config {
+func sessionConfig(writeTimeout time.Duration) *yamux.Config {
 	config := yamux.DefaultConfig()
 	config.KeepAliveInterval = keepAliveInterval
 	config.ConnectionWriteTimeout = writeTimeout
