Test the faults of the platform stand-in, and let PATCH change some

Cause: switching one fault through the control endpoint reset the others, such as the retention that the command line had set.

Change: PATCH on the control endpoints of the platform and of backend servers changes the named faults only.

--- a/cmd/wigeonfake/backend.go
+++ b/cmd/wigeonfake/backend.go
@@ -48,12 +48,12 @@
 		ShortUsage: "wigeonfake backend [flags]",
 		ShortHelp:  "run backend servers",
 		LongHelp: `Runs backend servers that drain, reboot and change pools as the platform says. Each serves ` + wigeonfake.ControlPath + `:
-GET shows its faults, statistics and run counts; PUT replaces its faults.
+GET shows its faults, statistics and run counts; PATCH changes its faults.
 
 Examples:
   wigeonfake backend -platform 127.0.0.1:7400 -count 8 -id-prefix a -pool orders
   wigeonfake backend -listen 127.0.0.1:9001
-  curl -X PUT -d '{"slow_factor": 10}' http://127.0.0.1:9001` + wigeonfake.ControlPath,
+  curl -X PATCH -d '{"slow_factor": 10}' http://127.0.0.1:9001` + wigeonfake.ControlPath,
 		FlagSet: flags,
 		Options: flagOptions(),
 		Exec: func(ctx context.Context, args []string) error {
--- a/cmd/wigeonfake/platform.go
+++ b/cmd/wigeonfake/platform.go
@@ -26,7 +26,7 @@
 
 Examples:
   wigeonfake platform -listen 127.0.0.1:7400
-  curl -X PUT -d '{"log_down": true}' http://127.0.0.1:7400/control/faults
+  curl -X PATCH -d '{"log_down": true}' http://127.0.0.1:7400/control/faults
   curl -X PUT http://127.0.0.1:7400/control/cut/entry-1
   curl -X DELETE http://127.0.0.1:7400/control/vms/a1`,
 		FlagSet: flags,
--- a/wigeonfake/backend_handler.go
+++ b/wigeonfake/backend_handler.go
@@ -25,7 +25,7 @@
 )
 
 // ControlPath is the path of the control endpoint of a BackendServer: GET returns faults, stats and run counts as JSON;
-// PUT replaces the faults with the JSON form of BackendFaults.
+// PUT replaces the faults with the JSON form of BackendFaults, and PATCH changes those that the body names.
 const ControlPath = "/_wigeonfake"
 
 // BackendState is what the control endpoint returns.
@@ -40,16 +40,16 @@
 	engine.GET(ControlPath, func(_ context.Context, c *app.RequestContext) {
 		writeJSON(c, http.StatusOK, BackendState{VM: b.VM, Faults: b.Faults(), Stats: b.Stats(), Runs: b.Runs().Counts()})
 	})
-	engine.PUT(ControlPath, func(_ context.Context, c *app.RequestContext) {
-		var faults BackendFaults
-		if err := decodeJSON(c.Request.Body(), &faults); err != nil {
-			c.Data(http.StatusBadRequest, "text/plain", []byte(err.Error()))
-			return
-		}
+	engine.PUT(ControlPath, func(_ context.Context, c *app.RequestContext) { b.controlFaults(c, BackendFaults{}) })
+	engine.PATCH(ControlPath, func(_ context.Context, c *app.RequestContext) { b.controlFaults(c, b.Faults()) })
+	engine.NoRoute(b.handle)
+}
+
+func (b *BackendServer) controlFaults(c *app.RequestContext, faults BackendFaults) {
+	if decodeBody(c, &faults) {
 		b.SetFaults(faults)
 		c.Status(http.StatusNoContent)
-	})
-	engine.NoRoute(b.handle)
+	}
 }
 
 // decodeJSON decodes strictly, so that a misspelt field is an error.
--- a/wigeonfake/platform_control.go
+++ b/wigeonfake/platform_control.go
@@ -18,12 +18,10 @@
 		writeJSON(c, http.StatusOK, wireOf(s.Platform.Faults()))
 	})
 	control.PUT("/faults", func(_ context.Context, c *app.RequestContext) {
-		var faults wireFaults
-		if !decodeBody(c, &faults) {
-			return
-		}
-		s.Platform.SetFaults(faults.faults())
-		c.Status(http.StatusNoContent)
+		s.controlFaults(c, wireFaults{})
+	})
+	control.PATCH("/faults", func(_ context.Context, c *app.RequestContext) {
+		s.controlFaults(c, wireOf(s.Platform.Faults()))
 	})
 	control.PUT("/cut/:client", func(_ context.Context, c *app.RequestContext) {
 		s.Platform.CutOff(c.Param("client"), true)
@@ -43,6 +41,15 @@
 	control.PUT("/vms/:id/:state", s.controlVM)
 }
 
+// controlFaults sets the faults to those of the body; absent fields keep the given values.
+func (s *PlatformServer) controlFaults(c *app.RequestContext, faults wireFaults) {
+	if !decodeBody(c, &faults) {
+		return
+	}
+	s.Platform.SetFaults(faults.faults())
+	c.Status(http.StatusNoContent)
+}
+
 func (s *PlatformServer) controlAdd(_ context.Context, c *app.RequestContext) {
 	var vm wigeonstep.ListedVM
 	if !decodeBody(c, &vm) {
--- a/wigeonfake/platform_http.go
+++ b/wigeonfake/platform_http.go
@@ -23,6 +23,7 @@
 //
 //	GET /control/faults            the faults as JSON; durations are in milliseconds
 //	PUT /control/faults            replaces the faults; absent fields take their defaults
+//	PATCH /control/faults          changes the faults; absent fields stay as they are
 //	PUT, DELETE /control/cut/{client}  cuts a client off, or connects it again
 //	GET /control/vms               the true states of the VMs
 //	POST /control/vms              adds or replaces a VM, with the fields of an element of the VM list
--- a/wigeonfake/platform_http_test.go
+++ b/wigeonfake/platform_http_test.go
@@ -33,7 +33,8 @@
 		status             int
 	}{
 		{"PUT", "faults", `{"log_delay_ms": 250, "list_stale": true}`, 204},
-		{"PUT", "faults", `{"log_delay": 250}`, 400},
+		{"PATCH", "faults", `{"list_lag_ms": 40}`, 204},
+		{"PATCH", "faults", `{"log_delay": 250}`, 400},
 		{"POST", "vms", `{"id": "a1", "pool": "wax"}`, 204},
 		{"POST", "vms", `{"pool": "wax"}`, 400},
 		{"PUT", "vms/a1/down", "", 204},
@@ -46,7 +47,7 @@
 		status, body := do(test.method, test.path, test.body)
 		qt.Assert(t, status, qt.Equals, test.status, qt.Commentf("%s %s: %s", test.method, test.path, body))
 	}
-	qt.Assert(t, server.Platform.Faults(), qt.Equals, wigeonfake.Faults{LogDelay: 250 * time.Millisecond, ListStale: true})
+	qt.Assert(t, server.Platform.Faults(), qt.Equals, wigeonfake.Faults{LogDelay: 250 * time.Millisecond, ListStale: true, ListLag: 40 * time.Millisecond})
 	state, _ := server.Platform.VM("a1")
 	qt.Assert(t, state.Up, qt.IsFalse)
 	_, body := do("GET", "vms", "")
