--- a/wigeonfake/backend_test.go
+++ b/wigeonfake/backend_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -112,6 +113,28 @@
 	qt.Assert(t, (<-held).status, qt.Equals, http.StatusOK)
 }
 
+// Guards against a server that takes more connections than it has, and against connections that wait for ever.
+func TestBackendConnections(t *testing.T) {
+	backend := startBackend(t, &wigeonfake.BackendServer{Connections: 2})
+	var calls sync.WaitGroup
+	for range 6 {
+		calls.Go(func() {
+			qt.Check(t, send(t, backend.Address(), "a", wigeonfake.HeaderRunMS, "10").status, qt.Equals, http.StatusOK)
+		})
+	}
+	calls.Wait()
+	qt.Assert(t, backend.Stats().MaxInFlight <= 2, qt.IsTrue)
+}
+
+// Guards against a slow server that is not slower.
+func TestBackendSlow(t *testing.T) {
+	backend := startBackend(t, &wigeonfake.BackendServer{})
+	backend.SetFaults(wigeonfake.BackendFaults{SlowFactor: 10})
+	begin := time.Now()
+	qt.Assert(t, send(t, backend.Address(), "a", wigeonfake.HeaderRunMS, "5").status, qt.Equals, http.StatusOK)
+	qt.Assert(t, time.Since(begin) >= 50*time.Millisecond, qt.IsTrue)
+}
+
 // Guards against a full server that runs more than its slots, and against a stop that waits for runs.
 func TestBackendBusyWhileOthersRun(t *testing.T) {
 	backend := startBackend(t, &wigeonfake.BackendServer{Slots: 1})
--- a/wigeonfake/platform_actions.go
+++ b/wigeonfake/platform_actions.go
@@ -113,7 +113,7 @@
 	})
 }
 
-// ListVMs implements wigeonstep.Platform.
+// ListVMs implements wigeonstep.Platform. The caller must not change the list.
 func (p *Platform) ListVMs(ctx context.Context) (wigeonstep.VMList, error) {
 	return p.listVMs(ctx, "")
 }
@@ -138,7 +138,7 @@
 	return p.checkpointVM(ctx, "", vm, epoch)
 }
 
-// ListVMs implements wigeonstep.Platform.
+// ListVMs implements wigeonstep.Platform. The caller must not change the list.
 func (c *PlatformClient) ListVMs(ctx context.Context) (wigeonstep.VMList, error) {
 	return c.platform.listVMs(ctx, c.name)
 }
--- a/wigeonfake/platform_vms.go
+++ b/wigeonfake/platform_vms.go
@@ -71,6 +71,10 @@
 	listed    map[wigeonstep.VMID]wigeonstep.ListedVM
 	changedIn map[wigeonstep.VMID]uint64
 	version   uint64
+
+	// whole is listed, sorted by id, as of wholeAt; it is shared with callers and never changed.
+	whole   []wigeonstep.ListedVM
+	wholeAt uint64
 }
 
 type listChange struct {
@@ -105,6 +109,40 @@
 	f.pending = f.pending[shown:]
 }
 
+// list returns what the list shows, sorted by id.
+func (f *fleet) list() []wigeonstep.ListedVM {
+	if f.wholeAt != f.version || f.whole == nil {
+		f.whole = make([]wigeonstep.ListedVM, 0, len(f.listed))
+		for _, id := range slices.Sorted(maps.Keys(f.listed)) {
+			f.whole = append(f.whole, f.listed[id])
+		}
+		f.wholeAt = f.version
+	}
+	return f.whole
+}
+
+// since returns the VMs whose entries changed after the version, and the ids of those that the list no longer shows.
+func (f *fleet) since(version uint64) (vms []wigeonstep.ListedVM, removed []wigeonstep.VMID) {
+	if version == f.version {
+		return nil, nil
+	}
+	var ids []wigeonstep.VMID
+	for id, changed := range f.changedIn {
+		if changed > version {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if vm, listed := f.listed[id]; listed {
+			vms = append(vms, vm)
+		} else {
+			removed = append(removed, id)
+		}
+	}
+	return vms, removed
+}
+
 // AddVM adds a VM, or replaces it with a fresh one. The VM is up.
 func (p *Platform) AddVM(vm wigeonstep.ListedVM) {
 	p.mu.Lock()
@@ -246,6 +284,7 @@
 	return nil
 }
 
+// listVMs returns the list; its VMs are shared between calls.
 func (p *Platform) listVMs(ctx context.Context, client string) (wigeonstep.VMList, error) {
 	changes, err := p.listChanges(ctx, client, "")
 	if err != nil {
@@ -272,25 +311,24 @@
 	}
 	changes.Pools = slices.Clone(p.fleet.pools)
 	changes.Token = p.tokenLocked(p.fleet.version)
-	version, known := p.fleet.version, false
-	if prefix, number, found := strings.Cut(since, "-"); found && prefix == strconv.FormatInt(p.startedLocked(), 36) {
-		n, err := strconv.ParseUint(number, 10, 64)
-		version, known = n, err == nil && n <= version
-	}
-	changes.Full = !known
-	for _, id := range slices.Sorted(maps.Keys(p.fleet.changedIn)) {
-		vm, listed := p.fleet.listed[id]
-		switch {
-		case known && p.fleet.changedIn[id] <= version:
-		case listed:
-			changes.VMs = append(changes.VMs, vm)
-		case known:
-			changes.Removed = append(changes.Removed, id)
-		}
+	if version, known := p.versionLocked(since); known {
+		changes.VMs, changes.Removed = p.fleet.since(version)
+	} else {
+		changes.Full, changes.VMs = true, p.fleet.list()
 	}
 	return changes, nil
 }
 
+// versionLocked returns the version that a token of this platform names.
+func (p *Platform) versionLocked(token string) (version uint64, known bool) {
+	prefix, number, found := strings.Cut(token, "-")
+	if !found || prefix != strconv.FormatInt(p.startedLocked(), 36) {
+		return 0, false
+	}
+	version, err := strconv.ParseUint(number, 10, 64)
+	return version, err == nil && version <= p.fleet.version
+}
+
 // tokenLocked names a version of the list; it differs between platforms, so that a token does not outlive a restart.
 func (p *Platform) tokenLocked(version uint64) string {
 	return strconv.FormatInt(p.startedLocked(), 36) + "-" + strconv.FormatUint(version, 10)
