--- a/wigeonstate/difference.go
+++ b/wigeonstate/difference.go
@@ -9,8 +9,22 @@
 	"github.com/goccy/go-yaml"
 )
 
-// maxDifferences bounds the keys that a verdict lists.
-const maxDifferences = 8
+const (
+	// maxDifferences bounds the keys that a verdict lists, and maxValueBytes each of their values.
+	maxDifferences = 8
+	maxValueBytes  = 60
+	// maxReasonBytes bounds the reason that is kept of a refused change.
+	maxReasonBytes = 2000
+)
+
+// shorten cuts the text and replaces what is not UTF-8, because a message that is not UTF-8 cannot be encoded,
+// and one such text in the state would prevent every snapshot.
+func shorten(text string, limit int) string {
+	if len(text) > limit {
+		text = text[:limit] + "..."
+	}
+	return strings.ToValidUTF8(text, "?")
+}
 
 // difference lists the keys whose values differ between the document in force and the refused one.
 func difference(current, refused []byte) string {
@@ -61,6 +75,6 @@
 			flattenInto(flat, fmt.Sprintf("%s[%d]", path, i), child)
 		}
 	default:
-		flat[path] = fmt.Sprintf("%.60v", value)
+		flat[path] = shorten(fmt.Sprint(value), maxValueBytes)
 	}
 }
--- a/wigeonstate/document.go
+++ b/wigeonstate/document.go
@@ -32,7 +32,7 @@
 		return fmt.Sprintf("change %s was judged before, at offset %d", id, judged.GetOffset())
 	}
 	name := wigeonstep.ServiceName(change.GetService())
-	reason := s.tryChange(name, change, r)
+	reason := shorten(s.tryChange(name, change, r), maxReasonBytes)
 	version := uint64(0)
 	if current := s.services[name]; current != nil {
 		version = uint64(current.view.Version)
