Test keys by random interleavings of several processes on one log

Cause: the promises on keys must hold for duplicates, owner changes, lost append answers, log outages and deaths together. Change: a simulation over the real fold and the real core, with issued keys and answers that run out; the simplest table, without intents, runs in the same simulation and must be found wrong.

--- /dev/null
+++ b/wigeononce/property_test.go
@@ -0,0 +1,225 @@
+package wigeononce_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeononce"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// call sends one request of a caller and checks its answer.
+func (s *sim) call() {
+	var alive []*simProc
+	for _, p := range s.procs {
+		if !p.dead {
+			alive = append(alive, p)
+		}
+	}
+	if len(alive) == 0 {
+		return
+	}
+	key := rapid.SampledFrom(s.keys).Draw(s.t, "key")
+	body := "order"
+	if s.chance("reused key", 10) {
+		body = "another order"
+	}
+	c := &simCaller{sent: s.now, proc: rapid.SampledFrom(alive).Draw(s.t, "entry"), request: &wigeonstep.Request{
+		ID: wigeonstep.RequestID(fmt.Sprintf("r%d", len(s.callers))), Method: "POST", Path: "/", Body: []byte(body), Key: key,
+	}}
+	s.callers = append(s.callers, c)
+	c.proc.serve(c.request, false, func(response wigeonstep.Response, _ bool) { s.check(c, response) })
+}
+
+func (s *sim) check(c *simCaller, response wigeonstep.Response) {
+	c.answers++
+	key := c.request.Key
+	switch response.Outcome {
+	case wigeonstep.OutcomeDone:
+		if string(response.Body) != string(answerTo(c.request)) {
+			s.fail("request %s got %q", c.request.ID, response.Body)
+		}
+	case wigeonstep.OutcomeNotRun:
+		s.refused[c.request.ID] = true
+		if began, ran := s.began[key]; ran && began.Before(c.sent) {
+			s.fail("request %s was answered not_run, but key %s had run before it was sent", c.request.ID, key)
+		}
+	case wigeonstep.OutcomeUnknown:
+	default:
+		s.fail("request %s got outcome %q", c.request.ID, response.Outcome)
+	}
+}
+
+// expire ends a session on the log, whether or not its process still runs.
+func (s *sim) expire() {
+	p := rapid.SampledFrom(s.procs).Draw(s.t, "expired")
+	s.control.append(&wigeonwire.Entry{Body: &wigeonwire.Entry_SessionExpire{SessionExpire: &wigeonwire.SessionExpire{Session: p.session, LastRenewal: p.renewal}}})
+}
+
+// reopen gives a process whose fold shows the end of its session a new one.
+func (p *simProc) reopen() {
+	for _, session := range p.state.View().Sessions {
+		if uint64(session.ID) == p.session && !session.Expired {
+			return
+		}
+	}
+	if !p.cutOff && !p.dead {
+		p.proposed = map[uint64]wigeononce.Propose{}
+		p.openSession()
+	}
+}
+
+func (s *sim) turn() {
+	s.now = s.now.Add(time.Millisecond)
+	p := rapid.SampledFrom(s.procs).Draw(s.t, "process")
+	switch rapid.IntRange(0, 39).Draw(s.t, "turn") {
+	case 0, 1, 2, 3, 4, 5:
+		s.call()
+	case 6, 7, 8:
+		p.catchUp(rapid.IntRange(min(int(p.state.Next()), len(s.log)), len(s.log)).Draw(s.t, "offset"))
+	case 9:
+		s.expire()
+	case 10:
+		p.reopen()
+	case 11:
+		p.cutOff = !p.cutOff
+	case 12:
+		if len(s.procs) < 5 {
+			s.join()
+		}
+	case 13:
+		if s.chance("death", 3) {
+			p.dead = true
+		}
+	case 14:
+		p.expireWaiters()
+	case 15:
+		p.issue()
+	default:
+		p.executeOne()
+	}
+}
+
+func (p *simProc) expireWaiters() {
+	for id := wigeononce.WaiterID(1); id <= wigeononce.WaiterID(p.waiters) && !p.dead; id++ {
+		if p.waiting[id] != nil && p.sim.chance("deadline", 3) {
+			p.step(wigeononce.TimedOut{Waiter: id})
+		}
+	}
+}
+
+func (p *simProc) executeOne() {
+	if p.dead || len(p.pending) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(p.pending)-1).Draw(p.sim.t, "action")
+	action := p.pending[i]
+	p.pending = append(p.pending[:i:i], p.pending[i+1:]...)
+	action()
+}
+
+// settleAll lets every live process reach the log and ends what is still open by its deadline.
+func (s *sim) settleAll() {
+	for range 200 {
+		s.now = s.now.Add(time.Millisecond)
+		for _, p := range s.procs {
+			p.cutOff = false
+			p.catchUp(len(s.log))
+			if !p.dead && len(p.pending) > 0 {
+				action := p.pending[0]
+				p.pending = p.pending[1:]
+				action()
+			}
+		}
+	}
+	for _, p := range s.procs {
+		for id := wigeononce.WaiterID(1); id <= wigeononce.WaiterID(p.waiters) && !p.dead; id++ {
+			if p.waiting[id] != nil {
+				p.step(wigeononce.TimedOut{Waiter: id})
+			}
+		}
+	}
+	for _, c := range s.callers {
+		if !c.proc.dead && c.answers != 1 {
+			s.fail("request %s got %d answers", c.request.ID, c.answers)
+		}
+	}
+}
+
+func simulate(t *rapid.T, create func() machine) []string {
+	s := newSim(t, create)
+	for range rapid.IntRange(20, 250).Draw(t, "turns") {
+		s.turn()
+	}
+	s.settleAll()
+	return s.violations
+}
+
+// TestAtMostOnce guards the promises on keys over random interleavings of repeated requests, owner changes, lost append answers,
+// log outages and deaths of processes: no key runs twice, not_run is never said of a key that ran, and each caller gets one answer, to its own request.
+func TestAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		violations := simulate(t, func() machine {
+			return wigeononce.NewCore(wigeononce.Limits{AnswersFor: 40 * time.Millisecond, IssuedFor: 80 * time.Millisecond})
+		})
+		if len(violations) > 0 {
+			t.Fatalf("%q", violations)
+		}
+	})
+}
+
+// naive is the simplest table: each process remembers the keys that it ran, and appends nothing.
+type naive struct {
+	answers map[wigeonstep.Key]*wigeonstep.Response
+}
+
+func (n *naive) Step(_ time.Time, event wigeononce.Event) []wigeononce.Action {
+	switch e := event.(type) {
+	case wigeononce.Arrive:
+		if known, ok := n.answers[e.Request.Key]; ok {
+			if known == nil {
+				return []wigeononce.Action{wigeononce.Answer{Waiter: e.Waiter, Response: wigeonstep.Unknown(false, "running", "table", "key")}}
+			}
+			return []wigeononce.Action{wigeononce.Answer{Waiter: e.Waiter, Response: *known}}
+		}
+		n.answers[e.Request.Key] = nil
+		return []wigeononce.Action{
+			wigeononce.Dispatch{Key: e.Request.Key, Run: wigeononce.RunID(e.Waiter), Request: e.Request},
+		}
+	case wigeononce.Finished:
+		n.answers[e.Key] = &e.Response
+		return []wigeononce.Action{wigeononce.Answer{Waiter: wigeononce.WaiterID(e.Run), Response: e.Response}}
+	case wigeononce.TimedOut:
+		return nil
+	}
+	return nil
+}
+
+func (n *naive) Lookup(wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
+	return response, false, false
+}
+
+// TestNaiveTableRunsTwice shows that the simulation finds the fault that TestAtMostOnce guards against: a table without intents runs keys twice.
+func TestNaiveTableRunsTwice(t *testing.T) {
+	twice := 0
+	generator := rapid.Custom(func(t *rapid.T) []string {
+		return append([]string{"end"}, simulate(t, func() machine { return &naive{answers: map[wigeonstep.Key]*wigeonstep.Response{}} })...)
+	})
+	for seed := range 20 {
+		for _, violation := range generator.Example(seed) {
+			var key string
+			var times int
+			if n, _ := fmt.Sscanf(violation, "key %s ran %d times", &key, &times); n == 2 && times > 1 {
+				twice++
+				break
+			}
+		}
+	}
+	t.Logf("the table without intents ran a key twice in %d of 20 simulations", twice)
+	qt.Assert(t, twice > 0, qt.IsTrue)
+}
