Add the admission and routing policies with a shared driver

Cause: the first version had one first-in-first-out queue and the least loaded server, which overruns servers and lets one team's queue hold everybody else's. Change: queues per team and class, learned run times, refusal by estimated wait with Retry-After spread at the drain rate, weighted max-min dispatch with guarantees, limits and a reserve for short work; max-min split of a pool's slots between entry processes whose intervals also deal out the slots of each server; concurrency limits, quarantine with probes, leaving servers.

--- /dev/null
+++ b/wigeonadmission/policy_test.go
@@ -0,0 +1,223 @@
+package wigeonadmission_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonadmission"
+	"github.com/wigeonstep/wigeonstep/wigeondocument"
+)
+
+const bound = 4700 * time.Millisecond
+
+// burst is a rate that is five times the mean for 3 s in a cycle of 15 s and a twentieth of it otherwise, in turn for each team.
+func burst(mean float64, team, teams int) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		phase := (at + 15*time.Second*time.Duration(team)/time.Duration(teams)) % (15 * time.Second)
+		if phase < 3*time.Second {
+			return 5 * mean
+		}
+		return mean / 20
+	}
+}
+
+// Guards against work that waits beyond its bound, or is refused only after it has waited, while queues burst in turn.
+func TestBurstsAreRefusedAtOnce(t *testing.T) {
+	const run = 200 * time.Millisecond
+	trial := func(admit func() admitter) (total stats, used float64) {
+		f := newFleet(1, 4, 10, documents(5, run), admit, nil)
+		for i := range 5 {
+			f.add(&source{team: wigeonstep.TeamName(rune('a' + i)), class: "bake", peak: 500, run: run, rate: burst(100, i, 5)})
+		}
+		f.run(60 * time.Second)
+		for _, s := range f.sources {
+			total.waits, total.retryAfter = append(total.waits, s.waits...), append(total.retryAfter, s.retryAfter...)
+			total.wasted = append(total.wasted, s.wasted...)
+			total.sent, total.refused = total.sent+s.sent, total.refused+s.refused
+		}
+		return total, f.used()
+	}
+	c := quicktest.New(t)
+	baseline, usedBaseline := trial(newFIFO)
+	policy, used := trial(nil)
+	t.Logf("99th percentile wait: fifo %v, policy %v (used %.2f, %.2f); of %d requests %d refused at once, %d later, after %v at the median",
+		baseline.p99(), policy.p99(), usedBaseline, used, policy.sent, policy.refused, len(policy.wasted), quantile(policy.wasted, .5))
+	c.Check(baseline.p99() > bound, quicktest.IsTrue)
+	c.Check(quantile(policy.waits, 1) <= bound, quicktest.IsTrue)
+	c.Check(len(policy.wasted)*100 <= policy.sent, quicktest.IsTrue)
+	c.Check(used > 0.95*usedBaseline, quicktest.IsTrue)
+
+	perSecond := map[time.Duration]int{}
+	most := 0
+	for _, at := range policy.retryAfter {
+		perSecond[at.Truncate(time.Second)]++
+		most = max(most, perSecond[at.Truncate(time.Second)])
+	}
+	// The pool serves 400 requests a second; a fixed Retry-After returns the refused part of a burst of 500 a second as it came.
+	t.Logf("refused callers come back at no more than %d in any second", most)
+	c.Check(most < 400, quicktest.IsTrue)
+}
+
+// Guards against refusals and waits that follow a declared run time that is wrong by ten times.
+func TestDeclaredRunTimeIsWrong(t *testing.T) {
+	const run = 200 * time.Millisecond
+	for name, declared := range map[string]time.Duration{"ten times too long": 10 * run, "ten times too short": run / 10} {
+		t.Run(name, func(t *testing.T) {
+			trial := func(admit func() admitter) *source {
+				f := newFleet(2, 4, 10, documents(1, declared), admit, nil)
+				s := f.add(&source{team: "a", class: "bake", peak: 2000, run: run, rate: burst(400, 0, 1)})
+				f.run(60 * time.Second)
+				return s
+			}
+			baseline, policy := trial(func() admitter { return &fifo{declared: declared} }), trial(nil)
+			t.Logf("done: fifo %d, policy %d; longest wait: fifo %v, policy %v; expired %d", baseline.done, policy.done,
+				quantile(baseline.waits, 1), quantile(policy.waits, 1), policy.expired)
+			c := quicktest.New(t)
+			if declared > run {
+				c.Check(policy.done > baseline.done*5/4, quicktest.IsTrue)
+			} else {
+				c.Check(quantile(baseline.waits, 1) > bound, quicktest.IsTrue)
+			}
+			c.Check(quantile(policy.waits, 1) <= bound, quicktest.IsTrue)
+			c.Check(policy.expired*50 <= policy.sent, quicktest.IsTrue)
+		})
+	}
+}
+
+// Guards against a team whose flood makes other teams wait.
+func TestFloodLeavesOtherTeamsAlone(t *testing.T) {
+	const run = 200 * time.Millisecond
+	trial := func(admit func() admitter, times float64) *source {
+		f := newFleet(3, 1, 10, documents(4, run), admit, nil)
+		share := 80 / run.Seconds() / 4
+		f.constant("a", "bake", share*times, run)
+		f.constant("b", "bake", 3*share, run)
+		f.constant("c", "bake", share, run)
+		victim := f.constant("d", "bake", 0.4*share, run)
+		f.run(20 * time.Second)
+		return victim
+	}
+	fifoCalm, fifoFlood := trial(newFIFO, 1).p99(), trial(newFIFO, 100).p99()
+	calm, flood := trial(nil, 1).p99(), trial(nil, 100).p99()
+	t.Logf("99th percentile wait with 1 and 100 times the share: fifo %v and %v, policy %v and %v", fifoCalm, fifoFlood, calm, flood)
+	c := quicktest.New(t)
+	c.Check(fifoFlood > fifoCalm*11/10, quicktest.IsTrue)
+	c.Check(flood <= calm*11/10, quicktest.IsTrue)
+}
+
+// Guards against a split that ignores weights, guarantees or limits, or that keeps slots idle or borrowed.
+func TestSlotsFollowWeights(t *testing.T) {
+	const run = 200 * time.Millisecond
+	c := quicktest.New(t)
+	f := newFleet(4, 1, 10, []*wigeondocument.Document{
+		document("a", wigeondocument.Share{Weight: 1}, run),
+		document("b", wigeondocument.Share{Weight: 3}, run),
+		document("c", wigeondocument.Share{Weight: 1, GuaranteedSlots: 30}, run),
+		document("d", wigeondocument.Share{Weight: 1000, MaxSlots: 10}, run),
+	}, nil, nil)
+	flood := func(from, to time.Duration) func(time.Duration) float64 {
+		return func(at time.Duration) float64 {
+			if at >= from && at < to {
+				return 1000
+			}
+			return 0
+		}
+	}
+	a := f.constant("a", "bake", 1000, run)
+	b := f.add(&source{team: "b", class: "bake", peak: 1000, run: run, rate: flood(20*time.Second, time.Hour)})
+	third := f.add(&source{team: "c", class: "bake", peak: 1000, run: run, rate: flood(20*time.Second, time.Hour)})
+	d := f.constant("d", "bake", 1000, run)
+	f.run(40 * time.Second)
+	t.Logf("done: a %d, b %d, c %d, d %d", a.done, b.done, third.done, d.done)
+	slots := func(s *source, seconds float64) float64 { return float64(s.done) * run.Seconds() / seconds }
+	// d holds its limit of 10 throughout; b gets 30 against c's guarantee of 30, and a what is left: 70 alone, then 10.
+	c.Check(slots(d, 40), approximately, 10.0)
+	c.Check(slots(b, 20), approximately, 30.0)
+	c.Check(slots(third, 20), approximately, 30.0)
+	c.Check(slots(a, 40), approximately, 40.0)
+}
+
+// approximately checks that a figure is within a tenth.
+var approximately = &within{}
+
+type within struct{}
+
+func (*within) ArgNames() []string { return []string{"got", "want"} }
+
+func (*within) Check(got any, args []any, _ func(key string, value any)) error {
+	g, w := got.(float64), args[0].(float64)
+	if g < 0.9*w || g > 1.1*w {
+		return fmt.Errorf("%.2f is not within a tenth of %.2f", g, w)
+	}
+	return nil
+}
+
+// Guards against short work that waits behind long runs, and long work that takes the reserve.
+func TestShortWorkPassesLongRuns(t *testing.T) {
+	trial := func(admit func() admitter) (short *source, longHeld int) {
+		f := newFleet(5, 4, 10, documents(3, 200*time.Millisecond), admit, nil)
+		for _, team := range []wigeonstep.TeamName{"a", "b"} {
+			f.constant(team, "cure", 50, 10*time.Minute)
+		}
+		short = f.constant("a", "bake", 40, 200*time.Millisecond)
+		f.observe = func() {
+			held := 0
+			for _, p := range f.processes {
+				held += p.admit.Demand().Long
+			}
+			longHeld = max(longHeld, held)
+		}
+		f.run(60 * time.Second)
+		return short, longHeld
+	}
+	baseline, _ := trial(newFIFO)
+	policy, longHeld := trial(nil)
+	t.Logf("short work done in 60 s: fifo %d of %d, policy %d of %d, 99th percentile wait %v, long work holds %d of 80 slots",
+		baseline.done, baseline.sent, policy.done, policy.sent, policy.p99(), longHeld)
+	c := quicktest.New(t)
+	c.Check(baseline.done*2 < baseline.sent, quicktest.IsTrue)
+	c.Check(policy.done*100 >= policy.sent*98, quicktest.IsTrue)
+	c.Check(quantile(policy.waits, 1) <= bound, quicktest.IsTrue)
+	c.Check(longHeld <= 60, quicktest.IsTrue)
+	c.Check(longHeld >= 50, quicktest.IsTrue)
+}
+
+// Guards against cancelled work that keeps its place: a wave of a thousand cancellations must make room at once.
+func TestCancellationsFreeTheirPlaces(t *testing.T) {
+	c := quicktest.New(t)
+	pool := wigeonadmission.New(wigeonadmission.Config{Name: "ovens"})
+	pool.SetServices(documents(2, 30*time.Millisecond))
+	pool.SetSlots(wigeonadmission.Grant{Slots: 8, Pool: 8})
+	baseline := &fifo{declared: 30 * time.Millisecond, slots: 8}
+	submit := func(policy admitter) (verdict wigeonadmission.Verdict, ticket *wigeonadmission.Ticket) {
+		ticket = &wigeonadmission.Ticket{Team: "a", Class: "bake"}
+		return policy.Submit(epoch, ticket).Verdict, ticket
+	}
+	fill := func(policy admitter) (queued []*wigeonadmission.Ticket) {
+		for {
+			switch verdict, ticket := submit(policy); verdict {
+			case wigeonadmission.Refused:
+				return queued
+			case wigeonadmission.Queued:
+				queued = append(queued, ticket)
+			case wigeonadmission.Started:
+			}
+		}
+	}
+	fill(baseline)
+	queued := fill(pool)
+	c.Assert(len(queued) >= 1000, quicktest.IsTrue, quicktest.Commentf("%d queued", len(queued)))
+	for _, ticket := range queued {
+		wasQueued, started := pool.Cancel(epoch, ticket)
+		c.Assert(wasQueued, quicktest.IsTrue)
+		c.Assert(started, quicktest.HasLen, 0)
+	}
+	verdict, _ := submit(baseline)
+	c.Check(verdict, quicktest.Equals, wigeonadmission.Refused)
+	c.Check(pool.Demand(), quicktest.Equals, wigeonadmission.Demand{Held: 8, Wanted: 8})
+	c.Check(len(fill(pool)), quicktest.Equals, len(queued))
+}
--- /dev/null
+++ b/wigeonadmission/routing_test.go
@@ -0,0 +1,120 @@
+package wigeonadmission_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep/wigeonrouting"
+)
+
+// Guards against entry processes that overrun servers because they do not see each other's requests, or that leave them idle.
+func TestProcessesShareServersBlindly(t *testing.T) {
+	trial := func(route func() router) (busy, used float64) {
+		f := newFleet(6, 7, 10, documents(1, 100*time.Millisecond), nil, route)
+		f.constant("a", "bake", 1600, 100*time.Millisecond)
+		f.run(20 * time.Second)
+		return f.busyAnswers(), f.used()
+	}
+	busyBaseline, usedBaseline := trial(newLeastLoaded)
+	busy, used := trial(nil)
+	t.Logf("attempts that met a full server: least loaded %.3f, policy %.4f; slots used: %.3f, %.3f", busyBaseline, busy, usedBaseline, used)
+	c := quicktest.New(t)
+	c.Check(busyBaseline > 0.05, quicktest.IsTrue)
+	c.Check(busy < 0.005, quicktest.IsTrue)
+	c.Check(used > 0.95 && used > usedBaseline, quicktest.IsTrue)
+}
+
+// faulty runs a pool at 70% load in which the servers of the indices are spoilt from 5 s on.
+func faulty(route func() router, seconds int, spoil func(*backend), indices ...int) (*fleet, *source) {
+	f := newFleet(7, 4, 12, documents(1, 100*time.Millisecond), nil, route)
+	s := f.constant("a", "bake", 0.7*960, 100*time.Millisecond)
+	f.after(5*time.Second, func() {
+		for _, i := range indices {
+			spoil(f.backends[f.servers[i].VM])
+		}
+	})
+	f.run(time.Duration(seconds) * time.Second)
+	return f, s
+}
+
+// Guards against a server that fails everything quickly and so looks idle.
+func TestFailingServersAttractNoWork(t *testing.T) {
+	for name, indices := range map[string][]int{
+		"one server": {3}, "three servers, as many as the quarantine holds": {3, 4, 5}, "six servers, more than the quarantine holds": {0, 1, 2, 3, 4, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			spoil := func(b *backend) { b.fails = true }
+			_, baseline := faulty(newLeastLoaded, 30, spoil, indices...)
+			_, policy := faulty(nil, 30, spoil, indices...)
+			t.Logf("failed requests: least loaded %d of %d, policy %d of %d", baseline.failed, baseline.sent, policy.failed, policy.sent)
+			c := quicktest.New(t)
+			c.Check(baseline.failed*5 > baseline.sent, quicktest.IsTrue)
+			if len(indices) <= 3 {
+				c.Check(policy.failed*100 < policy.sent, quicktest.IsTrue)
+			} else {
+				c.Check(policy.failed*2 < baseline.failed, quicktest.IsTrue)
+			}
+		})
+	}
+}
+
+// Guards against a slow server that keeps its part of the work.
+func TestSlowServerIsQuarantined(t *testing.T) {
+	spoil := func(b *backend) { b.slow, b.accepted = 20, 0 }
+	trial := func(route func() router) int {
+		f, _ := faulty(route, 60, spoil, 3)
+		return f.backends[f.servers[3].VM].accepted
+	}
+	baseline, policy := trial(newLeastLoaded), trial(nil)
+	t.Logf("requests that ran on the slow server: least loaded %d, policy %d", baseline, policy)
+	quicktest.New(t).Check(policy*3 < baseline, quicktest.IsTrue)
+}
+
+// Guards against a quarantine that empties the pool when everything fails at once, and that outlasts the fault.
+func TestCorrelatedFailureKeepsThePool(t *testing.T) {
+	f := newFleet(8, 4, 12, documents(1, 100*time.Millisecond), nil, nil)
+	s := f.constant("a", "bake", 0.7*960, 100*time.Millisecond)
+	set := func(fails bool) func() {
+		return func() {
+			for _, b := range f.backends {
+				b.fails = fails
+			}
+		}
+	}
+	f.after(5*time.Second, set(true))
+	f.after(15*time.Second, set(false))
+	most, before := 0, 0
+	f.observe = func() {
+		for _, p := range f.processes {
+			most = max(most, len(p.route.(*wigeonrouting.Picker).Quarantined()))
+		}
+	}
+	f.after(15200*time.Millisecond, func() { before = s.done })
+	f.run(20200 * time.Millisecond)
+	rate := float64(s.done-before) / 5
+	t.Logf("at most %d of 12 servers in quarantine; %.0f of 672 requests a second from 0.2 s after the fault", most, rate)
+	c := quicktest.New(t)
+	c.Check(most, quicktest.Equals, 3)
+	c.Check(rate > 0.9*672, quicktest.IsTrue)
+}
+
+// Guards against retries that add to the load of a pool that already fails.
+func TestRetriesAddAtMostAFifth(t *testing.T) {
+	trial := func(unlimited bool) float64 {
+		f := newFleet(9, 4, 10, documents(1, 100*time.Millisecond), nil, nil)
+		f.unlimited = unlimited
+		f.constant("a", "bake", 200, 100*time.Millisecond)
+		for _, b := range f.backends {
+			b.fails = true
+		}
+		f.run(20 * time.Second)
+		return float64(f.attempts) / float64(f.firsts)
+	}
+	baseline, policy := trial(true), trial(false)
+	t.Logf("attempts for each first attempt at a pool that fails: unlimited %.2f, policy %.3f", baseline, policy)
+	c := quicktest.New(t)
+	c.Check(baseline > 2, quicktest.IsTrue)
+	c.Check(policy <= 1.2, quicktest.IsTrue)
+}
--- a/wigeonadmission/ticket.go
+++ b/wigeonadmission/ticket.go
@@ -1,10 +1,10 @@
 package wigeonadmission
 
 import (
+	"container/list"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
-	"github.com/wigeonstep/wigeonstep/wigeondocument"
 )
 
 // Ticket is one request or job that asks for a slot. A ticket is submitted once.
@@ -19,7 +19,14 @@
 	Value any
 
 	state ticketState
-	kind  wigeondocument.ClassKind
+	class *class
+	// element is the place in the class's queue, nil unless queued.
+	element *list.Element
+	// expiry is when the ticket leaves the queue unstarted; zero means never.
+	expiry time.Time
+	// expiryIndex is the place in the pool's expiry heap, -1 when absent.
+	expiryIndex int
+	started     time.Time
 }
 
 type ticketState int
@@ -46,9 +53,9 @@
 // Decision is the answer to Submit.
 type Decision struct {
 	Verdict Verdict
-	// Reason is one sentence with the figures behind a refusal; empty otherwise.
+	// Reason names the rule and the figures behind a refusal; empty otherwise.
 	Reason string
-	// Status is 429 when the team is over its share and 503 when the pool has no room; zero unless refused.
+	// Status is 429 when the team is at or over its share and 503 when the pool has no room; zero unless refused.
 	Status int
 	// RetryAfter is when the caller should come back; zero unless refused.
 	RetryAfter time.Duration
@@ -65,3 +72,31 @@
 	// Long is the part of Held that long work holds, which cannot be given back soon.
 	Long int
 }
+
+// expiryHeap orders queued tickets by expiry.
+type expiryHeap []*Ticket
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expiry.Before(h[j].expiry) }
+
+func (h expiryHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].expiryIndex, h[j].expiryIndex = i, j
+}
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) {
+	t := x.(*Ticket)
+	t.expiryIndex = len(*h)
+	*h = append(*h, t)
+}
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	t.expiryIndex = -1
+	return t
+}
--- /dev/null
+++ b/wigeonrouting/share.go
@@ -0,0 +1,92 @@
+package wigeonrouting
+
+// interval is the part of the pool's slots that belongs to this process. The zero value is the whole pool.
+type interval struct {
+	first, slots, pool int
+}
+
+// deal computes the slots of each server that belong to this process. The slots are numbered layer by layer: the first slot of
+// every server, then the second of every server that has one, and so on, so that an interval covers as many servers as possible.
+// Every process numbers them alike, so intervals that do not overlap use different slots.
+func (p *Picker) deal() {
+	total, deepest := 0, 0
+	p.inService = 0
+	for _, s := range p.listed {
+		if s.InService {
+			p.inService++
+			total += s.Slots
+			deepest = max(deepest, s.Slots)
+		}
+	}
+	from, to := 0, total
+	if p.share.pool > 0 {
+		// The grant may have been computed from a list that differs by a few servers.
+		from = min(max(p.share.first, 0), p.share.pool) * total / p.share.pool
+		to = min(max(p.share.first+p.share.slots, 0), p.share.pool) * total / p.share.pool
+	}
+	number := 0
+	for layer := range deepest {
+		for _, s := range p.listed {
+			if layer == 0 {
+				s.own = 0
+			}
+			if !s.InService || layer >= s.Slots {
+				continue
+			}
+			if number >= from && number < to {
+				s.own++
+			}
+			number++
+		}
+	}
+	for _, s := range p.listed {
+		s.share = s.Slots
+		if p.share.pool > 0 {
+			s.share = min((s.Slots*max(to-from, 0)+total-1)/max(total, 1), s.Slots)
+		}
+		p.update(s)
+	}
+}
+
+// Sets of the servers that have room, from which Pick draws.
+const (
+	// setOwn has room in the slots dealt to this process; setShared has room in the process's part of the server's slots.
+	setOwn = iota
+	setOwnLocal
+	setShared
+	setSharedLocal
+	setCount
+)
+
+// serverSet is a set from which a random member is drawn in constant time.
+type serverSet struct {
+	servers []*server
+}
+
+// put adds or removes the server.
+func (t *serverSet) put(s *server, set int, member bool) {
+	i := s.index[set]
+	switch {
+	case member && i < 0:
+		s.index[set] = len(t.servers)
+		t.servers = append(t.servers, s)
+	case !member && i >= 0:
+		last := t.servers[len(t.servers)-1]
+		t.servers[i] = last
+		last.index[set] = i
+		t.servers[len(t.servers)-1] = nil
+		t.servers = t.servers[:len(t.servers)-1]
+		s.index[set] = -1
+	}
+}
+
+// update puts the server into the sets that its state allows.
+func (p *Picker) update(s *server) {
+	local := s.DataCentre == p.config.DataCentre
+	own := s.usable() && s.room(s.own)
+	shared := s.usable() && s.room(s.share)
+	p.sets[setOwn].put(s, setOwn, own)
+	p.sets[setOwnLocal].put(s, setOwnLocal, own && local)
+	p.sets[setShared].put(s, setShared, shared)
+	p.sets[setSharedLocal].put(s, setSharedLocal, shared && local)
+}
