--- a/wigeonadmission/policy_test.go
+++ b/wigeonadmission/policy_test.go
@@ -88,25 +88,35 @@
 	}
 }
 
-// Guards against a team whose flood makes other teams wait.
+// Guards against a team whose flood makes other teams wait, while they stay within their shares. First team b asks for more than its
+// share, so that the pool is full in every trial; then the pool has free slots before the flood.
 func TestFloodLeavesOtherTeamsAlone(t *testing.T) {
 	const run = 200 * time.Millisecond
-	trial := func(admit func() admitter, times float64) *source {
-		f := newFleet(3, 1, 10, documents(4, run), admit, nil)
-		share := 80 / run.Seconds() / 4
+	trial := func(admit func() admitter, times, heavy float64) time.Duration {
+		f := newFleet(3, 1, 20, documents(10, run), admit, nil)
+		share := 160 / run.Seconds() / 10
 		f.constant("a", "bake", share*times, run)
-		f.constant("b", "bake", 3*share, run)
-		f.constant("c", "bake", share, run)
-		victim := f.constant("d", "bake", 0.4*share, run)
-		f.run(20 * time.Second)
-		return victim
+		f.constant("b", "bake", heavy*share, run)
+		var others stats
+		for i := range 8 {
+			f.constant(wigeonstep.TeamName(rune('c'+i)), "bake", 0.4*share, run)
+		}
+		f.run(30 * time.Second)
+		for _, s := range f.sources[2:] {
+			others.waits = append(others.waits, s.waits...)
+		}
+		return others.p99()
 	}
-	fifoCalm, fifoFlood := trial(newFIFO, 1).p99(), trial(newFIFO, 100).p99()
-	calm, flood := trial(nil, 1).p99(), trial(nil, 100).p99()
+	fifoCalm, fifoFlood := trial(newFIFO, 1, 8), trial(newFIFO, 100, 8)
+	calm, flood := trial(nil, 1, 8), trial(nil, 100, 8)
 	t.Logf("99th percentile wait with 1 and 100 times the share: fifo %v and %v, policy %v and %v", fifoCalm, fifoFlood, calm, flood)
 	c := quicktest.New(t)
 	c.Check(fifoFlood > fifoCalm*11/10, quicktest.IsTrue)
 	c.Check(flood <= calm*11/10, quicktest.IsTrue)
+
+	calm, flood = trial(nil, 1, 0.4), trial(nil, 100, 0.4)
+	t.Logf("in a pool with free slots: %v and %v of wait for runs of %v", calm, flood, run)
+	c.Check(flood-calm <= run/10, quicktest.IsTrue)
 }
 
 // Guards against a split that ignores weights, guarantees or limits, or that keeps slots idle or borrowed.
--- /dev/null
+++ b/wigeonadmission/property_test.go
@@ -0,0 +1,198 @@
+package wigeonadmission_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonadmission"
+	"github.com/wigeonstep/wigeonstep/wigeondocument"
+)
+
+// Guards against tickets that are lost or started twice, slots that are exceeded or left idle, and panics on contradictory shares.
+func TestPoolProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		odd := rapid.SampledFrom([]int{-1, 0, 1, 3, 1 << 40})
+		drawDocuments := func() []*wigeondocument.Document {
+			list := []*wigeondocument.Document{nil}
+			for _, team := range rapid.SliceOfN(rapid.SampledFrom([]wigeonstep.TeamName{"a", "b", "c"}), 0, 4).Draw(t, "teams") {
+				d := document(team, wigeondocument.Share{
+					Weight: odd.Draw(t, "weight"), GuaranteedSlots: odd.Draw(t, "guarantee"), MaxSlots: odd.Draw(t, "limit"),
+				}, time.Duration(rapid.IntRange(-1, 200).Draw(t, "run"))*time.Millisecond)
+				d.Classes[0].MaxQueueMS = rapid.SampledFrom([]int{-1, 0, 100, 10000}).Draw(t, "max_queue_ms")
+				if rapid.Bool().Draw(t, "kinds swapped") {
+					d.Classes[0].Kind, d.Classes[1].Kind = d.Classes[1].Kind, d.Classes[0].Kind
+				}
+				list = append(list, d)
+			}
+			return list
+		}
+		pool := wigeonadmission.New(wigeonadmission.Config{Name: "ovens"})
+		now, slots := epoch, 0
+		var queued, running []*wigeonadmission.Ticket
+		held := func() int { return pool.Demand().Held }
+		start := func(tickets []*wigeonadmission.Ticket) {
+			for _, ticket := range tickets {
+				i := slices.Index(queued, ticket)
+				if i < 0 {
+					t.Fatalf("started a ticket that was not queued")
+				}
+				queued = slices.Delete(queued, i, i+1)
+				running = append(running, ticket)
+			}
+			if len(tickets) > 0 && held() > slots {
+				t.Fatalf("%d slots held of %d", held(), slots)
+			}
+		}
+		take := func(list *[]*wigeonadmission.Ticket) *wigeonadmission.Ticket {
+			if len(*list) == 0 {
+				t.Skip("none")
+			}
+			i := rapid.IntRange(0, len(*list)-1).Draw(t, "index")
+			ticket := (*list)[i]
+			*list = slices.Delete(*list, i, i+1)
+			return ticket
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"documents": func(*rapid.T) {
+				pool.SetServices(drawDocuments())
+				start(pool.Dispatch(now))
+			},
+			"slots": func(t *rapid.T) {
+				slots = rapid.IntRange(0, 12).Draw(t, "slots")
+				pool.SetSlots(wigeonadmission.Grant{
+					First: rapid.IntRange(-1, 30).Draw(t, "first"), Slots: slots, Pool: rapid.IntRange(slots, 40).Draw(t, "pool"), Long: slots * 3 / 4,
+				})
+				start(pool.Dispatch(now))
+			},
+			"submit": func(t *rapid.T) {
+				ticket := &wigeonadmission.Ticket{
+					Team:  rapid.SampledFrom([]wigeonstep.TeamName{"a", "b", "c"}).Draw(t, "team"),
+					Class: rapid.SampledFrom([]wigeonstep.ClassName{"bake", "cure"}).Draw(t, "class"),
+				}
+				if rapid.Bool().Draw(t, "deadline") {
+					ticket.Deadline = now.Add(time.Duration(rapid.IntRange(-1, 3000).Draw(t, "ms")) * time.Millisecond)
+				}
+				switch d := pool.Submit(now, ticket); d.Verdict {
+				case wigeonadmission.Started:
+					queued = append(queued, ticket)
+					start([]*wigeonadmission.Ticket{ticket})
+				case wigeonadmission.Queued:
+					queued = append(queued, ticket)
+				case wigeonadmission.Refused:
+					if d.Status != 429 && d.Status != 503 || d.Reason == "" || d.RetryAfter <= 0 {
+						t.Fatalf("incomplete refusal %+v", d)
+					}
+				}
+			},
+			"finish": func(t *rapid.T) {
+				start(pool.Finish(now, take(&running), time.Duration(rapid.IntRange(0, 5000).Draw(t, "ms"))*time.Millisecond))
+			},
+			"cancel queued": func(t *rapid.T) {
+				wasQueued, started := pool.Cancel(now, take(&queued))
+				if !wasQueued {
+					t.Fatalf("a queued ticket was cancelled as running")
+				}
+				start(started)
+			},
+			"cancel running": func(*rapid.T) {
+				_, started := pool.Cancel(now, take(&running))
+				start(started)
+			},
+			"expire": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+				for _, ticket := range pool.Expire(now) {
+					i := slices.Index(queued, ticket)
+					if i < 0 {
+						t.Fatalf("expired a ticket that was not queued")
+					}
+					queued = slices.Delete(queued, i, i+1)
+					if pool.Refusal(now, ticket).RetryAfter <= 0 {
+						t.Fatalf("an expired ticket has no time to come back")
+					}
+				}
+				start(pool.Dispatch(now))
+			},
+			"": func(t *rapid.T) {
+				if d := pool.Demand(); d.Held != len(running) || d.Wanted != len(running)+len(queued) {
+					t.Fatalf("demand %+v with %d running and %d queued", d, len(running), len(queued))
+				}
+				if started := pool.Dispatch(now); len(started) > 0 {
+					t.Fatalf("a call left %d startable tickets in the queue", len(started))
+				}
+			},
+		})
+	})
+}
+
+// Guards against processes whose parts of a pool overlap, exceed it, depend on the order of reports, or are not max-min fair.
+func TestSplitProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := rapid.IntRange(-1, 100).Draw(t, "slots")
+		sizes := rapid.IntRange(-1, 60)
+		var reports []wigeonadmission.Report
+		for i := range rapid.IntRange(1, 12).Draw(t, "sessions") {
+			held := sizes.Draw(t, "held")
+			reports = append(reports, wigeonadmission.Report{
+				Session: wigeonstep.SessionID(i), Heard: rapid.Bool().Draw(t, "heard"),
+				Demand: wigeonadmission.Demand{Held: held, Wanted: sizes.Draw(t, "wanted"), Long: min(held, sizes.Draw(t, "long"))},
+			})
+		}
+		shuffled := rapid.Permutation(reports).Draw(t, "order")
+		next, long, fixed := 0, 0, 0
+		grants := make([]wigeonadmission.Grant, len(reports))
+		for i, r := range reports {
+			grants[i] = wigeonadmission.Split(total, r.Session, reports)
+			if other := wigeonadmission.Split(total, r.Session, shuffled); other != grants[i] {
+				t.Fatalf("the order of the reports changes %+v to %+v", grants[i], other)
+			}
+			if grants[i].First != next {
+				t.Fatalf("grant %d is %+v, the one before ends at %d", i, grants[i], next)
+			}
+			next += grants[i].Slots
+			long += grants[i].Long
+			if r.Heard {
+				fixed += max(r.Long, 0)
+			}
+		}
+		if next != max(total, 0) || long > max(total*3/4, 0) {
+			t.Fatalf("%d slots and %d for long work granted of %d", next, long, total)
+		}
+		for i, r := range reports {
+			if !r.Heard || fixed > max(total, 0) {
+				continue
+			}
+			mine := grants[i].Slots - max(r.Long, 0)
+			for j, o := range reports {
+				other := grants[j].Slots
+				if o.Heard {
+					other -= max(o.Long, 0)
+				}
+				if want := max(r.Wanted, r.Held, 1) - max(r.Long, 0); mine < want && other > mine+1 && mine+1 < other {
+					t.Fatalf("session %d wants %d and gets %d while session %d gets %d", i, want, mine, j, other)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a peer that has never reported being left out, and a pool without sessions.
+func TestSplitOfUnheardPeers(t *testing.T) {
+	c := quicktest.New(t)
+	c.Check(wigeonadmission.Split(80, 1, nil), quicktest.Equals, wigeonadmission.Grant{Pool: 80})
+	reports := []wigeonadmission.Report{
+		{Session: 1, Heard: true, Demand: wigeonadmission.Demand{Wanted: 500}},
+		{Session: 2, Heard: true, Demand: wigeonadmission.Demand{Wanted: 5}},
+		{Session: 3},
+		{Session: 4, Heard: true, Demand: wigeonadmission.Demand{Wanted: 500}},
+	}
+	var slots []int
+	for _, r := range reports {
+		slots = append(slots, wigeonadmission.Split(80, r.Session, reports).Slots)
+	}
+	c.Check(slots, quicktest.DeepEquals, []int{28, 5, 20, 27})
+}
--- a/wigeonadmission/split.go
+++ b/wigeonadmission/split.go
@@ -62,10 +62,12 @@
 		fixedTotal += fixed[i]
 	}
 	if fixedTotal > slots {
+		scaled := 0
 		for i := range fixed {
 			fixed[i] = fixed[i] * slots / fixedTotal
+			scaled += fixed[i]
 		}
-		fixedTotal = slots
+		fixedTotal = scaled
 	}
 	shares := maxMin(slots-fixedTotal, wanted)
 
--- a/wigeonretry/budget.go
+++ b/wigeonretry/budget.go
@@ -57,7 +57,13 @@
 	}
 	for b.last < second {
 		b.last++
-		b.firsts[b.last%budgetBuckets], b.retries[b.last%budgetBuckets] = 0, 0
+		i := bucket(b.last)
+		b.firsts[i], b.retries[i] = 0, 0
 	}
-	return int(b.last % budgetBuckets)
+	return bucket(b.last)
+}
+
+// bucket returns the index of a second, also of one before 1970.
+func bucket(second int64) int {
+	return int((second%budgetBuckets + budgetBuckets) % budgetBuckets)
 }
--- /dev/null
+++ b/wigeonretry/retry_test.go
@@ -0,0 +1,92 @@
+package wigeonretry_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeondocument"
+	"github.com/wigeonstep/wigeonstep/wigeonretry"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+// Guards against work that runs twice and against retries that section 9 does not allow.
+func TestDecide(t *testing.T) {
+	const never, safe = wigeondocument.RetryNever, wigeondocument.RetrySafe
+	for _, test := range []struct {
+		name       string
+		policy     wigeondocument.RetryPolicy
+		idempotent bool
+		attempt    int
+		verdict    wigeonstep.BackendVerdict
+		status     int
+		left       time.Duration
+		want       bool
+	}{
+		{"not sent", safe, false, 1, wigeonstep.BackendNotSent, 0, time.Second, true},
+		{"busy", safe, false, 1, wigeonstep.BackendBusy, 429, time.Second, true},
+		{"leaving", safe, false, 2, wigeonstep.BackendLeaving, 503, time.Second, true},
+		{"lost", safe, false, 1, wigeonstep.BackendLost, 0, time.Second, false},
+		{"lost, idempotent", safe, true, 1, wigeonstep.BackendLost, 0, time.Second, true},
+		{"server error", safe, false, 1, wigeonstep.BackendWhole, 500, time.Second, false},
+		{"server error, idempotent", safe, true, 1, wigeonstep.BackendWhole, 500, time.Second, true},
+		{"good answer", safe, true, 1, wigeonstep.BackendWhole, 200, time.Second, false},
+		{"caller's error", safe, true, 1, wigeonstep.BackendWhole, 400, time.Second, false},
+		{"never, not sent", never, true, 1, wigeonstep.BackendNotSent, 0, time.Second, false},
+		{"never, lost", never, true, 1, wigeonstep.BackendLost, 0, time.Second, false},
+		{"third attempt", safe, true, 3, wigeonstep.BackendNotSent, 0, time.Second, false},
+		{"no time left", safe, true, 1, wigeonstep.BackendNotSent, 0, time.Millisecond, false},
+		{"no verdict", safe, true, 1, 0, 0, time.Second, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			budget := &wigeonretry.Budget{}
+			for range 5 {
+				budget.First(epoch)
+			}
+			result := wigeonstep.BackendResult{Verdict: test.verdict, Status: test.status}
+			again, delay := wigeonretry.Decide(test.policy, test.idempotent, test.attempt, result, epoch, epoch.Add(test.left), budget,
+				rand.New(rand.NewPCG(1, 1)))
+			c.Check(again, quicktest.Equals, test.want)
+			c.Check(delay > 0, quicktest.Equals, test.want)
+			c.Check(budget.Allow(epoch), quicktest.Equals, !test.want, quicktest.Commentf("only a retry is charged"))
+		})
+	}
+}
+
+// Guards against a budget that lets more than a fifth of the first attempts of any 10 s be retried.
+func TestBudgetProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		budget := &wigeonretry.Budget{}
+		now := epoch
+		var firsts, retries []time.Time
+		recent := func(times []time.Time) (n int) {
+			for _, at := range times {
+				if now.Sub(at) <= 10*time.Second {
+					n++
+				}
+			}
+			return n
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 300, 1000, 9999, 30000}).Draw(t, "ms")) * time.Millisecond)
+			for range rapid.IntRange(0, 20).Draw(t, "firsts") {
+				budget.First(now)
+				firsts = append(firsts, now)
+			}
+			for range rapid.IntRange(0, 5).Draw(t, "retries") {
+				if budget.Allow(now) {
+					retries = append(retries, now)
+					if r, f := recent(retries), recent(firsts); r*5 > f {
+						t.Fatalf("%d retries for %d first attempts in 10 s", r, f)
+					}
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/wigeonrouting/picker_test.go
@@ -0,0 +1,239 @@
+package wigeonrouting_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonrouting"
+)
+
+var (
+	epoch = time.Unix(1_800_000_000, 0)
+	whole = wigeonstep.BackendResult{Verdict: wigeonstep.BackendWhole, Status: 200}
+	lost  = wigeonstep.BackendResult{Verdict: wigeonstep.BackendLost}
+)
+
+func servers(n int) []wigeonrouting.Server {
+	var list []wigeonrouting.Server
+	for i := range n {
+		list = append(list, wigeonrouting.Server{
+			VM: wigeonstep.VMID(fmt.Sprintf("vm%d", i)), DataCentre: wigeonstep.DataCentreName(fmt.Sprintf("dc%d", i%3)),
+			Slots: 8, Connections: 64, InService: true, Epoch: 1,
+		})
+	}
+	return list
+}
+
+// Guards against work for servers that leave, are out of service, excluded, remote, full or in quarantine, against a quarantine
+// of more than a quarter of the pool, and against counts that drift.
+func TestPickerProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		picker := wigeonrouting.New(wigeonrouting.Config{DataCentre: "dc1"})
+		now := epoch
+		listed := map[wigeonstep.VMID]wigeonrouting.Server{}
+		// leaving and known have the epoch at which the VM announced itself as leaving and the last listed one.
+		leaving, known := map[wigeonstep.VMID]wigeonstep.Epoch{}, map[wigeonstep.VMID]wigeonstep.Epoch{}
+		inFlight := map[wigeonstep.VMID]int{}
+		vm := rapid.Custom(func(t *rapid.T) wigeonstep.VMID {
+			return wigeonstep.VMID(fmt.Sprintf("vm%d", rapid.IntRange(0, 9).Draw(t, "vm")))
+		})
+		budget, quota := 0, 0
+		t.Repeat(map[string]func(*rapid.T){
+			"servers": func(t *rapid.T) {
+				list := servers(rapid.IntRange(0, 10).Draw(t, "count"))
+				clear(listed)
+				quota = 0
+				for i := range list {
+					s := &list[i]
+					s.InService = rapid.IntRange(0, 3).Draw(t, "in service") > 0
+					s.Slots = rapid.IntRange(0, 3).Draw(t, "slots")
+					s.Epoch = wigeonstep.Epoch(1 + now.Sub(epoch)/(20*time.Second))
+					listed[s.VM], known[s.VM] = *s, s.Epoch
+					if s.InService {
+						quota++
+					}
+				}
+				quota /= 4
+				if budget > 0 {
+					quota = min(quota, budget)
+				}
+				picker.SetServers(now, list)
+				for id, at := range leaving {
+					if s, ok := listed[id]; ok && s.Epoch > at || !ok && inFlight[id] == 0 {
+						delete(leaving, id)
+					}
+				}
+			},
+			"share": func(t *rapid.T) {
+				first, slots := rapid.IntRange(0, 20).Draw(t, "first"), rapid.IntRange(0, 20).Draw(t, "slots")
+				picker.SetShare(first, slots, rapid.IntRange(0, 40).Draw(t, "pool"))
+			},
+			"pick": func(t *rapid.T) {
+				want := wigeonrouting.Want{LocalOnly: rapid.Bool().Draw(t, "local"), Exclude: []wigeonstep.VMID{vm.Draw(t, "exclude")}}
+				quarantined := map[wigeonstep.VMID]time.Time{}
+				for _, q := range picker.Quarantined() {
+					quarantined[q.VM] = q.NextProbe
+				}
+				s, ok := picker.Pick(now, want)
+				if !ok {
+					return
+				}
+				inFlight[s.VM]++
+				probe, inQuarantine := quarantined[s.VM]
+				switch {
+				case !listed[s.VM].InService, s.VM == want.Exclude[0], want.LocalOnly && s.DataCentre != "dc1":
+					t.Fatalf("picked %+v for %+v", s, want)
+				case leaving[s.VM] > 0:
+					t.Fatalf("picked %s, which is leaving", s.VM)
+				case inQuarantine && probe.After(now):
+					t.Fatalf("picked %s, whose probe is not due", s.VM)
+				case !inQuarantine && inFlight[s.VM] > s.Slots:
+					t.Fatalf("%d requests on the %d slots of %s", inFlight[s.VM], s.Slots, s.VM)
+				}
+			},
+			"done": func(t *rapid.T) {
+				id := vm.Draw(t, "vm")
+				if inFlight[id] == 0 {
+					t.Skip("nothing in flight")
+				}
+				inFlight[id]--
+				result := wigeonstep.BackendResult{
+					Verdict: wigeonstep.BackendVerdict(rapid.IntRange(1, 5).Draw(t, "verdict")), Status: rapid.SampledFrom([]int{200, 500}).Draw(t, "status"),
+					Leaving: rapid.IntRange(0, 9).Draw(t, "leaving") == 0,
+				}
+				if result.Leaving || result.Verdict == wigeonstep.BackendLeaving {
+					leaving[id] = known[id]
+				}
+				picker.Done(now, id, result, time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms"))*time.Millisecond, 100*time.Millisecond)
+				if _, ok := listed[id]; !ok && inFlight[id] == 0 {
+					delete(leaving, id)
+				}
+			},
+			"mark leaving": func(t *rapid.T) {
+				id := vm.Draw(t, "vm")
+				if _, ok := listed[id]; ok {
+					picker.MarkLeaving(now, id)
+					leaving[id] = known[id]
+				}
+			},
+			"budget": func(t *rapid.T) {
+				before := budget
+				budget = rapid.IntRange(0, 2).Draw(t, "budget")
+				picker.SetBudget(now, budget)
+				if budget > 0 && (before == 0 || budget < before) {
+					quota = min(quota, budget)
+				} else {
+					quota = len(listed) / 4
+				}
+			},
+			"time": func(t *rapid.T) {
+				now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"": func(t *rapid.T) {
+				for id, n := range inFlight {
+					if picker.InFlight(id) != n {
+						t.Fatalf("%d in flight on %s, want %d", picker.InFlight(id), id, n)
+					}
+				}
+				if n := len(picker.Quarantined()); n > quota {
+					t.Fatalf("%d servers in quarantine, want at most %d", n, quota)
+				}
+			},
+		})
+	})
+}
+
+// spoil makes every request to the VMs end with the result until the picker has seen n of them.
+func spoil(picker *wigeonrouting.Picker, now time.Time, vm wigeonstep.VMID, result wigeonstep.BackendResult, n int) {
+	for range n {
+		picker.Done(now, vm, result, time.Millisecond, 0)
+	}
+}
+
+func quarantined(picker *wigeonrouting.Picker) []wigeonstep.VMID {
+	var list []wigeonstep.VMID
+	for _, q := range picker.Quarantined() {
+		list = append(list, q.VM)
+	}
+	return list
+}
+
+// Guards against a mildly failing server that keeps a worse one out of a full quarantine.
+func TestWorstServersAreQuarantinedFirst(t *testing.T) {
+	c := quicktest.New(t)
+	picker := wigeonrouting.New(wigeonrouting.Config{})
+	picker.SetServers(epoch, servers(8))
+	picker.SetBudget(epoch, 1)
+	spoil(picker, epoch, "vm1", whole, 1)
+	spoil(picker, epoch, "vm1", lost, 4)
+	c.Check(quarantined(picker), quicktest.DeepEquals, []wigeonstep.VMID{"vm1"})
+	spoil(picker, epoch, "vm2", lost, 20)
+	c.Check(quarantined(picker), quicktest.DeepEquals, []wigeonstep.VMID{"vm2"})
+	decisions := picker.Decisions()
+	c.Assert(decisions, quicktest.HasLen, 3)
+	c.Check(decisions[1].Rule, quicktest.Equals, "worst_first")
+}
+
+// Guards against probes that come too often, and against a server that stays out after it has recovered.
+func TestProbesBackOff(t *testing.T) {
+	c := quicktest.New(t)
+	picker := wigeonrouting.New(wigeonrouting.Config{})
+	picker.SetServers(epoch, servers(4))
+	now := epoch
+	spoil(picker, now, "vm1", lost, 5)
+	exclude := []wigeonstep.VMID{"vm0", "vm2", "vm3"}
+	var probes []time.Duration
+	for range 6 {
+		for {
+			now = now.Add(50 * time.Millisecond)
+			if s, ok := picker.Pick(now, wigeonrouting.Want{Exclude: exclude}); ok {
+				probes = append(probes, now.Sub(epoch))
+				picker.Done(now, s.VM, lost, time.Millisecond, 0)
+				break
+			}
+		}
+	}
+	c.Logf("probes at %v", probes)
+	for i := 1; i < len(probes); i++ {
+		gap := probes[i] - probes[i-1]
+		longest := min(time.Second<<i, time.Minute)
+		c.Check(gap > longest*7/10 && gap <= longest+50*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("gap %v", gap))
+	}
+	now = now.Add(75 * time.Second)
+	_, ok := picker.Pick(now, wigeonrouting.Want{Exclude: exclude, NoProbe: true})
+	c.Check(ok, quicktest.IsTrue, quicktest.Commentf("a probe that is long overdue is sent with any request"))
+	picker.Done(now, "vm1", whole, time.Millisecond, 0)
+	c.Check(picker.Quarantined(), quicktest.HasLen, 0)
+}
+
+// Guards against a limit that stays low, or that no busy answer lowers.
+func TestLimitFollowsBusyAnswers(t *testing.T) {
+	c := quicktest.New(t)
+	picker := wigeonrouting.New(wigeonrouting.Config{})
+	picker.SetServers(epoch, servers(1))
+	now := epoch
+	fill := func() (n int) {
+		for {
+			if _, ok := picker.Pick(now, wigeonrouting.Want{}); !ok {
+				return n
+			}
+			n++
+		}
+	}
+	c.Check(fill(), quicktest.Equals, 8)
+	picker.Done(now, "vm0", wigeonstep.BackendResult{Verdict: wigeonstep.BackendBusy}, 0, 0)
+	spoil(picker, now, "vm0", whole, 7)
+	limit := fill()
+	c.Check(limit >= 4 && limit <= 6, quicktest.IsTrue, quicktest.Commentf("limit %d", limit))
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		spoil(picker, now, "vm0", whole, limit)
+		limit = fill()
+	}
+	c.Check(limit, quicktest.Equals, 8)
+}
--- a/wigeonrouting/share.go
+++ b/wigeonrouting/share.go
@@ -12,6 +12,7 @@
 	total, deepest := 0, 0
 	p.inService = 0
 	for _, s := range p.listed {
+		s.own = 0
 		if s.InService {
 			p.inService++
 			total += s.Slots
@@ -27,9 +28,6 @@
 	number := 0
 	for layer := range deepest {
 		for _, s := range p.listed {
-			if layer == 0 {
-				s.own = 0
-			}
 			if !s.InService || layer >= s.Slots {
 				continue
 			}
