Keep the signature of SetBudget and let NextExpiry cover shedding

Cause: the entry process calls SetBudget without a time, and calls Expire only when NextExpiry says so; it therefore never refused early the tickets that cannot start in time any more. Change: the picker uses the latest time that it was given; NextExpiry is at most 100 ms after the last Expire while short work is queued.

--- a/wigeonadmission/dispatch.go
+++ b/wigeonadmission/dispatch.go
@@ -91,6 +91,7 @@
 		t.queuedLong += n
 	} else {
 		t.queuedShort += n
+		p.queuedShort += n
 	}
 	p.queued += n
 	p.changed(t, wasActive)
--- a/wigeonadmission/pool.go
+++ b/wigeonadmission/pool.go
@@ -33,7 +33,8 @@
 	ranks   [rankings]ranking
 
 	held, heldLong int
-	queued         int
+	// queued counts all queued tickets, queuedShort those of short classes.
+	queued, queuedShort int
 	// longLimit is the number of slots that long work may hold here.
 	longLimit int
 	// activeWeight is the sum of the weights of teams whose short work runs or waits, or did so in the last activeSpan.
@@ -47,6 +48,8 @@
 	// virtual is the virtual time of the team served last; a team that comes back starts there.
 	virtual  float64
 	expiries expiryHeap
+	// shedNext is when the queues are looked through next for tickets that cannot start in time.
+	shedNext time.Time
 	// expired holds tickets that left the queue and were not yet returned by Expire.
 	expired []*Ticket
 }
@@ -152,24 +155,28 @@
 }
 
 // Expire removes and returns the queued tickets whose queue time or deadline has passed, and those that certainly will not start
-// in time. Call it at NextExpiry and, while short work is queued, at least every 100 ms. Refusal gives the answer for each.
+// in time. Refusal gives the answer for each.
 func (p *Pool) Expire(now time.Time) []*Ticket {
 	p.collect(now)
 	p.shed(now)
+	p.shedNext = p.now.Add(shedSpan)
 	expired := p.expired
 	p.expired = nil
 	return expired
 }
 
-// NextExpiry returns when Expire next has something to return; false when nothing queued can expire.
+// NextExpiry returns when to call Expire next; false when nothing queued can expire. While short work is queued, that is at most
+// 100 ms after the last call.
 func (p *Pool) NextExpiry() (time.Time, bool) {
 	switch {
 	case len(p.expired) > 0:
 		return p.expired[0].expiry, true
-	case len(p.expiries) > 0:
-		return p.expiries[0].expiry, true
-	default:
+	case len(p.expiries) == 0:
 		return time.Time{}, false
+	case p.queuedShort > 0 && p.shedNext.Before(p.expiries[0].expiry):
+		return p.shedNext, true
+	default:
+		return p.expiries[0].expiry, true
 	}
 }
 
--- a/wigeonrouting/picker.go
+++ b/wigeonrouting/picker.go
@@ -59,6 +59,8 @@
 	sets      [setCount]serverSet
 	share     interval
 	timers    timerHeap
+	// now is the latest time that a call passed.
+	now time.Time
 
 	// budget bounds the quarantined servers besides the quarter of the pool; zero means that no budget is set.
 	budget      int
@@ -126,9 +128,9 @@
 
 // SetBudget bounds the servers in quarantine by the pool's disruption budget, besides the quarter of the pool that always bounds
 // them. Zero means no budget.
-func (p *Picker) SetBudget(now time.Time, maxUnavailable int) {
+func (p *Picker) SetBudget(maxUnavailable int) {
 	p.budget = max(maxUnavailable, 0)
-	p.trimQuarantine(now)
+	p.trimQuarantine(p.now)
 }
 
 // Pick selects a server and counts a request in flight on it; ok is false when no server may take the request now. Room may then
--- a/wigeonrouting/picker_test.go
+++ b/wigeonrouting/picker_test.go
@@ -124,7 +124,7 @@
 			"budget": func(t *rapid.T) {
 				before := budget
 				budget = rapid.IntRange(0, 2).Draw(t, "budget")
-				picker.SetBudget(now, budget)
+				picker.SetBudget(budget)
 				if budget > 0 && (before == 0 || budget < before) {
 					quota = min(quota, budget)
 				} else {
@@ -168,7 +168,7 @@
 	c := quicktest.New(t)
 	picker := wigeonrouting.New(wigeonrouting.Config{})
 	picker.SetServers(epoch, servers(8))
-	picker.SetBudget(epoch, 1)
+	picker.SetBudget(1)
 	spoil(picker, epoch, "vm1", whole, 1)
 	spoil(picker, epoch, "vm1", lost, 4)
 	c.Check(quarantined(picker), quicktest.DeepEquals, []wigeonstep.VMID{"vm1"})
--- a/wigeonrouting/timer.go
+++ b/wigeonrouting/timer.go
@@ -48,6 +48,9 @@
 
 // advance applies the timers that have fired.
 func (p *Picker) advance(now time.Time) {
+	if now.After(p.now) {
+		p.now = now
+	}
 	for len(p.timers) > 0 && !p.timers[0].at.After(now) {
 		t := heap.Pop(&p.timers).(timer)
 		s := t.server
