Report the slots that long work holds

Cause: Split keeps the slots that long work holds with their process, but a demand report did not carry them, so a process and its peers computed different splits. Change: PoolDemand has the field long; the entry process sends and reads it.

--- a/wigeonentry/demand.go
+++ b/wigeonentry/demand.go
@@ -39,7 +39,7 @@
 	}
 	r := &peerReport{number: report.GetReport(), heard: now, pools: make(map[string]wigeonadmission.Demand, len(report.GetPools()))}
 	for _, pl := range report.GetPools() {
-		r.pools[pl.GetPool()] = wigeonadmission.Demand{Held: int(pl.GetHeld()), Wanted: int(pl.GetWanted())}
+		r.pools[pl.GetPool()] = wigeonadmission.Demand{Held: int(pl.GetHeld()), Wanted: int(pl.GetWanted()), Long: int(pl.GetLong())}
 	}
 	b.reports[id] = r
 }
@@ -143,7 +143,7 @@
 	report := &wigeonwire.DemandReport{Session: uint64(p.config.Follower.Session()), Report: number}
 	for name, pl := range *p.pools.Load() {
 		if d := pl.demand(); d.Wanted > 0 {
-			report.Pools = append(report.Pools, &wigeonwire.PoolDemand{Pool: string(name), Held: uint32(d.Held), Wanted: uint32(d.Wanted)})
+			report.Pools = append(report.Pools, &wigeonwire.PoolDemand{Pool: string(name), Held: uint32(d.Held), Wanted: uint32(d.Wanted), Long: uint32(d.Long)})
 		}
 	}
 	slices.SortFunc(report.Pools, func(a, b *wigeonwire.PoolDemand) int { return strings.Compare(a.GetPool(), b.GetPool()) })
