--- a/wigeonfake/platform_vms.go
+++ b/wigeonfake/platform_vms.go
@@ -5,9 +5,12 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonplatform"
 )
 
 const (
@@ -60,10 +63,18 @@
 type fleet struct {
 	vms      map[wigeonstep.VMID]*VMState
 	pools    []wigeonstep.PoolName
-	listed   map[wigeonstep.VMID]wigeonstep.ListedVM
 	pending  []listChange
 	frozenAt time.Time
 	timers   []*time.Timer
+
+	// listed is what the list shows; changedIn holds for each id, also of removed VMs, the version that last changed it.
+	listed    map[wigeonstep.VMID]wigeonstep.ListedVM
+	changedIn map[wigeonstep.VMID]uint64
+	version   uint64
+
+	// whole is listed, sorted by id, as of wholeAt; it is shared with callers and never changed.
+	whole   []wigeonstep.ListedVM
+	wholeAt uint64
 }
 
 type listChange struct {
@@ -79,12 +90,15 @@
 	}
 	if f.listed == nil {
 		f.listed = map[wigeonstep.VMID]wigeonstep.ListedVM{}
+		f.changedIn = map[wigeonstep.VMID]uint64{}
 	}
 	shown := 0
 	for _, c := range f.pending {
 		if now.Sub(c.at) < faults.ListLag {
 			break
 		}
+		f.version++
+		f.changedIn[c.vm.ID] = f.version
 		if c.removed {
 			delete(f.listed, c.vm.ID)
 		} else {
@@ -95,6 +109,40 @@
 	f.pending = f.pending[shown:]
 }
 
+// list returns what the list shows, sorted by id.
+func (f *fleet) list() []wigeonstep.ListedVM {
+	if f.wholeAt != f.version || f.whole == nil {
+		f.whole = make([]wigeonstep.ListedVM, 0, len(f.listed))
+		for _, id := range slices.Sorted(maps.Keys(f.listed)) {
+			f.whole = append(f.whole, f.listed[id])
+		}
+		f.wholeAt = f.version
+	}
+	return f.whole
+}
+
+// since returns the VMs whose entries changed after the version, and the ids of those that the list no longer shows.
+func (f *fleet) since(version uint64) (vms []wigeonstep.ListedVM, removed []wigeonstep.VMID) {
+	if version == f.version {
+		return nil, nil
+	}
+	var ids []wigeonstep.VMID
+	for id, changed := range f.changedIn {
+		if changed > version {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	for _, id := range ids {
+		if vm, listed := f.listed[id]; listed {
+			vms = append(vms, vm)
+		} else {
+			removed = append(removed, id)
+		}
+	}
+	return vms, removed
+}
+
 // AddVM adds a VM, or replaces it with a fresh one. The VM is up.
 func (p *Platform) AddVM(vm wigeonstep.ListedVM) {
 	p.mu.Lock()
@@ -229,31 +277,66 @@
 	case ctx.Err() != nil:
 		return stepError(step, fmt.Errorf("%w: %w", wigeonstep.ErrUnavailable, ctx.Err()))
 	case p.cut[client]:
-		return stepError(step, fmt.Errorf("%w: client %q is cut off", wigeonstep.ErrUnavailable, client))
+		return stepError(step, fmt.Errorf("%w: client %q", errCutOff, client))
 	case p.faults.VMsDown:
 		return stepError(step, fmt.Errorf("%w: the VM service is down", wigeonstep.ErrUnavailable))
 	}
 	return nil
 }
 
+// listVMs returns the list; its VMs are shared between calls.
 func (p *Platform) listVMs(ctx context.Context, client string) (wigeonstep.VMList, error) {
+	changes, err := p.listChanges(ctx, client, "")
+	if err != nil {
+		return wigeonstep.VMList{}, err
+	}
+	return wigeonstep.VMList{VMs: changes.VMs, Pools: changes.Pools, Age: changes.Age}, nil
+}
+
+// listChanges returns the changes of the list since the token, or the whole list when the token is not of this platform.
+func (p *Platform) listChanges(ctx context.Context, client, since string) (wigeonplatform.VMChanges, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err := p.reachVMsLocked(ctx, client, stepListVMs); err != nil {
-		return wigeonstep.VMList{}, err
+		return wigeonplatform.VMChanges{}, err
 	}
-	list := wigeonstep.VMList{Age: p.faults.ListLag}
+	changes := wigeonplatform.VMChanges{Age: p.faults.ListLag}
 	if p.faults.ListEmpty {
-		return list, nil
+		changes.Full = true
+		return changes, nil
 	}
 	p.fleet.show(p.now(), p.faults)
 	if p.faults.ListStale {
-		list.Age += p.now().Sub(p.fleet.frozenAt)
+		changes.Age += p.now().Sub(p.fleet.frozenAt)
+	}
+	changes.Pools = slices.Clone(p.fleet.pools)
+	changes.Token = p.tokenLocked(p.fleet.version)
+	if version, known := p.versionLocked(since); known {
+		changes.VMs, changes.Removed = p.fleet.since(version)
+	} else {
+		changes.Full, changes.VMs = true, p.fleet.list()
 	}
-	list.Pools = slices.Clone(p.fleet.pools)
-	list.VMs = make([]wigeonstep.ListedVM, 0, len(p.fleet.listed))
-	for _, id := range slices.Sorted(maps.Keys(p.fleet.listed)) {
-		list.VMs = append(list.VMs, p.fleet.listed[id])
+	return changes, nil
+}
+
+// versionLocked returns the version that a token of this platform names.
+func (p *Platform) versionLocked(token string) (version uint64, known bool) {
+	prefix, number, found := strings.Cut(token, "-")
+	if !found || prefix != strconv.FormatInt(p.startedLocked(), 36) {
+		return 0, false
+	}
+	version, err := strconv.ParseUint(number, 10, 64)
+	return version, err == nil && version <= p.fleet.version
+}
+
+// tokenLocked names a version of the list; it differs between platforms, so that a token does not outlive a restart.
+func (p *Platform) tokenLocked(version uint64) string {
+	return strconv.FormatInt(p.startedLocked(), 36) + "-" + strconv.FormatUint(version, 10)
+}
+
+func (p *Platform) startedLocked() int64 {
+	if p.started == 0 {
+		p.started = time.Now().UnixNano()
 	}
-	return list, nil
+	return p.started
 }
