Let a new owner wait until earlier owners have folded the change, instead of holding refusals back

Cause: the lease does not prove ownership when a session joins, so a refusal of a caller's own key had to wait for a confirmed view, up to a second, although a refusal must not be held back. Change: the session that takes keys over runs none before the other open sessions have reported an applied offset that covers its ready renewal; a refusal within the lease is then not_run at once.

--- a/wigeonentry/follower_test.go
+++ b/wigeonentry/follower_test.go
@@ -72,6 +72,8 @@
 	confirmed atomic.Int64
 	busy      func() []wigeonstep.VMID
 	closed    atomic.Bool
+	// ready and closing are guarded by the lock of the log.
+	ready, closing bool
 }
 
 func (l *testLog) follow(t testing.TB, session uint64, role wigeonwire.Role, dataCentre, peerAddress string) *testFollower {
@@ -129,8 +131,18 @@
 }
 
 func (f *testFollower) Run(ctx context.Context) error {
-	<-ctx.Done()
-	return ctx.Err()
+	tick := time.NewTicker(50 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			f.log.mu.Lock()
+			f.renew()
+			f.log.mu.Unlock()
+		}
+	}
 }
 func (f *testFollower) WaitReady(context.Context) error { return nil }
 func (f *testFollower) View() *wigeonstate.View         { return f.view.Load() }
@@ -154,12 +166,20 @@
 func (f *testFollower) SetReady(ready, closing bool) {
 	f.log.mu.Lock()
 	defer f.log.mu.Unlock()
-	f.renewals++
-	if err := f.append(&wigeonwire.Entry{Body: &wigeonwire.Entry_SessionRenew{SessionRenew: &wigeonwire.SessionRenew{
-		Renewal: f.renewals, Ready: ready, Closing: closing,
-	}}}); err != nil {
-		panic(err)
+	f.ready, f.closing = ready, closing
+	f.renew()
+}
+
+// renew appends a renewal; the caller holds the lock of the log.
+func (f *testFollower) renew() {
+	if f.log.down || f.closed.Load() {
+		return
 	}
+	f.renewals++
+	// An error means that the session was expired, which is what some tests do.
+	_ = f.append(&wigeonwire.Entry{Body: &wigeonwire.Entry_SessionRenew{SessionRenew: &wigeonwire.SessionRenew{
+		Renewal: f.renewals, Ready: f.ready, Closing: f.closing, AppliedOffset: uint64(f.state.Next()) - 1,
+	}}})
 }
 
 func (f *testFollower) CloseSession(context.Context) error {
--- a/wigeonentry/pools.go
+++ b/wigeonentry/pools.go
@@ -46,6 +46,7 @@
 		p.logLocalOnly(localOnly)
 	}
 	p.applied, p.localOnly = view, localOnly
+	p.once.Observe(view)
 	documents := map[wigeonstep.PoolName][]*wigeondocument.Document{}
 	for _, service := range view.Services {
 		d := service.Document
--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -164,6 +164,7 @@
 	begin := p.config.Now()
 	p.applyMu.Lock()
 	p.ready.Store(false)
+	p.once.Leave()
 	p.config.Follower.SetReady(false, true)
 	p.applyMu.Unlock()
 	p.server.Leave()
--- a/wigeononce/core.go
+++ b/wigeononce/core.go
@@ -4,6 +4,7 @@
 package wigeononce
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
@@ -45,8 +46,6 @@
 	runIntending
 	// runDispatched may have reached a backend server.
 	runDispatched
-	// runRefusing has no slot and no intent; its answer waits until the view is confirmed.
-	runRefusing
 	// runEnded has its final answer.
 	runEnded
 )
@@ -61,16 +60,13 @@
 	// issued is set for a key of an own session, which needs no intent.
 	issued  bool
 	waiters []WaiterID
-	// response is the refusal in runRefusing and the final answer in runEnded.
+	// response is the final answer in runEnded.
 	response wigeonstep.Response
-	// refusedAt is when runRefusing began.
-	refusedAt time.Time
 }
 
 // waiter is one request that has no answer yet.
 type waiter struct {
-	arrive  Arrive
-	arrived time.Time
+	arrive Arrive
 	// run is the key's run that the waiter is attached to, nil while the waiter is forwarded, asks or waits.
 	run *run
 	// target is the session that the waiter was sent to.
@@ -107,13 +103,11 @@
 	c.expire(now)
 	switch e := event.(type) {
 	case Arrive:
-		return c.arrive(now, e)
+		return c.arrive(e)
 	case Admitted:
-		return c.admitted(now, e)
+		return c.admitted(e)
 	case Refused:
-		return c.refused(now, e)
-	case ViewConfirmed:
-		return c.viewConfirmed(now, e)
+		return c.refused(e)
 	case IntentJudged:
 		return c.intentJudged(now, e)
 	case Finished:
@@ -123,7 +117,7 @@
 	case AskEnded:
 		return c.askEnded(e)
 	case TimedOut:
-		return c.timedOut(now, e)
+		return c.timedOut(e)
 	case SessionOpened:
 		c.current = e.Session
 		if e.Session != 0 {
@@ -148,10 +142,10 @@
 // Waiting returns the number of requests without an answer.
 func (c *Core) Waiting() int { return len(c.waiters) }
 
-func (c *Core) arrive(now time.Time, e Arrive) []Action {
+func (c *Core) arrive(e Arrive) []Action {
 	w := c.waiters[e.Waiter]
 	if w == nil {
-		w = &waiter{arrived: now}
+		w = &waiter{}
 		c.waiters[e.Waiter] = w
 	}
 	w.arrive, w.run, w.target = e, nil, 0
@@ -170,6 +164,12 @@
 	if !e.Place.LeaseValid {
 		return c.answer(w, unknown("the lease of the owner has run out, so another process may have run the key"))
 	}
+	if e.Place.Stale {
+		return c.answer(w, logOutOfReach())
+	}
+	if !e.Place.Settled {
+		return []Action{Wait{Waiter: e.Waiter}}
+	}
 	return c.begin(w, false)
 }
 
@@ -247,7 +247,7 @@
 	return r
 }
 
-func (c *Core) admitted(now time.Time, e Admitted) []Action {
+func (c *Core) admitted(e Admitted) []Action {
 	r := c.find(e.Key, e.Run, runQueued)
 	if r == nil {
 		return []Action{Release{Key: e.Key, Run: e.Run}}
@@ -257,76 +257,34 @@
 		return []Action{Release{Key: e.Key, Run: e.Run}}
 	}
 	if r.issued {
-		return c.dispatch(now, r)
+		return c.dispatch(r)
 	}
-	if !c.mine[e.Place.Owner] || e.Place.Fold != nil {
+	if !c.mine[e.Place.Owner] || e.Place.Fold != nil || !e.Place.Settled {
 		return append([]Action{Release{Key: e.Key, Run: e.Run}}, c.again(r)...)
 	}
 	r.state = runIntending
 	return []Action{Propose{Key: r.key, Run: r.id, Request: r.request, Hash: r.hash}}
 }
 
-func (c *Core) refused(now time.Time, e Refused) []Action {
+func (c *Core) refused(e Refused) []Action {
 	r := c.find(e.Key, e.Run, runQueued)
 	if r == nil {
 		return nil
 	}
-	return c.refuse(now, r, e.Response, e.Place)
+	return c.refuse(r, e.Response, e.Place)
 }
 
 // refuse ends a run without a slot and without an intent.
-func (c *Core) refuse(now time.Time, r *run, response wigeonstep.Response, place Place) []Action {
-	if r.issued {
+func (c *Core) refuse(r *run, response wigeonstep.Response, place Place) []Action {
+	switch {
+	case r.issued:
 		c.issued.giveBack(r.key)
-		return c.dropAll(r, response)
-	}
-	r.state, r.response, r.refusedAt = runRefusing, response, now
-	if c.confirmedSince(r, place.Confirmed) {
-		return c.settleRefusal(r, place)
-	}
-	return []Action{ConfirmView{Key: r.key, Run: r.id}}
-}
-
-// confirmedSince reports whether the view has held the whole log at some time since the last waiter arrived. The lease alone does not prove that the process is still the owner: a session that joins may take the partition over while the lease runs.
-func (c *Core) confirmedSince(r *run, confirmed time.Time) bool {
-	for _, id := range r.waiters {
-		if confirmed.Before(c.waiters[id].arrived) {
-			return false
-		}
-	}
-	return true
-}
-
-func (c *Core) viewConfirmed(_ time.Time, e ViewConfirmed) []Action {
-	r := c.find(e.Key, e.Run, runRefusing)
-	if r == nil {
-		return nil
-	}
-	if !e.Confirmed {
-		return c.dropAll(r, unknown("the request was refused, but the log cannot be read to tell whether the key ran elsewhere"))
-	}
-	return c.settleRefusal(r, e.Place)
-}
-
-// settleRefusal answers the waiters that the confirmed view covers, and lets the others arrive again.
-func (c *Core) settleRefusal(r *run, place Place) []Action {
-	if place.Fold != nil || !c.mine[place.Owner] {
+	case place.Fold != nil || !c.mine[place.Owner]:
 		return c.again(r)
+	case !place.LeaseValid:
+		response = unknown("the request was refused after the lease of the owner had run out")
 	}
-	if !place.LeaseValid {
-		return c.dropAll(r, unknown("the request was refused after the lease of the owner had run out"))
-	}
-	c.drop(r)
-	var actions []Action
-	for _, id := range r.waiters {
-		w := c.waiters[id]
-		if place.Confirmed.Before(w.arrived) {
-			actions = append(actions, c.rewait(w))
-			continue
-		}
-		actions = append(actions, c.answer(w, r.response)...)
-	}
-	return actions
+	return c.dropAll(r, response)
 }
 
 func (c *Core) intentJudged(now time.Time, e IntentJudged) []Action {
@@ -340,18 +298,21 @@
 		if len(r.waiters) == 0 {
 			return append(release, c.end(now, r, unknown("the request was given up before its key was recorded; it did not run and will not run"))...)
 		}
-		return c.dispatch(now, r)
+		if !e.Place.Settled {
+			// The session changed while the entry waited for the log, and another session may still answer not_run.
+			return append(release, c.end(now, r, unknown("the owner of the key changed while the key was recorded; it did not run and will not run"))...)
+		}
+		return c.dispatch(r)
 	case IntentRefused:
 		return append(release, c.again(r)...)
 	case IntentNotAppended:
-		response := wigeonstep.NotRun(503, "the log did not take the record of the key", "append intent", "platform log", time.Second)
-		return append(release, c.refuse(now, r, response, e.Place)...)
+		return append(release, c.refuse(r, logOutOfReach(), e.Place)...)
 	default:
 		return append(release, c.end(now, r, unknown("the log did not confirm the record of the key"))...)
 	}
 }
 
-func (c *Core) dispatch(_ time.Time, r *run) []Action {
+func (c *Core) dispatch(r *run) []Action {
 	r.state = runDispatched
 	var deadline time.Time
 	for _, id := range r.waiters {
@@ -407,13 +368,18 @@
 	}
 }
 
-func (c *Core) timedOut(_ time.Time, e TimedOut) []Action {
+func (c *Core) timedOut(e TimedOut) []Action {
 	w := c.waiters[e.Waiter]
 	if w == nil {
 		return nil
 	}
 	r := w.run
-	actions := c.answer(w, wigeonstep.Unknown(true, "the deadline passed before the answer was known", stepOnce, peerOwner))
+	response := wigeonstep.Unknown(true, "the deadline passed before the answer was known", stepOnce, peerOwner)
+	_, issued := IssuedBy(w.arrive.Request.Key)
+	if r == nil && w.target == 0 && !issued && e.Place.Fold == nil && c.mine[e.Place.Owner] && e.Place.LeaseValid && c.runs[w.arrive.Request.Key] == nil {
+		response = wigeonstep.NotRun(http.StatusServiceUnavailable, "the owner of the key has just changed", stepOnce, peerOwner, time.Second)
+	}
+	actions := c.answer(w, response)
 	if r == nil {
 		return actions
 	}
--- a/wigeononce/event.go
+++ b/wigeononce/event.go
@@ -30,8 +30,10 @@
 	Owner wigeonstep.SessionID
 	// LeaseValid is set while the lease of this process's session runs.
 	LeaseValid bool
-	// Confirmed is when the view was last known to hold the whole log.
-	Confirmed time.Time
+	// Settled is set when no other session can still believe to own the key, see Handover.
+	Settled bool
+	// Stale is set when the log has been out of reach for so long that recording a key would fail.
+	Stale bool
 }
 
 // Event is something that happened to a key, a request or the process.
@@ -61,14 +63,6 @@
 		Response wigeonstep.Response
 		Place    Place
 	}
-	// ViewConfirmed answers ConfirmView.
-	ViewConfirmed struct {
-		Key wigeonstep.Key
-		Run RunID
-		// Confirmed is false when the view was not confirmed in time.
-		Confirmed bool
-		Place     Place
-	}
 	// IntentJudged says what became of the proposed intent.
 	IntentJudged struct {
 		Key     wigeonstep.Key
@@ -99,7 +93,10 @@
 		Response wigeonstep.Response
 	}
 	// TimedOut says that the waiter's deadline has passed or its caller is gone.
-	TimedOut struct{ Waiter WaiterID }
+	TimedOut struct {
+		Waiter WaiterID
+		Place  Place
+	}
 	// SessionOpened says that the process has a new session. It keeps answering for its earlier ones.
 	SessionOpened struct{ Session wigeonstep.SessionID }
 )
@@ -121,7 +118,6 @@
 func (Arrive) event()        {}
 func (Admitted) event()      {}
 func (Refused) event()       {}
-func (ViewConfirmed) event() {}
 func (IntentJudged) event()  {}
 func (Finished) event()      {}
 func (ForwardEnded) event()  {}
@@ -170,11 +166,6 @@
 		Key wigeonstep.Key
 		Run RunID
 	}
-	// ConfirmView waits a bounded time until the view holds the whole log as of now; ViewConfirmed follows.
-	ConfirmView struct {
-		Key wigeonstep.Key
-		Run RunID
-	}
 	// Forward sends the waiter's request to the session; ForwardEnded follows.
 	Forward struct {
 		Waiter  WaiterID
@@ -201,7 +192,6 @@
 func (Propose) action()     {}
 func (Dispatch) action()    {}
 func (Release) action()     {}
-func (ConfirmView) action() {}
 func (Forward) action()     {}
 func (Ask) action()         {}
 func (Wait) action()        {}
--- a/wigeononce/kept.go
+++ b/wigeononce/kept.go
@@ -18,6 +18,10 @@
 	return wigeonstep.Unknown(false, reason, stepOnce, peerOwner)
 }
 
+func logOutOfReach() wigeonstep.Response {
+	return wigeonstep.NotRun(http.StatusServiceUnavailable, "the log does not take the record of the key", "append intent", "platform log", time.Second)
+}
+
 // reusedKey answers a key that comes with another request than before. The outcome is unknown and not not_run, because the key itself may have run.
 func reusedKey() wigeonstep.Response {
 	r := unknown("the idempotency key was used before with another request; this request did not run")
--- a/wigeononce/property_test.go
+++ b/wigeononce/property_test.go
@@ -100,6 +100,8 @@
 		p.expireWaiters()
 	case 15:
 		p.issue()
+	case 16, 17, 18:
+		p.renew()
 	default:
 		p.executeOne()
 	}
@@ -108,7 +110,7 @@
 func (p *simProc) expireWaiters() {
 	for id := wigeononce.WaiterID(1); id <= wigeononce.WaiterID(p.waiters) && !p.dead; id++ {
 		if p.waiting[id] != nil && p.sim.chance("deadline", 3) {
-			p.step(wigeononce.TimedOut{Waiter: id})
+			p.step(wigeononce.TimedOut{Waiter: id, Place: p.place(p.waiting[id].arrive.Request.Key)})
 		}
 	}
 }
@@ -140,7 +142,7 @@
 	for _, p := range s.procs {
 		for id := wigeononce.WaiterID(1); id <= wigeononce.WaiterID(p.waiters) && !p.dead; id++ {
 			if p.waiting[id] != nil {
-				p.step(wigeononce.TimedOut{Waiter: id})
+				p.step(wigeononce.TimedOut{Waiter: id, Place: p.place(p.waiting[id].arrive.Request.Key)})
 			}
 		}
 	}
--- a/wigeononce/sim_test.go
+++ b/wigeononce/sim_test.go
@@ -41,16 +41,16 @@
 
 // simProc is one process. Its fold lags behind the log by the records that it has not applied.
 type simProc struct {
-	sim       *sim
-	core      machine
-	state     *wigeonstate.State
-	session   uint64
-	sequence  uint64
-	renewal   uint64
-	dead      bool
-	cutOff    bool
-	confirmed time.Time
-	waiters   uint64
+	sim      *sim
+	core     machine
+	state    *wigeonstate.State
+	session  uint64
+	sequence uint64
+	renewal  uint64
+	dead     bool
+	cutOff   bool
+	handover wigeononce.Handover
+	waiters  uint64
 	// waiting maps a waiter to what takes its answer.
 	waiting map[wigeononce.WaiterID]*simWaiter
 	// pending are the actions that are not executed yet, in any order.
@@ -108,13 +108,24 @@
 	p.sim.sessions++
 	// The multiplication spreads the ids, so that each session owns a part of the keys.
 	p.session = p.sim.sessions * 0x9e3779b97f4a7c15
-	p.sequence, p.renewal = 0, 1
+	p.sequence, p.renewal = 0, 0
 	p.append(openEntry(wigeonwire.Role_ROLE_ENTRY, p.session))
-	p.append(&wigeonwire.Entry{Body: &wigeonwire.Entry_SessionRenew{SessionRenew: &wigeonwire.SessionRenew{Renewal: 1, Ready: true}}})
+	p.renew()
 	p.do(p.core.Step(p.sim.now, wigeononce.SessionOpened{Session: wigeonstep.SessionID(p.session)}))
 	p.catchUp(len(p.sim.log))
 }
 
+// renew appends a renewal that reports the applied offset.
+func (p *simProc) renew() {
+	if p.dead || p.cutOff {
+		return
+	}
+	p.renewal++
+	p.append(&wigeonwire.Entry{Body: &wigeonwire.Entry_SessionRenew{SessionRenew: &wigeonwire.SessionRenew{
+		Renewal: p.renewal, Ready: true, AppliedOffset: max(uint64(p.state.Next()), 1) - 1,
+	}}})
+}
+
 func (p *simProc) append(entry *wigeonwire.Entry) uint64 {
 	p.sequence++
 	batch := &wigeonwire.Batch{Session: p.session, Sequence: p.sequence, AtUnixMs: p.sim.now.UnixMilli(), Entries: []*wigeonwire.Entry{entry}}
@@ -145,9 +156,6 @@
 			p.later(func() { p.judged(propose, verdict) })
 		}
 	}
-	if to == len(p.sim.log) {
-		p.confirmed = p.sim.now
-	}
 }
 
 func (p *simProc) later(action func()) { p.pending = append(p.pending, action) }
@@ -160,7 +168,7 @@
 
 // place mirrors Table.place. The lease holds as long as the log has not expired the session.
 func (p *simProc) place(key wigeonstep.Key) wigeononce.Place {
-	place := wigeononce.Place{Confirmed: p.confirmed}
+	place := wigeononce.Place{Settled: p.handover.Done(p.state.View(), wigeonstep.SessionID(p.session)), Stale: p.cutOff && p.sim.chance("view is stale", 2)}
 	if issuer, ok := wigeononce.IssuedBy(key); ok {
 		for _, session := range p.state.View().Sessions {
 			if session.ID == issuer {
@@ -243,9 +251,6 @@
 		p.step(wigeononce.Admitted{Key: a.Key, Run: a.Run, Place: p.place(a.Key)})
 	case wigeononce.Propose:
 		p.propose(a)
-	case wigeononce.ConfirmView:
-		p.catchUp(len(s.log))
-		p.step(wigeononce.ViewConfirmed{Key: a.Key, Run: a.Run, Confirmed: !p.cutOff, Place: p.place(a.Key)})
 	case wigeononce.Dispatch:
 		p.dispatch(a)
 	}
--- a/wigeononce/table.go
+++ b/wigeononce/table.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -57,8 +58,8 @@
 	Peers    Peers
 	// IntentTimeout bounds the wait for the fold's verdict while the request holds a slot, default 2 s.
 	IntentTimeout time.Duration
-	// ConfirmTimeout bounds the wait for the view to be confirmed before a refusal, default 1 s.
-	ConfirmTimeout time.Duration
+	// StaleAfter is the age of the view from which callers' own keys are refused at once, default 2 s.
+	StaleAfter time.Duration
 	// Recorded returns the answer that the fold itself holds for a key, nil when it holds none. It is called while no record is applied; optional.
 	Recorded func(key *wigeonwire.Key) *wigeonstep.Response
 	// Now returns the wall clock time, default time.Now.
@@ -67,14 +68,16 @@
 
 // Table runs requests at most once for each key. It is safe for concurrent use.
 type Table struct {
-	config Config
-
-	mu      sync.Mutex
-	core    *Core
-	session wigeonstep.SessionID
-	last    WaiterID
-	inboxes map[WaiterID]chan Action
-	runs    map[RunID]*liveRun
+	config  Config
+	leaving atomic.Bool
+
+	mu       sync.Mutex
+	core     *Core
+	handover Handover
+	session  wigeonstep.SessionID
+	last     WaiterID
+	inboxes  map[WaiterID]chan Action
+	runs     map[RunID]*liveRun
 	// forwards bounds the repeated forwards to a session that failed, over all keys. A share of the first forwards would allow none while few requests arrive.
 	forwards *rate.Limiter
 }
@@ -90,8 +93,8 @@
 	if config.IntentTimeout <= 0 {
 		config.IntentTimeout = 2 * time.Second
 	}
-	if config.ConfirmTimeout <= 0 {
-		config.ConfirmTimeout = time.Second
+	if config.StaleAfter <= 0 {
+		config.StaleAfter = 2 * time.Second
 	}
 	if config.Now == nil {
 		config.Now = time.Now
@@ -166,7 +169,7 @@
 		select {
 		case <-done:
 			done = nil
-			w.table.step(TimedOut{Waiter: w.arrive.Waiter})
+			w.table.step(TimedOut{Waiter: w.arrive.Waiter, Place: w.table.place(w.arrive.Request.Key)})
 		case action := <-w.inbox:
 			switch a := action.(type) {
 			case Answer:
@@ -237,17 +240,28 @@
 	return nil
 }
 
-// place reads what the process knows of a key. The time of the confirmation is taken first, so the rest is at least as new.
+// Leave makes the table answer unknown instead of not_run for callers' own keys. It is called before the log says that the session closes, because another session owns the keys from then on.
+func (t *Table) Leave() { t.leaving.Store(true) }
+
+// Observe follows a new view, so that the handover of the keys is over as early as possible.
+func (t *Table) Observe(view *wigeonstate.View) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handover.Done(view, t.config.Follower.Session())
+}
+
+// place reads what the process knows of a key.
 func (t *Table) place(key wigeonstep.Key) Place {
 	f := t.config.Follower
-	p := Place{Confirmed: t.config.Now().Add(-f.ConfirmedAge())}
+	p := Place{}
 	if issuer, ok := IssuedBy(key); ok {
 		if t.sessionOf(issuer) != nil {
 			p.Owner = issuer
 		}
 		return p
 	}
-	if owner := f.View().Owner(key); owner != nil {
+	view := f.View()
+	if owner := view.Owner(key); owner != nil {
 		p.Owner = owner.ID
 	}
 	f.Read(func(state *wigeonstate.State) {
@@ -258,7 +272,11 @@
 			}
 		}
 	})
-	p.LeaseValid = f.LeaseValid()
+	p.LeaseValid = f.LeaseValid() && !t.leaving.Load()
+	p.Stale = f.ConfirmedAge() >= t.config.StaleAfter
+	t.mu.Lock()
+	p.Settled = t.handover.Done(view, f.Session())
+	t.mu.Unlock()
 	return p
 }
 
@@ -359,9 +377,6 @@
 		response := t.live(a.Run).slot.Dispatch(context.Background(), a.Deadline)
 		t.forget(a.Run)
 		t.step(Finished{Key: a.Key, Run: a.Run, Response: response})
-	case ConfirmView:
-		place, ok := t.confirm(a.Key)
-		t.step(ViewConfirmed{Key: a.Key, Run: a.Run, Confirmed: ok, Place: place})
 	}
 }
 
@@ -380,20 +395,3 @@
 		return IntentLost
 	}
 }
-
-// confirm waits until the view holds the whole log as of now.
-func (t *Table) confirm(key wigeonstep.Key) (Place, bool) {
-	begin := t.config.Now()
-	tick := time.NewTicker(5 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		place := t.place(key)
-		if !place.Confirmed.Before(begin) {
-			return place, true
-		}
-		if t.config.Now().Sub(begin) >= t.config.ConfirmTimeout {
-			return place, false
-		}
-		<-tick.C
-	}
-}
