--- a/wigeonentry/fixture_test.go
+++ b/wigeonentry/fixture_test.go
@@ -59,6 +59,7 @@
 	t.Helper()
 	f := &fleet{t: t, c: qt.New(t), log: &testLog{}, ledger: &wigeonfake.Ledger{}}
 	f.control = f.log.follow(t, 0xc0, wigeonwire.Role_ROLE_CONTROL, "a", "127.0.0.1:1")
+	f.control.must(t, &wigeonwire.Entry{Body: &wigeonwire.Entry_PoolObserve{PoolObserve: &wigeonwire.PoolObserve{Pools: []string{"shop"}}}})
 	for i := range backends {
 		f.addBackend(fmt.Sprintf("vm-%d", i))
 	}
@@ -77,11 +78,16 @@
 	f.c.Assert(b.Start("127.0.0.1:0"), qt.IsNil)
 	f.t.Cleanup(b.Stop)
 	f.backends = append(f.backends, b)
+	f.addVM(id, b.Address(), 32)
+	return b
+}
+
+func (f *fleet) addVM(id, address string, cores uint32) {
+	f.t.Helper()
 	f.control.must(f.t, &wigeonwire.Entry{Body: &wigeonwire.Entry_VmObserve{VmObserve: &wigeonwire.VMObserve{
-		Vm: id, DataCentre: "a", Rack: "r1", Pool: "shop", Address: b.Address(),
-		Shape: &wigeonwire.Shape{Cores: 32, MemoryGb: 64, Slots: 8, Connections: 64},
+		Vm: id, DataCentre: "a", Rack: "r1", Pool: "shop", Address: address,
+		Shape: &wigeonwire.Shape{Cores: cores, MemoryGb: 64, Slots: 8, Connections: 64},
 	}}})
-	return b
 }
 
 func (f *fleet) addEntry(session uint64, change func(*wigeonentry.Config)) *entry {
@@ -171,3 +177,10 @@
 func (e *entry) read(body string) answer {
 	return send(e.address, http.MethodPost, "/read", body, wigeonstep.HeaderTeam, "wax", wigeonstep.HeaderClass, "read")
 }
+
+func dial(t testing.TB, address string) *net.TCPConn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	qt.Assert(t, err, qt.IsNil)
+	return conn.(*net.TCPConn)
+}
--- /dev/null
+++ b/wigeonentry/leave_test.go
@@ -0,0 +1,156 @@
+package wigeonentry_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonentry"
+	"github.com/wigeonstep/wigeonstep/wigeonfake"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// load sends reads over kept-alive connections until stop is called, to entry processes that are ready, as a load balancer does.
+func (f *fleet) load(clients int) (stop func() (sent int64, failures []answer)) {
+	var sent atomic.Int64
+	var mu sync.Mutex
+	var failures []answer
+	var running sync.WaitGroup
+	ended := make(chan struct{})
+	for i := range clients {
+		running.Go(func() {
+			for n := i; ; n++ {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				e := f.entries[n%len(f.entries)]
+				if !e.process.Ready() {
+					continue
+				}
+				got := e.read("load")
+				sent.Add(1)
+				if got.err != nil || got.outcome != wigeonstep.OutcomeDone {
+					mu.Lock()
+					failures = append(failures, got)
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	return func() (int64, []answer) {
+		close(ended)
+		running.Wait()
+		return sent.Load(), failures
+	}
+}
+
+// TestGracefulStop guards that a stop under load cuts off no request, closes the session and ends without an error.
+func TestGracefulStop(t *testing.T) {
+	f := newFleet(t, 2, 2, func(c *wigeonentry.Config) { c.DrainDelay = 100 * time.Millisecond })
+	stop := f.load(8)
+	slow := make(chan answer, 1)
+	go func() {
+		slow <- send(f.entries[0].address, http.MethodPost, "/read?run_ms=400", "slow", wigeonstep.HeaderTeam, "wax", wigeonstep.HeaderClass, "read")
+	}()
+	waitFor(t, "the slow request to run", func() bool { return f.ledger.RunsOfBody([]byte("slow")) == 1 })
+	f.entries[0].stop()
+	f.c.Assert(<-f.entries[0].result, qt.IsNil)
+	f.c.Assert(f.entries[0].process.Ready(), qt.IsFalse)
+	f.c.Assert(f.entries[0].follower.closed.Load(), qt.IsTrue)
+	got := <-slow
+	f.c.Assert(got.err, qt.IsNil)
+	f.c.Assert(got.outcome, qt.Equals, wigeonstep.OutcomeDone)
+	sent, failures := stop()
+	f.c.Assert(failures, qt.HasLen, 0, qt.Commentf("of %d requests", sent))
+}
+
+// TestLeavingServer guards that a server that announces itself as leaving gets no new work over any connection, and that no request suffers.
+func TestLeavingServer(t *testing.T) {
+	f := newFleet(t, 2, 1, nil)
+	stop := f.load(8)
+	waitFor(t, "both servers to be used", func() bool { return f.ledger.Counts().Total > 100 })
+	f.backends[0].SetFaults(wigeonfake.BackendFaults{Leaving: true})
+	total := f.ledger.Counts().Total
+	waitFor(t, "work on the other server", func() bool { return f.ledger.Counts().Total > total+500 })
+	_, failures := stop()
+	f.c.Assert(failures, qt.HasLen, 0)
+	f.c.Assert(f.backends[0].Stats().LastRefusedLeaving < 3*time.Second, qt.IsTrue, qt.Commentf("%v", f.backends[0].Stats()))
+}
+
+// TestDrainRecord guards that a drain on the log takes effect with the next view, and that the VM is reported as busy until its last request has ended.
+func TestDrainRecord(t *testing.T) {
+	f := newFleet(t, 1, 1, nil)
+	e := f.entries[0]
+	f.backends[0].SetFaults(wigeonfake.BackendFaults{Paused: true})
+	held := make(chan answer, 1)
+	go func() { held <- e.read("held") }()
+	waitFor(t, "the request to reach the server", func() bool { return f.backends[0].Stats().Waiting == 1 })
+	f.control.must(t, &wigeonwire.Entry{Body: &wigeonwire.Entry_VmTransition{VmTransition: &wigeonwire.VMTransition{
+		Vm: "vm-0", Epoch: uint64(e.follower.View().VMs["vm-0"].Epoch), To: wigeonwire.Phase_PHASE_DRAINING, Cause: "test",
+	}}})
+	f.c.Assert(e.process.BusyVMs(), qt.DeepEquals, []wigeonstep.VMID{"vm-0"})
+	got := send(e.address, http.MethodPost, "/read", "late", wigeonstep.HeaderTeam, "wax", wigeonstep.HeaderClass, "read", wigeonstep.HeaderDeadlineMS, "50")
+	f.c.Assert(got.outcome, qt.Equals, wigeonstep.OutcomeNotRun, qt.Commentf("%+v", got))
+	f.backends[0].SetFaults(wigeonfake.BackendFaults{})
+	f.c.Assert((<-held).outcome, qt.Equals, wigeonstep.OutcomeDone)
+	waitFor(t, "the VM to be idle", func() bool { return len(e.process.BusyVMs()) == 0 })
+	f.c.Assert(f.ledger.RunsOfBody([]byte("late")), qt.Equals, 0)
+}
+
+// TestCutOffDataCentre guards that VMs of other data centres are unused while the view is unconfirmed for longer than the limit.
+func TestCutOffDataCentre(t *testing.T) {
+	f := newFleet(t, 1, 1, func(c *wigeonentry.Config) { c.DataCentre = "b" })
+	e := f.entries[0]
+	f.c.Assert(e.read("before").outcome, qt.Equals, wigeonstep.OutcomeDone)
+	f.log.setDown(true)
+	e.follower.confirmed.Store(time.Now().Add(-7 * time.Second).UnixNano())
+	waitFor(t, "requests to be refused", func() bool {
+		return send(e.address, http.MethodPost, "/read", "during", wigeonstep.HeaderTeam, "wax", wigeonstep.HeaderClass, "read", wigeonstep.HeaderDeadlineMS, "50").outcome == wigeonstep.OutcomeNotRun
+	})
+	runs := f.ledger.Counts().Total
+	f.c.Assert(send(e.address, http.MethodPost, "/read", "after", wigeonstep.HeaderTeam, "wax", wigeonstep.HeaderClass, "read", wigeonstep.HeaderDeadlineMS, "50").outcome, qt.Equals, wigeonstep.OutcomeNotRun)
+	f.c.Assert(f.ledger.Counts().Total, qt.Equals, runs)
+	f.log.setDown(false)
+	waitFor(t, "requests to be served again", func() bool { return e.read("again").outcome == wigeonstep.OutcomeDone })
+}
+
+// TestBadSockets guards that truncated and oversized requests and garbage get an error at once and disturb nobody else.
+func TestBadSockets(t *testing.T) {
+	f := newFleet(t, 1, 1, func(c *wigeonentry.Config) { c.MaxBody = 1000 })
+	for _, test := range []struct{ name, text, status string }{
+		{"truncated body", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\nshort", "400"},
+		{"oversized body", "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2000\r\n\r\n" + strings.Repeat("x", 2000), "413"},
+		{"oversized header", "POST / HTTP/1.1\r\nHost: x\r\nX: " + strings.Repeat("x", 40_000) + "\r\n\r\n", "431"},
+		{"garbage", "\x16\x03\x01\x02garbage\r\n\r\n", "400"},
+		{"broken chunk", "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			got := exchange(t, f.entries[0].address, test.text)
+			qt.Assert(t, strings.HasPrefix(got, "HTTP/1.1 "+test.status), qt.IsTrue, qt.Commentf("%q", got))
+			qt.Assert(t, strings.Contains(got, "application/problem+json"), qt.IsTrue, qt.Commentf("%q", got))
+			qt.Assert(t, f.entries[0].read("others").outcome, qt.Equals, wigeonstep.OutcomeDone)
+		})
+	}
+}
+
+// exchange writes the text, closes the writing side and returns all that came back.
+func exchange(t *testing.T, address, text string) string {
+	t.Helper()
+	conn := dial(t, address)
+	defer conn.Close()
+	_, err := conn.Write([]byte(text))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, conn.CloseWrite(), qt.IsNil)
+	got, err := io.ReadAll(conn)
+	qt.Assert(t, err, qt.IsNil)
+	return string(got)
+}
