Test answers over sockets, at the client and through an entry process

Cause: late, foreign, truncated and overlong answers must never reach a caller as its own. Change: a scripted backend server for each way an answer can be damaged, and the same through a running process.

--- /dev/null
+++ b/wigeonbackend/client_test.go
@@ -0,0 +1,313 @@
+package wigeonbackend_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonbackend"
+)
+
+// scripted is a backend server whose answers are written byte by byte. Each connection is served by script, called once for each request.
+type scripted struct {
+	address string
+	mu      sync.Mutex
+	// seen holds the requests, and conns the number of connections.
+	seen  []*http.Request
+	conns int
+}
+
+func newScripted(t *testing.T, script func(n int, r *http.Request, body []byte, conn net.Conn) (keep bool)) *scripted {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	s := &scripted{address: listener.Addr().String()}
+	var serving sync.WaitGroup
+	t.Cleanup(func() {
+		_ = listener.Close()
+		serving.Wait()
+	})
+	serving.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			serving.Go(func() { s.serve(conn, script) })
+		}
+	})
+	return s
+}
+
+func (s *scripted) serve(conn net.Conn, script func(n int, r *http.Request, body []byte, conn net.Conn) bool) {
+	defer conn.Close()
+	s.mu.Lock()
+	s.conns++
+	s.mu.Unlock()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.seen = append(s.seen, request)
+		n := len(s.seen)
+		s.mu.Unlock()
+		if !script(n, request, body, conn) {
+			return
+		}
+	}
+}
+
+func (s *scripted) connections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conns
+}
+
+// reply writes a response that echoes the id of the request.
+func reply(conn net.Conn, r *http.Request, status string, body string, headers ...string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nWigeonstep-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s",
+		status, r.Header.Get(wigeonstep.HeaderRequestID), strings.Join(append(headers, ""), "\r\n"), len(body), body)
+}
+
+func call(client *wigeonbackend.Client, address string, id string, timeout time.Duration) wigeonstep.BackendResult {
+	return client.Call(context.Background(), wigeonstep.BackendCall{
+		Address: address, VM: "vm", Epoch: 7,
+		Request: &wigeonstep.Request{
+			ID: wigeonstep.RequestID(id), Method: http.MethodPost, Path: "/order?n=1", Body: []byte("body of " + id), ContentType: "text/plain",
+			Team: "wax", Class: "order", Key: "key-1", Deadline: time.Now().Add(timeout),
+		},
+	})
+}
+
+// TestCall guards the form of requests: the headers that a backend server relies on, and one kept connection for requests one after the other.
+func TestCall(t *testing.T) {
+	c := qt.New(t)
+	s := newScripted(t, func(_ int, r *http.Request, body []byte, conn net.Conn) bool {
+		reply(conn, r, "200 OK", "answer to "+string(body), "Content-Type: text/x")
+		return true
+	})
+	client := wigeonbackend.New(wigeonbackend.Config{})
+	defer client.Close()
+	for i := range 3 {
+		id := fmt.Sprintf("r%d", i)
+		got := call(client, s.address, id, time.Second)
+		c.Assert(got.Err, qt.IsNil)
+		c.Assert(got.Verdict, qt.Equals, wigeonstep.BackendWhole)
+		c.Assert(string(got.Body), qt.Equals, "answer to body of "+id)
+		c.Assert(got.ContentType, qt.Equals, "text/x")
+	}
+	c.Assert(s.connections(), qt.Equals, 1)
+	h := s.seen[0].Header
+	c.Assert(s.seen[0].RequestURI, qt.Equals, "/order?n=1")
+	c.Assert(h.Get(wigeonstep.HeaderFence), qt.Equals, "7")
+	c.Assert(h.Get(wigeonstep.HeaderTeam), qt.Equals, "wax")
+	c.Assert(h.Get(wigeonstep.HeaderClass), qt.Equals, "order")
+	c.Assert(h.Get(wigeonstep.HeaderIdempotencyKey), qt.Equals, "key-1")
+	c.Assert(h.Get("Content-Type"), qt.Equals, "text/plain")
+	c.Assert(h.Get(wigeonstep.HeaderDeadlineMS), qt.Matches, "9[0-9][0-9]|1000")
+}
+
+// TestVerdicts guards the classification of attempts: a wrong not_run loses an order, and a wrong whole answer gives a caller another one's.
+func TestVerdicts(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		script   func(r *http.Request, conn net.Conn)
+		verdict  wigeonstep.BackendVerdict
+		leaving  bool
+		timedOut bool
+		reused   bool
+	}{
+		{name: "whole", verdict: wigeonstep.BackendWhole, reused: true, script: func(r *http.Request, conn net.Conn) {
+			reply(conn, r, "200 OK", "body")
+		}},
+		{name: "chunked", verdict: wigeonstep.BackendWhole, reused: true, script: func(_ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n")
+		}},
+		{name: "busy 429", verdict: wigeonstep.BackendBusy, reused: true, script: func(r *http.Request, conn net.Conn) {
+			reply(conn, r, "429 Too Many Requests", "")
+		}},
+		{name: "busy not_run", verdict: wigeonstep.BackendBusy, reused: true, script: func(r *http.Request, conn net.Conn) {
+			reply(conn, r, "503 Service Unavailable", "", "Wigeonstep-Outcome: not_run")
+		}},
+		{name: "leaving not_run", verdict: wigeonstep.BackendLeaving, leaving: true, reused: true, script: func(r *http.Request, conn net.Conn) {
+			reply(conn, r, "503 Service Unavailable", "", "Wigeonstep-Outcome: not_run", "Wigeonstep-Leaving: 1")
+		}},
+		{name: "closing 503 without an outcome", verdict: wigeonstep.BackendWhole, leaving: true, script: func(r *http.Request, conn net.Conn) {
+			reply(conn, r, "503 Service Unavailable", "", "Connection: close")
+		}},
+		{name: "whole and leaving", verdict: wigeonstep.BackendWhole, leaving: true, reused: true, script: func(r *http.Request, conn net.Conn) {
+			reply(conn, r, "200 OK", "body", "Wigeonstep-Leaving: 1")
+		}},
+		{name: "answer of another request", verdict: wigeonstep.BackendLost, script: func(_ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nWigeonstep-Request-Id: other\r\nContent-Length: 4\r\n\r\nbody")
+		}},
+		{name: "refusal of another request", verdict: wigeonstep.BackendLost, script: func(_ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 429 Busy\r\nWigeonstep-Request-Id: other\r\nContent-Length: 0\r\n\r\n")
+		}},
+		{name: "no answer", verdict: wigeonstep.BackendLost, script: func(_ *http.Request, conn net.Conn) {
+			_ = conn.Close()
+		}},
+		{name: "cut in the header", verdict: wigeonstep.BackendLost, script: func(_ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Le")
+			_ = conn.Close()
+		}},
+		{name: "cut in the body", verdict: wigeonstep.BackendLost, script: func(_ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nbody")
+			_ = conn.Close()
+		}},
+		{name: "cut before the last chunk", verdict: wigeonstep.BackendLost, script: func(_ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n")
+			_ = conn.Close()
+		}},
+		{name: "no length", verdict: wigeonstep.BackendLost, script: func(_ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\nbody")
+			_ = conn.Close()
+		}},
+		{name: "too large", verdict: wigeonstep.BackendLost, script: func(r *http.Request, conn net.Conn) {
+			reply(conn, r, "200 OK", strings.Repeat("x", 2000))
+		}},
+		{name: "garbage", verdict: wigeonstep.BackendLost, script: func(_ *http.Request, conn net.Conn) {
+			_, _ = io.WriteString(conn, "what?\r\n\r\n")
+		}},
+		{name: "late", verdict: wigeonstep.BackendLost, timedOut: true, script: func(_ *http.Request, conn net.Conn) {
+			_, _ = conn.Read(make([]byte, 1))
+		}},
+		{name: "longer than announced", verdict: wigeonstep.BackendWhole, script: func(r *http.Request, conn net.Conn) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nWigeonstep-Request-Id: %s\r\nContent-Length: 4\r\n\r\nbodyHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", r.Header.Get(wigeonstep.HeaderRequestID))
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newScripted(t, func(n int, r *http.Request, _ []byte, conn net.Conn) bool {
+				if n == 1 {
+					test.script(r, conn)
+				} else {
+					reply(conn, r, "200 OK", "second")
+				}
+				return true
+			})
+			client := wigeonbackend.New(wigeonbackend.Config{MaxBody: 1000})
+			defer client.Close()
+			timeout := 5 * time.Second
+			if test.timedOut {
+				timeout = 50 * time.Millisecond
+			}
+			got := call(client, s.address, "first", timeout)
+			c.Assert(got.Verdict, qt.Equals, test.verdict, qt.Commentf("%v", got.Err))
+			c.Assert(got.Leaving, qt.Equals, test.leaving)
+			c.Assert(got.TimedOut, qt.Equals, test.timedOut, qt.Commentf("%v", got.Err))
+			if test.verdict == wigeonstep.BackendWhole {
+				c.Assert(got.Err, qt.IsNil)
+			} else {
+				var step *wigeonstep.StepError
+				c.Assert(errors.As(got.Err, &step), qt.IsTrue)
+				c.Assert(step.Peer, qt.Equals, s.address)
+			}
+			second := call(client, s.address, "second", 5*time.Second)
+			c.Assert(second.Err, qt.IsNil)
+			c.Assert(string(second.Body), qt.Equals, "second")
+			c.Assert(s.connections() == 1, qt.Equals, test.reused)
+		})
+	}
+}
+
+// TestNotSent guards that an attempt of which nothing was sent is told from one that may have run.
+func TestNotSent(t *testing.T) {
+	c := qt.New(t)
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	c.Assert(closed.Close(), qt.IsNil)
+	client := wigeonbackend.New(wigeonbackend.Config{})
+	defer client.Close()
+	got := call(client, closed.Addr().String(), "r1", time.Second)
+	c.Assert(got.Verdict, qt.Equals, wigeonstep.BackendNotSent)
+	c.Assert(errors.Is(got.Err, wigeonstep.ErrUnavailable), qt.IsTrue)
+	got = call(client, closed.Addr().String(), "r2", -time.Second)
+	c.Assert(got.Verdict, qt.Equals, wigeonstep.BackendNotSent)
+	c.Assert(got.TimedOut, qt.IsTrue)
+}
+
+// TestIdleConnectionClosed guards that a kept connection that the server closed meanwhile costs neither the request nor its proof that it did not run.
+func TestIdleConnectionClosed(t *testing.T) {
+	c := qt.New(t)
+	closing := make(chan struct{})
+	s := newScripted(t, func(n int, r *http.Request, _ []byte, conn net.Conn) bool {
+		reply(conn, r, "200 OK", fmt.Sprint(n))
+		if n > 1 {
+			return true
+		}
+		_ = conn.Close()
+		close(closing)
+		return false
+	})
+	client := wigeonbackend.New(wigeonbackend.Config{})
+	defer client.Close()
+	c.Assert(string(call(client, s.address, "r1", time.Second).Body), qt.Equals, "1")
+	<-closing
+	got := call(client, s.address, "r2", time.Second)
+	c.Assert(got.Err, qt.IsNil)
+	c.Assert(string(got.Body), qt.Equals, "2")
+}
+
+// TestLateAnswer guards that the answer to a request that was given up never reaches the next request.
+func TestLateAnswer(t *testing.T) {
+	c := qt.New(t)
+	release := make(chan struct{})
+	s := newScripted(t, func(n int, r *http.Request, body []byte, conn net.Conn) bool {
+		if n == 1 {
+			<-release
+		}
+		reply(conn, r, "200 OK", string(body))
+		return true
+	})
+	client := wigeonbackend.New(wigeonbackend.Config{})
+	defer client.Close()
+	got := call(client, s.address, "slow", 30*time.Millisecond)
+	c.Assert(got.Verdict, qt.Equals, wigeonstep.BackendLost)
+	c.Assert(got.TimedOut, qt.IsTrue)
+	close(release)
+	for i := range 10 {
+		id := fmt.Sprintf("next%d", i)
+		c.Assert(string(call(client, s.address, id, time.Second).Body), qt.Equals, "body of "+id)
+	}
+}
+
+// TestCancelledCall guards that the end of the context ends the attempt at once, as one that may have run.
+func TestCancelledCall(t *testing.T) {
+	c := qt.New(t)
+	arrived := make(chan struct{})
+	s := newScripted(t, func(_ int, _ *http.Request, _ []byte, conn net.Conn) bool {
+		close(arrived)
+		_, _ = conn.Read(make([]byte, 1))
+		return false
+	})
+	client := wigeonbackend.New(wigeonbackend.Config{})
+	defer client.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		cancel()
+	}()
+	got := client.Call(ctx, wigeonstep.BackendCall{Address: s.address, Request: &wigeonstep.Request{ID: "r", Method: http.MethodGet, Path: "/"}})
+	c.Assert(got.Verdict, qt.Equals, wigeonstep.BackendLost)
+	c.Assert(got.TimedOut, qt.IsFalse)
+	c.Assert(errors.Is(got.Err, context.Canceled), qt.IsTrue)
+}
--- /dev/null
+++ b/wigeonentry/answer_test.go
@@ -0,0 +1,85 @@
+package wigeonentry_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonfake"
+)
+
+// TestDamagedAnswers guards that a truncated or foreign answer never reaches a caller: an idempotent request is sent again, an order is unknown and is not.
+func TestDamagedAnswers(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults wigeonfake.BackendFaults
+	}{
+		{"cut in the middle", wigeonfake.BackendFaults{DieNextAnswers: 1}},
+		{"of another request", wigeonfake.BackendFaults{WrongNextIDs: 1}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := newFleet(t, 1, 1, nil)
+			e := f.entries[0]
+			for range 10 { // first attempts that pay for the retry
+				f.c.Assert(e.read("before").outcome, qt.Equals, wigeonstep.OutcomeDone)
+			}
+			f.backends[0].SetFaults(test.faults)
+			got := e.read("repeated")
+			f.c.Assert(got.outcome, qt.Equals, wigeonstep.OutcomeDone, qt.Commentf("%+v", got))
+			_, err := wigeonfake.CheckAnswer([]byte(got.body), []byte("repeated"))
+			f.c.Assert(err, qt.IsNil)
+			f.c.Assert(f.ledger.RunsOfBody([]byte("repeated")), qt.Equals, 2)
+
+			f.backends[0].SetFaults(test.faults)
+			for range 2 {
+				order := e.order("order-1", "once")
+				f.c.Assert(order.outcome, qt.Equals, wigeonstep.OutcomeUnknown, qt.Commentf("%+v", order))
+				f.c.Assert(order.status, qt.Equals, http.StatusBadGateway)
+			}
+			f.c.Assert(f.ledger.RunsOfKey("order-1"), qt.Equals, 1)
+		})
+	}
+}
+
+// TestCallerGone guards that the answer to a caller that has gone reaches nobody else, and that its order is answered on repetition without a second run.
+func TestCallerGone(t *testing.T) {
+	f := newFleet(t, 1, 1, nil)
+	e := f.entries[0]
+	f.backends[0].SetFaults(wigeonfake.BackendFaults{Paused: true})
+	conn := dial(t, e.address)
+	_, err := fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: x\r\n%s: wax\r\n%s: order\r\n%s: order-1\r\nContent-Length: 3\r\n\r\nwax",
+		wigeonstep.HeaderTeam, wigeonstep.HeaderClass, wigeonstep.HeaderIdempotencyKey)
+	f.c.Assert(err, qt.IsNil)
+	waitFor(t, "the order to reach the backend server", func() bool { return f.backends[0].Stats().Waiting == 1 })
+	f.c.Assert(conn.Close(), qt.IsNil)
+	f.backends[0].SetFaults(wigeonfake.BackendFaults{})
+	for i := range 20 {
+		body := fmt.Sprintf("other %d", i)
+		_, err := wigeonfake.CheckAnswer([]byte(e.read(body).body), []byte(body))
+		f.c.Assert(err, qt.IsNil)
+	}
+	got := send(e.address, http.MethodPost, "/", "wax", wigeonstep.HeaderTeam, "wax", wigeonstep.HeaderClass, "order", wigeonstep.HeaderIdempotencyKey, "order-1")
+	f.c.Assert(got.outcome, qt.Equals, wigeonstep.OutcomeDone, qt.Commentf("%+v", got))
+	f.c.Assert(f.ledger.RunsOfKey("order-1"), qt.Equals, 1)
+}
+
+// TestLargeAnswers guards that answers larger than any buffer arrive whole while other requests share the connections.
+func TestLargeAnswers(t *testing.T) {
+	f := newFleet(t, 2, 1, nil)
+	answers := make(chan error, 40)
+	for i := range cap(answers) {
+		go func() {
+			body := strings.Repeat(fmt.Sprint(i), 10_000)
+			got := send(f.entries[0].address, http.MethodPost, fmt.Sprintf("/x?answer_bytes=%d", i%4*200_000), body, wigeonstep.HeaderTeam, "wax", wigeonstep.HeaderClass, "read")
+			_, err := wigeonfake.CheckAnswer([]byte(got.body), []byte(body))
+			answers <- err
+		}()
+	}
+	for range cap(answers) {
+		f.c.Assert(<-answers, qt.IsNil)
+	}
+}
--- a/wigeonentry/follower_test.go
+++ b/wigeonentry/follower_test.go
@@ -25,8 +25,6 @@
 	down bool
 	// loseAnswers is how many of the next appends take effect without an answer.
 	loseAnswers int
-	operator    uint64
-	at          time.Time
 }
 
 func (l *testLog) appendBatch(session, sequence uint64, entries ...*wigeonwire.Entry) error {
@@ -70,7 +68,6 @@
 	view     atomic.Pointer[wigeonstate.View]
 	// confirmed is the time of the last confirmation in nanoseconds, which counts only while the log is down.
 	confirmed atomic.Int64
-	busy      func() []wigeonstep.VMID
 	closed    atomic.Bool
 	// ready and closing are guarded by the lock of the log.
 	ready, closing bool
