Measure the path through an entry process against direct calls in one run

Cause: the target is at least 40 % of the direct throughput and at most 0.3 ms more at the median at half load. Change: BenchmarkPath; a caller that names its request gets the answer under that name, which the client of the benchmark checks.

--- a/wigeonbackend/client.go
+++ b/wigeonbackend/client.go
@@ -177,7 +177,7 @@
 	if err := resp.ReadHeaders(answer, &k.reader); err != nil {
 		return failed(wigeonstep.BackendLost, "backend receive", call.Address, incomplete(&k.reader, err)), false
 	}
-	if echo := answer.Header.Peek(wigeonstep.HeaderRequestID); len(echo) > 0 && string(echo) != string(call.Request.ID) {
+	if echo := answer.Header.Peek(wigeonstep.HeaderRequestID); len(echo) > 0 && call.Request.ID != "" && string(echo) != string(call.Request.ID) {
 		return failed(wigeonstep.BackendLost, "backend receive", call.Address, errOtherRequest), false
 	}
 	var body []byte
@@ -210,7 +210,9 @@
 	if call.Request.ContentType != "" {
 		h.SetContentTypeBytes([]byte(call.Request.ContentType))
 	}
-	h.Set(wigeonstep.HeaderRequestID, string(call.Request.ID))
+	if call.Request.ID != "" {
+		h.Set(wigeonstep.HeaderRequestID, string(call.Request.ID))
+	}
 	h.Set(wigeonstep.HeaderDeadlineMS, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
 	h.Set(wigeonstep.HeaderFence, strconv.FormatUint(uint64(call.Epoch), 10))
 	if call.Request.Team != "" {
--- a/wigeoncaller/conn.go
+++ b/wigeoncaller/conn.go
@@ -101,8 +101,13 @@
 	id := s.nextID()
 	response := s.handle(ctx, c, request, body, id)
 	closing := request.Header.ConnectionClose() || s.leaving.Load()
+	shown := id
+	if own := request.Header.Peek(wigeonstep.HeaderRequestID); len(own) > 0 && len(own) <= maxNameBytes {
+		// A caller that names its request recognises the answer by that name.
+		shown = wigeonstep.RequestID(own)
+	}
 	answer.SkipBody = request.Header.IsHead()
-	if err := s.write(c, answer, &response, id, closing); err != nil {
+	if err := s.write(c, answer, &response, shown, closing); err != nil {
 		s.config.Logger.Debug("the caller was gone before its response was written",
 			zap.String("request", string(id)), zap.String("peer", c.RemoteAddr().String()), zap.String("outcome", string(response.Outcome)), zap.Error(err))
 		return false
--- /dev/null
+++ b/wigeonentry/bench_test.go
@@ -0,0 +1,144 @@
+package wigeonentry_test
+
+import (
+	"context"
+	"net/http"
+	"runtime"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonbackend"
+)
+
+// target calls one of the addresses as a caller does.
+type target struct {
+	client    *wigeonbackend.Client
+	addresses []string
+	// epochs are the fencing tokens of the addresses, without which the backend servers refuse direct calls after those of the entry process.
+	epochs []wigeonstep.Epoch
+	// failure is the last result that was not a whole answer with status 200.
+	failure atomic.Pointer[wigeonstep.BackendResult]
+}
+
+func (t *target) call(n int) bool {
+	result := t.client.Call(context.Background(), wigeonstep.BackendCall{
+		Address: t.addresses[n%len(t.addresses)], Epoch: t.epochs[n%len(t.epochs)],
+		Request: &wigeonstep.Request{
+			Method: http.MethodPost, Path: "/read", Body: []byte("order of grafting wax " + strconv.Itoa(n)),
+			Team: "wax", Class: "read", Deadline: time.Now().Add(5 * time.Second),
+		},
+	})
+	if result.Verdict != wigeonstep.BackendWhole || result.Status != http.StatusOK {
+		t.failure.Store(&result)
+		return false
+	}
+	return true
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// throughput runs closed-loop callers and returns requests per second and per second of processor time.
+func (t *target) throughput(b *testing.B, callers int, span time.Duration) (perSecond, perCore float64) {
+	b.Helper()
+	var done, failed atomic.Int64
+	var running sync.WaitGroup
+	begin, cpu := time.Now(), cpuTime()
+	for i := range callers {
+		running.Go(func() {
+			for n := i; time.Since(begin) < span; n++ {
+				if t.call(n) {
+					done.Add(1)
+				} else {
+					failed.Add(1)
+				}
+			}
+		})
+	}
+	running.Wait()
+	if failed.Load() > 0 {
+		last := t.failure.Load()
+		b.Fatalf("%d requests failed and %d were answered; the last one with status %d, %q, %v", failed.Load(), done.Load(), last.Status, last.Body, last.Err)
+	}
+	return float64(done.Load()) / time.Since(begin).Seconds(), float64(done.Load()) / (cpuTime() - cpu).Seconds()
+}
+
+// latency runs callers at a fixed rate and returns the latencies in microseconds.
+func (t *target) latency(b *testing.B, callers int, rate float64, span time.Duration) *hdrhistogram.Histogram {
+	b.Helper()
+	total := hdrhistogram.New(1, 10_000_000, 3)
+	var mu sync.Mutex
+	var running sync.WaitGroup
+	interval := time.Duration(float64(callers) / rate * float64(time.Second))
+	begin := time.Now()
+	for i := range callers {
+		running.Go(func() {
+			own := hdrhistogram.New(1, 10_000_000, 3)
+			for due := begin.Add(interval * time.Duration(i) / time.Duration(callers)); due.Sub(begin) < span; due = due.Add(interval) {
+				time.Sleep(time.Until(due))
+				sent := time.Now()
+				if !t.call(i) {
+					b.Error("a request failed")
+					return
+				}
+				_ = own.RecordValue(time.Since(sent).Microseconds())
+			}
+			mu.Lock()
+			total.Merge(own)
+			mu.Unlock()
+		})
+	}
+	running.Wait()
+	return total
+}
+
+// BenchmarkPath compares callers that go through an entry process with the same callers straight at the backend servers, in one run.
+// Targets: at least 40 % of the direct throughput, and at most 0.3 ms more at the median at half load.
+func BenchmarkPath(b *testing.B) {
+	f := newFleet(b, 0, 0, nil)
+	var addresses []string
+	for i := range 4 {
+		server := f.addBackend("vm-" + strconv.Itoa(i))
+		server.Slots, server.RunTime = 64, time.Nanosecond
+		addresses = append(addresses, server.Address())
+	}
+	e := f.addEntry(0xe0, nil)
+	client := wigeonbackend.New(wigeonbackend.Config{MaxIdle: 256})
+	defer client.Close()
+	direct := &target{client: client, addresses: addresses}
+	for i := range addresses {
+		direct.epochs = append(direct.epochs, e.follower.View().VMs[wigeonstep.VMID("vm-"+strconv.Itoa(i))].Epoch)
+	}
+	through := &target{client: client, addresses: []string{e.address}, epochs: []wigeonstep.Epoch{0}}
+	const callers = 24
+	span := 2 * time.Second
+	direct.throughput(b, callers, span/4)
+	through.throughput(b, callers, span/4)
+	b.ResetTimer()
+	for b.Loop() {
+		directRate, directCore := direct.throughput(b, callers, span)
+		throughRate, throughCore := through.throughput(b, callers, span)
+		before := direct.latency(b, callers, throughRate/2, span)
+		after := through.latency(b, callers, throughRate/2, span)
+		b.ReportMetric(directRate, "direct-req/s")
+		b.ReportMetric(throughRate, "entry-req/s")
+		b.ReportMetric(directCore, "direct-req/core-s")
+		b.ReportMetric(throughCore, "entry-req/core-s")
+		b.ReportMetric(throughRate/directRate, "ratio")
+		b.ReportMetric(float64(before.ValueAtQuantile(50))/1000, "direct-p50-ms")
+		b.ReportMetric(float64(after.ValueAtQuantile(50))/1000, "entry-p50-ms")
+		b.ReportMetric(float64(after.ValueAtQuantile(50)-before.ValueAtQuantile(50))/1000, "added-p50-ms")
+		b.ReportMetric(float64(after.ValueAtQuantile(99))/1000, "entry-p99-ms")
+	}
+	b.ReportMetric(float64(runtime.GOMAXPROCS(0)), "procs")
+}
