Keep decisions on refusals and quarantine, and keep orders running through a stop

Cause: every refusal and quarantine must be kept for explain; orders that reached a stopping owner before the log showed the stop got unknown, although its lease still ran. Change: refusals become one decision per class and 10 s, quarantine one per change; a stopping owner still runs keys that the fold accepts and only stops saying not_run; the time a slot is held, with the wait for the intent, teaches the estimate; an attempt of a job may take an hour at least. Result: go test -race -count=2 ./wigeonentry ./wigeononce passes; the stop under load now includes orders.

--- a/wigeonentry/jobrunner.go
+++ b/wigeonentry/jobrunner.go
@@ -23,7 +23,11 @@
 	// maxJobAttempts bounds how often a job of an idempotent class starts; it ends as unknown afterwards.
 	maxJobAttempts = 10
 	// startTimeout is how long a job holds its slot while the log does not judge its job_start.
-	startTimeout  = 5 * time.Second
+	startTimeout = 5 * time.Second
+	// expectedRuns and minJobTime bound one attempt of a job together with the deadline of its class. Stated run times are wrong by a
+	// factor of ten, and the default deadline is made for short requests.
+	expectedRuns  = 20
+	minJobTime    = time.Hour
 	firstJobDelay = 100 * time.Millisecond
 	maxJobDelay   = 30 * time.Second
 	maxJobAnswer  = 64 << 10
@@ -189,7 +193,7 @@
 	}
 	server, ok := s.pool.awaitServer(a.ctx, wigeonrouting.Want{NoProbe: !route.Class.Idempotent}, time.Time{})
 	if !ok {
-		s.finish(0)
+		s.finish(false)
 		return false
 	}
 	return b.attempt(a, s, server)
@@ -205,7 +209,7 @@
 	accept := a.job.GetAccept()
 	if !b.recordStart(a, attempt, server.VM, func() {
 		s.pool.unused(server.VM)
-		s.finish(0)
+		s.finish(false)
 	}) {
 		return true
 	}
@@ -214,12 +218,12 @@
 		Team: wigeonstep.TeamName(accept.GetTeam()), Class: wigeonstep.ClassName(accept.GetClass()), Key: wigeonstep.Key(accept.GetKey()),
 	}
 	begin := p.config.Now()
-	request.Deadline = begin.Add(s.route.Class.Deadline())
+	request.Deadline = begin.Add(max(s.route.Class.Deadline(), expectedRuns*s.route.Class.ExpectedRun(), minJobTime))
 	result := p.config.Backend.Call(p.lifetime, wigeonstep.BackendCall{Request: request, VM: server.VM, Address: server.Address, Epoch: server.Epoch})
 	took := p.config.Now().Sub(begin)
 	s.pool.done(s, server.VM, result, took, maxJobAttempts, request.Deadline)
 	p.logAttempt(request, server.VM, int(attempt), &result)
-	s.finish(took)
+	s.finish(result.Verdict == wigeonstep.BackendWhole)
 	return b.recordResult(a, s.route, attempt, &result)
 }
 
--- a/wigeonentry/leave_test.go
+++ b/wigeonentry/leave_test.go
@@ -1,6 +1,7 @@
 package wigeonentry_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -17,7 +18,7 @@
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
-// load sends reads over kept-alive connections until stop is called, to entry processes that are ready, as a load balancer does.
+// load sends reads and orders over kept-alive connections until stop is called, to entry processes that are ready, as a load balancer does.
 func (f *fleet) load(clients int) (stop func() (sent int64, failures []answer)) {
 	var sent atomic.Int64
 	var mu sync.Mutex
@@ -37,6 +38,9 @@
 					continue
 				}
 				got := e.read("load")
+				if n%4 == 0 {
+					got = e.order(fmt.Sprintf("load-%d-%d", i, n), "load")
+				}
 				sent.Add(1)
 				if got.err != nil || got.outcome != wigeonstep.OutcomeDone {
 					mu.Lock()
--- a/wigeonentry/peer.go
+++ b/wigeonentry/peer.go
@@ -39,7 +39,7 @@
 	return response
 }
 
-// serveForwarded runs another process's request whose key this process owns. A peer that gives up does not end the run, because others may wait for its answer.
+// serveForwarded runs another process's request whose key this process owns. A peer that gives up does not end a run that has been dispatched.
 func (p *Process) serveForwarded(ctx context.Context, f *wigeonwire.ForwardRequest) (response wigeonstep.Response, owner bool) {
 	request := &wigeonstep.Request{
 		ID: wigeonstep.RequestID(f.GetRequestId()), Method: f.GetMethod(), Path: f.GetPath(), ContentType: f.GetContentType(), Body: f.GetBody(),
--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -65,6 +65,10 @@
 	granted bool
 	expired bool
 	signal  chan struct{}
+	// refusal is set with expired.
+	refusal wigeonadmission.Decision
+	// grantedAt is when the request learnt that it holds a slot.
+	grantedAt time.Time
 }
 
 func newSlot(pl *pool, route *wigeonstate.Route, deadline time.Time) *slot {
@@ -85,15 +89,20 @@
 	p.mu.Unlock()
 	switch decision.Verdict {
 	case wigeonadmission.Started:
+		s.grantedAt = now
 		return nil
 	case wigeonadmission.Queued:
 		return s.wait(ctx, now)
 	default:
-		r := wigeonstep.NotRun(decision.Status, decision.Reason, stepAdmission, "pool "+string(p.name), decision.RetryAfter)
-		return &r
+		return p.refusal(decision)
 	}
 }
 
+func (p *pool) refusal(d wigeonadmission.Decision) *wigeonstep.Response {
+	r := wigeonstep.NotRun(d.Status, d.Reason, stepAdmission, "pool "+string(p.name), d.RetryAfter)
+	return &r
+}
+
 func (s *slot) wait(ctx context.Context, now time.Time) *wigeonstep.Response {
 	var expiry <-chan time.Time
 	if !s.ticket.Deadline.IsZero() {
@@ -113,10 +122,10 @@
 		s.leaveQueue()
 	}
 	if s.granted {
+		s.grantedAt = s.pool.now()
 		return nil
 	}
-	r := wigeonstep.NotRun(http.StatusServiceUnavailable, "no slot became free within the queue time of the class", stepAdmission, "pool "+string(s.pool.name), time.Second)
-	return &r
+	return s.pool.refusal(s.refusal)
 }
 
 // leaveQueue ends the wait; a slot that was granted meanwhile is kept.
@@ -130,15 +139,21 @@
 		return
 	}
 	_, started := p.admission.Cancel(now, &s.ticket)
-	s.expired = true
+	s.expired, s.refusal = true, p.admission.Refusal(now, &s.ticket)
 	p.deliver(started)
 }
 
-// finish gives the slot back. The run time teaches the estimate of the queue; zero teaches nothing.
-func (s *slot) finish(run time.Duration) {
+// finish gives the slot back. For work that ran, the time for which it held the slot teaches the estimate of the queue; for an
+// order that includes the wait for its intent.
+func (s *slot) finish(ran bool) {
 	p := s.pool
+	now := p.now()
+	held := time.Duration(0)
+	if ran {
+		held = now.Sub(s.grantedAt)
+	}
 	p.mu.Lock()
-	p.deliver(p.admission.Finish(p.now(), &s.ticket, run))
+	p.deliver(p.admission.Finish(now, &s.ticket, held))
 	p.mu.Unlock()
 }
 
@@ -156,7 +171,7 @@
 func (p *pool) deliverExpired(expired []*wigeonadmission.Ticket) {
 	for _, t := range expired {
 		s := t.Value.(*slot)
-		s.expired = true
+		s.expired, s.refusal = true, p.admission.Refusal(p.now(), t)
 		if s.signal != nil {
 			close(s.signal)
 		}
--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -29,6 +29,8 @@
 	meters  meters
 	retries *metrics.Counter
 	demands demandBook
+	// refusals are those that no decision on the log covers yet.
+	refusals refusals
 
 	pools atomic.Pointer[map[wigeonstep.PoolName]*pool]
 	// applyMu guards applied and localOnly and orders the changes of the pools.
@@ -141,9 +143,10 @@
 
 // work applies views, reports demand, ends waits that are over and takes over jobs until ctx ends.
 func (p *Process) work(ctx context.Context) {
-	jobs := sync.WaitGroup{}
-	jobs.Go(func() { p.jobs.follow(ctx) })
-	defer jobs.Wait()
+	var loops sync.WaitGroup
+	loops.Go(func() { p.jobs.follow(ctx) })
+	loops.Go(func() { p.decide(ctx) })
+	defer loops.Wait()
 	apply := time.NewTicker(applyInterval)
 	defer apply.Stop()
 	report := time.NewTicker(p.config.ReportInterval)
--- a/wigeonentry/run.go
+++ b/wigeonentry/run.go
@@ -23,14 +23,9 @@
 
 // run sends the request of a slot until an attempt settles it, gives the slot back and returns the answer.
 func (p *Process) run(ctx context.Context, s *slot, request *wigeonstep.Request) wigeonstep.Response {
-	begin := p.config.Now()
 	r := running{process: p, slot: s, request: request}
 	response, ran := r.attempts(ctx)
-	took := time.Duration(0)
-	if ran {
-		took = p.config.Now().Sub(begin)
-	}
-	s.finish(took)
+	s.finish(ran)
 	return response
 }
 
--- a/wigeonentry/serve.go
+++ b/wigeonentry/serve.go
@@ -24,7 +24,7 @@
 	if bad != nil {
 		return *bad
 	}
-	response := p.serveRouted(ctx, route, request, false)
+	response := p.serveRouted(ctx, route, request)
 	p.observe(route, request, &response, p.config.Now().Sub(begin))
 	return response
 }
@@ -57,10 +57,10 @@
 	return &r
 }
 
-func (p *Process) serveRouted(ctx context.Context, route *wigeonstate.Route, request *wigeonstep.Request, forwarded bool) wigeonstep.Response {
+func (p *Process) serveRouted(ctx context.Context, route *wigeonstate.Route, request *wigeonstep.Request) wigeonstep.Response {
 	long := route.Class.Kind == wigeondocument.KindLong
 	if request.Key != "" && (long || !route.Class.Idempotent) {
-		response, _ := p.once.Serve(ctx, request, forwarded)
+		response, _ := p.once.Serve(ctx, request, false)
 		return response
 	}
 	if long {
@@ -130,4 +130,4 @@
 }
 
 // Release implements wigeononce.Slot.
-func (s *onceSlot) Release() { s.slot.finish(0) }
+func (s *onceSlot) Release() { s.slot.finish(false) }
--- a/wigeonentry/telemetry.go
+++ b/wigeonentry/telemetry.go
@@ -69,6 +69,9 @@
 		m.done.Inc()
 	case wigeonstep.OutcomeNotRun:
 		m.notRun.Inc()
+		if response.Refusal != nil {
+			p.refusals.add(route, response.Refusal)
+		}
 	case wigeonstep.OutcomeAccepted:
 		m.accepted.Inc()
 	default:
--- a/wigeononce/core.go
+++ b/wigeononce/core.go
@@ -164,6 +164,9 @@
 	if !e.Place.LeaseValid {
 		return c.answer(w, unknown("the lease of the owner has run out, so another process may have run the key"))
 	}
+	if e.Place.Stale && e.Place.Leaving {
+		return c.answer(w, unknown("the log is out of reach and the owner is stopping"))
+	}
 	if e.Place.Stale {
 		return c.answer(w, logOutOfReach())
 	}
@@ -281,8 +284,8 @@
 		c.issued.giveBack(r.key)
 	case place.Fold != nil || !c.mine[place.Owner]:
 		return c.again(r)
-	case !place.LeaseValid:
-		response = unknown("the request was refused after the lease of the owner had run out")
+	case !place.mayRefuse():
+		response = unknown("the request was refused by an owner whose lease has run out or that is stopping")
 	}
 	return c.dropAll(r, response)
 }
@@ -376,7 +379,7 @@
 	r := w.run
 	response := wigeonstep.Unknown(true, "the deadline passed before the answer was known", stepOnce, peerOwner)
 	_, issued := IssuedBy(w.arrive.Request.Key)
-	if r == nil && w.target == 0 && !issued && e.Place.Fold == nil && c.mine[e.Place.Owner] && e.Place.LeaseValid && c.runs[w.arrive.Request.Key] == nil {
+	if r == nil && w.target == 0 && !issued && e.Place.Fold == nil && c.mine[e.Place.Owner] && e.Place.mayRefuse() && c.runs[w.arrive.Request.Key] == nil {
 		response = wigeonstep.NotRun(http.StatusServiceUnavailable, "the owner of the key has just changed", stepOnce, peerOwner, time.Second)
 	}
 	actions := c.answer(w, response)
--- a/wigeononce/event.go
+++ b/wigeononce/event.go
@@ -30,12 +30,17 @@
 	Owner wigeonstep.SessionID
 	// LeaseValid is set while the lease of this process's session runs.
 	LeaseValid bool
+	// Leaving is set before the log says that the session closes. Another session may own the key from then on, so nothing is not_run any more.
+	Leaving bool
 	// Settled is set when no other session can still believe to own the key, see Handover.
 	Settled bool
 	// Stale is set when the log has been out of reach for so long that recording a key would fail.
 	Stale bool
 }
 
+// mayRefuse reports whether a refusal by the owner is certainly not_run.
+func (p *Place) mayRefuse() bool { return p.LeaseValid && !p.Leaving }
+
 // Event is something that happened to a key, a request or the process.
 type Event interface{ event() }
 
--- a/wigeononce/table.go
+++ b/wigeononce/table.go
@@ -272,7 +272,7 @@
 			}
 		}
 	})
-	p.LeaseValid = f.LeaseValid() && !t.leaving.Load()
+	p.LeaseValid, p.Leaving = f.LeaseValid(), t.leaving.Load()
 	p.Stale = f.ConfirmedAge() >= t.config.StaleAfter
 	t.mu.Lock()
 	p.Settled = t.handover.Done(view, f.Session())
