--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -29,6 +29,8 @@
 	meters  meters
 	retries *metrics.Counter
 	demands demandBook
+	// refusals are those that no decision on the log covers yet.
+	refusals refusals
 
 	pools atomic.Pointer[map[wigeonstep.PoolName]*pool]
 	// applyMu guards applied and localOnly and orders the changes of the pools.
@@ -73,6 +75,11 @@
 // Ready reports whether the process takes requests; it is false from the begin of a stop on.
 func (p *Process) Ready() bool { return p.ready.Load() }
 
+// Lookup returns the answer that the process keeps for a key.
+func (p *Process) Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
+	return p.once.Lookup(key)
+}
+
 // Run takes requests until ctx ends, then stops gracefully; it returns nil after a graceful stop that cut off no request.
 func (p *Process) Run(ctx context.Context) error {
 	defer p.end()
@@ -136,9 +143,10 @@
 
 // work applies views, reports demand, ends waits that are over and takes over jobs until ctx ends.
 func (p *Process) work(ctx context.Context) {
-	jobs := sync.WaitGroup{}
-	jobs.Go(func() { p.jobs.follow(ctx) })
-	defer jobs.Wait()
+	var loops sync.WaitGroup
+	loops.Go(func() { p.jobs.follow(ctx) })
+	loops.Go(func() { p.decide(ctx) })
+	defer loops.Wait()
 	apply := time.NewTicker(applyInterval)
 	defer apply.Stop()
 	report := time.NewTicker(p.config.ReportInterval)
@@ -164,6 +172,7 @@
 	begin := p.config.Now()
 	p.applyMu.Lock()
 	p.ready.Store(false)
+	p.once.Leave()
 	p.config.Follower.SetReady(false, true)
 	p.applyMu.Unlock()
 	p.server.Leave()
