Test stale reports and run the simulations in parallel

Change: the driver delivers reports between processes and can cut them off; a test moves the load while two groups are cut off from each other or never heard each other. Simulations run in parallel.

--- a/wigeonadmission/policy_test.go
+++ b/wigeonadmission/policy_test.go
@@ -27,6 +27,7 @@
 
 // Guards against work that waits beyond its bound, or is refused only after it has waited, while queues burst in turn.
 func TestBurstsAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	const run = 200 * time.Millisecond
 	trial := func(admit func() admitter) (total stats, used float64) {
 		f := newFleet(1, 4, 10, documents(5, run), admit, nil)
@@ -64,6 +65,7 @@
 
 // Guards against refusals and waits that follow a declared run time that is wrong by ten times.
 func TestDeclaredRunTimeIsWrong(t *testing.T) {
+	t.Parallel()
 	const run = 200 * time.Millisecond
 	for name, declared := range map[string]time.Duration{"ten times too long": 10 * run, "ten times too short": run / 10} {
 		t.Run(name, func(t *testing.T) {
@@ -91,6 +93,7 @@
 // Guards against a team whose flood makes other teams wait, while they stay within their shares. First team b asks for more than its
 // share, so that the pool is full in every trial; then the pool has free slots before the flood.
 func TestFloodLeavesOtherTeamsAlone(t *testing.T) {
+	t.Parallel()
 	const run = 200 * time.Millisecond
 	trial := func(admit func() admitter, times, heavy float64) time.Duration {
 		f := newFleet(3, 1, 20, documents(10, run), admit, nil)
@@ -121,6 +124,7 @@
 
 // Guards against a split that ignores weights, guarantees or limits, or that keeps slots idle or borrowed.
 func TestSlotsFollowWeights(t *testing.T) {
+	t.Parallel()
 	const run = 200 * time.Millisecond
 	c := quicktest.New(t)
 	f := newFleet(4, 1, 10, []*wigeondocument.Document{
@@ -168,6 +172,7 @@
 
 // Guards against short work that waits behind long runs, and long work that takes the reserve.
 func TestShortWorkPassesLongRuns(t *testing.T) {
+	t.Parallel()
 	trial := func(admit func() admitter) (short *source, longHeld int) {
 		f := newFleet(5, 4, 10, documents(3, 200*time.Millisecond), admit, nil)
 		for _, team := range []wigeonstep.TeamName{"a", "b"} {
@@ -198,6 +203,7 @@
 
 // Guards against cancelled work that keeps its place: a wave of a thousand cancellations must make room at once.
 func TestCancellationsFreeTheirPlaces(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	pool := wigeonadmission.New(wigeonadmission.Config{Name: "ovens"})
 	pool.SetServices(documents(2, 30*time.Millisecond))
--- a/wigeonadmission/routing_test.go
+++ b/wigeonadmission/routing_test.go
@@ -11,6 +11,7 @@
 
 // Guards against entry processes that overrun servers because they do not see each other's requests, or that leave them idle.
 func TestProcessesShareServersBlindly(t *testing.T) {
+	t.Parallel()
 	trial := func(route func() router) (busy, used float64) {
 		f := newFleet(6, 7, 10, documents(1, 100*time.Millisecond), nil, route)
 		f.constant("a", "bake", 1600, 100*time.Millisecond)
@@ -26,6 +27,39 @@
 	c.Check(used > 0.95 && used > usedBaseline, quicktest.IsTrue)
 }
 
+// Guards against overrun or idle servers while processes cannot hear each other and the load moves between them, so that the slots
+// they believe to have add up to more or less than the pool.
+func TestStaleReportsAreSurvived(t *testing.T) {
+	t.Parallel()
+	for name, never := range map[string]bool{"cut off after 5 s": false, "never heard": true} {
+		t.Run(name, func(t *testing.T) {
+			trial := func(route func() router) (busy float64, s *source) {
+				f := newFleet(10, 7, 10, documents(1, 100*time.Millisecond), nil, route)
+				f.cutOff = func(i, j int) bool { return (never || f.now > 5*time.Second) && i/4 != j/4 }
+				// Nine tenths of the load enter at processes 4 to 6 at first, and at 0 to 3 later.
+				f.enter = func() int {
+					if (f.random.IntN(10) == 0) == (f.now < 5*time.Second) {
+						return f.random.IntN(4)
+					}
+					return 4 + f.random.IntN(3)
+				}
+				s = f.constant("a", "bake", 600, 100*time.Millisecond)
+				f.run(30 * time.Second)
+				return f.busyAnswers(), s
+			}
+			busyBaseline, baseline := trial(newLeastLoaded)
+			busy, policy := trial(nil)
+			t.Logf("attempts that met a full server: least loaded %.3f, policy %.3f; done %d and %d of %d, failed %d and %d", busyBaseline, busy,
+				baseline.done, policy.done, policy.sent, baseline.failed, policy.failed)
+			c := quicktest.New(t)
+			c.Check(busyBaseline > 0.1, quicktest.IsTrue)
+			c.Check(busy < 0.01, quicktest.IsTrue)
+			c.Check(policy.done > baseline.done, quicktest.IsTrue)
+			c.Check(policy.failed*1000 < policy.sent, quicktest.IsTrue)
+		})
+	}
+}
+
 // faulty runs a pool at 70% load in which the servers of the indices are spoilt from 5 s on.
 func faulty(route func() router, seconds int, spoil func(*backend), indices ...int) (*fleet, *source) {
 	f := newFleet(7, 4, 12, documents(1, 100*time.Millisecond), nil, route)
@@ -41,6 +75,7 @@
 
 // Guards against a server that fails everything quickly and so looks idle.
 func TestFailingServersAttractNoWork(t *testing.T) {
+	t.Parallel()
 	for name, indices := range map[string][]int{
 		"one server": {3}, "three servers, as many as the quarantine holds": {3, 4, 5}, "six servers, more than the quarantine holds": {0, 1, 2, 3, 4, 5},
 	} {
@@ -62,6 +97,7 @@
 
 // Guards against a slow server that keeps its part of the work.
 func TestSlowServerIsQuarantined(t *testing.T) {
+	t.Parallel()
 	spoil := func(b *backend) { b.slow, b.accepted = 20, 0 }
 	trial := func(route func() router) int {
 		f, _ := faulty(route, 60, spoil, 3)
@@ -74,6 +110,7 @@
 
 // Guards against a quarantine that empties the pool when everything fails at once, and that outlasts the fault.
 func TestCorrelatedFailureKeepsThePool(t *testing.T) {
+	t.Parallel()
 	f := newFleet(8, 4, 12, documents(1, 100*time.Millisecond), nil, nil)
 	s := f.constant("a", "bake", 0.7*960, 100*time.Millisecond)
 	set := func(fails bool) func() {
@@ -102,6 +139,7 @@
 
 // Guards against retries that add to the load of a pool that already fails.
 func TestRetriesAddAtMostAFifth(t *testing.T) {
+	t.Parallel()
 	trial := func(unlimited bool) float64 {
 		f := newFleet(9, 4, 10, documents(1, 100*time.Millisecond), nil, nil)
 		f.unlimited = unlimited
--- a/wigeonadmission/sim_test.go
+++ b/wigeonadmission/sim_test.go
@@ -97,6 +97,8 @@
 	admit   admitter
 	route   router
 	budgets map[wigeonstep.TeamName]*wigeonretry.Budget
+	// reports has the last report of each process.
+	reports []wigeonadmission.Report
 }
 
 type request struct {
@@ -122,6 +124,10 @@
 	firsts    int
 	attempts  int
 	observe   func()
+	// cutOff reports whether two processes do not hear each other now.
+	cutOff func(i, j int) bool
+	// enter chooses the process of the next request, nil for any.
+	enter func() int
 }
 
 // newFleet builds processes and servers. Nil policies are the real ones.
@@ -188,13 +194,22 @@
 func (f *fleet) run(until time.Duration) {
 	var report func()
 	report = func() {
-		var reports []wigeonadmission.Report
+		var sent []wigeonadmission.Report
 		for _, p := range f.processes {
-			reports = append(reports, wigeonadmission.Report{Session: p.session, Heard: true, Demand: p.admit.Demand()})
+			sent = append(sent, wigeonadmission.Report{Session: p.session, Heard: true, Demand: p.admit.Demand()})
 		}
 		f.after(5*time.Millisecond, func() {
-			for _, p := range f.processes {
-				grant := wigeonadmission.Split(8*len(f.servers), p.session, reports)
+			for i, p := range f.processes {
+				if p.reports == nil {
+					p.reports = make([]wigeonadmission.Report, len(sent))
+				}
+				for j, r := range sent {
+					p.reports[j].Session = r.Session
+					if f.cutOff == nil || !f.cutOff(i, j) {
+						p.reports[j] = r
+					}
+				}
+				grant := wigeonadmission.Split(8*len(f.servers), p.session, p.reports)
 				p.admit.SetSlots(grant)
 				p.route.SetShare(grant.First, grant.Slots, grant.Pool)
 				f.start(p, p.admit.Dispatch(f.time()))
@@ -228,6 +243,9 @@
 
 func (f *fleet) submit(s *source) {
 	p := f.processes[f.random.IntN(len(f.processes))]
+	if f.enter != nil {
+		p = f.processes[f.enter()]
+	}
 	r := &request{source: s, submitted: f.now}
 	r.ticket = &wigeonadmission.Ticket{Team: s.team, Class: s.class, Value: r}
 	s.sent++
