--- a/wigeonadmission/pool.go
+++ b/wigeonadmission/pool.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonrouting"
 )
 
 // Config is the configuration of a Pool.
@@ -73,12 +74,14 @@
 	return p
 }
 
-// SetSlots sets the slots that this process may hold. Call Dispatch afterwards.
+// SetSlots sets the slots that this process may hold. Without ranges they are the first ones of the pool. Call Dispatch afterwards.
 func (p *Pool) SetSlots(grant Grant) {
 	grant.Pool = max(grant.Pool, 0)
 	grant.Slots = min(max(grant.Slots, 0), grant.Pool)
-	grant.First = min(max(grant.First, 0), grant.Pool-grant.Slots)
-	if grant == p.grant {
+	if len(grant.Ranges) == 0 {
+		grant.Ranges = []wigeonrouting.SlotRange{{Count: grant.Slots}}
+	}
+	if grant.Equal(p.grant) {
 		return
 	}
 	p.grant = grant
--- a/wigeonadmission/property_test.go
+++ b/wigeonadmission/property_test.go
@@ -65,7 +65,7 @@
 			"slots": func(t *rapid.T) {
 				slots = rapid.IntRange(0, 12).Draw(t, "slots")
 				pool.SetSlots(wigeonadmission.Grant{
-					First: rapid.IntRange(-1, 30).Draw(t, "first"), Slots: slots, Pool: rapid.IntRange(slots, 40).Draw(t, "pool"), Long: slots * 3 / 4,
+					Slots: slots, Pool: rapid.IntRange(slots, 40).Draw(t, "pool"), Long: slots * 3 / 4,
 				})
 				start(pool.Dispatch(now))
 			},
@@ -143,24 +143,34 @@
 			})
 		}
 		shuffled := rapid.Permutation(reports).Draw(t, "order")
-		next, long, fixed := 0, 0, 0
+		owned, granted, long, fixed := map[int]int{}, 0, 0, 0
 		grants := make([]wigeonadmission.Grant, len(reports))
 		for i, r := range reports {
 			grants[i] = wigeonadmission.Split(total, r.Session, reports)
-			if other := wigeonadmission.Split(total, r.Session, shuffled); other != grants[i] {
+			if other := wigeonadmission.Split(total, r.Session, shuffled); !other.Equal(grants[i]) {
 				t.Fatalf("the order of the reports changes %+v to %+v", grants[i], other)
 			}
-			if grants[i].First != next {
-				t.Fatalf("grant %d is %+v, the one before ends at %d", i, grants[i], next)
+			numbers := 0
+			for _, part := range grants[i].Ranges {
+				for number := part.First; number < part.First+part.Count; number++ {
+					if other, taken := owned[number]; taken || number < 0 || number >= total {
+						t.Fatalf("slot %d of %d belongs to sessions %d and %d", number, total, other, i)
+					}
+					owned[number] = i
+					numbers++
+				}
+			}
+			if numbers != grants[i].Slots {
+				t.Fatalf("%d slots are numbered of grant %+v", numbers, grants[i])
 			}
-			next += grants[i].Slots
+			granted += grants[i].Slots
 			long += grants[i].Long
 			if r.Heard {
 				fixed += max(r.Long, 0)
 			}
 		}
-		if next != max(total, 0) || long > max(total*3/4, 0) {
-			t.Fatalf("%d slots and %d for long work granted of %d", next, long, total)
+		if granted != max(total, 0) || long > max(total*3/4, 0) {
+			t.Fatalf("%d slots and %d for long work granted of %d", granted, long, total)
 		}
 		for i, r := range reports {
 			if !r.Heard || fixed > max(total, 0) {
@@ -183,7 +193,7 @@
 // Guards against a peer that has never reported being left out, and a pool without sessions.
 func TestSplitOfUnheardPeers(t *testing.T) {
 	c := quicktest.New(t)
-	c.Check(wigeonadmission.Split(80, 1, nil), quicktest.Equals, wigeonadmission.Grant{Pool: 80})
+	c.Check(wigeonadmission.Split(80, 1, nil), quicktest.DeepEquals, wigeonadmission.Grant{Pool: 80})
 	reports := []wigeonadmission.Report{
 		{Session: 1, Heard: true, Demand: wigeonadmission.Demand{Wanted: 500}},
 		{Session: 2, Heard: true, Demand: wigeonadmission.Demand{Wanted: 5}},
--- a/wigeonadmission/sim_test.go
+++ b/wigeonadmission/sim_test.go
@@ -28,7 +28,7 @@
 
 type router interface {
 	SetServers(now time.Time, servers []wigeonrouting.Server)
-	SetShare(first, slots, pool int)
+	SetShare(ranges []wigeonrouting.SlotRange, pool int)
 	Pick(now time.Time, want wigeonrouting.Want) (wigeonrouting.Server, bool)
 	Done(now time.Time, vm wigeonstep.VMID, result wigeonstep.BackendResult, latency, expected time.Duration)
 }
@@ -211,7 +211,7 @@
 				}
 				grant := wigeonadmission.Split(8*len(f.servers), p.session, p.reports)
 				p.admit.SetSlots(grant)
-				p.route.SetShare(grant.First, grant.Slots, grant.Pool)
+				p.route.SetShare(grant.Ranges, grant.Pool)
 				f.start(p, p.admit.Dispatch(f.time()))
 			}
 		})
--- a/wigeonadmission/split.go
+++ b/wigeonadmission/split.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonrouting"
 )
 
 // Report is the last demand that a session reported for a pool, or the process's own. The caller keeps the last report of a
@@ -16,30 +17,44 @@
 	Demand
 }
 
-// Grant is one process's part of the slots of a pool: the slots First to First+Slots-1 of Pool.
-// The grants that Split computes from the same reports do not overlap.
+// Grant is one process's part of the slots of a pool.
 type Grant struct {
-	First int
+	// Slots is how many slots the process may hold.
 	Slots int
 	// Pool is the number of slots of the whole pool.
 	Pool int
 	// Long is how many of the slots long work may hold. Over all sessions it adds up to at most three quarters of the pool.
 	Long int
+	// Ranges are the numbers of the process's slots, out of 0 to Pool-1. Those that Split computes from the same reports for
+	// different sessions do not overlap.
+	Ranges []wigeonrouting.SlotRange
+}
+
+// Equal reports whether two grants are the same.
+func (g Grant) Equal(o Grant) bool {
+	return g.Slots == o.Slots && g.Pool == o.Pool && g.Long == o.Long && slices.Equal(g.Ranges, o.Ranges)
 }
 
 // portion returns the grant's part of a pool-wide quantity. Over grants that cover the pool the parts add up to the quantity.
 func (g Grant) portion(quantity int) int {
-	if g.Pool <= 0 {
-		return 0
+	part := 0
+	for _, r := range g.Ranges {
+		if g.Pool <= 0 {
+			break
+		}
+		part += quantity*(r.First+r.Count)/g.Pool - quantity*r.First/g.Pool
 	}
-	return quantity*(g.First+g.Slots)/g.Pool - quantity*g.First/g.Pool
+	return part
 }
 
 // Split returns the grant of session self. Every process that passes the same reports, in any order, computes the same split.
 //
 // Slots that long work holds stay with their process, because it cannot give them back for hours. The other slots are split
-// max-min by demand. Every session counts with a demand of at least one slot, so that its next request need not wait for a report.
-// Slots that nobody wants are spread equally, so that a burst finds some at every process.
+// max-min by demand; what nobody wants raises the smallest shares, so that a burst finds free slots at every process. Every session
+// counts with a demand of at least one slot, so that its next request need not wait for a report.
+//
+// Every session has an equal part of the slots as its home. It keeps as much of it as its share allows, and only what it does not
+// need is lent to others, so that few slots change hands when demand changes while requests run on them.
 //
 // The slots for long work are split equally whatever the demand: if they moved between processes, long runs that hold the slots of
 // an earlier split would take the reserve for hours.
@@ -48,7 +63,23 @@
 	sorted := slices.Clone(reports)
 	slices.SortStableFunc(sorted, func(a, b Report) int { return cmp.Compare(a.Session, b.Session) })
 	sorted = slices.CompactFunc(sorted, func(a, b Report) bool { return a.Session == b.Session })
+	i := slices.IndexFunc(sorted, func(r Report) bool { return r.Session == self })
+	if i < 0 {
+		return Grant{Pool: slots}
+	}
+	shares := entitled(slots, sorted)
+	long := max(min(slots*3/4, slots-1), 0)
+	n := len(sorted)
+	return Grant{
+		Slots:  shares[i],
+		Pool:   slots,
+		Long:   long*(i+1)/n - long*i/n,
+		Ranges: ranges(slots, shares, i),
+	}
+}
 
+// entitled returns the share of each session; the shares add up to the slots.
+func entitled(slots int, sorted []Report) []int {
 	fixed, fixedTotal := make([]int, len(sorted)), 0
 	wanted := make([]int, len(sorted))
 	for i, r := range sorted {
@@ -70,53 +101,76 @@
 		fixedTotal = scaled
 	}
 	shares := maxMin(slots-fixedTotal, wanted)
-
-	grant := Grant{Pool: slots}
-	first, long := 0, max(min(slots*3/4, slots-1), 0)
-	for i, r := range sorted {
-		size := fixed[i] + shares[i]
-		if r.Session == self {
-			grant.First, grant.Slots = first, size
-			grant.Long = long*(i+1)/len(sorted) - long*i/len(sorted)
-		}
-		first += size
+	for i := range shares {
+		shares[i] += fixed[i]
 	}
-	return grant
+	return shares
 }
 
-// maxMin splits total over the demands: nobody gets more than it wants before everybody has as much as possible, and what is
-// left over is spread equally. Units that do not divide go to the lowest indices.
+// maxMin splits total over the demands. If it does not suffice, nobody gets more than it wants before everybody has as much as
+// possible; otherwise everybody gets what it wants and the smallest shares are raised by what is left over. Units that do not
+// divide go to the lowest indices.
 func maxMin(total int, wanted []int) []int {
 	shares := make([]int, len(wanted))
 	order := make([]int, len(wanted))
-	for i := range order {
+	sum := 0
+	for i, w := range wanted {
 		order[i] = i
+		sum += w
 	}
-	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(wanted[a], wanted[b]) })
+	// Settled first are the smallest demands when slots are scarce, and the largest ones when they are not.
+	scarce := sum > total
+	slices.SortStableFunc(order, func(a, b int) int {
+		if scarce {
+			return cmp.Compare(wanted[a], wanted[b])
+		}
+		return cmp.Compare(wanted[b], wanted[a])
+	})
 	left := total
-	for i, j := range order {
-		level := left / (len(order) - i)
-		if wanted[j] <= level {
-			shares[j] = wanted[j]
-			left -= wanted[j]
-			continue
+	for len(order) > 0 {
+		j, level := order[0], left/len(order)
+		if scarce && wanted[j] > level || !scarce && wanted[j] <= level {
+			break
 		}
-		unsatisfied := slices.Clone(order[i:])
-		slices.Sort(unsatisfied)
-		spread(left, unsatisfied, shares)
-		return shares
+		shares[j] = wanted[j]
+		left -= wanted[j]
+		order = order[1:]
 	}
 	slices.Sort(order)
-	spread(left, order, shares)
+	for i, j := range order {
+		shares[j] = left / len(order)
+		if i < left%len(order) {
+			shares[j]++
+		}
+	}
 	return shares
 }
 
-// spread adds total to the shares at the indices, as equally as integers allow.
-func spread(total int, indices, shares []int) {
-	for i, j := range indices {
-		shares[j] += total / len(indices)
-		if i < total%len(indices) {
-			shares[j]++
+// ranges returns the slots of the session at the index: the first ones of its home, and its part of those that others lend.
+func ranges(slots int, shares []int, index int) []wigeonrouting.SlotRange {
+	n := len(shares)
+	home := func(i int) (first, size int) {
+		first = slots * i / n
+		return first, slots*(i+1)/n - first
+	}
+	first, size := home(index)
+	own := []wigeonrouting.SlotRange{{First: first, Count: min(shares[index], size)}}
+	// The lent slots are dealt out in the order of the sessions; skip is what borrowers before this one take.
+	skip := 0
+	for i := range index {
+		_, s := home(i)
+		skip += max(shares[i]-s, 0)
+	}
+	need := max(shares[index]-size, 0)
+	for i := 0; i < n && need > 0; i++ {
+		f, s := home(i)
+		lent := max(s-shares[i], 0)
+		taken := min(max(lent-skip, 0), need)
+		if taken > 0 {
+			own = append(own, wigeonrouting.SlotRange{First: f + s - lent + skip, Count: taken})
+			need -= taken
 		}
+		skip = max(skip-lent, 0)
 	}
+	return own
 }
--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -293,12 +293,12 @@
 }
 
 func (p *pool) setGrant(grant wigeonadmission.Grant) {
-	if grant == p.grant {
+	if grant.Equal(p.grant) {
 		return
 	}
 	p.grant = grant
 	p.admission.SetSlots(grant)
-	p.picker.SetShare(grant.First, grant.Slots, grant.Pool)
+	p.picker.SetShare(grant.Ranges, grant.Pool)
 	p.deliver(p.admission.Dispatch(p.now()))
 }
 
--- a/wigeonrouting/picker.go
+++ b/wigeonrouting/picker.go
@@ -45,7 +45,7 @@
 
 // Picker selects backend servers of one pool for one process.
 //
-// The slots of every server are dealt out to the entry processes by the interval that wigeonadmission.Split gives each of them, so
+// The slots of every server are dealt out to the entry processes by the ranges that wigeonadmission.Split gives each of them, so
 // processes that do not see each other's requests keep a server full without overrunning it. A server that answers busy all the
 // same is used less (multiplicative decrease) until it has answered well for a while (additive increase).
 type Picker struct {
@@ -57,7 +57,7 @@
 	// inService is the number of listed servers that are in service.
 	inService int
 	sets      [setCount]serverSet
-	share     interval
+	share     share
 	timers    timerHeap
 	// now is the latest time that a call passed.
 	now time.Time
@@ -116,12 +116,11 @@
 	p.trimQuarantine(now)
 }
 
-// SetShare tells which slots of the pool this process may use, as computed by wigeonadmission.Split: slots first to first+slots-1
-// of pool. Without a share, the process uses the whole pool.
-func (p *Picker) SetShare(first, slots, pool int) {
-	share := interval{first: first, slots: slots, pool: pool}
-	if share != p.share {
-		p.share = share
+// SetShare tells which slots of the pool this process may use, as computed by wigeonadmission.Split, and how many the pool has.
+// Without a share, the process uses the whole pool.
+func (p *Picker) SetShare(ranges []SlotRange, pool int) {
+	if pool != p.share.pool || !slices.Equal(ranges, p.share.ranges) {
+		p.share = share{ranges: slices.Clone(ranges), pool: pool}
 		p.deal()
 	}
 }
@@ -143,18 +142,37 @@
 		p.update(s)
 		return s.Server, true
 	}
-	sets := [2]int{setOwn, setShared}
+	own, shared := setOwn, setShared
 	if want.LocalOnly {
-		sets = [2]int{setOwnLocal, setSharedLocal}
+		own, shared = setOwnLocal, setSharedLocal
 	}
-	for _, set := range sets {
-		if s := p.choose(p.sets[set].servers, want.Exclude); s != nil {
-			s.inFlight++
-			p.update(s)
-			return s.Server, true
+	s := p.choose(p.sets[own].servers, want.Exclude)
+	if s == nil && !p.ownServers(want) {
+		s = p.choose(p.sets[shared].servers, want.Exclude)
+	}
+	if s == nil {
+		return Server{}, false
+	}
+	s.inFlight++
+	p.update(s)
+	return s.Server, true
+}
+
+// ownServers reports whether one of the servers on which the process has slots of its own may take the request, now or when it
+// has room. Only without any does a request go to slots of other processes: otherwise one process whose slot is taken would take
+// that of the next, and so on through the whole pool.
+func (p *Picker) ownServers(want Want) bool {
+	set := setServing
+	if want.LocalOnly {
+		set = setServingLocal
+	}
+	n := len(p.sets[set].servers)
+	for i, vm := range want.Exclude {
+		if s := p.servers[vm]; s != nil && s.index[set] >= 0 && !slices.Contains(want.Exclude[:i], vm) {
+			n--
 		}
 	}
-	return Server{}, false
+	return n > 0
 }
 
 // choose returns the better of two servers drawn at random, so that the cost does not depend on the number of servers.
--- a/wigeonrouting/picker_test.go
+++ b/wigeonrouting/picker_test.go
@@ -71,7 +71,7 @@
 			},
 			"share": func(t *rapid.T) {
 				first, slots := rapid.IntRange(0, 20).Draw(t, "first"), rapid.IntRange(0, 20).Draw(t, "slots")
-				picker.SetShare(first, slots, rapid.IntRange(0, 40).Draw(t, "pool"))
+				picker.SetShare([]wigeonrouting.SlotRange{{First: first, Count: slots}}, rapid.IntRange(0, 40).Draw(t, "pool"))
 			},
 			"pick": func(t *rapid.T) {
 				want := wigeonrouting.Want{LocalOnly: rapid.Bool().Draw(t, "local"), Exclude: []wigeonstep.VMID{vm.Draw(t, "exclude")}}
--- a/wigeonrouting/server.go
+++ b/wigeonrouting/server.go
@@ -68,9 +68,14 @@
 	return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.VM, b.VM))
 }
 
-// usable reports whether requests other than probes may go to the server.
+// serving reports whether requests other than probes may go to the server when it has room.
+func (s *server) serving() bool {
+	return s.listed && s.InService && !s.leaving && !s.quarantine.active
+}
+
+// usable reports whether requests other than probes may go to the server now.
 func (s *server) usable() bool {
-	return s.listed && s.InService && !s.leaving && !s.quarantine.active && !s.paused
+	return s.serving() && !s.paused
 }
 
 // room reports whether one more request stays within the bound, the limit and the connections.
--- a/wigeonrouting/share.go
+++ b/wigeonrouting/share.go
@@ -1,13 +1,19 @@
 package wigeonrouting
 
-// interval is the part of the pool's slots that belongs to this process. The zero value is the whole pool.
-type interval struct {
-	first, slots, pool int
+// SlotRange is a range of the numbers of a pool's slots.
+type SlotRange struct {
+	First, Count int
+}
+
+// share is the part of the pool's slots that belongs to this process. The zero value is the whole pool.
+type share struct {
+	ranges []SlotRange
+	pool   int
 }
 
 // deal computes the slots of each server that belong to this process. The slots are numbered layer by layer: the first slot of
-// every server, then the second of every server that has one, and so on, so that an interval covers as many servers as possible.
-// Every process numbers them alike, so intervals that do not overlap use different slots.
+// every server, then the second of every server that has one, and so on, so that a range covers as many servers as possible.
+// Every process numbers them alike, so ranges that do not overlap use different slots.
 func (p *Picker) deal() {
 	total, deepest := 0, 0
 	p.inService = 0
@@ -19,19 +25,14 @@
 			deepest = max(deepest, s.Slots)
 		}
 	}
-	from, to := 0, total
-	if p.share.pool > 0 {
-		// The grant may have been computed from a list that differs by a few servers.
-		from = min(max(p.share.first, 0), p.share.pool) * total / p.share.pool
-		to = min(max(p.share.first+p.share.slots, 0), p.share.pool) * total / p.share.pool
-	}
+	mine, granted := p.numbers(total)
 	number := 0
 	for layer := range deepest {
 		for _, s := range p.listed {
 			if !s.InService || layer >= s.Slots {
 				continue
 			}
-			if number >= from && number < to {
+			if mine[number] {
 				s.own++
 			}
 			number++
@@ -40,12 +41,31 @@
 	for _, s := range p.listed {
 		s.share = s.Slots
 		if p.share.pool > 0 {
-			s.share = min((s.Slots*max(to-from, 0)+total-1)/max(total, 1), s.Slots)
+			s.share = min((s.Slots*granted+total-1)/max(total, 1), s.Slots)
 		}
 		p.update(s)
 	}
 }
 
+// numbers returns for each of total slots whether it belongs to this process, and how many do.
+func (p *Picker) numbers(total int) (mine []bool, granted int) {
+	mine = make([]bool, total)
+	ranges, pool := p.share.ranges, p.share.pool
+	if pool <= 0 {
+		ranges, pool = []SlotRange{{Count: total}}, total
+	}
+	for _, r := range ranges {
+		// The grant may have been computed from a list that differs by a few servers.
+		first := min(max(r.First, 0), pool) * total / max(pool, 1)
+		last := min(max(r.First+r.Count, 0), pool) * total / max(pool, 1)
+		for number := first; number < last; number++ {
+			mine[number] = true
+		}
+		granted += max(last-first, 0)
+	}
+	return mine, granted
+}
+
 // Sets of the servers that have room, from which Pick draws.
 const (
 	// setOwn has room in the slots dealt to this process; setShared has room in the process's part of the server's slots.
@@ -53,6 +73,9 @@
 	setOwnLocal
 	setShared
 	setSharedLocal
+	// setServing has slots of this process, with or without room now.
+	setServing
+	setServingLocal
 	setCount
 )
 
@@ -83,6 +106,9 @@
 	local := s.DataCentre == p.config.DataCentre
 	own := s.usable() && s.room(s.own)
 	shared := s.usable() && s.room(s.share)
+	serving := s.own > 0 && s.serving()
+	p.sets[setServing].put(s, setServing, serving)
+	p.sets[setServingLocal].put(s, setServingLocal, serving && local)
 	p.sets[setOwn].put(s, setOwn, own)
 	p.sets[setOwnLocal].put(s, setOwnLocal, own && local)
 	p.sets[setShared].put(s, setShared, shared)
