--- a/wigeonadmission/split.go
+++ b/wigeonadmission/split.go
@@ -71,7 +71,7 @@
 	long := max(min(slots*3/4, slots-1), 0)
 	n := len(sorted)
 	return Grant{
-		Slots:  shares[i],
+		Slots:  startable(sorted, shares, i),
 		Pool:   slots,
 		Long:   long*(i+1)/n - long*i/n,
 		Ranges: ranges(slots, shares, i),
@@ -107,6 +107,21 @@
 	return shares
 }
 
+// startable returns how many slots the session at the index may hold until the next reports. While other sessions still hold more
+// than their shares, which they give back as their work ends, the free part of its share is smaller by its part of that excess.
+func startable(sorted []Report, shares []int, index int) int {
+	excess, free := 0, 0
+	for i, r := range sorted {
+		excess += max(r.Held-shares[i], 0)
+		free += max(shares[i]-r.Held, 0)
+	}
+	mine := max(shares[index]-sorted[index].Held, 0)
+	if mine == 0 || excess == 0 {
+		return shares[index]
+	}
+	return shares[index] - min((excess*mine+free-1)/free, mine)
+}
+
 // maxMin splits total over the demands. If it does not suffice, nobody gets more than it wants before everybody has as much as
 // possible; otherwise everybody gets what it wants and the smallest shares are raised by what is left over. Units that do not
 // divide go to the lowest indices.
--- a/wigeonrouting/picker.go
+++ b/wigeonrouting/picker.go
@@ -215,7 +215,7 @@
 	s.inFlight = max(s.inFlight-1, 0)
 	switch {
 	case result.Verdict == wigeonstep.BackendBusy:
-		p.busy(now, s)
+		p.busy(now, s, expected)
 	case result.Verdict == wigeonstep.BackendLeaving:
 		// Says nothing about the health of the server.
 	case failed(result):
--- a/wigeonrouting/server.go
+++ b/wigeonrouting/server.go
@@ -103,7 +103,11 @@
 )
 
 // busy decreases the limit by half, or lets the server rest when the limit is already 1.
-func (p *Picker) busy(now time.Time, s *server) {
+func (p *Picker) busy(now time.Time, s *server, expected time.Duration) {
+	if occupied := min(expected, longestBlock); occupied > 0 {
+		s.blocked++
+		p.after(s, now.Add(p.jitter(occupied)), timerBlock)
+	}
 	s.limit = min(s.limit, float64(max(s.share, 1)))
 	if !s.lastCut.IsZero() && now.Sub(s.lastCut) < cutSpan && s.limit > 1 {
 		return
