--- a/wigeoncontrol/world_test.go
+++ b/wigeoncontrol/world_test.go
@@ -55,6 +55,8 @@
 	// worst is the largest loss seen beyond a budget.
 	worst int
 	moves int
+	// lost counts VMs declared failed or gone.
+	lost int
 	// held is the sum over seconds of VMs in service beyond what the documents ask for.
 	held    int
 	seconds int
@@ -64,10 +66,12 @@
 type machine struct {
 	wigeonstep.ListedVM
 	dead, neverBack, draining bool
-	upAt                      time.Time
-	busyUntil                 time.Time
-	fence, rebootEpoch        wigeonstep.Epoch
-	reboots, checkpoints      int
+	// hidden VMs work and are missing from the list.
+	hidden               bool
+	upAt                 time.Time
+	busyUntil            time.Time
+	fence, rebootEpoch   wigeonstep.Epoch
+	reboots, checkpoints int
 }
 
 type entry struct {
@@ -228,7 +232,7 @@
 func (w *world) trueList() *wigeonstep.VMList {
 	list := &wigeonstep.VMList{Pools: w.pools, Age: listLag}
 	for _, id := range w.ids {
-		if m := w.machines[id]; m != nil {
+		if m := w.machines[id]; m != nil && !m.hidden {
 			listed := m.ListedVM
 			listed.Leaving = listed.Leaving || m.draining
 			listed.Up = m.Up && !m.dead
@@ -295,9 +299,7 @@
 		}
 		before := w.state.View()
 		if verdict := w.append(d.session, entry); verdict.Accepted {
-			if t := entry.GetVmTransition(); t.GetPool() != "" && before.VMs[wigeonstep.VMID(t.GetVm())].Pool != wigeonstep.PoolName(t.GetPool()) {
-				w.stats.moves++
-			}
+			w.count(entry.GetVmTransition(), before)
 		}
 		if w.dies(d) {
 			return
@@ -316,6 +318,15 @@
 	}
 }
 
+func (w *world) count(t *wigeonwire.VMTransition, before *wigeonstate.View) {
+	if t.GetPool() != "" && before.VMs[wigeonstep.VMID(t.GetVm())].Pool != wigeonstep.PoolName(t.GetPool()) {
+		w.stats.moves++
+	}
+	if t.GetTo() == wigeonwire.Phase_PHASE_FAILED || t.GetTo() == wigeonwire.Phase_PHASE_GONE {
+		w.stats.lost++
+	}
+}
+
 func (w *world) dies(d *daemon) bool {
 	w.steps++
 	if w.steps-1 != w.dieAt {
--- a/wigeonpool/fleet.go
+++ b/wigeonpool/fleet.go
@@ -25,6 +25,8 @@
 	byID  map[wigeonstep.PoolName]*Pool
 	// down holds the VMs of this data centre that do not work by the observations, in whatever phase.
 	down []*wigeonstate.VM
+	// leaving holds the VMs of this data centre that the platform takes away while they are in service.
+	leaving []*wigeonstate.VM
 	// entryPools holds the pools with a VM that runs a process of wigeonstep.
 	entryPools map[wigeonstep.PoolName]bool
 }
--- a/wigeonpool/pool.go
+++ b/wigeonpool/pool.go
@@ -85,6 +85,8 @@
 	for _, vm := range p.VMs {
 		if vm.Phase != wigeonwire.Phase_PHASE_IN_SERVICE {
 			p.Out = append(p.Out, vm)
+		} else if vm.Leaving && f.Own(vm) {
+			f.leaving = append(f.leaving, vm)
 		}
 		down := f.Down(vm)
 		if down && f.Own(vm) {
--- a/wigeonpool/repair.go
+++ b/wigeonpool/repair.go
@@ -30,6 +30,13 @@
 		p.repairVM(plan, fleet, vm, fleet.Now.Sub(first))
 	}
 	p.absent = since
+	for _, vm := range fleet.leaving {
+		if !fleet.Down(vm) && !fleet.entryPools[vm.Pool] {
+			plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_DRAINING, "", "", Reason{
+				Cause: "the VM list says that the VM is leaving", Rule: "a leaving VM drains at once, since it is lost to its pool anyway", Figures: fleet.Pool(vm.Pool).BudgetFigures(fleet),
+			})
+		}
+	}
 }
 
 func (p *Planner) repairVM(plan *Plan, fleet *Fleet, vm *wigeonstate.VM, down time.Duration) {
