--- a/wigeoncontrol/fault_test.go
+++ b/wigeoncontrol/fault_test.go
@@ -25,6 +25,7 @@
 
 // A platform that is silent or shows too little must not look like the failure of VMs.
 func TestSilentPlatformFailsNoVM(t *testing.T) {
+	t.Parallel()
 	w := settled(t, "a")
 	for _, fault := range []string{"empty", "stale"} {
 		w.listFault = fault
@@ -48,6 +49,7 @@
 
 // A single VM that vanishes is news: it must count as lost within seconds and leave the fleet after a minute.
 func TestVanishedVMIsReplaced(t *testing.T) {
+	t.Parallel()
 	w := settled(t, "a")
 	w.machines[w.ids[0]].hidden = true
 	w.run(15*time.Second, nil)
@@ -57,6 +59,7 @@
 
 // A VM that a list without news would show as failed for ever must not be failed while the list is stale.
 func TestRebootUnderStaleList(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, planners{}, "a")
 	w.addVMs("orders", 3, 32)
 	w.run(10*time.Second, nil)
@@ -83,6 +86,7 @@
 
 // A VM that does not come back from its reboot must be failed after 10 minutes, replaced from the spare pool, and reported.
 func TestVMThatStaysDownIsReplaced(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, planners{}, "a")
 	w.addVMs("orders", 3, 32)
 	w.addVMs("spare", 2, 32)
@@ -107,6 +111,7 @@
 
 // A data centre that is cut off must keep its assignments, and the others must count its VMs as unavailable.
 func TestCutOffDataCentreChangesNothing(t *testing.T) {
+	t.Parallel()
 	w := settled(t, "a", "b", "c")
 	w.cut("b", true)
 	before := map[wigeonstep.VMID]wigeonstep.Epoch{}
@@ -145,6 +150,7 @@
 
 // Work that does not end in time must never be cut off: the VM returns to service and drains again later.
 func TestDrainThatDoesNotEnd(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, planners{}, "a")
 	w.addVMs("ovens", 2, 32)
 	w.run(10*time.Second, nil)
@@ -166,6 +172,7 @@
 
 // A document that allows a checkpoint lets the VM drain although its work would not end.
 func TestDrainByCheckpoint(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, planners{}, "a")
 	w.addVMs("ovens", 2, 32)
 	w.run(10*time.Second, nil)
@@ -181,6 +188,7 @@
 
 // A VM that the platform takes away must drain at once and be replaced; wigeonstep's own drains must not look like that.
 func TestLeavingVM(t *testing.T) {
+	t.Parallel()
 	w := settled(t, "a")
 	for _, vm := range w.state.View().VMs {
 		w.c.Assert(vm.Leaving, qt.IsFalse, qt.Commentf("%s", vm.ID))
--- a/wigeoncontrol/load_test.go
+++ b/wigeoncontrol/load_test.go
@@ -37,6 +37,7 @@
 // A queue that demands five times its mean for seconds must cause no move; load that stays must. Moves as soon as load
 // exceeds a pool chase every burst.
 func TestBurstAgainstLastingLoad(t *testing.T) {
+	t.Parallel()
 	bursts := func(config wigeonpool.Config) int {
 		w := loaded(t, config, "{}")
 		for range 6 {
@@ -62,6 +63,7 @@
 // The weights must change the result in the stated direction: where moves weigh most there are fewer of them, and where
 // the buffer weighs most less capacity stays idle.
 func TestWeightsOfBothUsers(t *testing.T) {
+	t.Parallel()
 	run := func(buffer, moves int) (int, int) {
 		w := loaded(t, wigeonpool.Config{}, fmt.Sprintf("{buffer_weight: %d, moves_weight: %d}", buffer, moves))
 		idle := 0
--- a/wigeoncontrol/policy_test.go
+++ b/wigeoncontrol/policy_test.go
@@ -44,6 +44,7 @@
 // A rack that is lost in mid-wave must break no budget that would hold without the wave. A fixed batch as large as the
 // budget breaks it, which shows that the test can fail; one VM at a time keeps it and takes longer.
 func TestWavePolicyAgainstBaselines(t *testing.T) {
+	t.Parallel()
 	results := map[string]*stats{}
 	took := map[string]time.Duration{}
 	for _, p := range []struct {
--- a/wigeoncontrol/wave_test.go
+++ b/wigeoncontrol/wave_test.go
@@ -9,6 +9,7 @@
 
 // A wave over a healthy pool must reach every VM and never exceed the budget.
 func TestWaveMaintainsEveryVMOnce(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, planners{}, "a", "b", "c")
 	w.addVMs("orders", 12, 32)
 	w.addVMs("spare", 3, 32)
