Test the control daemon with the real follower through kills

Cause: only the planners were tested, not the daemon's goroutines. Change: a test runs two daemons, the real follower and the in-memory platform with a simulated clock (testing/synctest); the daemons are killed in turn every 40 s and 2% of the append responses are lost.

--- /dev/null
+++ b/wigeoncontrol/run_test.go
@@ -0,0 +1,124 @@
+package wigeoncontrol_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeoncontrol"
+	"github.com/wigeonstep/wigeonstep/wigeonfake"
+	"github.com/wigeonstep/wigeonstep/wigeonfollow"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// process is a follower with an optional control daemon, in one synctest bubble.
+type process struct {
+	follower *wigeonfollow.Follower
+	cancel   context.CancelFunc
+	ended    sync.WaitGroup
+}
+
+func (p *process) kill() {
+	p.cancel()
+	p.ended.Wait()
+}
+
+func startProcess(platform *wigeonfake.Platform, id wigeonstep.SessionID, role wigeonwire.Role, address string) *process {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &process{cancel: cancel, follower: wigeonfollow.New(wigeonfollow.Config{
+		Log: platform.Client(address), Session: id,
+		Open: &wigeonwire.SessionOpen{Role: role, DataCentre: "a", PeerAddress: address},
+	})}
+	p.follower.SetReady(true, false)
+	p.ended.Go(func() { _ = p.follower.Run(ctx) })
+	if role == wigeonwire.Role_ROLE_CONTROL {
+		p.ended.Go(func() {
+			_ = wigeoncontrol.Run(ctx, wigeoncontrol.Config{
+				DataCentre: "a", Follower: p.follower, Platform: platform.Client(address),
+				Probe: func(_ context.Context, address string) error {
+					for _, vm := range platform.VMs() {
+						if vm.Address == address && vm.Up {
+							return nil
+						}
+					}
+					return errors.New("no answer")
+				},
+			})
+		})
+	}
+	return p
+}
+
+// The daemon with its goroutines, the real follower and two of them in one data centre must maintain every VM once, although
+// the one that plans is killed every 40 s and the platform loses responses to appends.
+func TestRunMaintainsThroughKills(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		platform := &wigeonfake.Platform{Seed: 1}
+		defer platform.Close()
+		platform.SetFaults(wigeonfake.Faults{RebootTime: 20 * time.Second, ListLag: time.Second, LoseAppendAnswers: 0.02})
+		for i := range 4 {
+			platform.AddVM(wigeonstep.ListedVM{
+				ID: wigeonstep.VMID(fmt.Sprint("vm-", i)), DataCentre: "a", Rack: "r", Pool: "orders", Address: fmt.Sprint("vm-", i, ":1"),
+				Shape: wigeonstep.Shape{Cores: 32, MemoryGB: 64, Slots: 8, Connections: 64},
+			})
+		}
+		platform.AddPool(wigeonstep.SparePool)
+		entry := startProcess(platform, 0xe1, wigeonwire.Role_ROLE_ENTRY, "entry")
+		defer entry.kill()
+		operator := startProcess(platform, 0xd1, wigeonwire.Role_ROLE_OPERATOR, "operator")
+		defer operator.kill()
+		controls := []*process{}
+		for i := range 2 {
+			controls = append(controls, startProcess(platform, wigeonstep.SessionID(0xc0+i), wigeonwire.Role_ROLE_CONTROL, fmt.Sprint("control", i)))
+		}
+		defer func() {
+			for _, p := range controls {
+				p.kill()
+			}
+		}()
+		time.Sleep(10 * time.Second)
+		_, err := operator.follower.Propose(t.Context(), &wigeonwire.Entry{Body: &wigeonwire.Entry_DocumentChange{DocumentChange: &wigeonwire.DocumentChange{
+			ChangeId: "1", Service: "orders", Operator: "test",
+			Content: []byte("service: orders\nteam: t\npool: orders\ncapacity: {workers: 3}\nclasses: [{name: c}]\nmaintenance: {max_drain_s: 20}\n"),
+		}}})
+		c.Assert(err, qt.IsNil)
+
+		next := wigeonstep.SessionID(0xc8)
+		for range 30 {
+			if maintainedBy(entry.follower) {
+				break
+			}
+			time.Sleep(40 * time.Second)
+			i := int(next) % 2
+			controls[i].kill()
+			controls[i] = startProcess(platform, next, wigeonwire.Role_ROLE_CONTROL, fmt.Sprint("control", i))
+			next++
+		}
+		t.Logf("%d daemons were killed", next-0xc8)
+		c.Assert(maintainedBy(entry.follower), qt.IsTrue)
+		time.Sleep(30 * time.Second)
+		for _, vm := range platform.VMs() {
+			c.Assert(vm.Reboots, qt.Equals, 1, qt.Commentf("%s", vm.ID))
+			c.Assert(vm.Draining, qt.IsFalse, qt.Commentf("%s", vm.ID))
+		}
+		c.Assert(entry.follower.View().Waves, qt.HasLen, 0)
+	})
+}
+
+func maintainedBy(f *wigeonfollow.Follower) bool {
+	view := f.View()
+	for _, vm := range view.VMs {
+		if vm.LastWave == "" || vm.Phase != wigeonwire.Phase_PHASE_IN_SERVICE {
+			return false
+		}
+	}
+	return len(view.VMs) == 4
+}
