Hold moves while the platform is silent, and record pauses of waves

Cause: a failed VM on its way to the spare pool could be given to a pool while the list proved nothing; a VM that is down returned to service when its drain did not end; a wave that stopped left no trace for explain. Change: no VM changes its pool in a data centre whose list is not trusted; a VM that is down ends its drain as failed; a wave records pause and resume; tests of targets, room, placement and leaving VMs.

--- a/wigeoncontrol/wave_test.go
+++ b/wigeoncontrol/wave_test.go
@@ -24,3 +24,26 @@
 		w.c.Assert(w.machines[id].reboots, qt.Equals, 1, qt.Commentf("%s", id))
 	}
 }
+
+// A wave must stop while failures use up the budget, resume once they are replaced, and record both for explain.
+func TestWavePausesForFailures(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, planners{}, "a")
+	w.addVMs("orders", 11, 32)
+	w.addVMs("spare", 3, 32)
+	w.run(10*time.Second, nil)
+	w.document("orders", 0, 10, "availability: {max_unavailable_workers: 2}\nmaintenance: {max_drain_s: 40}\n")
+	w.c.Assert(w.run(10*time.Minute, func() bool { return len(w.state.View().Waves) == 2 }), qt.IsTrue)
+	w.kill(w.ids[0], w.ids[1])
+	wave := w.state.View().Waves[0].ID
+	var actions []string
+	w.c.Assert(w.run(time.Hour, func() bool {
+		actions = nil
+		for _, e := range w.state.Explain("wave", string(wave)) {
+			actions = append(actions, e.GetDecision().GetAction())
+		}
+		return actions[len(actions)-1] == "end"
+	}), qt.IsTrue)
+	w.c.Assert(actions, qt.DeepEquals, []string{"start", "pause", "resume", "end"})
+	w.c.Assert(w.maintained("orders"), qt.IsTrue)
+}
--- a/wigeonmaintenance/planner.go
+++ b/wigeonmaintenance/planner.go
@@ -31,10 +31,12 @@
 }
 
 // Planner plans waves and the phases of VMs. Everything that must last is in the fold; the planner remembers only
-// what it waited for in other data centres. Its methods are called from one goroutine.
+// what it waited for in other data centres and which pauses it recorded. Its methods are called from one goroutine.
 type Planner struct {
 	config  Config
 	waiting map[wigeonstep.PoolName]awaited
+	// paused holds the waves whose pause was recorded.
+	paused map[wigeonstep.WaveID]bool
 }
 
 // awaited is a drain that the planner of another data centre was expected to propose.
@@ -51,7 +53,7 @@
 	if config.Policy == nil {
 		config.Policy = BudgetPolicy
 	}
-	return &Planner{config: config, waiting: map[wigeonstep.PoolName]awaited{}}
+	return &Planner{config: config, waiting: map[wigeonstep.PoolName]awaited{}, paused: map[wigeonstep.WaveID]bool{}}
 }
 
 // Plan returns the proposals and actions of one round.
--- a/wigeonmaintenance/step.go
+++ b/wigeonmaintenance/step.go
@@ -55,6 +55,10 @@
 	case spent <= pool.MaxDrain:
 	case pool.Checkpoint && spent <= pool.MaxDrain+checkpointGrace:
 		plan.Act(fleet, wigeonpool.Action{Kind: wigeonpool.ActionCheckpoint, VM: vm.ID, Epoch: vm.Epoch})
+	case fleet.Down(vm):
+		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_FAILED, "", "", wigeonpool.Reason{
+			Cause: "the VM is down and an entry process may still use it", Rule: "a VM that is down does not return to service", Figures: elapsed(fleet, vm),
+		})
 	default:
 		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_IN_SERVICE, "", "", wigeonpool.Reason{
 			Cause:   "work was still in flight when max_drain_s had passed",
--- a/wigeonmaintenance/wave.go
+++ b/wigeonmaintenance/wave.go
@@ -98,8 +98,10 @@
 		if room {
 			p.drain(plan, fleet, pool, wave, ready)
 		}
+		p.recordPause(plan, fleet, pool, wave, !room && pool.Planned == 0)
 		return
 	}
+	delete(p.paused, wave.ID)
 	if fleet.Leads(pool) {
 		plan.Entries = append(plan.Entries, &wigeonwire.Entry{Body: &wigeonwire.Entry_WaveEnd{WaveEnd: &wigeonwire.WaveEnd{
 			Wave: string(wave.ID), Reason: fmt.Sprintf("done=%d failed=%d total=%d", wave.Done, failed, wave.Total),
@@ -107,6 +109,25 @@
 	}
 }
 
+// recordPause records when failures leave no room for a drain, and when the wave goes on.
+func (p *Planner) recordPause(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, wave *wigeonstate.Wave, paused bool) {
+	if paused == p.paused[wave.ID] {
+		return
+	}
+	action, cause := "pause", "failures use up the disruption budget"
+	if paused {
+		p.paused[wave.ID] = true
+	} else {
+		delete(p.paused, wave.ID)
+		action, cause = "resume", "the disruption budget has room again"
+	}
+	if fleet.Leads(pool) {
+		plan.Decide("wave", string(wave.ID), action, wigeonpool.Reason{
+			Cause: cause, Rule: "a wave stops while failures use up the budget", Figures: pool.BudgetFigures(),
+		})
+	}
+}
+
 // drainable reports whether the VM may be chosen for a drain. A VM that changed its phase lately is left alone for as long
 // as a drain may take, at most maxRest: it may have returned from a drain that did not end in time.
 func drainable(fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) bool {
--- a/wigeonpool/move.go
+++ b/wigeonpool/move.go
@@ -42,7 +42,8 @@
 
 func (m *moves) collect(pool *Pool) {
 	for _, vm := range pool.Out {
-		if InTransit(vm) && m.fleet.HasControl(vm.DataCentre) {
+		// While the platform is silent, nothing shows whether the VM works, and no VM changes its pool.
+		if InTransit(vm) && m.fleet.HasControl(vm.DataCentre) && m.trusted(vm) {
 			m.transit = append(m.transit, vm)
 		}
 	}
--- a/wigeonpool/pool.go
+++ b/wigeonpool/pool.go
@@ -50,7 +50,7 @@
 	// listed and available stand beside VMs, so that a round looks each VM up in the VM list once.
 	listed    []*wigeonstep.ListedVM
 	available []bool
-	// first is the first data centre by name that has VMs of the pool and an open control session.
+	// first is the first data centre by name that has VMs of the pool and an open control session; any for an empty pool.
 	first wigeonstep.DataCentreName
 }
 
@@ -93,6 +93,13 @@
 		// A pool without a document promises nothing, but three quarters of the spare pool stay ready for repair.
 		p.MaxUnavailable = max(1, len(p.VMs)/4)
 	}
+	if len(p.VMs) == 0 {
+		for name, z := range f.zones {
+			if z.control && (p.first == "" || name < p.first) {
+				p.first = name
+			}
+		}
+	}
 	p.available = make([]bool, len(p.VMs))
 	z, name := (*zone)(nil), wigeonstep.DataCentreName("")
 	for i, vm := range p.VMs {
--- /dev/null
+++ b/wigeonpool/pool_test.go
@@ -0,0 +1,181 @@
+package wigeonpool_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeondocument"
+	"github.com/wigeonstep/wigeonstep/wigeonpool"
+	"github.com/wigeonstep/wigeonstep/wigeonstate"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+var noon = time.Unix(1_800_000_000, 0)
+
+// vm returns a VM in service; where is "data centre/rack".
+func vm(id, where, pool string, cores, accelerators int) *wigeonstate.VM {
+	return &wigeonstate.VM{
+		ID: wigeonstep.VMID(id), DataCentre: wigeonstep.DataCentreName(where[:1]), Rack: wigeonstep.RackName(where[2:]), Pool: wigeonstep.PoolName(pool),
+		Phase: wigeonwire.Phase_PHASE_IN_SERVICE, Epoch: 1, PhaseSince: noon.Add(-time.Hour),
+		Shape: wigeonstep.Shape{Cores: cores, MemoryGB: 2 * cores, Accelerators: accelerators, Slots: 8},
+	}
+}
+
+func document(pool string, workers int, change func(d *wigeondocument.Document)) *wigeonstate.Service {
+	d := &wigeondocument.Document{Service: wigeonstep.ServiceName(pool), Pool: wigeonstep.PoolName(pool)}
+	d.Capacity.Workers = workers
+	d.Availability.MaxUnavailableWorkers = 1
+	d.Maintenance.MaxDrainS = 300
+	d.Objective = wigeondocument.Objective{BufferWeight: 1, MovesWeight: 1}
+	if change != nil {
+		change(d)
+	}
+	return &wigeonstate.Service{Version: 1, Document: d}
+}
+
+// fleet returns a round of data centre a with control sessions in all data centres, in which the list shows every VM up.
+func fleet(now time.Time, vms []*wigeonstate.VM, services ...*wigeonstate.Service) *wigeonpool.Fleet {
+	view := &wigeonstate.View{
+		Time: now, VMs: map[wigeonstep.VMID]*wigeonstate.VM{}, Pools: map[wigeonstep.PoolName][]*wigeonstate.VM{},
+		Services: map[wigeonstep.ServiceName]*wigeonstate.Service{},
+	}
+	list := &wigeonstep.VMList{}
+	for _, vm := range vms {
+		view.VMs[vm.ID] = vm
+		view.Pools[vm.Pool] = append(view.Pools[vm.Pool], vm)
+		list.VMs = append(list.VMs, wigeonstep.ListedVM{ID: vm.ID, DataCentre: vm.DataCentre, Rack: vm.Rack, Pool: vm.Pool, Shape: vm.Shape, Up: true})
+	}
+	for i, zone := range []wigeonstep.DataCentreName{"a", "b", "c"} {
+		view.Sessions = append(view.Sessions, &wigeonstate.Session{ID: wigeonstep.SessionID(i + 1), Role: wigeonwire.Role_ROLE_CONTROL, DataCentre: zone})
+	}
+	for _, s := range services {
+		view.Services[s.Document.Service] = s
+	}
+	return wigeonpool.NewFleet(view, now, "a", wigeonpool.Observations{Listing: wigeonpool.NewListing(list, now)})
+}
+
+// The target must hold what the document asks for, the headroom of the domain that is to be survived, and one VM.
+func TestTarget(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		survive wigeondocument.FailureDomain
+		want    int
+	}{
+		{"none", wigeondocument.DomainNone, 7},
+		{"rack with two VMs of the pool", wigeondocument.DomainRack, 9},
+		{"data centre of three", wigeondocument.DomainDataCentre, 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			vms := []*wigeonstate.VM{
+				vm("1", "a/1", "p", 32, 0), vm("2", "a/1", "p", 32, 0), vm("3", "a/2", "p", 32, 0),
+				vm("4", "b/1", "p", 32, 0), vm("5", "c/1", "p", 32, 0), vm("6", "c/2", "p", 32, 0),
+			}
+			f := fleet(noon, vms, document("p", 6, func(d *wigeondocument.Document) { d.Availability.Survive = test.survive }))
+			qt.Assert(t, wigeonpool.Target(f, f.Pool("p")), qt.Equals, test.want)
+		})
+	}
+}
+
+// A reserve must stay free for a failure during a drain, but a pool with the smallest budget must still be maintained.
+func TestRoom(t *testing.T) {
+	for _, test := range []struct {
+		name         string
+		budget, lost int
+		racks        int
+		want         int
+	}{
+		{"budget of one, nothing lost", 1, 0, 12, 1},
+		{"budget of one, one lost", 1, 1, 12, 0},
+		{"budget of two keeps one", 2, 0, 12, 1},
+		{"budget of two, one lost", 2, 1, 12, 0},
+		{"budget of four, racks of one", 4, 0, 12, 3},
+		{"budget of four, racks of three", 4, 0, 4, 1},
+		{"budget of four, racks of six cannot be provided for", 4, 0, 2, 3},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var vms []*wigeonstate.VM
+			for i := range 12 {
+				vms = append(vms, vm(fmt.Sprint(100+i), fmt.Sprint("a/", i%test.racks), "p", 32, 0))
+				if i < test.lost {
+					vms[i].Phase = wigeonwire.Phase_PHASE_FAILED
+				}
+			}
+			f := fleet(noon, vms, document("p", 10, func(d *wigeondocument.Document) { d.Availability.MaxUnavailableWorkers = test.budget }))
+			qt.Assert(t, f.Pool("p").Room(), qt.Equals, test.want)
+		})
+	}
+}
+
+// VMs of donated machines differ: the smallest one that satisfies the shape must move, and a pool that is to survive the
+// loss of a data centre must take the one that spreads it. A VM that fits nowhere stays.
+func TestPlacementOfMismatchedVMs(t *testing.T) {
+	spares := func() []*wigeonstate.VM {
+		return []*wigeonstate.VM{
+			vm("small", "a/1", "spare", 8, 0), vm("accelerated", "a/2", "spare", 32, 4), vm("large", "a/3", "spare", 64, 0), vm("fitting", "a/4", "spare", 32, 0),
+			vm("used", "b/1", "p", 32, 0),
+		}
+	}
+	for _, test := range []struct {
+		name   string
+		change func(d *wigeondocument.Document)
+		vms    []*wigeonstate.VM
+		want   string
+	}{
+		{"smallest that fits", func(d *wigeondocument.Document) { d.Capacity.Cores = 16 }, spares(), "fitting"},
+		{"accelerators", func(d *wigeondocument.Document) { d.Capacity.Accelerators = 2 }, spares(), "accelerated"},
+		{"memory", func(d *wigeondocument.Document) { d.Capacity.MemoryGB = 100 }, spares(), "large"},
+		{"nothing fits", func(d *wigeondocument.Document) { d.Capacity.Cores = 65 }, spares(), ""},
+		{
+			"spread before size", func(d *wigeondocument.Document) { d.Availability.Survive = wigeondocument.DomainDataCentre },
+			[]*wigeonstate.VM{vm("near", "b/2", "spare", 8, 0), vm("far", "a/1", "spare", 64, 0), vm("used", "b/1", "p", 8, 0)}, "far",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := fleet(noon, test.vms, document("p", 2, test.change))
+			drained := ""
+			for _, e := range wigeonpool.NewPlanner(wigeonpool.Config{}).Plan(f).Entries {
+				if t := e.GetVmTransition(); t != nil && drained == "" {
+					drained = t.GetVm()
+				}
+			}
+			qt.Assert(t, drained, qt.Equals, test.want)
+		})
+	}
+}
+
+// The list shows a VM as leaving also while wigeonstep drains it. Only a VM in service that the platform had taken back
+// may be recorded as leaving.
+func TestLeavingIsToldFromOwnDrain(t *testing.T) {
+	c := qt.New(t)
+	p := wigeonpool.NewPlanner(wigeonpool.Config{})
+	v := vm("1", "a/1", "p", 32, 0)
+	round := func(after time.Duration, leaving bool, confirmed map[wigeonpool.Action]time.Time) (observed bool, plan wigeonpool.Plan) {
+		now := noon.Add(after)
+		f := fleet(now, []*wigeonstate.VM{v})
+		f.Seen.Listing.List.VMs[0].Leaving = leaving
+		f.Seen.Confirmed = confirmed
+		plan = p.Plan(f)
+		for _, e := range plan.Entries {
+			observed = observed || e.GetVmObserve().GetLeaving()
+		}
+		return observed, plan
+	}
+	v.Phase = wigeonwire.Phase_PHASE_DRAINING
+	observed, _ := round(0, true, nil)
+	c.Assert(observed, qt.IsFalse, qt.Commentf("draining"))
+
+	v.Phase, v.Epoch, v.PhaseSince = wigeonwire.Phase_PHASE_IN_SERVICE, 4, noon
+	observed, plan := round(time.Second, true, nil)
+	c.Assert(observed, qt.IsFalse, qt.Commentf("the platform has not taken the VM back yet"))
+	assign := wigeonpool.Action{Kind: wigeonpool.ActionAssign, VM: "1", Epoch: 4, Pool: "p"}
+	c.Assert(plan.Actions, qt.DeepEquals, []wigeonpool.Action{assign})
+
+	confirmed := map[wigeonpool.Action]time.Time{assign: noon.Add(2 * time.Second)}
+	round(3*time.Second, false, confirmed)
+	observed, _ = round(4*time.Second, true, confirmed)
+	c.Assert(observed, qt.IsTrue, qt.Commentf("the platform itself takes the VM away"))
+}
