Compare the planners with fixed headroom and with greedy moves

Cause: the exported baselines were used only for bursts. Change: one scenario with bursts, a wave and three VMs that fail at once.

--- a/wigeoncontrol/policy_test.go
+++ b/wigeoncontrol/policy_test.go
@@ -1,12 +1,15 @@
 package wigeoncontrol_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/wigeonstep/wigeonstep/wigeonmaintenance"
+	"github.com/wigeonstep/wigeonstep/wigeonpool"
+	"github.com/wigeonstep/wigeonstep/wigeonstate"
 )
 
 // rackLoss runs a wave in which a rack of the pool fails after the given time and another VM two minutes later. It adds
@@ -64,3 +67,50 @@
 	c.Assert(results["batch"].breaches > 0, qt.IsTrue)
 	c.Assert(took["budget"] < took["single"], qt.IsTrue)
 }
+
+// The planners are compared with two common practices under one load and three VMs that fail at once: fixed headroom with one VM at a time
+// holds more idle capacity and takes longer; greedy moves with full batches move more and exceed the budget.
+func TestPlannersAgainstBaselines(t *testing.T) {
+	t.Parallel()
+	type result struct {
+		stats
+		took time.Duration
+	}
+	run := func(name string, config planners) result {
+		w := newWorld(t, config, "a")
+		w.addVMs("orders", 15, 32)
+		w.addVMs("spare", 7, 32)
+		w.run(10*time.Second, nil)
+		w.document("orders", 0, 10, "availability: {max_unavailable_workers: 6}\nmaintenance: {max_drain_s: 60}\n")
+		w.c.Assert(w.run(10*time.Minute, func() bool { return len(w.state.View().Waves) > 0 }), qt.IsTrue)
+		r, start := result{}, w.now
+		for minute := range 90 {
+			w.loads["orders"] = 8 * 2
+			if minute%6 == 0 {
+				w.loads["orders"] = 8 * 40
+			}
+			w.run(20*time.Second, nil)
+			w.loads["orders"] = 8 * 2
+			if minute == 2 {
+				serving := slices.DeleteFunc(slices.Clone(w.state.View().Pools["orders"]), func(vm *wigeonstate.VM) bool { return !vm.InService() })
+				w.kill(serving[0].ID, serving[1].ID, serving[2].ID)
+			}
+			w.run(40*time.Second, nil)
+			if r.took == 0 && w.maintained("orders") {
+				r.took = w.now.Sub(start)
+			}
+		}
+		r.stats = w.stats
+		t.Logf("%-29s roll-out %-8s budget exceeded for %3d s, %.2f VMs held above need, %d moves",
+			name, r.took, r.breaches, float64(r.held)/float64(r.seconds), r.moves)
+		w.c.Assert(r.took > 0, qt.IsTrue)
+		return r
+	}
+	ours := run("ours", planners{})
+	fixed := run("fixed headroom, one at a time", planners{pool: wigeonpool.FixedHeadroom(50), maintenance: wigeonmaintenance.Config{Policy: wigeonmaintenance.BatchPolicy(1)}})
+	greedy := run("greedy moves, full batches", planners{pool: wigeonpool.GreedyMoves(), maintenance: wigeonmaintenance.Config{Policy: wigeonmaintenance.BatchPolicy(6)}})
+	c := qt.New(t)
+	c.Assert(ours.breaches, qt.Equals, 0)
+	c.Assert(ours.took < fixed.took && ours.held < fixed.held, qt.IsTrue)
+	c.Assert(greedy.breaches > 0 && ours.moves < greedy.moves, qt.IsTrue)
+}
