--- a/wigeoncontrol/bench_test.go
+++ b/wigeoncontrol/bench_test.go
@@ -108,3 +108,29 @@
 	list := w.trueList()
 	return w.state.View(), list, w.now
 }
+
+// BenchmarkListing measures what a reading of the VM list costs when nothing changed, against indexing it anew.
+func BenchmarkListing(b *testing.B) {
+	for _, vms := range []int{50, 500, 7300} {
+		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
+			list := &wigeonstep.VMList{}
+			for i := range vms {
+				list.VMs = append(list.VMs, wigeonstep.ListedVM{ID: wigeonstep.VMID(fmt.Sprint("vm-", i)), DataCentre: "a", Address: fmt.Sprint("10.0.0.", i), Up: true})
+			}
+			now := time.Unix(1_800_000_000, 0)
+			same := &wigeonstep.VMList{VMs: append([]wigeonstep.ListedVM(nil), list.VMs...)}
+			listing := wigeonpool.NewListing(list, now)
+			b.ReportAllocs()
+			for b.Loop() {
+				listing = listing.Next(same, now)
+			}
+			perRead := float64(b.Elapsed()) / float64(b.N)
+			b.StopTimer()
+			start, reads := time.Now(), 0
+			for ; time.Since(start) < 200*time.Millisecond; reads++ {
+				wigeonpool.NewListing(list, now)
+			}
+			b.ReportMetric(perRead/(float64(time.Since(start))/float64(reads)), "x_list_index")
+		})
+	}
+}
