Measure the return of VMs on one clock

Cause: with one clock an hour ahead the fold time is ahead of the time of the VM list for good, so a rebooted VM was never seen up again. Change: whether a list is newer than a phase is judged by when this process first saw the phase; a VM fails only when the time has passed in the fold and for this process, since fold time runs fast after an outage.

--- a/wigeoncontrol/fault_test.go
+++ b/wigeoncontrol/fault_test.go
@@ -227,3 +227,30 @@
 	w.machines[left] = nil
 	w.c.Assert(w.run(3*time.Minute, func() bool { return w.vm(left) == nil }), qt.IsTrue)
 }
+
+// A clock that is an hour ahead, or fold time that catches up after an outage of the log, must neither fail VMs that
+// reboot nor stop a wave.
+func TestFoldTimeApartFromClock(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name   string
+		ahead  time.Duration
+		outage time.Duration
+	}{{"one clock an hour ahead", time.Hour, 0}, {"an outage of an hour in mid-wave", 0, time.Hour}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t, planners{}, "a")
+			w.addVMs("orders", 5, 32)
+			w.run(10*time.Second, nil)
+			w.document("orders", 0, 3, "maintenance: {max_drain_s: 40}\n")
+			w.c.Assert(w.run(10*time.Minute, func() bool { return w.phase(wigeonwire.Phase_PHASE_REBOOTING) > 0 }), qt.IsTrue)
+			w.skew = test.ahead
+			for range 2 * int(test.ahead/(5*time.Second)) {
+				w.renew()
+			}
+			w.now = w.now.Add(test.outage)
+			w.c.Assert(w.run(30*time.Minute, func() bool { return w.maintained("orders") }), qt.IsTrue)
+			w.c.Assert(w.stats.lost, qt.Equals, 0)
+		})
+	}
+}
--- a/wigeoncontrol/world_test.go
+++ b/wigeoncontrol/world_test.go
@@ -45,7 +45,9 @@
 	// steps counts what daemons have done; the daemon that reaches dieAt is restarted there.
 	steps, dieAt int
 	nextSession  uint64
-	stats        stats
+	// skew is how far the clocks of the authors of batches are ahead.
+	skew  time.Duration
+	stats stats
 }
 
 // stats are the figures that policies are compared by.
@@ -69,11 +71,11 @@
 	wigeonstep.ListedVM
 	dead, neverBack, draining bool
 	// hidden VMs work and are missing from the list.
-	hidden               bool
-	upAt                 time.Time
-	busyUntil            time.Time
-	fence, rebootEpoch   wigeonstep.Epoch
-	reboots, checkpoints int
+	hidden                        bool
+	upAt                          time.Time
+	busyUntil                     time.Time
+	fence, rebootEpoch, busyEpoch wigeonstep.Epoch
+	reboots, checkpoints          int
 }
 
 type entry struct {
@@ -144,7 +146,7 @@
 
 func (w *world) append(session uint64, entry *wigeonwire.Entry) wigeonstate.Verdict {
 	w.sequences[session]++
-	payload, err := proto.Marshal(&wigeonwire.Batch{Session: session, Sequence: w.sequences[session], AtUnixMs: w.now.UnixMilli(), Entries: []*wigeonwire.Entry{entry}})
+	payload, err := proto.Marshal(&wigeonwire.Batch{Session: session, Sequence: w.sequences[session], AtUnixMs: w.now.Add(w.skew).UnixMilli(), Entries: []*wigeonwire.Entry{entry}})
 	if err != nil {
 		w.t.Fatal(err)
 	}
@@ -259,8 +261,11 @@
 		if vm == nil || m == nil || vm.Phase != wigeonwire.Phase_PHASE_DRAINING {
 			continue
 		}
-		if m.busyUntil.Before(vm.PhaseSince) {
-			m.busyUntil = w.now.Add(time.Duration(5+w.rng.IntN(30)) * time.Second)
+		if m.busyEpoch != vm.Epoch {
+			m.busyEpoch = vm.Epoch
+			if m.busyUntil.Before(w.now) {
+				m.busyUntil = w.now.Add(time.Duration(5+w.rng.IntN(30)) * time.Second)
+			}
 		}
 		if w.now.Before(m.busyUntil) && !m.dead {
 			busy = append(busy, string(id))
--- a/wigeonmaintenance/planner.go
+++ b/wigeonmaintenance/planner.go
@@ -31,12 +31,19 @@
 }
 
 // Planner plans waves and the phases of VMs. Everything that must last is in the fold; the planner remembers only
-// what it waited for in other data centres and which pauses it recorded. Its methods are called from one goroutine.
+// what it waited for in other data centres, which pauses it recorded, and since when it has seen the phases of VMs. Its methods are called from one goroutine.
 type Planner struct {
 	config  Config
 	waiting map[wigeonstep.PoolName]awaited
 	// paused holds the waves whose pause was recorded.
 	paused map[wigeonstep.WaveID]bool
+	// phases holds when this process first saw each VM that is out of service in its phase.
+	phases map[wigeonstep.VMID]seenPhase
+}
+
+type seenPhase struct {
+	epoch wigeonstep.Epoch
+	since time.Time
 }
 
 // awaited is a drain that the planner of another data centre was expected to propose.
@@ -53,7 +60,7 @@
 	if config.Policy == nil {
 		config.Policy = BudgetPolicy
 	}
-	return &Planner{config: config, waiting: map[wigeonstep.PoolName]awaited{}, paused: map[wigeonstep.WaveID]bool{}}
+	return &Planner{config: config, waiting: map[wigeonstep.PoolName]awaited{}, paused: map[wigeonstep.WaveID]bool{}, phases: map[wigeonstep.VMID]seenPhase{}}
 }
 
 // Plan returns the proposals and actions of one round.
@@ -63,10 +70,11 @@
 	for _, w := range fleet.View.Waves {
 		waves[w.Pool] = w
 	}
+	p.watchPhases(fleet)
 	for _, pool := range fleet.Pools {
 		for _, vm := range pool.Out {
 			if fleet.Own(vm) {
-				step(&plan, fleet, pool, vm)
+				p.step(&plan, fleet, pool, vm)
 			}
 		}
 		if fleet.RunsSessions(pool) {
@@ -80,3 +88,21 @@
 	}
 	return plan
 }
+
+// watchPhases keeps since when this process has seen each VM of its data centre out of service in its phase.
+func (p *Planner) watchPhases(fleet *wigeonpool.Fleet) {
+	phases := make(map[wigeonstep.VMID]seenPhase, len(p.phases))
+	for _, pool := range fleet.Pools {
+		for _, vm := range pool.Out {
+			if !fleet.Own(vm) {
+				continue
+			}
+			seen, known := p.phases[vm.ID]
+			if !known || seen.epoch != vm.Epoch {
+				seen = seenPhase{epoch: vm.Epoch, since: fleet.Now}
+			}
+			phases[vm.ID] = seen
+		}
+	}
+	p.phases = phases
+}
--- a/wigeonmaintenance/step.go
+++ b/wigeonmaintenance/step.go
@@ -14,24 +14,23 @@
 	ReturnTimeout = 10 * time.Minute
 	// checkpointGrace is how long tasks have to end after a checkpoint was asked for.
 	checkpointGrace = time.Minute
-	// listMargin is how much later than a transition a VM list must be taken to prove something about the time after it.
-	// It covers the difference between the clocks of the authors of the fold time and of this process.
-	listMargin = 5 * time.Second
+	// listMargin is how much later than this process saw a phase a VM list must be taken to prove something about it.
+	listMargin = 2 * time.Second
 )
 
 // step plans the next step of one VM of this data centre that is out of service.
-func step(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) {
+func (p *Planner) step(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) {
 	switch vm.Phase {
 	case wigeonwire.Phase_PHASE_DRAINING:
 		stepDraining(plan, fleet, pool, vm)
 	case wigeonwire.Phase_PHASE_DRAINED:
 		stepDrained(plan, fleet, vm)
 	case wigeonwire.Phase_PHASE_REBOOTING:
-		stepRebooting(plan, fleet, vm)
+		p.stepRebooting(plan, fleet, vm)
 	case wigeonwire.Phase_PHASE_VERIFYING:
-		stepVerifying(plan, fleet, vm)
+		p.stepVerifying(plan, fleet, vm)
 	case wigeonwire.Phase_PHASE_FAILED:
-		if up(fleet, vm) && !vm.Leaving {
+		if p.up(fleet, vm) && !vm.Leaving {
 			plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_VERIFYING, "", "", wigeonpool.Reason{
 				Cause: "the VM list shows the failed VM up", Rule: "a failed VM is verified before it returns", Figures: elapsed(fleet, vm),
 			})
@@ -95,17 +94,17 @@
 	}
 }
 
-func stepRebooting(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
-	if up(fleet, vm) {
+func (p *Planner) stepRebooting(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
+	if p.up(fleet, vm) {
 		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_VERIFYING, "", "", wigeonpool.Reason{
 			Cause: "the VM list shows the VM up after its reboot", Rule: "a rebooted VM is verified before it returns", Figures: elapsed(fleet, vm),
 		})
 		return
 	}
-	failLate(plan, fleet, vm, "the VM did not come back from its reboot")
+	p.failLate(plan, fleet, vm, "the VM did not come back from its reboot")
 }
 
-func stepVerifying(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
+func (p *Planner) stepVerifying(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
 	probe := wigeonpool.Action{Kind: wigeonpool.ActionProbe, VM: vm.ID, Epoch: vm.Epoch}
 	listed := fleet.Listed(vm)
 	if listed != nil && listed.Up && fleet.Confirmed(probe) {
@@ -115,12 +114,14 @@
 		return
 	}
 	plan.Act(fleet, probe)
-	failLate(plan, fleet, vm, "the VM did not pass its verification")
+	p.failLate(plan, fleet, vm, "the VM did not pass its verification")
 }
 
-// failLate declares the VM failed after ReturnTimeout, unless the VM list proves nothing.
-func failLate(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM, cause string) {
-	if trusted, _ := fleet.ListTrusted(vm.DataCentre); !trusted || fleet.View.Time.Sub(vm.PhaseSince) <= ReturnTimeout {
+// failLate declares the VM failed after ReturnTimeout, unless the VM list proves nothing. The time must have passed in the
+// fold and for this process, since the fold time runs fast while it catches up after an outage of the log.
+func (p *Planner) failLate(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM, cause string) {
+	spent := min(fleet.View.Time.Sub(vm.PhaseSince), fleet.Now.Sub(p.phases[vm.ID].since))
+	if trusted, _ := fleet.ListTrusted(vm.DataCentre); !trusted || spent <= ReturnTimeout {
 		return
 	}
 	plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_FAILED, "", "", wigeonpool.Reason{
@@ -128,10 +129,11 @@
 	})
 }
 
-// up reports whether a VM list that was taken after the VM's last transition shows it up.
-func up(fleet *wigeonpool.Fleet, vm *wigeonstate.VM) bool {
+// up reports whether a VM list that was taken after this process saw the VM's phase shows it up. Both times are of the
+// same clock, which the fold time is not.
+func (p *Planner) up(fleet *wigeonpool.Fleet, vm *wigeonstate.VM) bool {
 	listed := fleet.Listed(vm)
-	return listed != nil && listed.Up && fleet.Seen.Listing.TakenAt.Sub(vm.PhaseSince) > listMargin
+	return listed != nil && listed.Up && fleet.Seen.Listing.TakenAt.Sub(p.phases[vm.ID].since) > listMargin
 }
 
 // Idle reports whether no entry process can still use a draining VM, by the rule of the fold.
--- a/wigeonpool/observe.go
+++ b/wigeonpool/observe.go
@@ -87,6 +87,7 @@
 	}
 	if len(p.settled) > len(l.List.VMs) {
 		maps.DeleteFunc(p.settled, func(id wigeonstep.VMID, _ wigeonstep.Epoch) bool { return fleet.View.VMs[id] == nil })
+		maps.DeleteFunc(p.out, func(id wigeonstep.VMID, _ time.Time) bool { return fleet.View.VMs[id] == nil })
 	}
 	for i := range l.List.VMs {
 		listed := &l.List.VMs[i]
@@ -96,6 +97,7 @@
 		vm := fleet.View.VMs[listed.ID]
 		if vm == nil || vm.Phase != wigeonwire.Phase_PHASE_IN_SERVICE || vm.Leaving {
 			delete(p.settled, listed.ID)
+			p.out[listed.ID] = fleet.Now
 			continue
 		}
 		if p.settled[vm.ID] == vm.Epoch {
@@ -103,13 +105,18 @@
 		}
 		assign := Action{Kind: ActionAssign, VM: vm.ID, Epoch: vm.Epoch, Pool: vm.Pool}
 		switch {
-		case listed.Pool == vm.Pool && !listed.Leaving && l.TakenAt.Sub(vm.PhaseSince) > settleAfter:
-			p.settled[vm.ID] = vm.Epoch
+		case listed.Pool == vm.Pool && !listed.Leaving && l.TakenAt.Sub(vm.PhaseSince) > settleAfter && fleet.Now.Sub(p.out[vm.ID]) > settleAfter:
+			p.markSettled(vm)
 		case fleet.Confirmed(assign) && l.TakenAt.After(fleet.Seen.Confirmed[assign]):
 			// The platform took the VM back before the list was taken, so what the list still says is its own decision.
-			p.settled[vm.ID] = vm.Epoch
+			p.markSettled(vm)
 		default:
 			plan.Act(fleet, assign)
 		}
 	}
 }
+
+func (p *Planner) markSettled(vm *wigeonstate.VM) {
+	p.settled[vm.ID] = vm.Epoch
+	delete(p.out, vm.ID)
+}
--- a/wigeonpool/planner.go
+++ b/wigeonpool/planner.go
@@ -19,10 +19,14 @@
 // Planner plans observation, repair and moves. It keeps only what may be lost at a restart: since when a shortage,
 // a surplus or an absence has lasted. Its methods are called from one goroutine.
 type Planner struct {
-	config  Config
-	pools   map[wigeonstep.PoolName]*history
-	absent  map[wigeonstep.VMID]time.Time
+	config Config
+	pools  map[wigeonstep.PoolName]*history
+	// absent holds since when each VM of this data centre has been seen down.
+	absent map[wigeonstep.VMID]time.Time
+	// settled holds the epoch at which the platform is known to have each VM of this data centre in its pool.
 	settled map[wigeonstep.VMID]wigeonstep.Epoch
+	// out holds when each VM of this data centre was last seen out of service, until it is settled.
+	out map[wigeonstep.VMID]time.Time
 	// silent holds since when a data centre has had no open control session.
 	silent map[wigeonstep.DataCentreName]time.Time
 	// listed are the pools of the last PoolObserve.
@@ -46,6 +50,7 @@
 		pools:   map[wigeonstep.PoolName]*history{},
 		absent:  map[wigeonstep.VMID]time.Time{},
 		settled: map[wigeonstep.VMID]wigeonstep.Epoch{},
+		out:     map[wigeonstep.VMID]time.Time{},
 		silent:  map[wigeonstep.DataCentreName]time.Time{},
 	}
 }
