--- a/wigeonprocess/control.go
+++ b/wigeonprocess/control.go
@@ -43,10 +43,11 @@
 }
 
 func (p *parts) plan(ctx context.Context, settings wigeonsettings.Control, book *demandBook) error {
-	if err := p.follower.WaitReady(ctx); err != nil {
-		if ctx.Err() != nil {
-			return nil
-		}
+	err := p.follower.WaitReady(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	if err != nil {
 		return fmt.Errorf("control daemon: %w", err)
 	}
 	return wigeoncontrol.Run(ctx, wigeoncontrol.Config{
