--- a/wigeonprocess/control.go
+++ b/wigeonprocess/control.go
@@ -43,11 +43,7 @@
 }
 
 func (p *parts) plan(ctx context.Context, settings wigeonsettings.Control, book *demandBook) error {
-	err := p.follower.WaitReady(ctx)
-	if ctx.Err() != nil {
-		return nil
-	}
-	if err != nil {
+	if err := p.follower.WaitReady(ctx); err != nil && ctx.Err() == nil {
 		return fmt.Errorf("control daemon: %w", err)
 	}
 	return wigeoncontrol.Run(ctx, wigeoncontrol.Config{
