Add the demo: a recorded trace of two deployments on stand-ins

Cause: the whole path must be seen to work in one command. Change: wigeondemo holds two recorded scenarios (five pools, three data centres, bursts of five times the mean, a document change, a maintenance wave and a failed worker) and plays them against real entry processes and control daemons; the command demo prints outcomes and measures.

--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -73,6 +73,7 @@
 			newControl(errOut),
 			newApply(out, errOut),
 			newCheck(out, errOut),
+			newDemo(out, errOut),
 			newStatus(out, errOut),
 			newExplain(out, errOut),
 		},
--- /dev/null
+++ b/wigeondemo/inforce.go
@@ -0,0 +1,58 @@
+package wigeondemo
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonoperator"
+	"github.com/wigeonstep/wigeonstep/wigeonpeer"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// awaitVersion asks every entry process for its status until all have the version of the verdict in force.
+func (r *runner) awaitVersion(ctx context.Context, verdict wigeonoperator.Verdict) error {
+	ctx, cancel := context.WithTimeout(ctx, 2*inForceBound)
+	defer cancel()
+	client := &wigeonpeer.Client{}
+	defer func() { _ = client.Close() }()
+	for _, address := range r.fleet.peers {
+		for {
+			version, err := inForce(ctx, client, address, verdict.Service)
+			if err == nil && version >= verdict.Version {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("version %d of %s is not in force at %s: %w", verdict.Version, verdict.Service, address, ctx.Err())
+			case <-time.After(pollInterval):
+			}
+		}
+	}
+	return nil
+}
+
+func inForce(ctx context.Context, client *wigeonpeer.Client, address string, service wigeonstep.ServiceName) (wigeonstep.Version, error) {
+	request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Status{Status: &wigeonwire.StatusQuery{View: wigeonoperator.StatusView}}}
+	response, err := client.Call(ctx, address, request)
+	if err != nil {
+		return 0, err
+	}
+	var status wigeonoperator.Status
+	if err := json.Unmarshal(response.GetStatus().GetJson(), &status); err != nil {
+		return 0, fmt.Errorf("status of %s: %w", address, err)
+	}
+	for _, s := range status.Services {
+		if s.Name == service {
+			return s.Version, nil
+		}
+	}
+	return 0, nil
+}
+
+func newSessionID() wigeonstep.SessionID {
+	return wigeonstep.SessionID(rand.Uint64() | 1)
+}
--- a/wigeonprocess/control.go
+++ b/wigeonprocess/control.go
@@ -16,7 +16,7 @@
 
 // RunControl runs a control daemon until ctx ends and closes its session. It returns nil after a clean stop.
 func RunControl(ctx context.Context, settings wigeonsettings.Control, deps Deps) error {
-	p, err := newParts(settings.Process, deps, wigeonwire.Role_ROLE_CONTROL, nil)
+	p, err := newParts(ctx, settings.Process, deps, wigeonwire.Role_ROLE_CONTROL, nil)
 	if err != nil {
 		return err
 	}
@@ -25,7 +25,7 @@
 	if err != nil {
 		return err
 	}
-	p.Logger.Info("control daemon started", zap.String("data_centre", string(settings.DataCentre)), zap.String("peers", settings.PeerAddress))
+	p.Logger.Info("control daemon started", zap.String("data_centre", string(settings.DataCentre)), zap.String("peers", p.settings.PeerAddress))
 	// The follower outlives ctx, because closing the session needs it.
 	following, stopFollowing := context.WithCancel(context.WithoutCancel(ctx))
 	followed := make(chan error, 1)
--- a/wigeonprocess/deps.go
+++ b/wigeonprocess/deps.go
@@ -39,6 +39,10 @@
 	Metrics *metrics.Set
 	// NoAdmin leaves out the admin endpoints, for several processes in one.
 	NoAdmin bool
+	// Peers is the listener of the inter-process port, default one on the address in the settings.
+	Peers net.Listener
+	// Callers is the listener for callers, default one on the address in the settings.
+	Callers net.Listener
 }
 
 // parts are what both kinds of process have.
@@ -48,11 +52,10 @@
 	follower *wigeonfollow.Follower
 	client   *wigeonpeer.Client
 	server   *wigeonpeer.Server
-	admin    net.Listener
 }
 
-// newParts opens the listeners and builds the follower. busyVMs may be nil.
-func newParts(settings wigeonsettings.Process, deps Deps, role wigeonwire.Role, busyVMs func() []wigeonstep.VMID) (*parts, error) {
+// newParts opens the inter-process port and builds the follower. busyVMs may be nil.
+func newParts(ctx context.Context, settings wigeonsettings.Process, deps Deps, role wigeonwire.Role, busyVMs func() []wigeonstep.VMID) (*parts, error) {
 	p := &parts{Deps: deps, settings: settings, client: &wigeonpeer.Client{}}
 	if p.Logger == nil {
 		p.Logger = zap.NewNop()
@@ -67,6 +70,15 @@
 		}
 		p.Platform = client
 	}
+	if p.Peers == nil {
+		listener, err := listen(ctx, "peers", settings.PeerAddress)
+		if err != nil {
+			return nil, err
+		}
+		p.Peers = listener
+	}
+	// The port may have been left to the system.
+	p.settings.PeerAddress = p.Peers.Addr().String()
 	p.follower = wigeonfollow.New(wigeonfollow.Config{
 		Log:       p.Platform,
 		Session:   wigeonstep.SessionID(rand.Uint64() | 1),
@@ -77,7 +89,7 @@
 		Open: &wigeonwire.SessionOpen{
 			Role:        role,
 			DataCentre:  string(settings.DataCentre),
-			PeerAddress: settings.PeerAddress,
+			PeerAddress: p.settings.PeerAddress,
 			Vm:          string(settings.VM),
 		},
 	})
@@ -96,24 +108,20 @@
 
 // serve starts the peer server and the admin endpoints. The function that it returns ends both.
 func (p *parts) serve(ctx context.Context, handler wigeonpeer.Handler, ready func() bool) (stop func() error, err error) {
-	listener, err := listen(ctx, "peers", p.settings.PeerAddress)
-	if err != nil {
-		return nil, err
-	}
-	p.server = wigeonpeer.NewServer(listener, handler, p.Logger)
+	p.server = wigeonpeer.NewServer(p.Peers, handler, p.Logger)
 	failed := make(chan error, 2)
 	running := 1
 	go func() { failed <- p.server.Serve() }()
 	adminCtx, stopAdmin := context.WithCancel(context.WithoutCancel(ctx))
 	if !p.NoAdmin {
-		p.admin, err = listen(ctx, "admin endpoints", p.settings.AdminAddress)
+		listener, err := listen(ctx, "admin endpoints", p.settings.AdminAddress)
 		if err != nil {
 			stopAdmin()
 			return nil, errors.Join(err, p.server.Close())
 		}
 		running++
 		admin := &wigeontelemetry.Admin{Metrics: p.Metrics, Ready: ready}
-		go func() { failed <- admin.Serve(adminCtx, p.admin) }()
+		go func() { failed <- admin.Serve(adminCtx, listener) }()
 	}
 	return func() error {
 		stopAdmin()
--- a/wigeonprocess/entry.go
+++ b/wigeonprocess/entry.go
@@ -17,13 +17,16 @@
 // RunEntry runs an entry process until ctx ends, then stops it gracefully. It returns nil after a clean stop.
 func RunEntry(ctx context.Context, settings wigeonsettings.Entry, deps Deps) error {
 	var process *wigeonentry.Process
-	p, err := newParts(settings.Process, deps, wigeonwire.Role_ROLE_ENTRY, func() []wigeonstep.VMID { return process.BusyVMs() })
+	p, err := newParts(ctx, settings.Process, deps, wigeonwire.Role_ROLE_ENTRY, func() []wigeonstep.VMID { return process.BusyVMs() })
 	if err != nil {
 		return err
 	}
-	listener, err := listen(ctx, "callers", settings.CallerAddress)
-	if err != nil {
-		return err
+	listener := p.Callers
+	if listener == nil {
+		listener, err = listen(ctx, "callers", settings.CallerAddress)
+		if err != nil {
+			return errors.Join(err, p.Peers.Close())
+		}
 	}
 	process, err = wigeonentry.New(wigeonentry.Config{
 		DataCentre:      settings.DataCentre,
@@ -38,13 +41,13 @@
 		StopTimeout:     settings.StopTimeout(),
 	})
 	if err != nil {
-		return errors.Join(fmt.Errorf("entry process: %w", err), listener.Close())
+		return errors.Join(fmt.Errorf("entry process: %w", err), listener.Close(), p.Peers.Close())
 	}
 	stop, err := p.serve(ctx, process, process.Ready)
 	if err != nil {
 		return errors.Join(err, listener.Close())
 	}
-	p.Logger.Info("entry process started", zap.String("data_centre", string(settings.DataCentre)), zap.String("callers", listener.Addr().String()), zap.String("peers", settings.PeerAddress))
+	p.Logger.Info("entry process started", zap.String("data_centre", string(settings.DataCentre)), zap.String("callers", listener.Addr().String()), zap.String("peers", p.settings.PeerAddress))
 	err = process.Run(ctx)
 	err = errors.Join(err, stop())
 	p.Logger.Info("entry process stopped", zap.Error(err))
