Report drains at once, and publish the view before the verdicts

TestCompactedWhileCutOff failed once: Propose returned before the view that holds the change was published. Verdicts are handed out after the view is stored. Result: TestDrainIsReportedAtOnce fails without the change (no report within 300 ms and 1.5 s) and passes with it; go test -race -count=2 ./wigeonfollow passes.

--- /dev/null
+++ b/wigeonfollow/drain_test.go
@@ -0,0 +1,62 @@
+package wigeonfollow_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonfollow"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// Guards against drains that wait for the next ordinary renewal of every entry process: with renewals every 2 s the
+// report of an idle VM came after up to 2 s, and that of a busy one up to 2 s after its last request ended.
+func TestDrainIsReportedAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// busyFor is how long the process still has requests on the draining VM.
+		busyFor, bound time.Duration
+	}{
+		{"idle", 0, 300 * time.Millisecond},
+		{"busy", time.Second, 1500 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, c *qt.C, log *memLog) {
+				var busyUntil time.Time
+				entry := startProcess(t, log, 1, entryRole, func(config *wigeonfollow.Config, _ *client) {
+					config.BusyVMs = func() []wigeonstep.VMID {
+						if time.Now().Before(busyUntil) {
+							return []wigeonstep.VMID{"a1"}
+						}
+						return nil
+					}
+				})
+				defer entry.stop()
+				control := startProcess(t, log, 2, controlRole)
+				defer control.stop()
+				entry.opened(t)
+				control.opened(t)
+				_, err := control.Propose(context.Background(), observation("a1", 1))
+				c.Assert(err, qt.IsNil)
+				busyUntil = time.Now().Add(test.busyFor)
+				began := time.Now()
+				offset, err := control.Propose(context.Background(), draining("a1", control.View().VMs["a1"].Epoch))
+				c.Assert(err, qt.IsNil)
+				until(t, test.bound, func() bool {
+					session := control.View().Sessions[0]
+					return session.AppliedOffset >= offset && !session.BusyVMs["a1"]
+				})
+				c.Assert(time.Since(began) >= test.busyFor, qt.IsTrue)
+			})
+		})
+	}
+}
+
+func draining(vm string, epoch wigeonstep.Epoch) *wigeonwire.Entry {
+	return &wigeonwire.Entry{Body: &wigeonwire.Entry_VmTransition{VmTransition: &wigeonwire.VMTransition{
+		Vm: vm, Epoch: uint64(epoch), To: wigeonwire.Phase_PHASE_DRAINING,
+	}}}
+}
--- a/wigeonfollow/follower.go
+++ b/wigeonfollow/follower.go
@@ -70,6 +70,8 @@
 	own    ownSession
 	queue  queue
 	target readyTarget
+	// judged are the proposals whose verdict the next publication hands out.
+	judged []judgedProposal
 	reach  reach
 	silent silentSessions
 	// snapshotDue is set when a snapshot must be written at once.
--- a/wigeonfollow/lease.go
+++ b/wigeonfollow/lease.go
@@ -107,6 +107,9 @@
 func (f *Follower) renewLocked(applied wigeonstep.Offset, busy []wigeonstep.VMID, now time.Time) *wigeonwire.Entry {
 	f.own.renewal++
 	f.own.nextRenewal = now.Add(renewInterval)
+	if len(busy) > 0 {
+		f.own.nextRenewal = now.Add(busyRenewInterval)
+	}
 	renew := &wigeonwire.SessionRenew{
 		Renewal:       f.own.renewal,
 		AppliedOffset: uint64(applied),
--- a/wigeonfollow/read.go
+++ b/wigeonfollow/read.go
@@ -120,13 +120,21 @@
 		if record.Offset > next {
 			return fmt.Errorf("%w: offset %d, the next record is %d", wigeonstep.ErrCompacted, next, record.Offset)
 		}
-		f.judgeLocked(record.Offset, f.state.Apply(record.Offset, record.Payload))
+		verdicts := f.state.Apply(record.Offset, record.Payload)
+		f.judgeLocked(record.Offset, verdicts)
+		f.noteDrainsLocked(verdicts)
 		f.recent.add(record)
 	}
 	return nil
 }
 
-// judgeLocked hands the fold's verdicts on the own batches to their proposers.
+// judgedProposal is a proposal whose proposer is to be told the verdict.
+type judgedProposal struct {
+	proposal *proposal
+	outcome  outcome
+}
+
+// judgeLocked collects the fold's verdicts on the own batches. publishLocked hands them to the proposers.
 func (f *Follower) judgeLocked(offset wigeonstep.Offset, verdicts []wigeonstate.Verdict) {
 	if len(verdicts) == 0 || verdicts[0].Session != f.own.id {
 		return
@@ -146,9 +154,9 @@
 		case p == nil:
 			f.noteOwnLocked(verdict, b)
 		case verdict.Accepted:
-			p.finish(offset, nil)
+			f.judged = append(f.judged, judgedProposal{proposal: p, outcome: outcome{offset: offset}})
 		default:
-			p.finish(0, rejected(verdict.Reason))
+			f.judged = append(f.judged, judgedProposal{proposal: p, outcome: outcome{err: rejected(verdict.Reason)}})
 		}
 	}
 }
@@ -176,6 +184,11 @@
 	if view != f.view.Load() {
 		f.view.Store(view)
 	}
+	// A proposer that reads the view after its verdict must find the change there.
+	for _, judged := range f.judged {
+		judged.proposal.finish(judged.outcome.offset, judged.outcome.err)
+	}
+	f.judged = nil
 	if f.target.known && !f.target.reached && f.state.Next() >= f.target.offset {
 		f.target.reached = true
 		close(f.ready)
