Ask the entry processes for their demand

Cause: the control daemon had no source for the load of pools, since entry processes report demand only to each other.

--- a/wigeoncontrol/config.go
+++ b/wigeoncontrol/config.go
@@ -52,7 +52,10 @@
 	Pool wigeonpool.Config
 	// Maintenance configures waves, default wigeonmaintenance's: every VM once in 3 weeks.
 	Maintenance wigeonmaintenance.Config
-	// Loads returns the slots that the work of each pool wants, default none: pools are then not judged by load.
+	// Peers reaches the entry processes, which are asked for their demand; default none.
+	Peers Peers
+	// Loads returns the slots that the work of each pool wants, default the sum of what the entry processes report over
+	// Peers. Without both, pools are not judged by load.
 	Loads func() map[wigeonstep.PoolName]int
 	// Reach returns the connection results of the entry processes, default none.
 	Reach func() map[wigeonstep.VMID]wigeonpool.Reach
@@ -86,7 +89,7 @@
 	if c.CallTimeout <= 0 {
 		c.CallTimeout = defaultCallTimeout
 	}
-	if c.Loads == nil {
+	if c.Loads == nil && c.Peers == nil {
 		c.Loads = func() map[wigeonstep.PoolName]int { return nil }
 	}
 	if c.Reach == nil {
