Take the demand from the caller, and count a pool without demand as idle

Entry processes leave out pools that they want nothing of, and the planner took that for not known: with moves_weight 10, bursts of 20 s counted as load that lasts. Change: the questions and the change of wigeonentry are taken back; when loads are given, a pool without a value wants nothing.

--- a/wigeoncontrol/config.go
+++ b/wigeoncontrol/config.go
@@ -52,10 +52,8 @@
 	Pool wigeonpool.Config
 	// Maintenance configures waves, default wigeonmaintenance's: every VM once in 3 weeks.
 	Maintenance wigeonmaintenance.Config
-	// Peers reaches the entry processes, which are asked for their demand; default none.
-	Peers Peers
-	// Loads returns the slots that the work of each pool wants, default the sum of what the entry processes report over
-	// Peers. Without both, pools are not judged by load.
+	// Loads returns the slots that the work of each pool wants; a pool without a value wants none. Default none: pools are
+	// then not judged by load, as they are when it returns nil.
 	Loads func() map[wigeonstep.PoolName]int
 	// Reach returns the connection results of the entry processes, default none.
 	Reach func() map[wigeonstep.VMID]wigeonpool.Reach
@@ -89,7 +87,7 @@
 	if c.CallTimeout <= 0 {
 		c.CallTimeout = defaultCallTimeout
 	}
-	if c.Loads == nil && c.Peers == nil {
+	if c.Loads == nil {
 		c.Loads = func() map[wigeonstep.PoolName]int { return nil }
 	}
 	if c.Reach == nil {
--- a/wigeoncontrol/load_test.go
+++ b/wigeoncontrol/load_test.go
@@ -38,18 +38,21 @@
 // exceeds a pool chase every burst.
 func TestBurstAgainstLastingLoad(t *testing.T) {
 	t.Parallel()
-	bursts := func(config wigeonpool.Config) int {
-		w := loaded(t, config, "{}")
+	bursts := func(config wigeonpool.Config, objective string) int {
+		w := loaded(t, config, objective)
 		for range 6 {
 			w.idle(20*time.Second, 40)
-			w.idle(5*time.Minute, 1)
+			// Entry processes do not name pools that they want nothing of.
+			delete(w.loads, "orders")
+			w.run(5*time.Minute, nil)
 		}
 		return w.stats.moves
 	}
-	ours, greedy := bursts(wigeonpool.Config{}), bursts(wigeonpool.GreedyMoves())
+	ours, greedy := bursts(wigeonpool.Config{}, "{}"), bursts(wigeonpool.GreedyMoves(), "{}")
 	t.Logf("6 bursts of 20 s: %d moves, greedy %d moves", ours, greedy)
 	c := qt.New(t)
 	c.Assert(ours, qt.Equals, 0)
+	c.Assert(bursts(wigeonpool.Config{}, "{moves_weight: 10}"), qt.Equals, 0)
 	c.Assert(greedy >= 6, qt.IsTrue)
 
 	w := loaded(t, wigeonpool.Config{}, "{}")
--- a/wigeoncontrol/run.go
+++ b/wigeoncontrol/run.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
-	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonmaintenance"
 	"github.com/wigeonstep/wigeonstep/wigeonpool"
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
@@ -59,17 +58,9 @@
 	if err != nil {
 		return err
 	}
-	var asked *demands
-	if config.Loads == nil {
-		asked = &demands{peers: config.Peers, follower: config.Follower, logger: config.Logger, reports: map[wigeonstep.SessionID]*wigeonwire.DemandReport{}}
-		config.Loads = asked.loads
-	}
 	d := newDaemon(config)
 	ctx, cancel := context.WithCancel(ctx)
 	d.tasks.Go(func() { d.readLists(ctx) })
-	if asked != nil {
-		d.tasks.Go(func() { asked.run(ctx, config.CallTimeout, d.mayPlan) })
-	}
 	d.loop(ctx)
 	cancel()
 	d.tasks.Wait()
--- a/wigeoncontrol/run_test.go
+++ b/wigeoncontrol/run_test.go
@@ -30,19 +30,7 @@
 	p.ended.Wait()
 }
 
-// peers answers questions for demand with a fixed number of wanted slots.
-type peers uint32
-
-func (p peers) Call(_ context.Context, address string, request *wigeonwire.PeerRequest) (*wigeonwire.PeerResponse, error) {
-	if p == 0 || address != "entry" || request.GetDemandReport() == nil {
-		return nil, wigeonstep.ErrUnavailable
-	}
-	return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_DemandReport{DemandReport: &wigeonwire.DemandReport{
-		Report: 1, Pools: []*wigeonwire.PoolDemand{{Pool: "orders", Wanted: uint32(p)}},
-	}}}, nil
-}
-
-func startProcess(platform *wigeonfake.Platform, id wigeonstep.SessionID, role wigeonwire.Role, address string, wanted peers) *process {
+func startProcess(platform *wigeonfake.Platform, id wigeonstep.SessionID, role wigeonwire.Role, address string) *process {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &process{cancel: cancel, follower: wigeonfollow.New(wigeonfollow.Config{
 		Log: platform.Client(address), Session: id,
@@ -53,7 +41,7 @@
 	if role == wigeonwire.Role_ROLE_CONTROL {
 		p.ended.Go(func() {
 			_ = wigeoncontrol.Run(ctx, wigeoncontrol.Config{
-				DataCentre: "a", Follower: p.follower, Platform: platform.Client(address), Peers: wanted,
+				DataCentre: "a", Follower: p.follower, Platform: platform.Client(address),
 				Probe: func(_ context.Context, address string) error {
 					for _, vm := range platform.VMs() {
 						if vm.Address == address && vm.Up {
@@ -83,13 +71,13 @@
 			})
 		}
 		platform.AddPool(wigeonstep.SparePool)
-		entry := startProcess(platform, 0xe1, wigeonwire.Role_ROLE_ENTRY, "entry", 0)
+		entry := startProcess(platform, 0xe1, wigeonwire.Role_ROLE_ENTRY, "entry")
 		defer entry.kill()
-		operator := startProcess(platform, 0xd1, wigeonwire.Role_ROLE_OPERATOR, "operator", 0)
+		operator := startProcess(platform, 0xd1, wigeonwire.Role_ROLE_OPERATOR, "operator")
 		defer operator.kill()
 		controls := []*process{}
 		for i := range 2 {
-			controls = append(controls, startProcess(platform, wigeonstep.SessionID(0xc0+i), wigeonwire.Role_ROLE_CONTROL, fmt.Sprint("control", i), 0))
+			controls = append(controls, startProcess(platform, wigeonstep.SessionID(0xc0+i), wigeonwire.Role_ROLE_CONTROL, fmt.Sprint("control", i)))
 		}
 		defer func() {
 			for _, p := range controls {
@@ -129,7 +117,7 @@
 		}
 		i := round % 2
 		controls[i].kill()
-		controls[i] = startProcess(platform, wigeonstep.SessionID(0xc8+round), wigeonwire.Role_ROLE_CONTROL, fmt.Sprint("control", i), 0)
+		controls[i] = startProcess(platform, wigeonstep.SessionID(0xc8+round), wigeonwire.Role_ROLE_CONTROL, fmt.Sprint("control", i))
 	})
 }
 
@@ -153,27 +141,3 @@
 	}
 	return len(view.VMs) == 4
 }
-
-// The daemon must ask the entry processes for their demand, and load that stays must bring a VM to the pool.
-func TestRunAsksForDemand(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		platform := &wigeonfake.Platform{Seed: 1}
-		defer platform.Close()
-		for i, pool := range []wigeonstep.PoolName{"orders", "orders", "spare", "spare"} {
-			platform.AddVM(wigeonstep.ListedVM{
-				ID: wigeonstep.VMID(fmt.Sprint("vm-", i)), DataCentre: "a", Rack: "r", Pool: pool, Address: fmt.Sprint("vm-", i, ":1"), Shape: wigeonstep.Shape{Cores: 32, Slots: 8},
-			})
-		}
-		entry := startProcess(platform, 0xe1, wigeonwire.Role_ROLE_ENTRY, "entry", 0)
-		defer entry.kill()
-		control := startProcess(platform, 0xc1, wigeonwire.Role_ROLE_CONTROL, "control", 24)
-		defer control.kill()
-		time.Sleep(10 * time.Second)
-		_, err := control.follower.Propose(t.Context(), &wigeonwire.Entry{Body: &wigeonwire.Entry_DocumentChange{DocumentChange: &wigeonwire.DocumentChange{
-			ChangeId: "1", Service: "orders", Operator: "test", Content: []byte("service: orders\nteam: t\npool: orders\ncapacity: {workers: 1}\nclasses: [{name: c}]\n"),
-		}}})
-		qt.Assert(t, err, qt.IsNil)
-		time.Sleep(3 * time.Minute)
-		qt.Assert(t, entry.follower.View().Pools["orders"], qt.HasLen, 3)
-	})
-}
--- a/wigeonentry/peer.go
+++ b/wigeonentry/peer.go
@@ -28,11 +28,6 @@
 		answer, found, running := p.once.Lookup(wigeonstep.Key(body.AnswerQuery.GetKey()))
 		response.Body = &wigeonwire.PeerResponse_Answer{Answer: encodeAnswer(&answer, found, running)}
 	case *wigeonwire.PeerRequest_DemandReport:
-		if body.DemandReport.GetReport() == 0 {
-			// A report without a number is the question of a control daemon, which has no demand of its own.
-			response.Body = &wigeonwire.PeerResponse_DemandReport{DemandReport: p.demandReport()}
-			break
-		}
 		p.demands.take(p.config.Now(), body.DemandReport)
 	default:
 		if p.config.NextPeerHandler != nil {
--- a/wigeonpool/observations.go
+++ b/wigeonpool/observations.go
@@ -58,7 +58,8 @@
 type Observations struct {
 	// Listing is the last VM list that was read, nil before the first.
 	Listing *Listing
-	// Loads are the slots that each pool's work wants, held and queued together. A pool without a value is not judged by load.
+	// Loads are the slots that each pool's work wants, held and queued together; a pool without a value wants none.
+	// Nil means that nothing is known, and that no pool is judged by load.
 	Loads map[wigeonstep.PoolName]int
 	// Reach holds connection results of VMs. A VM without a value has none.
 	Reach map[wigeonstep.VMID]Reach
--- a/wigeonpool/target.go
+++ b/wigeonpool/target.go
@@ -118,8 +118,8 @@
 	slots := p.countPresent(fleet, d)
 	d.wanted = d.target
 	passing := 0
-	if wanted, known := fleet.Seen.Loads[pool.Name]; known && slots > 0 && d.present > 0 {
-		d.load = (wanted*d.present + slots - 1) / slots
+	if fleet.Seen.Loads != nil && slots > 0 && d.present > 0 {
+		d.load = (fleet.Seen.Loads[pool.Name]*d.present + slots - 1) / slots
 		h.load.add(fleet.Now, d.load, d.wait)
 		if lasting, known := h.load.least(); known {
 			d.wanted = max(d.wanted, lasting)
