Let only VMs that returned from a drain rest before the next one

Cause: every VM waited max_drain_s after any change of its phase before it could drain, an hour for a document with drains of hours, although only a VM whose drain did not end in time needs the rest. Change: the planner remembers such returns; a restart forgets them, and the VM then drains again earlier, which harms nothing. Pools without a document are left alone for 5 minutes, since the document may be on its way.

--- a/wigeonmaintenance/planner.go
+++ b/wigeonmaintenance/planner.go
@@ -4,11 +4,13 @@
 package wigeonmaintenance
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonpool"
 	"github.com/wigeonstep/wigeonstep/wigeonstate"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
 // Config configures a Planner. The zero value works.
@@ -31,7 +33,7 @@
 }
 
 // Planner plans waves and the phases of VMs. Everything that must last is in the fold; the planner remembers only
-// what it waited for in other data centres, which pauses it recorded, and since when it has seen the phases of VMs. Its methods are called from one goroutine.
+// what it waited for in other data centres, which pauses it recorded, and when it saw the phases of VMs. Its methods are called from one goroutine.
 type Planner struct {
 	config  Config
 	waiting map[wigeonstep.PoolName]awaited
@@ -39,11 +41,14 @@
 	paused map[wigeonstep.WaveID]bool
 	// phases holds when this process first saw each VM that is out of service in its phase.
 	phases map[wigeonstep.VMID]seenPhase
+	// returned holds when each VM returned to service from a drain that did not end in time.
+	returned map[wigeonstep.VMID]time.Time
 }
 
 type seenPhase struct {
-	epoch wigeonstep.Epoch
-	since time.Time
+	epoch    wigeonstep.Epoch
+	since    time.Time
+	draining bool
 }
 
 // awaited is a drain that the planner of another data centre was expected to propose.
@@ -60,7 +65,7 @@
 	if config.Policy == nil {
 		config.Policy = BudgetPolicy
 	}
-	return &Planner{config: config, waiting: map[wigeonstep.PoolName]awaited{}, paused: map[wigeonstep.WaveID]bool{}, phases: map[wigeonstep.VMID]seenPhase{}}
+	return &Planner{config: config, waiting: map[wigeonstep.PoolName]awaited{}, paused: map[wigeonstep.WaveID]bool{}, phases: map[wigeonstep.VMID]seenPhase{}, returned: map[wigeonstep.VMID]time.Time{}}
 }
 
 // Plan returns the proposals and actions of one round.
@@ -99,10 +104,16 @@
 			}
 			seen, known := p.phases[vm.ID]
 			if !known || seen.epoch != vm.Epoch {
-				seen = seenPhase{epoch: vm.Epoch, since: fleet.Now}
+				seen = seenPhase{epoch: vm.Epoch, since: fleet.Now, draining: vm.Phase == wigeonwire.Phase_PHASE_DRAINING}
 			}
 			phases[vm.ID] = seen
 		}
 	}
+	for id, seen := range p.phases {
+		if vm := fleet.View.VMs[id]; seen.draining && vm != nil && vm.Epoch == seen.epoch+1 && vm.InService() {
+			p.returned[id] = fleet.Now
+		}
+	}
+	maps.DeleteFunc(p.returned, func(_ wigeonstep.VMID, at time.Time) bool { return fleet.Now.Sub(at) > maxRest })
 	p.phases = phases
 }
--- a/wigeonmaintenance/wave.go
+++ b/wigeonmaintenance/wave.go
@@ -20,6 +20,9 @@
 // maxRest bounds how long a VM stays in service between two attempts to drain it; a drain itself may take a week.
 const maxRest = time.Hour
 
+// settleTime is how long a pool without a document is left alone.
+const settleTime = 5 * time.Minute
+
 // cycle returns the id of the wave that is due in the pool at the time, and when its period began.
 // The id depends only on the pool and the time, so that all planners propose the same wave. Pools begin their periods
 // at different times, so that their waves spread over the period.
@@ -89,7 +92,7 @@
 			failed++
 		default:
 			left++
-			if room && pool.AvailableAt(i) && drainable(fleet, pool, vm) {
+			if room && pool.AvailableAt(i) && p.drainable(fleet, pool, vm) {
 				ready = append(ready, vm)
 			}
 		}
@@ -128,10 +131,14 @@
 	}
 }
 
-// drainable reports whether the VM may be chosen for a drain. A VM that changed its phase lately is left alone for as long
-// as a drain may take, at most maxRest: it may have returned from a drain that did not end in time.
-func drainable(fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) bool {
-	if fleet.View.Time.Sub(vm.PhaseSince) < min(pool.MaxDrain, maxRest) {
+// drainable reports whether the VM may be chosen for a drain. A VM that returned from a drain that did not end in time is
+// left alone for as long as a drain may take, at most maxRest. A new VM of a pool without a document is left alone for
+// settleTime, since the document may be on its way.
+func (p *Planner) drainable(fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) bool {
+	if at, rests := p.returned[vm.ID]; rests && fleet.Now.Sub(at) < min(pool.MaxDrain, maxRest) {
+		return false
+	}
+	if len(pool.Services) == 0 && fleet.View.Time.Sub(vm.PhaseSince) < settleTime {
 		return false
 	}
 	trusted, _ := fleet.ListTrusted(vm.DataCentre)
