Keep the start of a fleet from moving VMs, and wave totals complete

Cause: in a local run of three data centres, pool orders took a VM more than its target: while one data centre had no control session yet, the headroom for the loss of one of two data centres was larger, and pools seemed to lack VMs that were not observed yet. Wave totals counted 8 of 12 VMs.

--- a/wigeonmaintenance/wave.go
+++ b/wigeonmaintenance/wave.go
@@ -20,6 +20,9 @@
 // maxRest bounds how long a VM stays in service between two attempts to drain it; a drain itself may take a week.
 const maxRest = time.Hour
 
+// startTime is how long the VMs of a pool must be unchanged before a wave starts, so that it knows all of them at a start of the fleet.
+const startTime = 30 * time.Second
+
 // settleTime is how long a pool without a document is left alone.
 const settleTime = 5 * time.Minute
 
@@ -43,6 +46,9 @@
 	id, began := p.cycle(pool.Name, now)
 	due, overdue, done := false, false, false
 	for i, vm := range pool.VMs {
+		if now.Sub(vm.PhaseSince) < startTime {
+			return
+		}
 		done = done || isWaveOf(vm.LastWave, id)
 		due = due || (pool.AvailableAt(i) && vm.LastMaintained.Before(began))
 		overdue = overdue || (pool.AvailableAt(i) && p.overdue(vm, now))
--- a/wigeonpool/target.go
+++ b/wigeonpool/target.go
@@ -38,7 +38,8 @@
 	case wigeondocument.DomainDataCentre:
 		zones := 0
 		for _, z := range fleet.zones {
-			if z.control && z.total > 0 {
+			// A data centre that is cut off for a while still counts, so that no VM moves because of it.
+			if z.total > 0 {
 				zones++
 			}
 		}
@@ -58,8 +59,8 @@
 
 // history is what a planner remembers of one pool. A restart only delays moves by what it forgets.
 type history struct {
-	short, surplus, reported time.Time
-	load                     window
+	short, urgent, surplus, reported time.Time
+	load                             window
 }
 
 // window keeps the least load over the last one to two spans.
@@ -131,7 +132,9 @@
 	d.urgent = d.present < pool.Workers
 	// Load above the target has lasted already when it counts in wanted.
 	shortForLong := lasted(&h.short, d.present < d.target, fleet.Now, d.wait)
-	d.due = d.urgent || shortForLong || (d.present >= d.target && d.present < d.wanted)
+	// An urgent shortage is filled at once, but for what a start of the fleet shows while VMs are being observed.
+	urgentForLong := lasted(&h.urgent, d.urgent, fleet.Now, minWait)
+	d.due = urgentForLong || shortForLong || (d.present >= d.target && d.present < d.wanted)
 	excess := d.present - max(d.wanted, passing)
 	d.spare = max(0, excess)
 	d.release = lasted(&h.surplus, excess > 0 || (d.unfit > 0 && excess >= 0), fleet.Now, time.Duration(p.config.SurplusFactor)*d.wait)
