--- a/wigeoncontrol/config.go
+++ b/wigeoncontrol/config.go
@@ -52,7 +52,8 @@
 	Pool wigeonpool.Config
 	// Maintenance configures waves, default wigeonmaintenance's: every VM once in 3 weeks.
 	Maintenance wigeonmaintenance.Config
-	// Loads returns the slots that the work of each pool wants, default none: pools are then not judged by load.
+	// Loads returns the slots that the work of each pool wants; a pool without a value wants none. Default none: pools are
+	// then not judged by load, as they are when it returns nil.
 	Loads func() map[wigeonstep.PoolName]int
 	// Reach returns the connection results of the entry processes, default none.
 	Reach func() map[wigeonstep.VMID]wigeonpool.Reach
