Believe the age of running work only beyond chance

Cause: with one or four running tickets a mean age of twice the mean run time is common, and the estimate doubled by chance. Change: the age must exceed the mean by four deviations, which depend on the number of running tickets. A test guards bursts at nine tenths of the pool with eight processes.

--- a/wigeonadmission/estimate.go
+++ b/wigeonadmission/estimate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"time"
 )
@@ -45,11 +46,15 @@
 	r.mean += (run.Seconds() - r.mean) / float64(r.seen)
 }
 
+// ageDeviations is by how many deviations the mean age of the running tickets must exceed the mean run time to be believed. The ages
+// of n tickets with exponential run times deviate by 1/sqrt(n) of the mean.
+const ageDeviations = 4
+
 // seconds returns the expected run time. When the running tickets are much older than the mean says, their age is believed instead:
 // work that is ten times longer than declared otherwise shows itself only when it ends.
 func (r *runTime) seconds(now time.Time, running int) float64 {
 	if running > 0 {
-		if age := now.Sub(r.epoch).Seconds() - r.startSum/float64(running); age > 2*r.mean {
+		if age := now.Sub(r.epoch).Seconds() - r.startSum/float64(running); age > r.mean*(1+ageDeviations/math.Sqrt(float64(running))) {
 			return age
 		}
 	}
--- a/wigeonadmission/routing_test.go
+++ b/wigeonadmission/routing_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonrouting"
 )
 
@@ -60,6 +61,32 @@
 	}
 }
 
+// Guards against servers that are overrun because slots move between processes while requests run on them.
+func TestBurstsDoNotOverrunServers(t *testing.T) {
+	t.Parallel()
+	const run = 200 * time.Millisecond
+	trial := func(admit func() admitter, route func() router) (busy float64, total stats) {
+		f := newFleet(11, 8, 10, documents(5, run), admit, route)
+		mean := 0.9 * 80 / run.Seconds() / 5 / 1.04
+		for i := range 5 {
+			f.add(&source{team: wigeonstep.TeamName(rune('a' + i)), class: "bake", peak: 5 * mean, run: run, rate: burst(mean, i, 5)})
+		}
+		f.run(45 * time.Second)
+		for _, s := range f.sources {
+			total.sent, total.failed, total.done = total.sent+s.sent, total.failed+s.failed, total.done+s.done
+		}
+		return f.busyAnswers(), total
+	}
+	busyBaseline, baseline := trial(newFIFO, newLeastLoaded)
+	busy, policy := trial(nil, nil)
+	t.Logf("attempts that met a full server: least loaded %.3f, policy %.3f; failed %d and %d, done %d and %d of %d", busyBaseline, busy,
+		baseline.failed, policy.failed, baseline.done, policy.done, policy.sent)
+	c := quicktest.New(t)
+	c.Check(busyBaseline > 0.2, quicktest.IsTrue)
+	c.Check(busy < 0.02, quicktest.IsTrue)
+	c.Check(policy.failed*500 < policy.sent, quicktest.IsTrue)
+}
+
 // faulty runs a pool at 70% load in which the servers of the indices are spoilt from 5 s on.
 func faulty(route func() router, seconds int, spoil func(*backend), indices ...int) (*fleet, *source) {
 	f := newFleet(7, 4, 12, documents(1, 100*time.Millisecond), nil, route)
