Weigh the ages of running work against what was learned

Cause: the age of a few running tickets jumped by chance and with it the estimate; the benchmark with 97 teams met a refusal at 21 queued requests after 400000 requests. Change: ages beyond one deviation raise the mean in proportion, weighed against at most 16 observations; the early refusal of queued work uses the learned mean alone.

--- a/wigeonadmission/bench_test.go
+++ b/wigeonadmission/bench_test.go
@@ -38,11 +38,12 @@
 			}
 			submit := func(i int) {
 				t := &wigeonadmission.Ticket{Team: wigeonstep.TeamName(rune('a' + i%size.teams)), Class: "bake"}
-				switch pool.Submit(now, t).Verdict {
+				d := pool.Submit(now, t)
+				switch d.Verdict {
 				case wigeonadmission.Started:
 					start([]*wigeonadmission.Ticket{t})
 				case wigeonadmission.Refused:
-					b.Fatal("refused")
+					b.Fatal("refused", d)
 				case wigeonadmission.Queued:
 				}
 			}
--- a/wigeonadmission/estimate.go
+++ b/wigeonadmission/estimate.go
@@ -46,19 +46,21 @@
 	r.mean += (run.Seconds() - r.mean) / float64(r.seen)
 }
 
-// ageDeviations is by how many deviations the mean age of the running tickets must exceed the mean run time to be believed. The ages
-// of n tickets with exponential run times deviate by 1/sqrt(n) of the mean.
-const ageDeviations = 4
+// ageWeight is how many observations a mean counts for against the ages of running tickets.
+const ageWeight = 16
 
-// seconds returns the expected run time. When the running tickets are much older than the mean says, their age is believed instead:
-// work that is ten times longer than declared otherwise shows itself only when it ends.
+// seconds returns the expected run time. Running tickets that are older than the mean says raise it, because work that is ten times
+// longer than declared otherwise shows itself only when it ends. The ages of n tickets with exponential run times add up to n means
+// with a deviation of sqrt(n) means; only what is beyond that counts.
 func (r *runTime) seconds(now time.Time, running int) float64 {
-	if running > 0 {
-		if age := now.Sub(r.epoch).Seconds() - r.startSum/float64(running); age > r.mean*(1+ageDeviations/math.Sqrt(float64(running))) {
-			return age
-		}
+	mean := max(r.mean, 1e-4)
+	if running == 0 {
+		return mean
 	}
-	return max(r.mean, 1e-4)
+	n := float64(running)
+	ages := n*now.Sub(r.epoch).Seconds() - r.startSum
+	beyond := max(ages/mean-n-math.Sqrt(n), 0)
+	return mean * (1 + beyond/max(n, float64(min(r.seen, ageWeight))))
 }
 
 func (c *class) expected(now time.Time) float64 { return c.run.seconds(now, c.running) }
--- a/wigeonadmission/shed.go
+++ b/wigeonadmission/shed.go
@@ -12,7 +12,8 @@
 
 // shed takes tickets out of the queues that can no longer start in time, because other teams took their slots back or runs became
 // longer since the tickets were admitted. They are refused while there is time to go elsewhere, and the tickets behind them, which
-// would wait for nothing, start in time instead.
+// would wait for nothing, start in time instead. The learned run time is used without the ages of running tickets, which vary too
+// much to give up admitted work for.
 func (p *Pool) shed(now time.Time) {
 	for _, t := range p.order {
 		if t.queuedShort == 0 || now.Sub(t.shedAt) < shedSpan {
@@ -21,7 +22,7 @@
 		work, longest := 0.0, time.Duration(0)
 		for _, c := range t.classes {
 			if !c.long() && c.queue.Len() > 0 {
-				work += float64(c.queue.Len()) * c.expected(now)
+				work += float64(c.queue.Len()) * c.run.mean
 				longest = max(longest, c.maxQueue())
 			}
 		}
@@ -60,7 +61,7 @@
 			p.expired = append(p.expired, ticket)
 			continue
 		}
-		ahead += t.classes[first].expected(now)
+		ahead += t.classes[first].run.mean
 	}
 }
 
