Use a slot of another process only when two reports in a row give it away

Cause: in TestSlotsAreShared a worker refused requests as busy while the split moved, because a process used new slots at once while the other one still had requests on them, and the callers got not_run. Change: the grant is the intersection of the splits of the last two reports; a process without peers takes its split at once. Result: go test -race -count=3 -run Shared ./wigeonentry failed 3 of 3 times before and passes 3 of 3 times now; all tests of the four packages pass with -race -count=3.

--- a/wigeonentry/demand.go
+++ b/wigeonentry/demand.go
@@ -96,12 +96,12 @@
 	return peers
 }
 
-// resplit computes this process's part of every pool. The caller holds applyMu.
-func (p *Process) resplit(view *wigeonstate.View) {
+// resplit computes this process's part of every pool; reported is set once in each report interval. The caller holds applyMu.
+func (p *Process) resplit(view *wigeonstate.View, reported bool) {
 	self := p.config.Follower.Session()
 	peers := p.trafficPeers(view)
 	for name, pl := range *p.pools.Load() {
-		pl.split(self, p.demands.of(peers, name))
+		pl.split(self, p.demands.of(peers, name), reported)
 	}
 }
 
@@ -109,7 +109,7 @@
 func (p *Process) reportDemand(ctx context.Context) {
 	p.applyMu.Lock()
 	view := p.applied
-	p.resplit(view)
+	p.resplit(view, true)
 	peers := p.trafficPeers(view)
 	p.applyMu.Unlock()
 	for _, id := range p.demands.prune(p.config.Now(), peers, p.config.ReportMaxAge) {
--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -38,7 +38,9 @@
 	documents []*wigeondocument.Document
 	localOnly bool
 	grant     wigeonadmission.Grant
-	slots     int
+	// lastTarget is the split at the last report.
+	lastTarget wigeonadmission.Grant
+	slots      int
 }
 
 func newPool(name wigeonstep.PoolName, config *Config) *pool {
@@ -299,12 +301,30 @@
 	p.picker.SetServers(now, servers)
 }
 
-// split takes over this process's part of the pool's slots.
-func (p *pool) split(self wigeonstep.SessionID, reports []wigeonadmission.Report) {
+// split takes over this process's part of the pool's slots. A slot that another process may hold is used only when two reports in a
+// row gave it to this process, because the other one gives it back when its request ends; a slot that is lost is lost at once.
+func (p *pool) split(self wigeonstep.SessionID, reports []wigeonadmission.Report, reported bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	alone := len(reports) == 0
 	reports = append(reports, wigeonadmission.Report{Session: self, Heard: true, Demand: p.admission.Demand()})
-	p.setGrant(wigeonadmission.Split(p.slots, self, reports))
+	target := wigeonadmission.Split(p.slots, self, reports)
+	if alone {
+		p.lastTarget = target
+	}
+	p.setGrant(intersect(p.lastTarget, target))
+	if reported {
+		p.lastTarget = target
+	}
+}
+
+// intersect returns the slots of target that before had, too.
+func intersect(before, target wigeonadmission.Grant) wigeonadmission.Grant {
+	first := max(before.First, target.First)
+	end := min(before.First+before.Slots, target.First+target.Slots)
+	target.First, target.Slots = first, max(end-first, 0)
+	target.Long = min(before.Long, target.Long)
+	return target
 }
 
 func (p *pool) setGrant(grant wigeonadmission.Grant) {
--- a/wigeonentry/pools.go
+++ b/wigeonentry/pools.go
@@ -61,7 +61,7 @@
 	for name, pl := range *p.pools.Load() {
 		pl.apply(view.Pools[name], documents[name], localOnly, p.config.DataCentre)
 	}
-	p.resplit(view)
+	p.resplit(view, false)
 	return view
 }
 
