--- a/wigeonrouting/server.go
+++ b/wigeonrouting/server.go
@@ -68,9 +68,14 @@
 	return cmp.Or(cmp.Compare(a.order, b.order), cmp.Compare(a.VM, b.VM))
 }
 
-// usable reports whether requests other than probes may go to the server.
+// serving reports whether requests other than probes may go to the server when it has room.
+func (s *server) serving() bool {
+	return s.listed && s.InService && !s.leaving && !s.quarantine.active
+}
+
+// usable reports whether requests other than probes may go to the server now.
 func (s *server) usable() bool {
-	return s.listed && s.InService && !s.leaving && !s.quarantine.active && !s.paused
+	return s.serving() && !s.paused
 }
 
 // room reports whether one more request stays within the bound, the limit and the connections.
@@ -98,7 +103,11 @@
 )
 
 // busy decreases the limit by half, or lets the server rest when the limit is already 1.
-func (p *Picker) busy(now time.Time, s *server) {
+func (p *Picker) busy(now time.Time, s *server, expected time.Duration) {
+	if occupied := min(expected, longestBlock); occupied > 0 {
+		s.blocked++
+		p.after(s, now.Add(p.jitter(occupied)), timerBlock)
+	}
 	s.limit = min(s.limit, float64(max(s.share, 1)))
 	if !s.lastCut.IsZero() && now.Sub(s.lastCut) < cutSpan && s.limit > 1 {
 		return
