--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -320,10 +320,18 @@
 
 // intersect returns the slots of target that before had, too.
 func intersect(before, target wigeonadmission.Grant) wigeonadmission.Grant {
-	first := max(before.First, target.First)
-	end := min(before.First+before.Slots, target.First+target.Slots)
-	target.First, target.Slots = first, max(end-first, 0)
-	target.Long = min(before.Long, target.Long)
+	var both []wigeonrouting.SlotRange
+	slots := 0
+	for _, b := range before.Ranges {
+		for _, t := range target.Ranges {
+			first := max(b.First, t.First)
+			if n := min(b.First+b.Count, t.First+t.Count) - first; n > 0 {
+				both = append(both, wigeonrouting.SlotRange{First: first, Count: n})
+				slots += n
+			}
+		}
+	}
+	target.Ranges, target.Slots, target.Long = both, min(target.Slots, slots), min(before.Long, target.Long)
 	return target
 }
 
