Carry the content type of a job, and drop unused code

Cause: a job reached its backend server without the content type of its request. Change: the smallest addition to the wire, JobAccept.content_type; answers that are not UTF-8 are shown as base64; an unused method of the client and one that only a test used are gone.

--- a/wigeonbackend/client.go
+++ b/wigeonbackend/client.go
@@ -86,13 +86,6 @@
 	})
 }
 
-// Forget closes the idle connections to an address that takes no new work.
-func (c *Client) Forget(address string) {
-	if p, ok := c.pools.LoadAndDelete(address); ok {
-		p.(*idlePool).closeAll()
-	}
-}
-
 // Call sends the request once and classifies what came back.
 func (c *Client) Call(ctx context.Context, call wigeonstep.BackendCall) wigeonstep.BackendResult {
 	now := c.config.Now()
--- a/wigeonbackend/reader.go
+++ b/wigeonbackend/reader.go
@@ -17,8 +17,6 @@
 	buf  []byte
 	// buf[start:end] holds bytes that were read and not yet consumed.
 	start, end int
-	// total counts the bytes that the connection delivered since it was opened.
-	total uint64
 	// err is the last error of the connection; hertz hides the cause of some of them.
 	err error
 }
@@ -46,7 +44,6 @@
 	}
 	got, err := r.conn.Read(r.buf[r.end:])
 	r.end += got
-	r.total += uint64(got)
 	if got > 0 {
 		return nil
 	}
--- a/wigeonentry/job.go
+++ b/wigeonentry/job.go
@@ -5,7 +5,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -72,7 +74,7 @@
 	return &wigeonwire.Entry{Body: &wigeonwire.Entry_JobAccept{JobAccept: &wigeonwire.JobAccept{
 		Job: string(job), Key: string(key), Service: string(route.Service.Document.Service),
 		Team: string(request.Team), Class: string(request.Class),
-		Method: request.Method, Path: request.Path, Body: request.Body, RequestHash: hash,
+		Method: request.Method, Path: request.Path, ContentType: request.ContentType, Body: request.Body, RequestHash: hash,
 	}}}
 }
 
@@ -137,12 +139,14 @@
 	State   string               `json:"state"`
 	Outcome wigeonstep.Outcome   `json:"outcome"`
 	// Ran is no, yes or maybe.
-	Ran             string    `json:"ran"`
-	Attempt         uint32    `json:"attempt"`
-	VM              string    `json:"vm,omitempty"`
-	Status          uint32    `json:"status,omitempty"`
-	Reason          string    `json:"reason,omitempty"`
-	Answer          string    `json:"answer,omitempty"`
+	Ran     string `json:"ran"`
+	Attempt uint32 `json:"attempt"`
+	VM      string `json:"vm,omitempty"`
+	Status  uint32 `json:"status,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+	Answer  string `json:"answer,omitempty"`
+	// AnswerBytes is set instead of Answer when the answer is not valid UTF-8; JSON carries it as base64.
+	AnswerBytes     []byte    `json:"answer_bytes,omitempty"`
 	CancelRequested bool      `json:"cancel_requested,omitempty"`
 	AcceptedAt      time.Time `json:"accepted_at"`
 	EndedAt         time.Time `json:"ended_at,omitzero"`
@@ -157,9 +161,14 @@
 		ok = true
 		shown = jobShown{
 			Job: id, Team: wigeonstep.TeamName(job.GetAccept().GetTeam()), Class: wigeonstep.ClassName(job.GetAccept().GetClass()),
-			Attempt: job.GetAttempt(), VM: job.GetVm(), Status: job.GetStatus(), Reason: job.GetReason(), Answer: string(job.GetAnswer()),
+			Attempt: job.GetAttempt(), VM: job.GetVm(), Status: job.GetStatus(), Reason: job.GetReason(),
 			CancelRequested: job.GetCancelRequested(), AcceptedAt: time.UnixMilli(job.GetAcceptedUnixMs()).UTC(),
 		}
+		if answer := job.GetAnswer(); utf8.Valid(answer) {
+			shown.Answer = string(answer)
+		} else {
+			shown.AnswerBytes = slices.Clone(answer)
+		}
 		if at := job.GetEndedUnixMs(); at != 0 {
 			shown.EndedAt = time.UnixMilli(at).UTC()
 		}
--- a/wigeonentry/jobrunner.go
+++ b/wigeonentry/jobrunner.go
@@ -214,7 +214,7 @@
 		return true
 	}
 	request := &wigeonstep.Request{
-		ID: wigeonstep.RequestID(fmt.Sprintf("%s-%d", accept.GetJob(), attempt)), Method: accept.GetMethod(), Path: accept.GetPath(), Body: accept.GetBody(),
+		ID: wigeonstep.RequestID(fmt.Sprintf("%s-%d", accept.GetJob(), attempt)), Method: accept.GetMethod(), Path: accept.GetPath(), ContentType: accept.GetContentType(), Body: accept.GetBody(),
 		Team: wigeonstep.TeamName(accept.GetTeam()), Class: wigeonstep.ClassName(accept.GetClass()), Key: wigeonstep.Key(accept.GetKey()),
 	}
 	begin := p.config.Now()
--- a/wigeonentry/once_test.go
+++ b/wigeonentry/once_test.go
@@ -1,6 +1,7 @@
 package wigeonentry_test
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"testing"
@@ -11,6 +12,7 @@
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonfake"
 	"github.com/wigeonstep/wigeonstep/wigeonstate"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
 // owner returns the entry process that owns the key and another one.
@@ -59,8 +61,8 @@
 	f.log.expire(t, owner.follower)
 	go func() { answers <- other.order("order-1", "wax") }()
 	waitFor(t, "the repetition to wait", func() bool {
-		_, _, running := owner.process.Lookup("order-1")
-		return running
+		query := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_AnswerQuery{AnswerQuery: &wigeonwire.AnswerQuery{Key: "order-1"}}}
+		return owner.process.HandlePeer(context.Background(), query).GetAnswer().GetRunning()
 	})
 	f.backends[0].SetFaults(wigeonfake.BackendFaults{})
 	for range 2 {
--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -190,7 +190,7 @@
 	}
 }
 
-// first counts the first attempt of a request against which retries are measured.
+// pickFirst selects the server of a first attempt, and counts it; the retry budget is a share of these.
 func (p *pool) pickFirst(team wigeonstep.TeamName, want wigeonrouting.Want) (wigeonrouting.Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -75,11 +75,6 @@
 // Ready reports whether the process takes requests; it is false from the begin of a stop on.
 func (p *Process) Ready() bool { return p.ready.Load() }
 
-// Lookup returns the answer that the process keeps for a key.
-func (p *Process) Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
-	return p.once.Lookup(key)
-}
-
 // Run takes requests until ctx ends, then stops gracefully; it returns nil after a graceful stop that cut off no request.
 func (p *Process) Run(ctx context.Context) error {
 	defer p.end()
