Wait in the test of an expired owner until the new owner has asked it

Cause: the test could resume the backend server before the repetition had reached the new owner. Change: the test counts the queries for answers. Result: go test -race -count=5 -run OwnerExpired ./wigeonentry passes.

--- a/wigeonentry/once_test.go
+++ b/wigeonentry/once_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonentry"
 	"github.com/wigeonstep/wigeonstep/wigeonfake"
 	"github.com/wigeonstep/wigeonstep/wigeonstate"
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
@@ -49,9 +51,24 @@
 	f.c.Assert(f.ledger.RunsOfKey("order-1"), qt.Equals, 1)
 }
 
+// countingPeers counts the queries for answers.
+type countingPeers struct {
+	wigeonentry.PeerClient
+	queries *atomic.Int64
+}
+
+func (p countingPeers) Call(ctx context.Context, address string, request *wigeonwire.PeerRequest) (*wigeonwire.PeerResponse, error) {
+	response, err := p.PeerClient.Call(ctx, address, request)
+	if request.GetAnswerQuery() != nil {
+		p.queries.Add(1)
+	}
+	return response, err
+}
+
 // TestOwnerExpiredWhileRunning guards that a repetition at the new owner gets the answer of the run that an expired, still living owner finishes.
 func TestOwnerExpiredWhileRunning(t *testing.T) {
-	f := newFleet(t, 1, 2, nil)
+	var queries atomic.Int64
+	f := newFleet(t, 1, 2, func(c *wigeonentry.Config) { c.Peers = countingPeers{c.Peers, &queries} })
 	owner, other := f.owner("order-1")
 	f.backends[0].SetFaults(wigeonfake.BackendFaults{Paused: true})
 	answers := make(chan answer, 2)
@@ -60,10 +77,7 @@
 	owner.follower.closed.Store(true)
 	f.log.expire(t, owner.follower)
 	go func() { answers <- other.order("order-1", "wax") }()
-	waitFor(t, "the repetition to wait", func() bool {
-		query := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_AnswerQuery{AnswerQuery: &wigeonwire.AnswerQuery{Key: "order-1"}}}
-		return owner.process.HandlePeer(context.Background(), query).GetAnswer().GetRunning()
-	})
+	waitFor(t, "the new owner to ask the earlier one", func() bool { return queries.Load() > 0 })
 	f.backends[0].SetFaults(wigeonfake.BackendFaults{})
 	for range 2 {
 		got := <-answers
