--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -38,7 +38,9 @@
 	documents []*wigeondocument.Document
 	localOnly bool
 	grant     wigeonadmission.Grant
-	slots     int
+	// lastTarget is the split at the last report.
+	lastTarget wigeonadmission.Grant
+	slots      int
 }
 
 func newPool(name wigeonstep.PoolName, config *Config) *pool {
@@ -188,7 +190,7 @@
 	}
 }
 
-// first counts the first attempt of a request against which retries are measured.
+// pickFirst selects the server of a first attempt, and counts it; the retry budget is a share of these.
 func (p *pool) pickFirst(team wigeonstep.TeamName, want wigeonrouting.Want) (wigeonrouting.Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -299,12 +301,38 @@
 	p.picker.SetServers(now, servers)
 }
 
-// split takes over this process's part of the pool's slots.
-func (p *pool) split(self wigeonstep.SessionID, reports []wigeonadmission.Report) {
+// split takes over this process's part of the pool's slots. A slot that another process may hold is used only when two reports in a
+// row gave it to this process, because the other one gives it back when its request ends; a slot that is lost is lost at once.
+func (p *pool) split(self wigeonstep.SessionID, reports []wigeonadmission.Report, reported bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	alone := len(reports) == 0
 	reports = append(reports, wigeonadmission.Report{Session: self, Heard: true, Demand: p.admission.Demand(p.now())})
-	p.setGrant(wigeonadmission.Split(p.slots, self, reports))
+	target := wigeonadmission.Split(p.slots, self, reports)
+	if alone {
+		p.lastTarget = target
+	}
+	p.setGrant(intersect(p.lastTarget, target))
+	if reported {
+		p.lastTarget = target
+	}
+}
+
+// intersect returns the slots of target that before had, too.
+func intersect(before, target wigeonadmission.Grant) wigeonadmission.Grant {
+	var both []wigeonrouting.SlotRange
+	slots := 0
+	for _, b := range before.Ranges {
+		for _, t := range target.Ranges {
+			first := max(b.First, t.First)
+			if n := min(b.First+b.Count, t.First+t.Count) - first; n > 0 {
+				both = append(both, wigeonrouting.SlotRange{First: first, Count: n})
+				slots += n
+			}
+		}
+	}
+	target.Ranges, target.Slots, target.Long = both, min(target.Slots, slots), min(before.Long, target.Long)
+	return target
 }
 
 func (p *pool) setGrant(grant wigeonadmission.Grant) {
