Split small pools by real demand

Cause: with 56 entry processes and a pool of 80 slots, one slot kept for each idle process would have left 25 for the busy one, a pool with fewer slots than processes always served the same ones, and a process with one slot could never start long work. Change: idle sessions keep a slot only from four slots for each session on; when there is not a slot for each, the largest demands come first; long work may take the only slot of a process, whose next split adds one for short work.

--- a/wigeonadmission/services.go
+++ b/wigeonadmission/services.go
@@ -115,8 +115,9 @@
 
 // applyGrant recomputes what depends on the process's part of the pool.
 func (p *Pool) applyGrant() {
-	// At least one slot is left to short work in each process, too.
-	p.longLimit = max(min(p.grant.Long, p.grant.Slots-1), 0)
+	// At least one slot is left to short work in each process, too. A process with a single slot may give it to long work, which
+	// would never run otherwise; the next split then adds one for short work.
+	p.longLimit = min(p.grant.Long, max(p.grant.Slots-1, 1))
 	p.unfilled = 0
 	for _, t := range p.order {
 		t.localLimit = max(p.grant.Slots, 1)
--- a/wigeonadmission/split.go
+++ b/wigeonadmission/split.go
@@ -70,8 +70,9 @@
 // Split returns the grant of session self. Every process that passes the same reports, in any order, computes the same split.
 //
 // Slots that long work holds stay with their process, because it cannot give them back for hours. The other slots are split
-// max-min by demand; what nobody wants raises the smallest shares, so that a burst finds free slots at every process. Every session
-// counts with a demand of at least one slot, so that its next request need not wait for a report.
+// max-min by demand; what nobody wants raises the smallest shares, so that a burst finds free slots at every process. In a pool with
+// many slots for each session, every session counts with a demand of at least one, so that its next request need not wait for a
+// report.
 //
 // Every session has an equal part of the slots as its home. It keeps as much of it as its share allows, and only what it does not
 // need is lent to others, so that few slots change hands when demand changes while requests run on them.
@@ -98,8 +99,16 @@
 	}
 }
 
+// idleSlotFrom is from how many slots for each session on idle sessions keep one. With fewer, slots kept for idle sessions would be
+// too large a part of the pool.
+const idleSlotFrom = 4
+
 // entitled returns the share of each session; the shares add up to the slots.
 func entitled(slots int, sorted []Report) []int {
+	least := 0
+	if slots >= idleSlotFrom*len(sorted) {
+		least = 1
+	}
 	fixed, fixedTotal := make([]int, len(sorted)), 0
 	wanted := make([]int, len(sorted))
 	for i, r := range sorted {
@@ -109,7 +118,7 @@
 		} else {
 			wanted[i] = (slots + len(sorted) - 1) / len(sorted)
 		}
-		wanted[i] = max(wanted[i], 1)
+		wanted[i] = max(wanted[i], least)
 		fixedTotal += fixed[i]
 	}
 	if fixedTotal > slots {
@@ -146,7 +155,7 @@
 
 // maxMin splits total over the demands. If it does not suffice, nobody gets more than it wants before everybody has as much as
 // possible; otherwise everybody gets what it wants and the smallest shares are raised by what is left over. Units that do not
-// divide go to the lowest indices.
+// divide go to the lowest indices, but when there is not one for everybody, to the largest demands: there the queues are longest.
 func maxMin(total int, wanted []int) []int {
 	shares := make([]int, len(wanted))
 	order := make([]int, len(wanted))
@@ -173,7 +182,11 @@
 		left -= wanted[j]
 		order = order[1:]
 	}
-	slices.Sort(order)
+	if !scarce || left >= len(order) {
+		slices.Sort(order)
+	} else {
+		slices.Reverse(order)
+	}
 	for i, j := range order {
 		shares[j] = left / len(order)
 		if i < left%len(order) {
