--- a/wigeonentry/demand.go
+++ b/wigeonentry/demand.go
@@ -52,7 +52,7 @@
 	for _, s := range peers {
 		r := wigeonadmission.Report{Session: s.ID}
 		if last := b.reports[s.ID]; last != nil {
-			r.Heard, r.Demand = true, last.pools[string(pool)]
+			r.Heard, r.Stale, r.Demand = true, last.late, last.pools[string(pool)]
 		}
 		reports = append(reports, r)
 	}
@@ -96,12 +96,12 @@
 	return peers
 }
 
-// resplit computes this process's part of every pool. The caller holds applyMu.
-func (p *Process) resplit(view *wigeonstate.View) {
+// resplit computes this process's part of every pool; reported is set once in each report interval. The caller holds applyMu.
+func (p *Process) resplit(view *wigeonstate.View, reported bool) {
 	self := p.config.Follower.Session()
 	peers := p.trafficPeers(view)
 	for name, pl := range *p.pools.Load() {
-		pl.split(self, p.demands.of(peers, name))
+		pl.split(self, p.demands.of(peers, name), reported)
 	}
 }
 
@@ -109,7 +109,7 @@
 func (p *Process) reportDemand(ctx context.Context) {
 	p.applyMu.Lock()
 	view := p.applied
-	p.resplit(view)
+	p.resplit(view, true)
 	peers := p.trafficPeers(view)
 	p.applyMu.Unlock()
 	for _, id := range p.demands.prune(p.config.Now(), peers, p.config.ReportMaxAge) {
