Test orders through the loss of the platform at one owner

Cause: the take-over of keys after a real expiry was tested only with a scripted follower. Change: three processes with real followers, one cut off from the platform for longer than its session lives, under load.

--- /dev/null
+++ b/wigeonentry/cutoff_test.go
@@ -0,0 +1,110 @@
+package wigeonentry_test
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonfake"
+)
+
+// orderBook holds what became of the orders of a test.
+type orderBook struct {
+	mu      sync.Mutex
+	answers map[string][]answer
+}
+
+func (b *orderBook) add(key string, got answer) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answers[key] = append(b.answers[key], got)
+}
+
+// TestOwnerCutOffFromPlatform guards orders while one process is cut off from the platform, but not from callers and peers, until
+// its session expires and others own its keys: no key runs twice, not_run is true, and the others take all orders again.
+func TestOwnerCutOffFromPlatform(t *testing.T) {
+	c := qt.New(t)
+	ledger := &wigeonfake.Ledger{}
+	platform := startPlatform(t, ledger)
+	var entries []*entry
+	for i := range 3 {
+		e := startRealEntry(t, platform, fmt.Sprintf("entry-%d", i))
+		entries = append(entries, &entry{process: e.process, address: e.address})
+	}
+	for _, e := range entries {
+		waitFor(t, "the entry process to be ready", e.process.Ready)
+	}
+	waitFor(t, "orders to be taken", func() bool {
+		for n := range 20 {
+			if entries[n%3].order(fmt.Sprintf("warm-%d-%d", n, time.Now().UnixNano()), "wax").outcome != wigeonstep.OutcomeDone {
+				return false
+			}
+		}
+		return true
+	})
+	book := &orderBook{answers: map[string][]answer{}}
+	ended := make(chan struct{})
+	var callers sync.WaitGroup
+	for i := range 12 {
+		callers.Go(func() {
+			for n := 0; ; n++ {
+				select {
+				case <-ended:
+					return
+				default:
+				}
+				key := fmt.Sprintf("order-%d-%d", i, n)
+				// The caller tries another process until the outcome is known, as callers do.
+				for k := range 3 {
+					got := entries[(i+n+k)%3].order(key, key)
+					book.add(key, got)
+					if got.outcome == wigeonstep.OutcomeDone {
+						break
+					}
+				}
+			}
+		})
+	}
+	platform.CutOff("entry-0", true)
+	whole := func() bool {
+		for n := range 30 {
+			if entries[1+n%2].order(fmt.Sprintf("after-%d-%d", n, time.Now().UnixNano()), "wax").outcome != wigeonstep.OutcomeDone {
+				return false
+			}
+		}
+		return true
+	}
+	cut := time.Now()
+	for !whole() || time.Since(cut) < 10*time.Second {
+		c.Assert(time.Since(cut) < 40*time.Second, qt.IsTrue, qt.Commentf("the other processes did not take over"))
+	}
+	t.Logf("all orders are taken again %v after the cut", time.Since(cut).Round(100*time.Millisecond))
+	platform.CutOff("entry-0", false)
+	waitFor(t, "the process that was cut off to serve again", func() bool {
+		return entries[0].order(fmt.Sprintf("back-%d", time.Now().UnixNano()), "wax").outcome == wigeonstep.OutcomeDone
+	})
+	close(ended)
+	callers.Wait()
+	outcomes := map[wigeonstep.Outcome]int{}
+	for key, answers := range book.answers {
+		runs := ledger.RunsOfKey(wigeonstep.Key(key))
+		c.Check(runs <= 1, qt.IsTrue, qt.Commentf("key %s ran %d times", key, runs))
+		for i, got := range answers {
+			c.Assert(got.err, qt.IsNil)
+			outcomes[got.outcome]++
+			if got.outcome == wigeonstep.OutcomeDone {
+				_, err := wigeonfake.CheckAnswer([]byte(got.body), []byte(key))
+				c.Check(err, qt.IsNil)
+				c.Check(runs, qt.Equals, 1)
+			}
+			if got.outcome == wigeonstep.OutcomeNotRun && i == len(answers)-1 {
+				c.Check(runs, qt.Equals, 0, qt.Commentf("key %s: %v", key, answers))
+			}
+		}
+	}
+	t.Logf("outcomes: %v", outcomes)
+}
