--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -307,7 +307,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	alone := len(reports) == 0
-	reports = append(reports, wigeonadmission.Report{Session: self, Heard: true, Demand: p.admission.Demand()})
+	reports = append(reports, wigeonadmission.Report{Session: self, Heard: true, Demand: p.admission.Demand(p.now())})
 	target := wigeonadmission.Split(p.slots, self, reports)
 	if alone {
 		p.lastTarget = target
@@ -348,5 +348,5 @@
 func (p *pool) demand() wigeonadmission.Demand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.admission.Demand()
+	return p.admission.Demand(p.now())
 }
