Shorten the handover of keys by direct reports of the applied offset

Cause: a session that joined ran no caller's own key until the others had renewed on the log, up to 2 s later.

--- a/wigeonentry/demand.go
+++ b/wigeonentry/demand.go
@@ -24,9 +24,11 @@
 
 type peerReport struct {
 	number uint64
-	heard  time.Time
-	late   bool
-	pools  map[string]wigeonadmission.Demand
+	// applied is the offset that the peer had applied.
+	applied wigeonstep.Offset
+	heard   time.Time
+	late    bool
+	pools   map[string]wigeonadmission.Demand
 }
 
 // take keeps the report unless it is older than the last one.
@@ -37,13 +39,23 @@
 	if last := b.reports[id]; last != nil && report.GetReport() <= last.number {
 		return
 	}
-	r := &peerReport{number: report.GetReport(), heard: now, pools: make(map[string]wigeonadmission.Demand, len(report.GetPools()))}
+	r := &peerReport{number: report.GetReport(), applied: wigeonstep.Offset(report.GetAppliedOffset()), heard: now, pools: make(map[string]wigeonadmission.Demand, len(report.GetPools()))}
 	for _, pl := range report.GetPools() {
 		r.pools[pl.GetPool()] = wigeonadmission.Demand{Held: int(pl.GetHeld()), Wanted: int(pl.GetWanted()), Long: int(pl.GetLong())}
 	}
 	b.reports[id] = r
 }
 
+// appliedBy returns the offset that the session last reported as applied, zero when none.
+func (b *demandBook) appliedBy(session wigeonstep.SessionID) wigeonstep.Offset {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if r := b.reports[session]; r != nil {
+		return r.applied
+	}
+	return 0
+}
+
 // of returns the reports of the peers for one pool. A peer counts with its last report until its session ends.
 func (b *demandBook) of(peers []*wigeonstate.Session, pool wigeonstep.PoolName) []wigeonadmission.Report {
 	b.mu.Lock()
@@ -141,6 +153,9 @@
 	number := p.demands.own
 	p.demands.mu.Unlock()
 	report := &wigeonwire.DemandReport{Session: uint64(p.config.Follower.Session()), Report: number}
+	if next := p.config.Follower.View().Next; next > 0 {
+		report.AppliedOffset = uint64(next) - 1
+	}
 	for name, pl := range *p.pools.Load() {
 		if d := pl.demand(); d.Wanted > 0 {
 			report.Pools = append(report.Pools, &wigeonwire.PoolDemand{Pool: string(name), Held: uint32(d.Held), Wanted: uint32(d.Wanted), Long: uint32(d.Long)})
--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -62,7 +62,7 @@
 	p.jobs = newJobBook(p)
 	p.once = wigeononce.NewTable(wigeononce.Config{
 		Limits:   wigeononce.Limits{AnswersFor: config.AnswersFor, AnswerBytes: config.AnswerBytes},
-		Follower: config.Follower, Runner: onceRunner{p}, Peers: oncePeers{p}, Recorded: recordedJob, Now: config.Now,
+		Follower: config.Follower, Runner: onceRunner{p}, Peers: oncePeers{p}, Recorded: recordedJob, Applied: p.demands.appliedBy, Now: config.Now,
 	})
 	server, err := wigeoncaller.New(wigeoncaller.Config{Handler: p, Logger: config.Logger, MaxBody: config.MaxBody, Now: config.Now})
 	if err != nil {
--- a/wigeononce/handover.go
+++ b/wigeononce/handover.go
@@ -19,7 +19,8 @@
 }
 
 // Done reports whether no other session can still believe to own a partition of the session self. Once true it stays true for the session.
-func (h *Handover) Done(view *wigeonstate.View, self wigeonstep.SessionID) bool {
+// applied returns the offset that a session reported to this process directly, zero when none; it is newer than the one on the log.
+func (h *Handover) Done(view *wigeonstate.View, self wigeonstep.SessionID, applied func(wigeonstep.SessionID) wigeonstep.Offset) bool {
 	if h.session != self {
 		*h = Handover{session: self}
 	}
@@ -32,7 +33,7 @@
 	for _, s := range view.Sessions {
 		// A session that closes answers no more not_run from before it says so on the log.
 		mayDecide := s.Role == wigeonwire.Role_ROLE_ENTRY && s.Ready && !s.Closing && !s.Expired && s.ID != self
-		if mayDecide && s.AppliedOffset+1 < h.from {
+		if mayDecide && max(s.AppliedOffset, applied(s.ID))+1 < h.from {
 			return false
 		}
 	}
--- a/wigeononce/property_test.go
+++ b/wigeononce/property_test.go
@@ -100,8 +100,10 @@
 		p.expireWaiters()
 	case 15:
 		p.issue()
-	case 16, 17, 18:
+	case 16, 17:
 		p.renew()
+	case 18, 19:
+		p.report(rapid.SampledFrom(s.procs).Draw(s.t, "peer"))
 	default:
 		p.executeOne()
 	}
--- a/wigeononce/sim_test.go
+++ b/wigeononce/sim_test.go
@@ -50,7 +50,9 @@
 	dead     bool
 	cutOff   bool
 	handover wigeononce.Handover
-	waiters  uint64
+	// heard holds the applied offsets that other sessions reported directly.
+	heard   map[wigeonstep.SessionID]wigeonstep.Offset
+	waiters uint64
 	// waiting maps a waiter to what takes its answer.
 	waiting map[wigeononce.WaiterID]*simWaiter
 	// pending are the actions that are not executed yet, in any order.
@@ -98,6 +100,7 @@
 	p := &simProc{
 		sim: s, core: s.create(), state: &wigeonstate.State{},
 		waiting: map[wigeononce.WaiterID]*simWaiter{}, proposed: map[uint64]wigeononce.Propose{},
+		heard: map[wigeonstep.SessionID]wigeonstep.Offset{},
 	}
 	s.procs = append(s.procs, p)
 	p.openSession()
@@ -126,6 +129,13 @@
 	}}})
 }
 
+// report tells another process the applied offset directly.
+func (p *simProc) report(to *simProc) {
+	if !p.dead && p.state.Next() > 0 {
+		to.heard[wigeonstep.SessionID(p.session)] = p.state.Next() - 1
+	}
+}
+
 func (p *simProc) append(entry *wigeonwire.Entry) uint64 {
 	p.sequence++
 	batch := &wigeonwire.Batch{Session: p.session, Sequence: p.sequence, AtUnixMs: p.sim.now.UnixMilli(), Entries: []*wigeonwire.Entry{entry}}
@@ -168,7 +178,7 @@
 
 // place mirrors Table.place. The lease holds as long as the log has not expired the session.
 func (p *simProc) place(key wigeonstep.Key) wigeononce.Place {
-	place := wigeononce.Place{Settled: p.handover.Done(p.state.View(), wigeonstep.SessionID(p.session)), Stale: p.cutOff && p.sim.chance("view is stale", 2)}
+	place := wigeononce.Place{Settled: p.handover.Done(p.state.View(), wigeonstep.SessionID(p.session), func(id wigeonstep.SessionID) wigeonstep.Offset { return p.heard[id] }), Stale: p.cutOff && p.sim.chance("view is stale", 2)}
 	if issuer, ok := wigeononce.IssuedBy(key); ok {
 		for _, session := range p.state.View().Sessions {
 			if session.ID == issuer {
--- a/wigeononce/table.go
+++ b/wigeononce/table.go
@@ -62,6 +62,8 @@
 	StaleAfter time.Duration
 	// Recorded returns the answer that the fold itself holds for a key, nil when it holds none. It is called while no record is applied; optional.
 	Recorded func(key *wigeonwire.Key) *wigeonstep.Response
+	// Applied returns the offset that a session reported to this process directly, zero when none; optional.
+	Applied func(session wigeonstep.SessionID) wigeonstep.Offset
 	// Now returns the wall clock time, default time.Now.
 	Now func() time.Time
 }
@@ -96,6 +98,9 @@
 	if config.StaleAfter <= 0 {
 		config.StaleAfter = 2 * time.Second
 	}
+	if config.Applied == nil {
+		config.Applied = func(wigeonstep.SessionID) wigeonstep.Offset { return 0 }
+	}
 	if config.Now == nil {
 		config.Now = time.Now
 	}
@@ -247,7 +252,7 @@
 func (t *Table) Observe(view *wigeonstate.View) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.handover.Done(view, t.config.Follower.Session())
+	t.handover.Done(view, t.config.Follower.Session(), t.config.Applied)
 }
 
 // place reads what the process knows of a key.
@@ -275,7 +280,7 @@
 	p.LeaseValid, p.Leaving = f.LeaseValid(), t.leaving.Load()
 	p.Stale = f.ConfirmedAge() >= t.config.StaleAfter
 	t.mu.Lock()
-	p.Settled = t.handover.Done(view, f.Session())
+	p.Settled = t.handover.Done(view, f.Session(), t.config.Applied)
 	t.mu.Unlock()
 	return p
 }
