Test jobs over the real follower while the platform loses answers

Cause: jobs were tested with a scripted follower only. Change: 40 jobs and 20 repetitions at two processes, with three of ten append answers lost.

--- a/wigeonentry/platform_test.go
+++ b/wigeonentry/platform_test.go
@@ -174,3 +174,39 @@
 	t.Logf("outcomes: %v", outcomes)
 	c.Check(outcomes[wigeonstep.OutcomeDone] > 50, qt.IsTrue)
 }
+
+// TestJobsOnFaultyPlatform guards jobs over the real follower while the log loses answers: each job ends, and one that is not idempotent runs at most once.
+func TestJobsOnFaultyPlatform(t *testing.T) {
+	c := qt.New(t)
+	ledger := &wigeonfake.Ledger{}
+	platform := startPlatform(t, ledger)
+	var entries []*entry
+	for i := range 2 {
+		e := startRealEntry(t, platform, fmt.Sprintf("entry-%d", i))
+		entries = append(entries, &entry{process: e.process, address: e.address})
+		waitFor(t, "the entry process to be ready", e.process.Ready)
+	}
+	waitFor(t, "orders to be taken", func() bool {
+		return entries[0].order("first", "wax").outcome == wigeonstep.OutcomeDone && entries[1].order("second", "wax").outcome == wigeonstep.OutcomeDone
+	})
+	platform.SetFaults(wigeonfake.Faults{LoseAppendAnswers: 0.3, LogDelay: 5 * time.Millisecond})
+	bodies := map[string]string{}
+	for i := range 40 {
+		class, key, body := "watch", "", fmt.Sprintf("cure %d", i)
+		if i%2 == 0 {
+			class, key = "bake", fmt.Sprintf("bake-%d", i)
+		}
+		got, j := entries[i%2].submit(class, key, body)
+		c.Assert(got.outcome, qt.Equals, wigeonstep.OutcomeAccepted, qt.Commentf("%+v", got))
+		bodies[j.Job] = body
+		if key != "" {
+			_, again := entries[(i/2)%2].submit(class, key, body)
+			c.Assert(again.Job, qt.Equals, j.Job)
+		}
+	}
+	for id, body := range bodies {
+		waitFor(t, "the job to end", func() bool { return entries[0].job("GET", id).State == "ended" })
+		c.Check(entries[0].job("GET", id).Outcome, qt.Equals, "done")
+		c.Check(ledger.RunsOfBody([]byte(body)), qt.Equals, 1)
+	}
+}
