Start the processes in a test, and report demand to the planners

Cause: the kill of an entry process and of a backend server under load was not shown on real processes, and the planners heard nothing of load or connections. Change: cmd/wigeonstep tests build and start a platform, three data centres and twelve backend servers; entry processes report demand and connection results to the planner of each data centre every 2 s; warnings of the HTTP library become key=value lines.

--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -12,6 +12,9 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+
+	"github.com/wigeonstep/wigeonstep/wigeontelemetry"
 )
 
 const (
@@ -29,6 +32,7 @@
 }
 
 func main() {
+	wigeontelemetry.RedirectHertz(zap.NewNop())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
--- a/cmd/wigeonstep/process.go
+++ b/cmd/wigeonstep/process.go
@@ -54,6 +54,7 @@
 			if err != nil {
 				return usageError{err}
 			}
+			wigeontelemetry.RedirectHertz(logger)
 			return run(ctx, settings, wigeonprocess.Deps{Logger: logger.With(zap.String("process", name))})
 		},
 	}
--- /dev/null
+++ b/cmd/wigeonstep/processes_test.go
@@ -0,0 +1,319 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep/wigeonfake"
+)
+
+// program is a started process of this repository. Its output shows when the test fails.
+type program struct {
+	*exec.Cmd
+	name   string
+	output bytes.Buffer
+	exited chan struct{}
+}
+
+// build compiles both commands once into a directory of the test.
+func build(t *testing.T) string {
+	t.Helper()
+	directory := t.TempDir()
+	command := exec.Command("go", "build", "-o", directory+"/", "../...")
+	output, err := command.CombinedOutput()
+	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", output))
+	return directory
+}
+
+func start(t *testing.T, name, path string, args ...string) *program {
+	t.Helper()
+	p := &program{Cmd: exec.Command(path, args...), name: name, exited: make(chan struct{})}
+	p.Stdout, p.Stderr = &p.output, &p.output
+	qt.Assert(t, p.Start(), qt.IsNil)
+	go func() {
+		defer close(p.exited)
+		_ = p.Wait()
+	}()
+	t.Cleanup(func() {
+		_ = p.Process.Kill()
+		<-p.exited
+		if t.Failed() {
+			lines := strings.Split(strings.TrimSpace(p.output.String()), "\n")
+			t.Logf("%s: last lines of %d\n%s", name, len(lines), strings.Join(lines[max(0, len(lines)-15):], "\n"))
+		}
+	})
+	return p
+}
+
+// ports reserves addresses on a loopback IP by asking the system for free ports.
+func ports(t *testing.T, ip string, count int) []string {
+	t.Helper()
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", ip+":0")
+		qt.Assert(t, err, qt.IsNil)
+		defer listener.Close()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses
+}
+
+// eventually waits until the condition holds; the limit is generous, since CI machines are slow at times.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for limit := time.Now().Add(60 * time.Second); !condition(); {
+		if time.Now().After(limit) {
+			t.Fatalf("not within 60 s: %s", what)
+		}
+		<-time.After(50 * time.Millisecond)
+	}
+}
+
+// cluster is a platform, three data centres with an entry process and a control daemon each, and backend servers.
+type cluster struct {
+	directory string
+	platform  string
+	callers   []string
+	peers     []string
+	entries   []*program
+	backends  []*program
+	servers   []string
+}
+
+func startCluster(t *testing.T) *cluster {
+	t.Helper()
+	c := &cluster{directory: build(t)}
+	fake, step := filepath.Join(c.directory, "wigeonfake"), filepath.Join(c.directory, "wigeonstep")
+	c.platform = ports(t, "127.0.0.1", 1)[0]
+	start(t, "platform", fake, "platform", "-listen", c.platform)
+	eventually(t, "the platform listens", func() bool { return listens(c.platform) })
+	for n, centre := range []string{"budapest", "kecskemet", "szeged"} {
+		addresses := ports(t, fmt.Sprintf("127.0.%d.1", n+1), 5)
+		c.callers, c.peers = append(c.callers, addresses[0]), append(c.peers, addresses[1])
+		common := fmt.Sprintf("data_centre: %s\nvm: entry-%s\nplatform_address: %s\n", centre, centre, c.platform)
+		entry := fmt.Sprintf("role: entry\n%scaller_address: %s\npeer_address: %s\nadmin_address: %s\ndrain_delay_ms: 200\n", common, addresses[0], addresses[1], addresses[2])
+		control := fmt.Sprintf("role: control\n%speer_address: %s\nadmin_address: %s\nplan_interval_ms: 200\nlist_interval_ms: 200\n", common, addresses[3], addresses[4])
+		c.entries = append(c.entries, start(t, "entry "+centre, step, "entry", "-settings", c.write(t, "entry-"+centre, entry)))
+		start(t, "control "+centre, step, "control", "-settings", c.write(t, "control-"+centre, control))
+		for i := range 4 {
+			server := ports(t, fmt.Sprintf("127.0.%d.2", n+1), 1)[0]
+			c.servers = append(c.servers, server)
+			name := fmt.Sprintf("%s-o%d-", centre, i)
+			c.backends = append(c.backends, start(t, name, fake, "backend", "-platform", c.platform, "-listen", server, "-pool", "orders", "-data-centre", centre, "-id-prefix", name))
+		}
+	}
+	eventually(t, "the document is accepted", func() bool {
+		return exec.Command(step, "apply", "-platform", c.platform, "testdata/orders.yaml").Run() == nil
+	})
+	for i, caller := range c.callers {
+		eventually(t, fmt.Sprintf("entry process %d serves", i), func() bool {
+			answer, err := c.send(caller, "check-stock", "", "ready")
+			return err == nil && answer.outcome == "done"
+		})
+	}
+	return c
+}
+
+func (c *cluster) write(t *testing.T, name, content string) string {
+	t.Helper()
+	file := filepath.Join(c.directory, name+".yaml")
+	qt.Assert(t, os.WriteFile(file, []byte(content), 0o600), qt.IsNil)
+	return file
+}
+
+func listens(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// callerAnswer is what a caller read.
+type callerAnswer struct {
+	status  int
+	outcome string
+	body    string
+}
+
+func (c *cluster) send(address, class, key, body string) (callerAnswer, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/orders", strings.NewReader(body))
+	if err != nil {
+		return callerAnswer{}, err
+	}
+	request.Header.Set("Wigeonstep-Team", "grafters")
+	request.Header.Set("Wigeonstep-Class", class)
+	if key != "" {
+		request.Header.Set("Idempotency-Key", key)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return callerAnswer{}, err
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return callerAnswer{response.StatusCode, response.Header.Get("Wigeonstep-Outcome"), string(data)}, err
+}
+
+// runs returns how often the work of each key ran, over the backend servers that still run.
+func (c *cluster) runs(t *testing.T) wigeonfake.RunCounts {
+	t.Helper()
+	var all wigeonfake.RunCounts
+	for _, server := range c.servers {
+		response, err := http.Get("http://" + server + wigeonfake.ControlPath)
+		if err != nil {
+			continue
+		}
+		var state struct {
+			Runs wigeonfake.RunCounts `json:"runs"`
+		}
+		err = json.NewDecoder(response.Body).Decode(&state)
+		_ = response.Body.Close()
+		qt.Assert(t, err, qt.IsNil)
+		all.Add(state.Runs)
+	}
+	return all
+}
+
+// TestProcessesUnderKills guards against answers that are cut off, mixed up or lost when an entry process and a backend
+// server are killed under load, and against a key that runs twice.
+func TestProcessesUnderKills(t *testing.T) {
+	c := startCluster(t)
+	const callers, each = 12, 40
+	var mu sync.Mutex
+	var wrong []string
+	complain := func(format string, args ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		wrong = append(wrong, fmt.Sprintf(format, args...))
+	}
+	counts := map[string]int{}
+	var work sync.WaitGroup
+	half := make(chan struct{})
+	var reached sync.Once
+	for n := range callers {
+		work.Go(func() {
+			for i := range each {
+				if i == each/2 {
+					reached.Do(func() { close(half) })
+				}
+				key, class := "", "check-stock"
+				if i%2 == 0 {
+					key, class = fmt.Sprintf("order-%d-%d", n, i), "place-order"
+				}
+				// The load balancer does not send to the entry process that is gone; a refused connection goes to the next one.
+				answer, err := c.send(c.callers[(n+i)%3], class, key, fmt.Sprintf("body-%d-%d", n, i))
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					answer, err = c.send(c.callers[0], class, key, fmt.Sprintf("body-%d-%d", n, i))
+				}
+				switch {
+				case err != nil && (n+i)%3 != 2:
+					complain("order %d-%d at a living entry process: %v", n, i, err)
+				case err != nil:
+				case answer.outcome == "done" && (!strings.Contains(answer.body, `"whole":true`) || !strings.Contains(answer.body, `"key":"`+key+`"`)):
+					complain("order %d-%d: foreign or partial answer %q", n, i, answer.body)
+				case answer.outcome != "done" && answer.outcome != "not_run" && answer.outcome != "unknown":
+					complain("order %d-%d: status %d, outcome %q", n, i, answer.status, answer.outcome)
+				}
+				mu.Lock()
+				counts[answer.outcome]++
+				mu.Unlock()
+			}
+		})
+	}
+	<-half
+	qt.Assert(t, c.entries[2].Process.Kill(), qt.IsNil)
+	qt.Assert(t, c.backends[0].Process.Kill(), qt.IsNil)
+	work.Wait()
+	qt.Assert(t, wrong, qt.HasLen, 0)
+	t.Logf("outcomes: %v", counts)
+	qt.Assert(t, counts["done"] > callers*each/2, qt.IsTrue, qt.Commentf("%v", counts))
+
+	// A key that ran and is sent again, to another entry process, must not run again, nor be called not_run.
+	before := c.runs(t)
+	qt.Assert(t, len(before.ByKey) > callers*each/4, qt.IsTrue)
+	for key := range before.ByKey {
+		answer, err := c.send(c.callers[len(key)%2], "place-order", string(key), strings.Replace(string(key), "order", "body", 1))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Check(t, answer.outcome, qt.Not(qt.Equals), "not_run", qt.Commentf("key %s ran", key))
+	}
+	for key, count := range c.runs(t).ByKey {
+		qt.Check(t, count, qt.Equals, 1, qt.Commentf("key %s", key))
+	}
+}
+
+// TestGracefulStopOfProcesses guards against an entry process that cuts off requests, or fails, on SIGTERM.
+func TestGracefulStopOfProcesses(t *testing.T) {
+	c := startCluster(t)
+	var work sync.WaitGroup
+	failures := make(chan error, 64)
+	for i := range 32 {
+		work.Go(func() {
+			answer, err := c.send(c.callers[1], "check-stock", "", fmt.Sprintf("body-%d", i))
+			if err != nil || answer.outcome != "done" {
+				failures <- fmt.Errorf("request %d: outcome %q: %w", i, answer.outcome, err)
+			}
+		})
+	}
+	qt.Assert(t, c.entries[1].Process.Signal(syscall.SIGTERM), qt.IsNil)
+	work.Wait()
+	close(failures)
+	for err := range failures {
+		// A connection that the stopped process never accepted was not cut off; the load balancer would send it elsewhere.
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Error(err)
+		}
+	}
+	<-c.entries[1].exited
+	qt.Assert(t, c.entries[1].ProcessState.ExitCode(), qt.Equals, 0)
+}
+
+// TestCommandLine guards against bad use or bad files that do not end with status 2.
+func TestCommandLine(t *testing.T) {
+	tests := []struct {
+		name string
+		args []string
+		want int
+		text string
+	}{
+		{"help", []string{"-h"}, 0, "SUBCOMMANDS"},
+		{"no command", nil, 2, "SUBCOMMANDS"},
+		{"unknown command", []string{"reboot"}, 2, "unknown command"},
+		{"unknown flag", []string{"status", "-colour"}, 2, "not defined"},
+		{"check without files", []string{"check"}, 2, "at least one file"},
+		{"check of a valid file", []string{"check", "testdata/orders.yaml"}, 0, "ok"},
+		{"check of a faulty file", []string{"check", "../../wigeondocument/testdata/twice.yaml"}, 2, "twice.yaml:2:1: service: key is given twice"},
+		{"check of a missing file", []string{"check", "testdata/none.yaml"}, 2, "no such file"},
+		{"entry without settings", []string{"entry"}, 2, "-settings"},
+		{"entry with a document", []string{"entry", "-settings", "testdata/orders.yaml"}, 2, "role: required key is missing"},
+		{"explain of an unknown kind", []string{"explain", "-peer", "127.0.0.1:1", "worker", "a1"}, 2, "is not one of"},
+		{"status without a source", []string{"status"}, 2, "either -platform or -peer"},
+		{"status of a closed port", []string{"status", "-peer", "127.0.0.1:1", "-timeout", "2s"}, 1, "127.0.0.1:1"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var out, errOut bytes.Buffer
+			qt.Check(t, run(context.Background(), test.args, &out, &errOut), qt.Equals, test.want)
+			qt.Check(t, out.String()+errOut.String(), qt.Contains, test.text)
+		})
+	}
+}
--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -29,6 +29,7 @@
 	meters  meters
 	retries *metrics.Counter
 	demands demandBook
+	reach   *reachRecorder
 	// refusals are those that no decision on the log covers yet.
 	refusals refusals
 
@@ -54,7 +55,9 @@
 	if err := config.fill(); err != nil {
 		return nil, err
 	}
-	p := &Process{config: config, demands: demandBook{reports: map[wigeonstep.SessionID]*peerReport{}}}
+	reach := &reachRecorder{Backend: config.Backend}
+	config.Backend = reach
+	p := &Process{config: config, reach: reach, demands: demandBook{reports: map[wigeonstep.SessionID]*peerReport{}}}
 	p.lifetime, p.end = context.WithCancel(context.Background())
 	p.pools.Store(&map[wigeonstep.PoolName]*pool{})
 	p.meters.set = config.Metrics
@@ -146,6 +149,8 @@
 	defer apply.Stop()
 	report := time.NewTicker(p.config.ReportInterval)
 	defer report.Stop()
+	plan := time.NewTicker(plannerInterval)
+	defer plan.Stop()
 	p.apply()
 	for {
 		select {
@@ -158,6 +163,8 @@
 			}
 		case <-report.C:
 			p.reportDemand(ctx)
+		case <-plan.C:
+			p.reportToPlanners(ctx)
 		}
 	}
 }
--- /dev/null
+++ b/wigeonentry/reach.go
@@ -0,0 +1,59 @@
+package wigeonentry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// reachRecorder counts for each VM the attempts that got an answer and those that did not. It wraps another Backend.
+type reachRecorder struct {
+	wigeonstep.Backend
+
+	mu     sync.Mutex
+	counts map[wigeonstep.VMID]*wigeonwire.VMReach
+}
+
+// Call implements wigeonstep.Backend.
+func (r *reachRecorder) Call(ctx context.Context, call wigeonstep.BackendCall) wigeonstep.BackendResult {
+	result := r.Backend.Call(ctx, call)
+	r.note(call.VM, &result)
+	return result
+}
+
+func (r *reachRecorder) note(vm wigeonstep.VMID, result *wigeonstep.BackendResult) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.counts == nil {
+		r.counts = make(map[wigeonstep.VMID]*wigeonwire.VMReach)
+	}
+	count := r.counts[vm]
+	if count == nil {
+		count = &wigeonwire.VMReach{Vm: string(vm)}
+		r.counts[vm] = count
+	}
+	switch {
+	case result.Verdict == wigeonstep.BackendNotSent, result.Verdict == wigeonstep.BackendLost && !result.TimedOut:
+		count.Failed++
+	case result.Verdict != wigeonstep.BackendLost:
+		count.Succeeded++
+	}
+}
+
+// take returns the counts since the call before, sorted by VM.
+func (r *reachRecorder) take() []*wigeonwire.VMReach {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	taken := make([]*wigeonwire.VMReach, 0, len(r.counts))
+	for _, vm := range slices.Sorted(maps.Keys(r.counts)) {
+		if count := r.counts[vm]; count.GetSucceeded()+count.GetFailed() > 0 {
+			taken = append(taken, count)
+		}
+	}
+	r.counts = nil
+	return taken
+}
--- a/wigeonfake/ledger.go
+++ b/wigeonfake/ledger.go
@@ -81,8 +81,11 @@
 	}
 }
 
-// Add adds the other counts to these. The maps must not be nil.
+// Add adds the other counts to these.
 func (c *RunCounts) Add(other RunCounts) {
+	if c.ByKey == nil {
+		*c = newRunCounts()
+	}
 	c.Total += other.Total
 	for key, n := range other.ByKey {
 		c.ByKey[key] += n
--- a/wigeonprocess/control.go
+++ b/wigeonprocess/control.go
@@ -57,7 +57,7 @@
 		Maintenance: wigeonmaintenance.Config{
 			Period: time.Duration(settings.WaveIntervalS) * time.Second,
 		},
-		Loads: func() map[poolName]int { return book.loads(time.Now()) },
+		Loads: func() map[poolName]int { return book.loads(time.Now(), p.follower.View()) },
 		Reach: func() map[vmID]reach { return book.reach(time.Now()) },
 	})
 }
--- a/wigeonprocess/demand.go
+++ b/wigeonprocess/demand.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonpool"
+	"github.com/wigeonstep/wigeonstep/wigeonstate"
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
@@ -17,8 +18,8 @@
 	reach    = wigeonpool.Reach
 )
 
-// reportMaxAge is the age from which a demand report no longer counts. Entry processes report every 200 ms.
-const reportMaxAge = 5 * time.Second
+// reportMaxAge is the age from which a demand report no longer counts. Entry processes report to planners every 2 s.
+const reportMaxAge = 7 * time.Second
 
 // reachWindow is the time over which connection results are added up.
 const reachWindow = 10 * time.Second
@@ -68,8 +69,9 @@
 	}
 }
 
-// loads returns the slots that the work of each pool wants, over all entry processes heard of lately.
-func (b *demandBook) loads(now time.Time) map[poolName]int {
+// loads returns the slots that the work of each pool wants, over all entry processes. It returns nil unless every ready one
+// was heard of lately, since a sum without one of them would make pools look idle.
+func (b *demandBook) loads(now time.Time, view *wigeonstate.View) map[poolName]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	wanted := make(map[poolName]int)
@@ -82,6 +84,11 @@
 			wanted[poolName(p.GetPool())] += int(p.GetWanted())
 		}
 	}
+	for _, s := range view.Sessions {
+		if _, heard := b.reports[s.ID]; s.Role == wigeonwire.Role_ROLE_ENTRY && s.Ready && !s.Expired && !heard {
+			return nil
+		}
+	}
 	return wanted
 }
 
--- a/wigeontelemetry/admin.go
+++ b/wigeontelemetry/admin.go
@@ -11,7 +11,6 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 )
 
@@ -27,7 +26,6 @@
 
 // Serve serves on the listener until ctx ends.
 func (a *Admin) Serve(ctx context.Context, listener net.Listener) error {
-	hlog.SetLevel(hlog.LevelFatal)
 	h := server.New(
 		server.WithListener(listener),
 		server.WithTransport(standard.NewTransporter),
