End the process when a part fails before it is ready

Cause: Run waited for the readiness of a follower that had failed, and so never returned. Change: the start ends with the process; a test with a follower that fails. Result: go test -race -run PartFails -count=3 ./wigeonentry passes; without the change it ran into its time limit.

--- a/wigeonentry/leave_test.go
+++ b/wigeonentry/leave_test.go
@@ -1,8 +1,11 @@
 package wigeonentry_test
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -13,6 +16,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonbackend"
 	"github.com/wigeonstep/wigeonstep/wigeonentry"
 	"github.com/wigeonstep/wigeonstep/wigeonfake"
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
@@ -158,3 +162,27 @@
 	qt.Assert(t, err, qt.IsNil)
 	return string(got)
 }
+
+// brokenFollower never becomes ready and fails.
+type brokenFollower struct{ *testFollower }
+
+func (f brokenFollower) Run(context.Context) error { return errors.New("the log is broken") }
+
+func (f brokenFollower) WaitReady(ctx context.Context) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// TestPartFails guards that the failure of a part ends the process with its error instead of leaving it half alive.
+func TestPartFails(t *testing.T) {
+	c := qt.New(t)
+	log := &testLog{}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	process, err := wigeonentry.New(wigeonentry.Config{
+		DataCentre: "a", Listener: listener, Backend: wigeonbackend.New(wigeonbackend.Config{}),
+		Follower: brokenFollower{log.follow(t, 0xe0, wigeonwire.Role_ROLE_ENTRY, "a", "127.0.0.1:1")},
+	})
+	c.Assert(err, qt.IsNil)
+	c.Assert(process.Run(context.Background()), qt.ErrorMatches, "follow the log: the log is broken")
+}
--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -89,7 +89,9 @@
 	working, stopWorking := context.WithCancel(context.Background())
 	defer stopWorking()
 	p.background.Go(func() { p.work(working) })
-	p.background.Go(func() { p.becomeReady(ctx) })
+	starting, stopStarting := context.WithCancel(ctx)
+	defer stopStarting()
+	p.background.Go(func() { p.becomeReady(starting) })
 
 	var err error
 	select {
@@ -104,6 +106,7 @@
 		stopWorking()
 	}
 	p.end()
+	stopStarting()
 	p.background.Wait()
 	stopFollowing()
 	parts.Wait()
