--- a/wigeonentry/bench_test.go
+++ b/wigeonentry/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"runtime"
 	"strconv"
@@ -15,6 +16,7 @@
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonbackend"
+	"github.com/wigeonstep/wigeonstep/wigeonfake"
 )
 
 // target calls one of the addresses as a caller does.
@@ -142,3 +144,41 @@
 	}
 	b.ReportMetric(float64(runtime.GOMAXPROCS(0)), "procs")
 }
+
+// BenchmarkOrders compares the median latency of orders with callers' own keys and with issued keys against idempotent requests, over the real follower in one run.
+func BenchmarkOrders(b *testing.B) {
+	ledger := &wigeonfake.Ledger{}
+	platform := startPlatform(b, ledger)
+	started := startRealEntry(b, platform, "entry-0")
+	e := &entry{process: started.process, address: started.address}
+	waitFor(b, "orders to be taken", func() bool { return e.order("first", "wax").outcome == wigeonstep.OutcomeDone })
+	var issued struct{ Keys []string }
+	serial := 0
+	for b.Loop() {
+		own, fromIssued, idempotent := hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3), hdrhistogram.New(1, 10_000_000, 3)
+		if err := json.Unmarshal([]byte(send(e.address, http.MethodPost, "/wigeonstep/keys?count=100", "").body), &issued); err != nil {
+			b.Fatal(err)
+		}
+		for _, key := range issued.Keys {
+			serial++
+			for _, kind := range []struct {
+				latency *hdrhistogram.Histogram
+				call    func() answer
+			}{
+				{own, func() answer { return e.order("own-"+strconv.Itoa(serial), "wax") }},
+				{fromIssued, func() answer { return e.order(key, "wax") }},
+				{idempotent, func() answer { return e.read("wax") }},
+			} {
+				begin := time.Now()
+				if got := kind.call(); got.outcome != wigeonstep.OutcomeDone {
+					b.Fatalf("%+v", got)
+				}
+				_ = kind.latency.RecordValue(time.Since(begin).Microseconds())
+			}
+		}
+		b.ReportMetric(float64(own.ValueAtQuantile(50))/1000, "own-key-p50-ms")
+		b.ReportMetric(float64(fromIssued.ValueAtQuantile(50))/1000, "issued-key-p50-ms")
+		b.ReportMetric(float64(idempotent.ValueAtQuantile(50))/1000, "idempotent-p50-ms")
+		b.ReportMetric(float64(own.ValueAtQuantile(50))/float64(idempotent.ValueAtQuantile(50)), "ratio")
+	}
+}
--- a/wigeonentry/platform_test.go
+++ b/wigeonentry/platform_test.go
@@ -27,12 +27,12 @@
 	address string
 }
 
-func follow(t *testing.T, platform *wigeonfake.Platform, name string, open *wigeonwire.SessionOpen, busy func() []wigeonstep.VMID) *wigeonfollow.Follower {
+func follow(t testing.TB, platform *wigeonfake.Platform, name string, open *wigeonwire.SessionOpen, busy func() []wigeonstep.VMID) *wigeonfollow.Follower {
 	t.Helper()
 	return wigeonfollow.New(wigeonfollow.Config{Log: platform.Client(name), Open: open, Session: wigeonstep.SessionID(rand.Uint64()), BusyVMs: busy})
 }
 
-func startRealEntry(t *testing.T, platform *wigeonfake.Platform, name string) *realEntry {
+func startRealEntry(t testing.TB, platform *wigeonfake.Platform, name string) *realEntry {
 	t.Helper()
 	c := qt.New(t)
 	peerListener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -64,7 +64,7 @@
 }
 
 // startPlatform returns a platform with a pool of two workers and the document of the service.
-func startPlatform(t *testing.T, ledger *wigeonfake.Ledger) *wigeonfake.Platform {
+func startPlatform(t testing.TB, ledger *wigeonfake.Ledger) *wigeonfake.Platform {
 	t.Helper()
 	c := qt.New(t)
 	platform := &wigeonfake.Platform{}
