Let a pick end without an attempt

Cause: the entry process reported a good answer for a pick that it did not use, which released a quarantined server that was picked as a probe. Change: Picker.Unused ends such a pick and keeps the probe due; the entry process calls it. Result: TestProbesBackOff covers it; go test ./wigeonrouting ./wigeonentry passes.

--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -250,7 +250,7 @@
 // unused ends a pick whose server got no request.
 func (p *pool) unused(vm wigeonstep.VMID) {
 	p.mu.Lock()
-	p.picker.Done(p.now(), vm, wigeonstep.BackendResult{Verdict: wigeonstep.BackendWhole, Status: http.StatusOK}, 0, 0)
+	p.picker.Unused(p.now(), vm)
 	p.mu.Unlock()
 }
 
--- a/wigeonrouting/picker.go
+++ b/wigeonrouting/picker.go
@@ -134,7 +134,7 @@
 
 // Pick selects a server and counts a request in flight on it; ok is false when no server may take the request now. Room may then
 // come with the next Done or SetServers, or with time alone, within a second.
-// Every successful Pick is followed by one Done.
+// Every successful Pick is followed by one Done or one Unused.
 func (p *Picker) Pick(now time.Time, want Want) (Server, bool) {
 	p.advance(now)
 	if s := p.takeProbe(now, want); s != nil {
@@ -230,6 +230,22 @@
 	p.dropUnlisted(s)
 }
 
+// Unused ends a pick whose server got no request. It teaches nothing, and a probe stays due.
+func (p *Picker) Unused(now time.Time, vm wigeonstep.VMID) {
+	p.advance(now)
+	s := p.servers[vm]
+	if s == nil {
+		return
+	}
+	s.inFlight = max(s.inFlight-1, 0)
+	if s.quarantine.probing {
+		s.quarantine.probing = false
+		p.probes = append(p.probes, s)
+	}
+	p.update(s)
+	p.dropUnlisted(s)
+}
+
 // failed reports whether the result speaks against the server.
 func failed(result wigeonstep.BackendResult) bool {
 	switch result.Verdict {
--- a/wigeonrouting/picker_test.go
+++ b/wigeonrouting/picker_test.go
@@ -207,6 +207,10 @@
 	now = now.Add(75 * time.Second)
 	_, ok := picker.Pick(now, wigeonrouting.Want{Exclude: exclude, NoProbe: true})
 	c.Check(ok, quicktest.IsTrue, quicktest.Commentf("a probe that is long overdue is sent with any request"))
+	picker.Unused(now, "vm1")
+	c.Check(picker.Quarantined(), quicktest.HasLen, 1)
+	_, ok = picker.Pick(now, wigeonrouting.Want{Exclude: exclude})
+	c.Check(ok, quicktest.IsTrue, quicktest.Commentf("a probe that was not sent stays due"))
 	picker.Done(now, "vm1", whole, time.Millisecond, 0)
 	c.Check(picker.Quarantined(), quicktest.HasLen, 0)
 }
