--- a/wigeonadmission/split.go
+++ b/wigeonadmission/split.go
@@ -38,6 +38,23 @@
 	return g.Slots == o.Slots && g.Pool == o.Pool && g.Long == o.Long && slices.Equal(g.Ranges, o.Ranges)
 }
 
+// Intersect returns the slots of the grant that the one before it had, too. A process that uses only these leaves a slot that it
+// was given to the requests that still run on it for another report.
+func (g Grant) Intersect(before Grant) Grant {
+	var both []wigeonrouting.SlotRange
+	slots := 0
+	for _, b := range before.Ranges {
+		for _, r := range g.Ranges {
+			first := max(b.First, r.First)
+			if n := min(b.First+b.Count, r.First+r.Count) - first; n > 0 {
+				both = append(both, wigeonrouting.SlotRange{First: first, Count: n})
+				slots += n
+			}
+		}
+	}
+	return Grant{Slots: min(g.Slots, slots), Pool: g.Pool, Long: min(g.Long, before.Long), Ranges: both}
+}
+
 // portion returns the grant's part of a pool-wide quantity. Over grants that cover the pool the parts add up to the quantity.
 func (g Grant) portion(quantity int) int {
 	part := 0
@@ -53,8 +70,9 @@
 // Split returns the grant of session self. Every process that passes the same reports, in any order, computes the same split.
 //
 // Slots that long work holds stay with their process, because it cannot give them back for hours. The other slots are split
-// max-min by demand; what nobody wants raises the smallest shares, so that a burst finds free slots at every process. Every session
-// counts with a demand of at least one slot, so that its next request need not wait for a report.
+// max-min by demand; what nobody wants raises the smallest shares, so that a burst finds free slots at every process. In a pool with
+// many slots for each session, every session counts with a demand of at least one, so that its next request need not wait for a
+// report.
 //
 // Every session has an equal part of the slots as its home. It keeps as much of it as its share allows, and only what it does not
 // need is lent to others, so that few slots change hands when demand changes while requests run on them.
@@ -81,8 +99,16 @@
 	}
 }
 
+// idleSlotFrom is from how many slots for each session on idle sessions keep one. With fewer, slots kept for idle sessions would be
+// too large a part of the pool.
+const idleSlotFrom = 4
+
 // entitled returns the share of each session; the shares add up to the slots.
 func entitled(slots int, sorted []Report) []int {
+	least := 0
+	if slots >= idleSlotFrom*len(sorted) {
+		least = 1
+	}
 	fixed, fixedTotal := make([]int, len(sorted)), 0
 	wanted := make([]int, len(sorted))
 	for i, r := range sorted {
@@ -92,7 +118,7 @@
 		} else {
 			wanted[i] = (slots + len(sorted) - 1) / len(sorted)
 		}
-		wanted[i] = max(wanted[i], 1)
+		wanted[i] = max(wanted[i], least)
 		fixedTotal += fixed[i]
 	}
 	if fixedTotal > slots {
@@ -129,7 +155,7 @@
 
 // maxMin splits total over the demands. If it does not suffice, nobody gets more than it wants before everybody has as much as
 // possible; otherwise everybody gets what it wants and the smallest shares are raised by what is left over. Units that do not
-// divide go to the lowest indices.
+// divide go to the lowest indices, but when there is not one for everybody, to the largest demands: there the queues are longest.
 func maxMin(total int, wanted []int) []int {
 	shares := make([]int, len(wanted))
 	order := make([]int, len(wanted))
@@ -156,7 +182,11 @@
 		left -= wanted[j]
 		order = order[1:]
 	}
-	slices.Sort(order)
+	if !scarce || left >= len(order) {
+		slices.Sort(order)
+	} else {
+		slices.Reverse(order)
+	}
 	for i, j := range order {
 		shares[j] = left / len(order)
 		if i < left%len(order) {
