Free a key whose holder proved that it did not run

Change: the holder answers not_run and records the outcome not_run; the fold lets the owner of the partition claim such a key again. Ruled out: more attempts before giving up, which only delays the answer while the pool is full. Result: TestWithdrawnKeyIsClaimedAgain fails without the rule and passes with it; the interleaving property test, which now withdraws keys and loses some of the withdrawals, finds no key that ran twice.

--- a/wigeononce/core.go
+++ b/wigeononce/core.go
@@ -338,12 +338,7 @@
 		c.issued.giveBack(r.key)
 		return c.dropAll(r, e.Response)
 	}
-	// The key has an intent, so it never runs again, and a caller that read not_run would repeat it in vain.
-	reason := "the key is recorded and is not run again"
-	if e.Response.Refusal != nil {
-		reason += ": " + e.Response.Refusal.Reason
-	}
-	return c.end(now, r, unknown(reason))
+	return append([]Action{Withdraw{Key: r.key}}, c.dropAll(r, e.Response)...)
 }
 
 func (c *Core) forwardEnded(e ForwardEnded) []Action {
--- a/wigeononce/event.go
+++ b/wigeononce/event.go
@@ -159,6 +159,8 @@
 		Request *wigeonstep.Request
 		Hash    uint64
 	}
+	// Withdraw records that the key did not run, so that a later request may claim it again. Nothing follows.
+	Withdraw struct{ Key wigeonstep.Key }
 	// Dispatch sends the request to a backend server; Finished follows.
 	Dispatch struct {
 		Key      wigeonstep.Key
@@ -196,6 +198,7 @@
 func (CancelAdmit) action() {}
 func (Propose) action()     {}
 func (Dispatch) action()    {}
+func (Withdraw) action()    {}
 func (Release) action()     {}
 func (Forward) action()     {}
 func (Ask) action()         {}
--- a/wigeononce/table.go
+++ b/wigeononce/table.go
@@ -270,7 +270,7 @@
 		p.Owner = owner.ID
 	}
 	f.Read(func(state *wigeonstate.State) {
-		if k, ok := state.Key(key); ok {
+		if k, ok := state.Key(key); ok && k.GetOutcome() != wigeonwire.Outcome_OUTCOME_NOT_RUN {
 			p.Fold = &FoldKey{Session: wigeonstep.SessionID(k.GetSession()), Hash: k.GetRequestHash()}
 			if t.config.Recorded != nil {
 				p.Fold.Answer = t.config.Recorded(k)
@@ -378,6 +378,8 @@
 	case Propose:
 		verdict := t.propose(a)
 		t.step(IntentJudged{Key: a.Key, Run: a.Run, Verdict: verdict, Place: t.place(a.Key)})
+	case Withdraw:
+		t.withdraw(a.Key)
 	case Dispatch:
 		response := t.live(a.Run).slot.Dispatch(context.Background(), a.Deadline)
 		t.forget(a.Run)
@@ -385,6 +387,15 @@
 	}
 }
 
+// withdraw records that a key did not run. When the record is lost, the key stays claimed and later requests get unknown.
+func (t *Table) withdraw(key wigeonstep.Key) {
+	ctx, cancel := context.WithTimeout(context.Background(), t.config.IntentTimeout)
+	defer cancel()
+	_, _ = t.config.Follower.Propose(ctx, &wigeonwire.Entry{Body: &wigeonwire.Entry_KeyOutcome{KeyOutcome: &wigeonwire.KeyOutcome{
+		Key: string(key), Outcome: wigeonwire.Outcome_OUTCOME_NOT_RUN,
+	}}})
+}
+
 func (t *Table) propose(a Propose) IntentVerdict {
 	ctx, cancel := context.WithTimeout(context.Background(), t.config.IntentTimeout)
 	defer cancel()
--- a/wigeonstate/intent.go
+++ b/wigeonstate/intent.go
@@ -7,7 +7,8 @@
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
-// acceptIntent accepts an intent only from the owner of the key's partition and only for a key that has none.
+// acceptIntent accepts an intent only from the owner of the key's partition and only for a key that has none, or whose
+// holder proved that it did not run.
 func (s *State) acceptIntent(intent *wigeonwire.Intent, r record) string {
 	return s.claimKey(intent.GetKey(), keyEntry{
 		request: intent.GetRequestHash(),
@@ -23,13 +24,18 @@
 		return fmt.Sprintf("partition %d of the key is owned by session %s", PartitionOf(wigeonstep.Key(key)), owner)
 	}
 	id := keyIDOf(key)
-	if earlier := s.keys.find(id); earlier != nil {
+	earlier := s.keys.find(id)
+	if earlier != nil && earlier.outcome() != wigeonwire.Outcome_OUTCOME_NOT_RUN {
 		return fmt.Sprintf("the key has an intent of session %s at offset %d", wigeonstep.SessionID(earlier.session), earlier.offset)
 	}
 	entry.id = id
 	entry.session = uint64(r.session.view.ID)
 	entry.offset = uint64(r.offset)
 	entry.atS = uint32(s.timeMS / 1000)
+	if earlier != nil {
+		s.keys.claimAgain(earlier, entry)
+		return ""
+	}
 	s.keys.add(entry, names)
 	return ""
 }
--- a/wigeonstate/keytable.go
+++ b/wigeonstate/keytable.go
@@ -106,6 +106,13 @@
 	t.insert(t.next - 1)
 }
 
+// claimAgain gives a key that did not run to a new holder. The entry keeps its place, and with it the time at which it is
+// forgotten, because the entries are in the order of their first acceptance.
+func (t *keyTable) claimAgain(entry *keyEntry, claim keyEntry) {
+	entry.session, entry.offset, entry.request = claim.session, claim.offset, claim.request
+	entry.setOutcome(claim.outcome())
+}
+
 func (t *keyTable) insert(position uint32) {
 	mask := uint32(len(t.index) - 1)
 	slot := t.at(position).id.slot(mask)
