Let operators start a maintenance wave

Cause: a wave starts by itself only when it is due, so an operator could not maintain a pool now, nor the demo show a wave.

--- a/cmd/wigeonstep/apply.go
+++ b/cmd/wigeonstep/apply.go
@@ -15,9 +15,6 @@
 	"github.com/wigeonstep/wigeonstep/wigeonoperator"
 )
 
-// closeTimeout bounds the closing of the operator's session; a session that stays open expires by itself.
-const closeTimeout = 2 * time.Second
-
 type applyFlags struct {
 	platform string
 	base     int64
@@ -82,10 +79,7 @@
 	}
 	return withFollower(ctx, operatorSession(), f.platform, func(ctx context.Context, follower *wigeonfollow.Follower) error {
 		verdict, err := wigeonoperator.Apply(ctx, follower, change)
-		closing, cancel := context.WithTimeout(ctx, closeTimeout)
-		defer cancel()
-		// The verdict counts; a session that could not be closed expires.
-		_ = follower.CloseSession(closing)
+		closeSession(ctx, follower)
 		if err != nil {
 			return err
 		}
--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -78,6 +78,7 @@
 			newApply(out, errOut),
 			newCheck(out, errOut),
 			newDemo(out, errOut),
+			newWave(out, errOut),
 			newStatus(out, errOut),
 			newExplain(out, errOut),
 		},
--- a/cmd/wigeonstep/session.go
+++ b/cmd/wigeonstep/session.go
@@ -104,6 +104,16 @@
 	}
 }
 
+// closeTimeout bounds the closing of an operator's session.
+const closeTimeout = 2 * time.Second
+
+// closeSession closes an operator's session. One that could not be closed expires by itself, so the error does not matter.
+func closeSession(ctx context.Context, follower *wigeonfollow.Follower) {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	_ = follower.CloseSession(ctx)
+}
+
 func newSessionID() wigeonstep.SessionID {
 	return wigeonstep.SessionID(rand.Uint64() | 1)
 }
--- a/wigeondemo/run.go
+++ b/wigeondemo/run.go
@@ -215,6 +215,12 @@
 	case EventFailVM:
 		r.progress.printf("%s: worker %s fails", r.fleet.scenario.Name, event.VM)
 		r.fleet.workers.Platform.SetVMUp(event.VM, false)
+	case EventWave:
+		wave, err := r.startWave(ctx, event.Pool)
+		if err != nil {
+			return err
+		}
+		r.progress.printf("%s: maintenance wave %s begins", r.fleet.scenario.Name, wave)
 	case EventApply:
 		took, err := r.apply(ctx, event.File)
 		if err != nil {
@@ -226,27 +232,26 @@
 	return nil
 }
 
+func (r *runner) startWave(ctx context.Context, pool wigeonstep.PoolName) (wave wigeonstep.WaveID, err error) {
+	err = r.asOperator(ctx, func(follower *wigeonfollow.Follower) error {
+		wave, err = wigeonoperator.StartWave(ctx, follower, pool)
+		return err
+	})
+	return wave, err
+}
+
 // apply puts a document in force and returns the time from its verdict until every entry process has it.
 func (r *runner) apply(ctx context.Context, file string) (time.Duration, error) {
 	content, err := r.fleet.scenario.document(file)
 	if err != nil {
 		return 0, err
 	}
-	session := newSessionID()
-	follower := wigeonfollow.New(wigeonfollow.Config{
-		Log:     r.fleet.workers.Platform.Client("operator"),
-		Session: session,
-		Open:    &wigeonwire.SessionOpen{Role: wigeonwire.Role_ROLE_OPERATOR},
-	})
-	running, stop := context.WithCancel(ctx)
-	done := make(chan error, 1)
-	go func() { done <- follower.Run(running) }()
-	defer func() { stop(); <-done }()
-	if err := follower.WaitReady(ctx); err != nil {
-		return 0, err
-	}
-	verdict, err := wigeonoperator.Apply(ctx, follower, wigeonoperator.Change{
-		ID: wigeonstep.ChangeID(session.String()), File: file, Content: content, Operator: "demo",
+	var verdict wigeonoperator.Verdict
+	err = r.asOperator(ctx, func(follower *wigeonfollow.Follower) error {
+		verdict, err = wigeonoperator.Apply(ctx, follower, wigeonoperator.Change{
+			ID: wigeonstep.ChangeID(newSessionID().String()), File: file, Content: content, Operator: "demo",
+		})
+		return err
 	})
 	if err != nil {
 		return 0, err
@@ -258,5 +263,23 @@
 	if err := r.awaitVersion(ctx, verdict); err != nil {
 		return 0, err
 	}
-	return time.Since(begin), follower.CloseSession(ctx)
+	return time.Since(begin), nil
+}
+
+// asOperator runs fn with a follower that has an operator's session.
+func (r *runner) asOperator(ctx context.Context, fn func(follower *wigeonfollow.Follower) error) error {
+	follower := wigeonfollow.New(wigeonfollow.Config{
+		Log:     r.fleet.workers.Platform.Client("operator"),
+		Session: newSessionID(),
+		Open:    &wigeonwire.SessionOpen{Role: wigeonwire.Role_ROLE_OPERATOR},
+	})
+	running, stop := context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() { done <- follower.Run(running) }()
+	err := follower.WaitReady(ctx)
+	if err == nil {
+		err = errors.Join(fn(follower), follower.CloseSession(ctx))
+	}
+	stop()
+	return errors.Join(err, <-done)
 }
--- /dev/null
+++ b/wigeonoperator/wave.go
@@ -0,0 +1,22 @@
+package wigeonoperator
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// StartWave proposes a maintenance wave over the pool before one is due, and returns its id. The error wraps
+// wigeonstep.ErrRejected when the pool has no VM or a wave that has not ended.
+func StartWave(ctx context.Context, follower Follower, pool wigeonstep.PoolName) (wigeonstep.WaveID, error) {
+	wave := wigeonstep.WaveID(fmt.Sprintf("%s-at-%d", pool, follower.View().Next))
+	_, err := follower.Propose(ctx, &wigeonwire.Entry{Body: &wigeonwire.Entry_WaveStart{
+		WaveStart: &wigeonwire.WaveStart{Wave: string(wave), Pool: string(pool)},
+	}})
+	if err != nil {
+		return "", fmt.Errorf("start a wave in pool %s: %w", pool, err)
+	}
+	return wave, nil
+}
--- a/wigeonstate/wave.go
+++ b/wigeonstate/wave.go
@@ -14,8 +14,11 @@
 }
 
 func (s *State) tryStartWave(start *wigeonwire.WaveStart, r record) string {
-	if reason := r.session.requireControl(); reason != "" {
-		return reason
+	// An operator may ask for a wave before it is due; the budgets hold for its drains all the same.
+	if r.session.view.Role != wigeonwire.Role_ROLE_OPERATOR {
+		if reason := r.session.requireControl(); reason != "" {
+			return reason
+		}
 	}
 	id, pool := wigeonstep.WaveID(start.GetWave()), wigeonstep.PoolName(start.GetPool())
 	if id == "" || s.waves[id] != nil {
