--- a/wigeondemo/result.go
+++ b/wigeondemo/result.go
@@ -87,7 +87,7 @@
 	fmt.Fprintf(w, "roll-out of the document change\t%s\n", change)
 	for _, wave := range r.Waves {
 		state := "running"
-		if wave.Ended {
+		if wave.Ended || wave.Done == wave.Total {
 			state = "ended"
 		}
 		fmt.Fprintf(w, "roll-out of the wave in %s\t%d of %d VMs in %s, %s\n", wave.Pool, wave.Done, wave.Total, wave.Took.Round(100*time.Millisecond), state)
--- a/wigeondemo/run.go
+++ b/wigeondemo/run.go
@@ -23,6 +23,8 @@
 	// startTime and settleTime are kept of the length for the start and for jobs in flight at the end.
 	startTime  = 4 * time.Second
 	settleTime = 6 * time.Second
+	// stopTime is kept for the graceful stop of all processes.
+	stopTime = 2 * time.Second
 	// inForceBound is the users' bound for a change to be in force everywhere.
 	inForceBound = 8 * time.Second
 	pollInterval = 10 * time.Millisecond
@@ -142,6 +144,7 @@
 	}
 	report, err := r.call(ctx, length)
 	err = errors.Join(err, events.Wait())
+	r.awaitWaves(ctx)
 	stopSampling()
 	err = errors.Join(err, sampled.Wait())
 	r.result.collect(report, r.watcher)
@@ -168,6 +171,19 @@
 	return caller.Run(ctx, arrivals)
 }
 
+// awaitWaves waits until no wave runs, or until the length of the run is over.
+func (r *runner) awaitWaves(ctx context.Context) {
+	ctx, cancel := context.WithDeadline(ctx, r.progress.begin.Add(r.config.Length-stopTime))
+	defer cancel()
+	for len(r.watcher.follower.View().Waves) > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pollInterval):
+		}
+	}
+}
+
 func traceLength(arrivals []wigeonfake.Arrival) time.Duration {
 	if len(arrivals) == 0 {
 		return 0
