End waves of empty pools, and act at once on a changed VM list

Cause: in a local run the last spare VM moved away and the wave of the spare pool never ended; a leaving VM waited up to a planning interval. Result: TestWaveOfEmptyPoolEnds and go test -race pass.

--- a/wigeoncontrol/run.go
+++ b/wigeoncontrol/run.go
@@ -103,8 +103,13 @@
 			spacing = max(roundSpacing, roundShare*time.Since(last))
 			timer.Reset(max(spacing, d.config.PlanInterval))
 			continue
-		case d.listing = <-d.listings:
-			continue
+		case listing := <-d.listings:
+			same := listing.Same(d.listing)
+			d.listing = listing
+			if same {
+				continue
+			}
+			// A VM that leaves must get no new work within 3 s, so a changed list does not wait for the interval.
 		case <-sweep.C:
 			d.sweep(time.Now())
 			continue
--- a/wigeonmaintenance/planner_test.go
+++ b/wigeonmaintenance/planner_test.go
@@ -90,3 +90,12 @@
 	c.Assert(entries, qt.HasLen, 1)
 	c.Assert(entries[0].GetVmTransition().GetVm(), qt.Equals, "a1")
 }
+
+// A wave over a pool whose VMs have all moved away must end, since it would block the next one.
+func TestWaveOfEmptyPoolEnds(t *testing.T) {
+	c := qt.New(t)
+	p := wigeonmaintenance.NewPlanner(wigeonmaintenance.Config{})
+	entries := p.Plan(fleetOf(time.Unix(1_800_000_000, 0), nil, &wigeonstate.Wave{ID: "w", Pool: "spare"})).Entries
+	c.Assert(entries, qt.HasLen, 1)
+	c.Assert(entries[0].GetWaveEnd().GetWave(), qt.Equals, "w")
+}
--- a/wigeonpool/fleet.go
+++ b/wigeonpool/fleet.go
@@ -18,7 +18,7 @@
 	// DataCentre is the data centre of the daemon; it changes only VMs of this one.
 	DataCentre wigeonstep.DataCentreName
 	Seen       Observations
-	// Pools holds every pool that has a VM or a document, sorted by name.
+	// Pools holds every pool that has a VM, a document or a wave, sorted by name.
 	Pools []*Pool
 
 	zones map[wigeonstep.DataCentreName]*zone
@@ -66,6 +66,10 @@
 		s := view.Services[name]
 		f.addPool(s.Document.Pool).addService(s)
 	}
+	// A pool whose VMs have all left may still have a wave to end.
+	for _, w := range view.Waves {
+		f.addPool(w.Pool)
+	}
 	slices.SortFunc(f.Pools, func(a, b *Pool) int { return compareNames(a.Name, b.Name) })
 	f.countMissing()
 	for _, p := range f.Pools {
@@ -74,7 +78,7 @@
 	return f
 }
 
-// Pool returns the pool, or nil when no VM and no document names it.
+// Pool returns the pool, or nil when no VM, document or wave names it.
 func (f *Fleet) Pool(name wigeonstep.PoolName) *Pool { return f.byID[name] }
 
 // Own reports whether this daemon's data centre holds the VM.
--- a/wigeonpool/observations.go
+++ b/wigeonpool/observations.go
@@ -36,6 +36,11 @@
 	return &Listing{List: &wigeonstep.VMList{VMs: l.List.VMs, Pools: list.Pools, Age: list.Age}, TakenAt: arrived.Add(-list.Age), byID: l.byID}
 }
 
+// Same reports whether both listings share one index, so that the later one brings no news besides its age.
+func (l *Listing) Same(other *Listing) bool {
+	return l != nil && other != nil && len(l.List.VMs) == len(other.List.VMs) && (len(l.List.VMs) == 0 || &l.List.VMs[0] == &other.List.VMs[0])
+}
+
 // VM returns the list's record of the VM, or nil when the VM is not listed.
 func (l *Listing) VM(id wigeonstep.VMID) *wigeonstep.ListedVM {
 	if l == nil {
