--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -38,7 +38,9 @@
 	documents []*wigeondocument.Document
 	localOnly bool
 	grant     wigeonadmission.Grant
-	slots     int
+	// lastTarget is the split at the last report.
+	lastTarget wigeonadmission.Grant
+	slots      int
 }
 
 func newPool(name wigeonstep.PoolName, config *Config) *pool {
@@ -188,7 +190,7 @@
 	}
 }
 
-// first counts the first attempt of a request against which retries are measured.
+// pickFirst selects the server of a first attempt, and counts it; the retry budget is a share of these.
 func (p *pool) pickFirst(team wigeonstep.TeamName, want wigeonrouting.Want) (wigeonrouting.Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -299,12 +301,21 @@
 	p.picker.SetServers(now, servers)
 }
 
-// split takes over this process's part of the pool's slots.
-func (p *pool) split(self wigeonstep.SessionID, reports []wigeonadmission.Report) {
+// split takes over this process's part of the pool's slots. A slot that another process may hold is used only when two reports in a
+// row gave it to this process, because the other one gives it back when its request ends; a slot that is lost is lost at once.
+func (p *pool) split(self wigeonstep.SessionID, reports []wigeonadmission.Report, reported bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reports = append(reports, wigeonadmission.Report{Session: self, Heard: true, Demand: p.admission.Demand()})
-	p.setGrant(wigeonadmission.Split(p.slots, self, reports))
+	alone := len(reports) == 0
+	reports = append(reports, wigeonadmission.Report{Session: self, Heard: true, Demand: p.admission.Demand(p.now())})
+	target := wigeonadmission.Split(p.slots, self, reports)
+	if alone {
+		p.lastTarget = target
+	}
+	p.setGrant(target.Intersect(p.lastTarget))
+	if reported {
+		p.lastTarget = target
+	}
 }
 
 func (p *pool) setGrant(grant wigeonadmission.Grant) {
@@ -320,5 +331,5 @@
 func (p *pool) demand() wigeonadmission.Demand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.admission.Demand()
+	return p.admission.Demand(p.now())
 }
--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -29,6 +29,7 @@
 	meters  meters
 	retries *metrics.Counter
 	demands demandBook
+	reach   *reachRecorder
 	// refusals are those that no decision on the log covers yet.
 	refusals refusals
 
@@ -54,7 +55,9 @@
 	if err := config.fill(); err != nil {
 		return nil, err
 	}
-	p := &Process{config: config, demands: demandBook{reports: map[wigeonstep.SessionID]*peerReport{}}}
+	reach := &reachRecorder{Backend: config.Backend}
+	config.Backend = reach
+	p := &Process{config: config, reach: reach, demands: demandBook{reports: map[wigeonstep.SessionID]*peerReport{}}}
 	p.lifetime, p.end = context.WithCancel(context.Background())
 	p.pools.Store(&map[wigeonstep.PoolName]*pool{})
 	p.meters.set = config.Metrics
@@ -62,7 +65,7 @@
 	p.jobs = newJobBook(p)
 	p.once = wigeononce.NewTable(wigeononce.Config{
 		Limits:   wigeononce.Limits{AnswersFor: config.AnswersFor, AnswerBytes: config.AnswerBytes},
-		Follower: config.Follower, Runner: onceRunner{p}, Peers: oncePeers{p}, Recorded: recordedJob, Now: config.Now,
+		Follower: config.Follower, Runner: onceRunner{p}, Peers: oncePeers{p}, Recorded: recordedJob, Applied: p.demands.appliedBy, Now: config.Now,
 	})
 	server, err := wigeoncaller.New(wigeoncaller.Config{Handler: p, Logger: config.Logger, MaxBody: config.MaxBody, Now: config.Now})
 	if err != nil {
@@ -75,11 +78,6 @@
 // Ready reports whether the process takes requests; it is false from the begin of a stop on.
 func (p *Process) Ready() bool { return p.ready.Load() }
 
-// Lookup returns the answer that the process keeps for a key.
-func (p *Process) Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
-	return p.once.Lookup(key)
-}
-
 // Run takes requests until ctx ends, then stops gracefully; it returns nil after a graceful stop that cut off no request.
 func (p *Process) Run(ctx context.Context) error {
 	defer p.end()
@@ -151,6 +149,8 @@
 	defer apply.Stop()
 	report := time.NewTicker(p.config.ReportInterval)
 	defer report.Stop()
+	plan := time.NewTicker(plannerInterval)
+	defer plan.Stop()
 	p.apply()
 	for {
 		select {
@@ -163,6 +163,8 @@
 			}
 		case <-report.C:
 			p.reportDemand(ctx)
+		case <-plan.C:
+			p.reportToPlanners(ctx)
 		}
 	}
 }
