Test that the grants of all processes fill the servers exactly

Cause: no test joined the split and the picker for odd servers and demands. Change: a property test gives every process its grant and fills its servers; no server may be overrun and no slot may be left.

--- a/wigeonadmission/property_test.go
+++ b/wigeonadmission/property_test.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonadmission"
 	"github.com/wigeonstep/wigeonstep/wigeondocument"
+	"github.com/wigeonstep/wigeonstep/wigeonrouting"
 )
 
 // Guards against tickets that are lost or started twice, slots that are exceeded or left idle, and panics on contradictory shares.
@@ -231,3 +232,45 @@
 	}
 	c.Check(with, quicktest.DeepEquals, []int{11, 12, 13, 14, 16, 17, 18, 19})
 }
+
+// Guards against processes that together overrun a server or leave a slot that nobody may use.
+func TestGrantsFillServersExactly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		total := 0
+		var servers []wigeonrouting.Server
+		for i := range rapid.IntRange(1, 12).Draw(t, "servers") {
+			s := wigeonrouting.Server{VM: wigeonstep.VMID(rune('a' + i)), Slots: rapid.IntRange(0, 8).Draw(t, "slots"), InService: rapid.Bool().Draw(t, "in service")}
+			if s.InService {
+				total += s.Slots
+			}
+			servers = append(servers, s)
+		}
+		var reports []wigeonadmission.Report
+		for i := range rapid.IntRange(1, 8).Draw(t, "sessions") {
+			reports = append(reports, wigeonadmission.Report{
+				Session: wigeonstep.SessionID(i), Heard: true, Demand: wigeonadmission.Demand{Wanted: rapid.IntRange(0, 40).Draw(t, "wanted")},
+			})
+		}
+		inFlight, picked := map[wigeonstep.VMID]int{}, 0
+		for _, r := range reports {
+			picker := wigeonrouting.New(wigeonrouting.Config{Seed: uint64(r.Session)})
+			picker.SetServers(epoch, rapid.Permutation(servers).Draw(t, "order"))
+			grant := wigeonadmission.Split(total, r.Session, reports)
+			picker.SetShare(grant.Ranges, grant.Pool)
+			for range grant.Slots {
+				s, ok := picker.Pick(epoch, wigeonrouting.Want{})
+				if !ok {
+					t.Fatalf("a request with a slot of %+v finds no server", grant)
+				}
+				inFlight[s.VM]++
+				picked++
+				if inFlight[s.VM] > s.Slots {
+					t.Fatalf("%d requests on the %d slots of %s", inFlight[s.VM], s.Slots, s.VM)
+				}
+			}
+		}
+		if picked != total {
+			t.Fatalf("%d requests on %d slots", picked, total)
+		}
+	})
+}
