--- a/wigeonadmission/split.go
+++ b/wigeonadmission/split.go
@@ -81,8 +81,10 @@
 // an earlier split would take the reserve for hours.
 func Split(slots int, self wigeonstep.SessionID, reports []Report) Grant {
 	slots = max(slots, 0)
-	sorted := slices.Clone(reports)
-	slices.SortStableFunc(sorted, func(a, b Report) int { return cmp.Compare(a.Session, b.Session) })
+	sorted, bySession := slices.Clone(reports), func(a, b Report) int { return cmp.Compare(a.Session, b.Session) }
+	if !slices.IsSortedFunc(sorted, bySession) {
+		slices.SortStableFunc(sorted, bySession)
+	}
 	sorted = slices.CompactFunc(sorted, func(a, b Report) bool { return a.Session == b.Session })
 	i := slices.IndexFunc(sorted, func(r Report) bool { return r.Session == self })
 	if i < 0 {
