--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -29,6 +29,7 @@
 	meters  meters
 	retries *metrics.Counter
 	demands demandBook
+	reach   *reachRecorder
 	// refusals are those that no decision on the log covers yet.
 	refusals refusals
 
@@ -54,7 +55,9 @@
 	if err := config.fill(); err != nil {
 		return nil, err
 	}
-	p := &Process{config: config, demands: demandBook{reports: map[wigeonstep.SessionID]*peerReport{}}}
+	reach := &reachRecorder{Backend: config.Backend}
+	config.Backend = reach
+	p := &Process{config: config, reach: reach, demands: demandBook{reports: map[wigeonstep.SessionID]*peerReport{}}}
 	p.lifetime, p.end = context.WithCancel(context.Background())
 	p.pools.Store(&map[wigeonstep.PoolName]*pool{})
 	p.meters.set = config.Metrics
@@ -62,7 +65,7 @@
 	p.jobs = newJobBook(p)
 	p.once = wigeononce.NewTable(wigeononce.Config{
 		Limits:   wigeononce.Limits{AnswersFor: config.AnswersFor, AnswerBytes: config.AnswerBytes},
-		Follower: config.Follower, Runner: onceRunner{p}, Peers: oncePeers{p}, Recorded: recordedJob, Now: config.Now,
+		Follower: config.Follower, Runner: onceRunner{p}, Peers: oncePeers{p}, Recorded: recordedJob, Applied: p.demands.appliedBy, Now: config.Now,
 	})
 	server, err := wigeoncaller.New(wigeoncaller.Config{Handler: p, Logger: config.Logger, MaxBody: config.MaxBody, Now: config.Now})
 	if err != nil {
@@ -89,7 +92,9 @@
 	working, stopWorking := context.WithCancel(context.Background())
 	defer stopWorking()
 	p.background.Go(func() { p.work(working) })
-	p.background.Go(func() { p.becomeReady(ctx) })
+	starting, stopStarting := context.WithCancel(ctx)
+	defer stopStarting()
+	p.background.Go(func() { p.becomeReady(starting) })
 
 	var err error
 	select {
@@ -104,6 +109,7 @@
 		stopWorking()
 	}
 	p.end()
+	stopStarting()
 	p.background.Wait()
 	stopFollowing()
 	parts.Wait()
@@ -146,6 +152,8 @@
 	defer apply.Stop()
 	report := time.NewTicker(p.config.ReportInterval)
 	defer report.Stop()
+	plan := time.NewTicker(plannerInterval)
+	defer plan.Stop()
 	p.apply()
 	for {
 		select {
@@ -158,6 +166,8 @@
 			}
 		case <-report.C:
 			p.reportDemand(ctx)
+		case <-plan.C:
+			p.reportToPlanners(ctx)
 		}
 	}
 }
