--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -12,6 +12,9 @@
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
+
+	"github.com/wigeonstep/wigeonstep/wigeontelemetry"
 )
 
 const (
@@ -29,6 +32,7 @@
 }
 
 func main() {
+	wigeontelemetry.RedirectHertz(zap.NewNop())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
 	stop()
@@ -74,6 +78,7 @@
 			newApply(out, errOut),
 			newCheck(out, errOut),
 			newDemo(out, errOut),
+			newWave(out, errOut),
 			newStatus(out, errOut),
 			newExplain(out, errOut),
 		},
