Replay recorded traces against stated outcomes

Cause: nothing drove admission, routing, the fold and the planners together and checked stated outcomes. Change: wigeonreplay reads a trace and an outcome file, drives the decision cores in one goroutine and prints each outcome with its bound and figure; the command replay exits with 1 on a breach and with 2 on bad input. Two replays give the same bytes.

--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -75,6 +75,7 @@
 			newCheck(out, errOut),
 			newStatus(out, errOut),
 			newExplain(out, errOut),
+			newReplay(out, errOut),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- /dev/null
+++ b/wigeonreplay/figures.go
@@ -0,0 +1,153 @@
+package wigeonreplay
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Units of the measures, as the outcome file names them.
+const (
+	unitMS       = "ms"
+	unitS        = "s"
+	unitCount    = "count"
+	unitPermille = "permille"
+)
+
+var units = []string{unitMS, unitS, unitCount, unitPermille}
+
+// measures maps each measure to its unit.
+var measures = map[string]string{
+	"budget_exceeded":          unitS,        // pool seconds beyond a disruption budget that unplanned losses alone would have kept
+	"unplanned_beyond_budget":  unitS,        // pool seconds in which unplanned losses alone exceeded a budget
+	"jobs_lost":                unitCount,    // accepted jobs without an end and in no process's hands
+	"jobs_run_after_cancel":    unitCount,    // jobs that started after their cancellation was accepted
+	"keys_run_twice":           unitCount,    // idempotency keys whose request or job ran more than once
+	"ran_after_refusal":        unitCount,    // requests that ran although their caller was told not_run
+	"work_cut_off":             unitCount,    // requests that a planned reboot cut off
+	"worst_short_wait":         unitMS,       // from arrival to dispatch
+	"worst_long_wait":          unitMS,       // from arrival to dispatch
+	"worst_refusal_wait":       unitMS,       // from arrival to the refusal
+	"refused":                  unitCount,    // requests that were told not_run
+	"short_refused":            unitPermille, // share of the short requests
+	"vms_maintained_twice":     unitCount,    // VMs rebooted more than once for maintenance
+	"vms_not_maintained":       unitCount,    // VMs that a wave left out
+	"waves_unfinished":         unitCount,    // waves that had not ended
+	"roll_out":                 unitS,        // longest wave
+	"moves":                    unitCount,    // VMs that changed their pool
+	"moves_per_day":            unitCount,    // scaled from the length of the trace
+	"buffer_cost":              unitPermille, // worker-hours in service beyond what documents ask for, per worker-hour used
+	"idle_cost":                unitPermille, // idle worker-hours in service pools, per worker-hour used
+	"document_in_force":        unitMS,       // slowest change, at every entry core that reaches the log
+	"documents_reverted":       unitCount,    // seconds in which a document had an older version than before
+	"races_won_twice":          unitCount,    // accepted changes beyond the first of one base version
+	"document_changes_refused": unitCount,
+}
+
+func measureNames() string { return strings.Join(slices.Sorted(maps.Keys(measures)), ", ") }
+
+// Figure is the measured value of one measure, in its unit.
+type Figure struct {
+	Value int64
+	// Known is false when nothing happened that the measure tells about.
+	Known bool
+}
+
+// ClassFigures are the counts of one class of a team.
+type ClassFigures struct {
+	Team, Class                                                         string
+	Long                                                                bool
+	Arrived, Repeated, Started, Done, Refused, Unknown, Accepted, Ended int
+	Cancelled                                                           int
+	WorstWait, WorstRefusal                                             time.Duration
+}
+
+// figures computes every measure at the end of a replay.
+func (d *driver) figures() map[string]Figure {
+	m := &d.measured
+	figures := map[string]Figure{}
+	count := func(name string, value int) { figures[name] = Figure{Value: int64(value), Known: true} }
+	count("budget_exceeded", m.breachS)
+	count("unplanned_beyond_budget", m.unplannedS)
+	count("jobs_lost", m.lostJobs)
+	count("jobs_run_after_cancel", m.ranAfterCancel)
+	twice := 0
+	for _, runs := range d.keyRuns {
+		if runs > 1 {
+			twice++
+		}
+	}
+	count("keys_run_twice", twice)
+	count("ran_after_refusal", m.ranAfterRefusal)
+	count("work_cut_off", m.workCutOff)
+	d.waitFigures(figures)
+	d.waveFigures(figures)
+	moves := m.moves - m.movesBefore
+	count("moves", moves)
+	count("moves_per_day", int((time.Duration(moves)*24*time.Hour+d.trace.duration()/2)/d.trace.duration()))
+	if m.usedS > 0 {
+		count("buffer_cost", int(1000*m.spareS/m.usedS+0.5))
+		count("idle_cost", int(1000*m.idleS/m.usedS+0.5))
+	}
+	figures["document_in_force"] = Figure{Value: m.inForce.Milliseconds(), Known: m.inForceKnown && len(d.unsettled) == 0}
+	count("documents_reverted", m.reverted)
+	count("races_won_twice", m.racesWon)
+	count("document_changes_refused", m.changesRefused)
+	return figures
+}
+
+func (d *driver) waitFigures(figures map[string]Figure) {
+	var short, long, refusal time.Duration
+	shortStarted, longStarted, refused, shortRefused, shortArrived := 0, 0, 0, 0, 0
+	for _, key := range d.streamKeys {
+		s := d.streams[key]
+		refused += s.refused
+		refusal = max(refusal, s.worstRefusal)
+		if s.long {
+			longStarted += s.started
+			long = max(long, s.worstWait)
+			continue
+		}
+		shortStarted += s.started
+		short = max(short, s.worstWait)
+		shortRefused += s.refused
+		shortArrived += s.arrived
+	}
+	// Rounded up, so that a wait just above a bound does not pass.
+	ms := func(t time.Duration) int64 { return (t + time.Millisecond - 1).Milliseconds() }
+	figures["worst_short_wait"] = Figure{Value: ms(short), Known: shortStarted > 0}
+	figures["worst_long_wait"] = Figure{Value: ms(long), Known: longStarted > 0}
+	figures["worst_refusal_wait"] = Figure{Value: ms(refusal), Known: refused > 0}
+	figures["refused"] = Figure{Value: int64(refused), Known: true}
+	figures["short_refused"] = Figure{Value: int64(1000 * shortRefused / max(shortArrived, 1)), Known: shortArrived > 0}
+}
+
+func (d *driver) waveFigures(figures map[string]Figure) {
+	unfinished, missed := 0, 0
+	var longest time.Duration
+	for _, w := range d.waves {
+		if !w.ended {
+			unfinished++
+		}
+		missed += w.missed
+		longest = max(longest, w.took)
+	}
+	figures["waves_unfinished"] = Figure{Value: int64(unfinished), Known: true}
+	figures["vms_not_maintained"] = Figure{Value: int64(missed), Known: true}
+	figures["vms_maintained_twice"] = Figure{Value: int64(d.maintainedTwice()), Known: true}
+	figures["roll_out"] = Figure{Value: int64(longest.Seconds()), Known: len(d.waves) > 0 && unfinished == 0}
+}
+
+func (d *driver) classFigures() []ClassFigures {
+	var list []ClassFigures
+	for _, key := range d.streamKeys {
+		s := d.streams[key]
+		list = append(list, ClassFigures{
+			Team: string(key.team), Class: string(key.class), Long: s.long, Arrived: s.arrived, Repeated: s.repeated, Started: s.started,
+			Done: s.done, Refused: s.refused, Unknown: s.unknown, Accepted: s.accepted, Ended: s.completed, Cancelled: s.cancelled,
+			WorstWait: s.worstWait, WorstRefusal: s.worstRefusal,
+		})
+	}
+	return list
+}
