Stop drains when failures use up the budget, and start short work in time

A VM that drained for a wave was rebooted although failures had used up the budget meanwhile. A reboot cut off a long job of a process in a data centre that was cut off, because its expired session does not block the drain. Short work waited for a free server and for its intent on top of the wait for its slot, up to 8.9 s. Refused work was told after up to 9.4 s. Change: wigeonmaintenance returns a draining or drained VM to service when the pool's losses are above the budget; a drain for a wave waits for max_drain_s and the checkpoint while an expired session of another data centre may have work on the VM. wigeonentry bounds the waits for slot, intent and server together by 4.7 s. The replay does the same. The tests of wigeonmaintenance, wigeonpool, wigeoncontrol and wigeonentry pass with the race detector.

--- a/wigeonentry/run.go
+++ b/wigeonentry/run.go
@@ -9,6 +9,21 @@
 	"github.com/wigeonstep/wigeonstep/wigeonrouting"
 )
 
+// startWithin is how long after its arrival short work starts at the latest; after that it is refused. The wait for a slot, for
+// the intent and for a free server count together, since each of them alone may take most of it.
+const startWithin = 4700 * time.Millisecond
+
+// intentReserve is the part of startWithin that stays for the intent. The design holds for a median log latency of at most 250 ms.
+const intentReserve = 250 * time.Millisecond
+
+// slotDeadline returns until when a request with a key may wait for its slot, so that its intent is back in time to start.
+func slotDeadline(now, deadline time.Time) time.Time {
+	if latest := now.Add(startWithin - intentReserve); deadline.IsZero() || latest.Before(deadline) {
+		return latest
+	}
+	return deadline
+}
+
 // running is one request on its way through the attempts.
 type running struct {
 	process *Process
@@ -39,10 +54,14 @@
 				return r.noServer(), r.whole != nil
 			}
 		}
+		if r.late() {
+			s.pool.unused(server.VM)
+			return r.noServer(), false
+		}
 		begin := p.config.Now()
 		result := p.config.Backend.Call(ctx, wigeonstep.BackendCall{Request: r.request, VM: server.VM, Address: server.Address, Epoch: server.Epoch})
-		again, delay := s.pool.done(s, server.VM, result, p.config.Now().Sub(begin), attempt, r.request.Deadline)
 		r.note(&result)
+		again, delay := s.pool.done(s, server.VM, result, p.config.Now().Sub(begin), attempt, r.sendBy())
 		p.logAttempt(r.request, server.VM, attempt, &result)
 		if !again {
 			return r.answer(server.VM, &result), result.Verdict == wigeonstep.BackendWhole
@@ -57,11 +76,25 @@
 	}
 }
 
-// serverUntil bounds the wait for a server by the queue time of the class and the deadline of the request.
+// sendBy returns until when a further attempt may be sent; zero means without bound.
+func (r *running) sendBy() time.Time {
+	deadline, latest := r.request.Deadline, r.slot.ticket.Enqueued.Add(startWithin)
+	if !r.mayHaveRun && (deadline.IsZero() || latest.Before(deadline)) {
+		return latest
+	}
+	return deadline
+}
+
+// late reports whether the time to start has passed and nothing has run yet.
+func (r *running) late() bool {
+	return !r.mayHaveRun && !r.process.config.Now().Before(r.slot.ticket.Enqueued.Add(startWithin))
+}
+
+// serverUntil bounds the wait for a server by the queue time of the class, the time to start and the deadline of the request.
 func (r *running) serverUntil() time.Time {
 	until := r.process.config.Now().Add(max(r.slot.route.Class.MaxQueue(), 100*time.Millisecond))
-	if d := r.request.Deadline; !d.IsZero() && d.Before(until) {
-		return d
+	if latest := r.sendBy(); !latest.IsZero() && latest.Before(until) {
+		return latest
 	}
 	return until
 }
--- a/wigeonentry/serve.go
+++ b/wigeonentry/serve.go
@@ -100,7 +100,7 @@
 		}
 		return &jobSlot{process: p, route: route, request: request}, wigeonstep.Response{}
 	}
-	s := newSlot(p.poolOf(route.Service.Document.Pool), route, request.Deadline)
+	s := newSlot(p.poolOf(route.Service.Document.Pool), route, slotDeadline(p.config.Now(), request.Deadline))
 	if refusal := s.admit(ctx); refusal != nil {
 		return nil, *refusal
 	}
--- a/wigeonmaintenance/step.go
+++ b/wigeonmaintenance/step.go
@@ -24,7 +24,7 @@
 	case wigeonwire.Phase_PHASE_DRAINING:
 		stepDraining(plan, fleet, pool, vm)
 	case wigeonwire.Phase_PHASE_DRAINED:
-		stepDrained(plan, fleet, vm)
+		stepDrained(plan, fleet, pool, vm)
 	case wigeonwire.Phase_PHASE_REBOOTING:
 		p.stepRebooting(plan, fleet, vm)
 	case wigeonwire.Phase_PHASE_VERIFYING:
@@ -48,12 +48,17 @@
 	}
 	plan.Act(fleet, wigeonpool.Action{Kind: wigeonpool.ActionDrain, VM: vm.ID, Epoch: vm.Epoch})
 	spent := fleet.View.Time.Sub(vm.PhaseSince)
+	idle, cut := Idle(fleet, vm), vm.Wave != "" && cutInFlight(fleet, vm)
 	switch {
-	case Idle(fleet, vm):
+	case idle && !cut:
 		drained(plan, fleet, vm)
+	case overBudget(pool, vm) && !fleet.Down(vm):
+		backToService(plan, fleet, pool, vm)
 	case spent <= pool.MaxDrain:
 	case pool.Checkpoint && spent <= pool.MaxDrain+checkpointGrace:
 		plan.Act(fleet, wigeonpool.Action{Kind: wigeonpool.ActionCheckpoint, VM: vm.ID, Epoch: vm.Epoch})
+	case idle && pool.Checkpoint && fleet.Confirmed(wigeonpool.Action{Kind: wigeonpool.ActionCheckpoint, VM: vm.ID, Epoch: vm.Epoch}):
+		drained(plan, fleet, vm)
 	case fleet.Down(vm):
 		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_FAILED, "", "", wigeonpool.Reason{
 			Cause: "the VM is down and an entry process may still use it", Rule: "a VM that is down does not return to service", Figures: elapsed(fleet, vm),
@@ -67,6 +72,29 @@
 	}
 }
 
+// cutInFlight reports whether a process of another data centre may still have work in flight on the VM. Its session has expired,
+// so it sends nothing new and the VM may change its pool, but a reboot would cut off what it sent before.
+func cutInFlight(fleet *wigeonpool.Fleet, vm *wigeonstate.VM) bool {
+	for _, s := range fleet.View.Sessions {
+		if s.Role == wigeonwire.Role_ROLE_ENTRY && s.Expired && s.DataCentre != vm.DataCentre && (s.AppliedOffset < vm.PhaseOffset || s.BusyVMs[vm.ID]) {
+			return true
+		}
+	}
+	return false
+}
+
+// overBudget reports whether failures have used up the budget while the VM drains for a wave.
+func overBudget(pool *wigeonpool.Pool, vm *wigeonstate.VM) bool {
+	return vm.Wave != "" && len(pool.Services) > 0 && pool.Lost() > pool.MaxUnavailable
+}
+
+func backToService(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) {
+	plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_IN_SERVICE, "", "", wigeonpool.Reason{
+		Cause: "failures used up the disruption budget during the drain", Rule: "a wave stops when failures use up the budget; the VM drains again later",
+		Figures: elapsed(fleet, vm) + " " + pool.BudgetFigures(),
+	})
+}
+
 func drained(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
 	plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_DRAINED, "", "", wigeonpool.Reason{
 		Cause: "every entry session applied the drain and has no request in flight on the VM",
@@ -75,7 +103,7 @@
 }
 
 // stepDrained reboots a VM that drained for a wave. A VM that drained for a move is the concern of the pool planner.
-func stepDrained(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
+func stepDrained(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) {
 	if vm.Wave == "" || vm.Leaving {
 		return
 	}
@@ -87,6 +115,8 @@
 		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_REBOOTING, "", "", wigeonpool.Reason{
 			Cause: "the platform accepted the reboot", Rule: "one reboot for each epoch", Figures: fmt.Sprintf("epoch=%d wave=%s", vm.Epoch, vm.Wave),
 		})
+	case overBudget(pool, vm) && !fleet.Down(vm):
+		backToService(plan, fleet, pool, vm)
 	case fleet.Confirmed(drain):
 		plan.Act(fleet, reboot)
 	default:
--- a/wigeonreplay/driver.go
+++ b/wigeonreplay/driver.go
@@ -159,9 +159,7 @@
 // tick lets queued work expire.
 func (d *driver) tick() {
 	for _, e := range d.entries {
-		if e.runs() {
-			e.expire()
-		}
+		e.expire()
 	}
 }
 
--- a/wigeonreplay/entry.go
+++ b/wigeonreplay/entry.go
@@ -178,6 +178,9 @@
 
 // expire refuses the work whose time in the queue has passed.
 func (e *entry) expire() {
+	if !e.runs() {
+		return
+	}
 	for _, p := range e.pools {
 		for _, t := range p.admit.Expire(e.driver.time()) {
 			t.Value.(*work).refused()
--- a/wigeonreplay/happen.go
+++ b/wigeonreplay/happen.go
@@ -48,7 +48,8 @@
 	case "cancel":
 		d.cancel(e)
 	case "document_change":
-		d.changeDocument(e)
+		submitted := d.now
+		d.after(d.logDelay(), func() { d.changeDocument(e, submitted) })
 	case "wave":
 		d.startWave(e.Pool)
 	case "arrive":
@@ -161,15 +162,15 @@
 }
 
 // changeDocument is one operator's change. Two events of one time and base are a race.
-func (d *driver) changeDocument(e Event) {
+func (d *driver) changeDocument(e Event, submitted time.Duration) {
 	c := d.trace.changes[e.Change]
 	verdict, ok := d.append(d.operator, change(&c.Document, e.Change, e.Base, e.Operator, d.trace.contents["change/"+e.Change]))
 	switch {
 	case !ok:
-		d.after(time.Second, func() { d.changeDocument(e) })
+		d.after(time.Second, func() { d.changeDocument(e, submitted) })
 	case verdict.Accepted:
 		d.measured.changesAccepted++
-		d.unsettled = append(d.unsettled, &documentChange{c.Document.Service, wigeonstep.Version(e.Base + 1), d.now})
+		d.unsettled = append(d.unsettled, &documentChange{c.Document.Service, wigeonstep.Version(e.Base + 1), submitted})
 		d.measured.accepted(c.Document.Service, e.Base)
 	default:
 		d.measured.changesRefused++
--- a/wigeonreplay/work.go
+++ b/wigeonreplay/work.go
@@ -15,6 +15,12 @@
 // serverPoll is how often work that holds a slot looks for a free server.
 const serverPoll = 20 * time.Millisecond
 
+// startWithin is how long after its arrival short work starts at the latest, as in wigeonentry.
+const startWithin = 4700 * time.Millisecond
+
+// intentReserve is the part of startWithin that stays for the intent, as in wigeonentry.
+const intentReserve = 250 * time.Millisecond
+
 // work is one request, or one attempt of a job, on its way through an entry core.
 type work struct {
 	stream *stream
@@ -29,14 +35,16 @@
 	// run is what is left of the true run time.
 	run time.Duration
 
-	entry   *entry
-	life    int
-	pool    *entryPool
-	ticket  *wigeonadmission.Ticket
-	grantAt time.Duration
-	sentAt  time.Duration
+	entry  *entry
+	life   int
+	pool   *entryPool
+	ticket *wigeonadmission.Ticket
+	// deadline is that of the caller.
+	deadline time.Time
+	grantAt  time.Duration
+	sentAt   time.Duration
 	// serverUntil bounds the wait for a free server; zero before the first wait.
-	serverUntil time.Time
+	serverUntil time.Duration
 	server      wigeonstep.VMID
 	attempts    int
 	tried       []wigeonstep.VMID
@@ -64,7 +72,11 @@
 	w.entry, w.life, w.pool = e, e.life, e.pool(pool)
 	w.ticket = &wigeonadmission.Ticket{Team: w.key.team, Class: w.key.class, Value: w}
 	if w.job == nil {
-		w.ticket.Deadline = d.time().Add(w.class.Deadline())
+		w.deadline = d.time().Add(w.class.Deadline())
+		w.ticket.Deadline = w.deadline
+		if latest := d.time().Add(startWithin - intentReserve); w.idempotencyKey != "" && latest.Before(w.deadline) {
+			w.ticket.Deadline = latest
+		}
 	}
 	decision := w.pool.admit.Submit(d.time(), w.ticket)
 	switch decision.Verdict {
@@ -73,6 +85,9 @@
 	case wigeonadmission.Refused:
 		w.refused()
 	case wigeonadmission.Queued:
+		if w.job == nil {
+			d.after(min(w.class.MaxQueue(), w.ticket.Deadline.Sub(d.time())), e.expire)
+		}
 	}
 }
 
@@ -150,6 +165,10 @@
 	if !w.alive(w.send) {
 		return
 	}
+	if w.late() {
+		w.failed()
+		return
+	}
 	d := w.entry.driver
 	want := wigeonrouting.Want{Exclude: w.tried, LocalOnly: w.pool.localOnly, NoProbe: !w.class.Idempotent}
 	server, ok := w.pool.route.Pick(d.time(), want)
@@ -167,26 +186,37 @@
 		d.after(d.logDelay(), func() { w.startJob(server) })
 		return
 	}
-	if w.attempts == 1 {
-		w.stream.wait(d.now - w.arrived)
-	}
 	d.after(network, func() { d.machines[server.VM].serve(d, w, server.Epoch) })
 }
 
-// await tries again later. The wait is bounded as in wigeonentry, by the queue time of the class and the deadline.
+// sendBy returns until when a further attempt may be sent.
+func (w *work) sendBy() time.Time {
+	if latest := epoch.Add(w.arrived + startWithin); !w.ran && latest.Before(w.deadline) {
+		return latest
+	}
+	return w.deadline
+}
+
+// late reports whether the time to start has passed and nothing has run yet.
+func (w *work) late() bool {
+	return w.job == nil && !w.ran && w.entry.driver.now >= w.arrived+startWithin
+}
+
+// await tries again later. The wait is bounded as in wigeonentry: by the queue time of the class, the time to start and the deadline.
 func (w *work) await() {
 	d := w.entry.driver
-	if w.serverUntil.IsZero() {
-		w.serverUntil = d.time().Add(max(w.class.MaxQueue(), 100*time.Millisecond))
-		if w.ticket.Deadline.Before(w.serverUntil) {
-			w.serverUntil = w.ticket.Deadline
-		}
+	if w.job != nil {
+		d.after(serverPoll, w.send)
+		return
+	}
+	if w.serverUntil == 0 {
+		w.serverUntil = min(d.now+max(w.class.MaxQueue(), 100*time.Millisecond), w.sendBy().Sub(epoch))
 	}
-	if w.job == nil && !d.time().Before(w.serverUntil) {
+	if d.now >= w.serverUntil {
 		w.failed()
 		return
 	}
-	d.after(serverPoll, w.send)
+	d.after(min(serverPoll, w.serverUntil-d.now), w.send)
 }
 
 // startJob records the attempt and sends the job when the fold has accepted it.
@@ -208,12 +238,14 @@
 	if w.job.cancelled {
 		d.measured.ranAfterCancel++
 	}
-	w.stream.wait(d.now - w.arrived)
 	d.after(network, func() { d.machines[server.VM].serve(d, w, server.Epoch) })
 }
 
-// began counts a run of the work on a worker.
+// began counts a run of the work on a worker. The wait ends with the sending of the first attempt that runs.
 func (w *work) began() {
+	if !w.ran {
+		w.stream.wait(w.sentAt - w.arrived)
+	}
 	w.ran = true
 	if w.idempotencyKey != "" {
 		w.entry.driver.keyRuns[w.idempotencyKey]++
@@ -247,21 +279,23 @@
 		return
 	}
 	w.tried = append(w.tried, w.server)
-	again, delay := wigeonretry.Decide(w.class.Retry, w.class.Idempotent, w.attempts, result, d.time(), w.ticket.Deadline, w.pool.budget(w.key.team), w.entry.random)
+	again, delay := wigeonretry.Decide(w.class.Retry, w.class.Idempotent, w.attempts, result, d.time(), w.sendBy(), w.pool.budget(w.key.team), w.entry.random)
 	switch {
 	case again:
 		d.after(delay, w.send)
 	case result.Verdict.NotRun():
 		w.failed()
 	default:
-		w.stream.unknown++
-		w.end()
-		w.release(0)
+		w.unknown()
 	}
 }
 
-// failed ends work that reached no server: the outcome is not_run.
+// failed ends work that reached no further server: the outcome is not_run unless an earlier attempt may have run.
 func (w *work) failed() {
+	if w.ran {
+		w.unknown()
+		return
+	}
 	w.refused()
 	w.release(0)
 }
