--- a/wigeonreplay/daemon.go
+++ b/wigeonreplay/daemon.go
@@ -86,7 +86,7 @@
 			continue
 		}
 		for _, p := range e.pools {
-			loads[p.name] += p.admit.Demand(d.now).Wanted
+			loads[p.name] += p.admit.Demand(d.time()).Wanted
 		}
 	}
 	return loads
--- a/wigeonreplay/entry.go
+++ b/wigeonreplay/entry.go
@@ -125,7 +125,7 @@
 			continue
 		}
 		for _, p := range from.pools {
-			demand := p.admit.Demand(d.now)
+			demand := p.admit.Demand(d.time())
 			for _, to := range d.entries {
 				if to.runs() && d.connected(from.dataCentre, to.dataCentre) {
 					to.pool(p.name).heard[from.session] = demand
