Keep in a pool the VMs that its documents ask for

Cause: the disruption budget counts VMs out of service, and a VM that moved to another pool counts no more, so the fold would let a pool lose one VM after the other to moves; only the planner held back. status left out the VMs of a data centre without a control session, which the fold counts as unavailable.

--- a/wigeonoperator/status.go
+++ b/wigeonoperator/status.go
@@ -100,6 +100,9 @@
 		return byName[name]
 	}
 	for _, s := range view.Sessions {
+		if s.Role == wigeonwire.Role_ROLE_OPERATOR {
+			continue
+		}
 		state := get(s.DataCentre)
 		switch {
 		case s.Expired:
@@ -143,6 +146,10 @@
 
 func services(view *wigeonstate.View) []ServiceState {
 	var states []ServiceState
+	controlled := make(map[wigeonstep.DataCentreName]bool)
+	for _, centre := range dataCentres(view) {
+		controlled[centre.Name] = centre.ControlProcesses > 0
+	}
 	for name, service := range view.Services {
 		document := service.Document
 		state := ServiceState{
@@ -152,10 +159,11 @@
 			Budget: document.Availability.MaxUnavailableWorkers,
 		}
 		for _, vm := range view.Pools[document.Pool] {
-			if vm.InService() && vm.Shape.Fits(document.Capacity.Shape()) {
-				state.InService++
-			} else {
+			// The fold counts the VMs of a data centre without a control session as unavailable.
+			if !vm.InService() || !controlled[vm.DataCentre] {
 				state.Unavailable++
+			} else if vm.Shape.Fits(document.Capacity.Shape()) {
+				state.InService++
 			}
 		}
 		state.NotMet = notMet(state)
--- a/wigeonstate/budget.go
+++ b/wigeonstate/budget.go
@@ -58,6 +58,30 @@
 	return ""
 }
 
+// checkGiveAway returns why the pool cannot give the VM to another pool, or nothing. A disruption budget alone would let
+// a pool lose one VM after the other to moves, since each move makes the pool smaller and the loss none.
+func (s *State) checkGiveAway(vm *VM, to wigeonstep.PoolName) string {
+	if to == vm.Pool {
+		return ""
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		document := s.services[name].view.Document
+		if document.Pool != vm.Pool || !vm.Shape.Fits(document.Capacity.Shape()) {
+			continue
+		}
+		left := 0
+		for _, member := range s.members[vm.Pool] {
+			if member.ID != vm.ID && member.Shape.Fits(document.Capacity.Shape()) {
+				left++
+			}
+		}
+		if left < document.Capacity.Workers {
+			return fmt.Sprintf("service %s asks for %d workers of pool %s; without this one %d would be left", name, document.Capacity.Workers, vm.Pool, left)
+		}
+	}
+	return ""
+}
+
 // checkBarrier returns why the VM may still be in use, or nothing when every entry process is known to have stopped using it.
 func (s *State) checkBarrier(vm *VM) string {
 	for _, session := range s.sortedSessions() {
--- a/wigeonstate/vm.go
+++ b/wigeonstate/vm.go
@@ -116,6 +116,11 @@
 	if pool != "" && !s.knownPool(pool) {
 		return fmt.Sprintf("pool %q is not known", pool)
 	}
+	if pool != "" {
+		if reason := s.checkGiveAway(vm, pool); reason != "" {
+			return reason
+		}
+	}
 	switch to {
 	case phaseDraining:
 		if reason := s.checkWave(vm, wigeonstep.WaveID(change.GetWave())); reason != "" {
--- a/wigeonstate/vm_test.go
+++ b/wigeonstate/vm_test.go
@@ -195,3 +195,23 @@
 	f.c.Assert(f.state.View().Waves, qt.HasLen, 0)
 	f.accept(controlB, other)
 }
+
+// Guards against a pool that loses one VM after the other to moves, each within the budget of a pool that grew smaller.
+func TestPoolKeepsWhatItsDocumentsAskFor(t *testing.T) {
+	f := newFold(t)
+	f.start()
+	f.observe("orders", "a11", "a12", "a21", "a22", "b11")
+	f.accept(operator, documentEntry("d1", "orders", 0, document("orders", "orders", 2, 0)))
+	give := func(id string) *wigeonwire.Entry {
+		f.accept(controlA, f.to(id, draining))
+		f.renew(entryA)
+		f.renew(entryB)
+		f.accept(controlA, f.to(id, drained))
+		entry := f.to(id, wigeonwire.Phase_PHASE_IN_SERVICE)
+		entry.GetVmTransition().Pool = "spare"
+		return entry
+	}
+	f.accept(controlA, give("a11"))
+	f.refuse(controlA, give("a12"), "service orders asks for 4 workers of pool orders; without this one 3 would be left")
+	f.accept(controlA, f.to("a12", wigeonwire.Phase_PHASE_IN_SERVICE))
+}
