Ask an earlier owner for the answer to the same request only

Cause: since a key that did not run can be claimed again, an earlier owner may keep the answer to another request with that key; go test ./wigeononce -rapid.checks=20000 found a caller that got it. A key recorded for a request that was given up stayed unusable, too. Change: AnswerQuery carries the hash of the request; a key that is recorded and not dispatched is withdrawn.

--- a/wigeonentry/peer.go
+++ b/wigeonentry/peer.go
@@ -25,7 +25,7 @@
 		}
 		response.Body = &wigeonwire.PeerResponse_Forward{Forward: encodeAnswer(&answer, true, false)}
 	case *wigeonwire.PeerRequest_AnswerQuery:
-		answer, found, running := p.once.Lookup(wigeonstep.Key(body.AnswerQuery.GetKey()))
+		answer, found, running := p.once.Lookup(wigeonstep.Key(body.AnswerQuery.GetKey()), body.AnswerQuery.GetRequestHash())
 		response.Body = &wigeonwire.PeerResponse_Answer{Answer: encodeAnswer(&answer, found, running)}
 	case *wigeonwire.PeerRequest_DemandReport:
 		p.demands.take(p.config.Now(), body.DemandReport)
@@ -98,14 +98,14 @@
 }
 
 // Ask implements wigeononce.Peers.
-func (o oncePeers) Ask(ctx context.Context, session *wigeonstate.Session, key wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
+func (o oncePeers) Ask(ctx context.Context, session *wigeonstate.Session, key wigeonstep.Key, hash uint64) (response wigeonstep.Response, found, running bool) {
 	p := o.process
 	if p.config.Peers == nil {
 		return response, false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	call := &wigeonwire.PeerRequest{FromSession: uint64(p.config.Follower.Session()), Body: &wigeonwire.PeerRequest_AnswerQuery{AnswerQuery: &wigeonwire.AnswerQuery{Key: string(key)}}}
+	call := &wigeonwire.PeerRequest{FromSession: uint64(p.config.Follower.Session()), Body: &wigeonwire.PeerRequest_AnswerQuery{AnswerQuery: &wigeonwire.AnswerQuery{Key: string(key), RequestHash: hash}}}
 	answer, err := p.config.Peers.Call(ctx, session.PeerAddress, call)
 	if err != nil || answer.GetAnswer() == nil {
 		return response, false, false
--- a/wigeononce/core.go
+++ b/wigeononce/core.go
@@ -127,10 +127,10 @@
 	return nil
 }
 
-// Lookup answers another session's query for a key that this process ran.
-func (c *Core) Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
+// Lookup answers another session's query for a request that this process ran. A withdrawn key may have run with another request since the query was made.
+func (c *Core) Lookup(key wigeonstep.Key, hash uint64) (response wigeonstep.Response, found, running bool) {
 	r := c.runs[key]
-	if r == nil {
+	if r == nil || r.hash != hash {
 		return wigeonstep.Response{}, false, false
 	}
 	if r.state != runEnded {
@@ -214,7 +214,7 @@
 		return c.answer(w, unknown("the answer of the key is not kept any more"))
 	}
 	w.target = fold.Session
-	return []Action{Ask{Waiter: w.arrive.Waiter, Key: w.arrive.Request.Key, Session: fold.Session}}
+	return []Action{Ask{Waiter: w.arrive.Waiter, Key: w.arrive.Request.Key, Hash: w.arrive.Hash, Session: fold.Session}}
 }
 
 // pass sends a request on to the session that may run its key.
@@ -298,12 +298,14 @@
 	release := []Action{Release{Key: r.key, Run: r.id}}
 	switch e.Verdict {
 	case IntentAccepted:
+		// A key that is recorded and not dispatched is withdrawn, so that a repeated request may run it.
 		if len(r.waiters) == 0 {
-			return append(release, c.end(now, r, unknown("the request was given up before its key was recorded; it did not run and will not run"))...)
+			c.drop(r)
+			return append(release, Withdraw{Key: r.key})
 		}
 		if !e.Place.Settled {
 			// The session changed while the entry waited for the log, and another session may still answer not_run.
-			return append(release, c.end(now, r, unknown("the owner of the key changed while the key was recorded; it did not run and will not run"))...)
+			return append(append(release, Withdraw{Key: r.key}), c.dropAll(r, unknown("the owner of the key changed while the key was recorded"))...)
 		}
 		return c.dispatch(r)
 	case IntentRefused:
--- a/wigeononce/event.go
+++ b/wigeononce/event.go
@@ -182,6 +182,7 @@
 	Ask struct {
 		Waiter  WaiterID
 		Key     wigeonstep.Key
+		Hash    uint64
 		Session wigeonstep.SessionID
 	}
 	// Wait lets the waiter arrive again after a delay, or earlier when its owner is no longer Failed.
--- a/wigeononce/property_test.go
+++ b/wigeononce/property_test.go
@@ -204,7 +204,7 @@
 	return nil
 }
 
-func (n *naive) Lookup(wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
+func (n *naive) Lookup(wigeonstep.Key, uint64) (response wigeonstep.Response, found, running bool) {
 	return response, false, false
 }
 
--- a/wigeononce/sim_test.go
+++ b/wigeononce/sim_test.go
@@ -16,7 +16,7 @@
 // machine is the core under test, or the simplest variant that the test shows to be wrong.
 type machine interface {
 	Step(now time.Time, event wigeononce.Event) []wigeononce.Action
-	Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool)
+	Lookup(key wigeonstep.Key, hash uint64) (response wigeonstep.Response, found, running bool)
 }
 
 // sim runs several processes on one log and one backend server; rapid chooses what happens next.
@@ -365,7 +365,7 @@
 	target := p.sim.byID(a.Session)
 	ended := wigeononce.AskEnded{Waiter: a.Waiter}
 	if target != nil && !target.dead && !p.sim.chance("query lost", 6) {
-		ended.Response, ended.Found, ended.Running = target.core.Lookup(a.Key)
+		ended.Response, ended.Found, ended.Running = target.core.Lookup(a.Key, a.Hash)
 	}
 	p.step(ended)
 }
--- a/wigeononce/table.go
+++ b/wigeononce/table.go
@@ -45,8 +45,8 @@
 type Peers interface {
 	// Forward lets another session serve the request; ok is false when it did not answer or is not the owner.
 	Forward(ctx context.Context, session *wigeonstate.Session, request *wigeonstep.Request, deadline time.Time) (response wigeonstep.Response, ok bool)
-	// Ask returns the answer that the session keeps for a key.
-	Ask(ctx context.Context, session *wigeonstate.Session, key wigeonstep.Key) (response wigeonstep.Response, found, running bool)
+	// Ask returns the answer that the session keeps for a key and the hash of its request.
+	Ask(ctx context.Context, session *wigeonstate.Session, key wigeonstep.Key, hash uint64) (response wigeonstep.Response, found, running bool)
 }
 
 // Config configures a Table.
@@ -119,11 +119,11 @@
 	return t.core.Issue(t.config.Now(), count, rand.Uint64)
 }
 
-// Lookup returns the answer that this process keeps for a key.
-func (t *Table) Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
+// Lookup returns the answer that this process keeps for a key and the hash of its request.
+func (t *Table) Lookup(key wigeonstep.Key, hash uint64) (response wigeonstep.Response, found, running bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.core.Lookup(key)
+	return t.core.Lookup(key, hash)
 }
 
 // Waiting returns the number of requests without an answer.
@@ -203,7 +203,7 @@
 func (w *waiting) ask(a Ask) {
 	ended := AskEnded{Waiter: a.Waiter}
 	if session := w.table.sessionOf(a.Session); session != nil {
-		ended.Response, ended.Found, ended.Running = w.table.config.Peers.Ask(w.ctx, session, a.Key)
+		ended.Response, ended.Found, ended.Running = w.table.config.Peers.Ask(w.ctx, session, a.Key, a.Hash)
 	}
 	w.table.step(ended)
 }
