--- a/wigeoncontrol/run.go
+++ b/wigeoncontrol/run.go
@@ -103,8 +103,13 @@
 			spacing = max(roundSpacing, roundShare*time.Since(last))
 			timer.Reset(max(spacing, d.config.PlanInterval))
 			continue
-		case d.listing = <-d.listings:
-			continue
+		case listing := <-d.listings:
+			same := listing.Same(d.listing)
+			d.listing = listing
+			if same {
+				continue
+			}
+			// A VM that leaves must get no new work within 3 s, so a changed list does not wait for the interval.
 		case <-sweep.C:
 			d.sweep(time.Now())
 			continue
@@ -123,6 +128,9 @@
 	planning := d.mayPlan()
 	if planning != d.planning {
 		d.planning = planning
+		// What a planner remembers from before a time without rounds says nothing about the time after it.
+		d.pools = wigeonpool.NewPlanner(d.config.Pool)
+		d.maintenance = wigeonmaintenance.NewPlanner(d.config.Maintenance)
 		d.config.Logger.Info("planning for the data centre", zap.Bool("planning", planning), zap.String("data_centre", string(d.config.DataCentre)))
 	}
 	if d.listing != nil {
