Read the renewals of the test follower under its lock

Cause: TestJobTakeOver failed under the race detector: expire read the count of renewals while Run changed it. Change: expire reads it under the lock of the test log.

--- a/wigeonentry/follower_test.go
+++ b/wigeonentry/follower_test.go
@@ -189,7 +189,10 @@
 // expire lets the operator's session expire another one.
 func (l *testLog) expire(t testing.TB, f *testFollower) {
 	t.Helper()
+	l.mu.Lock()
+	last := f.renewals
+	l.mu.Unlock()
 	l.followers[0].must(t, &wigeonwire.Entry{Body: &wigeonwire.Entry_SessionExpire{SessionExpire: &wigeonwire.SessionExpire{
-		Session: uint64(f.session), LastRenewal: f.renewals,
+		Session: uint64(f.session), LastRenewal: last,
 	}}})
 }
