--- a/wigeonoperator/explain.go
+++ b/wigeonoperator/explain.go
@@ -148,7 +148,8 @@
 func currentKey(key *wigeonwire.Key) (now, waitsFor string) {
 	now = fmt.Sprintf("intent at offset %d by session %s, team %s, class %s", key.Offset, wigeonstep.SessionID(key.Session), key.Team, key.Class)
 	if key.Outcome == wigeonwire.Outcome_OUTCOME_UNSPECIFIED {
-		return now, "the outcome from the session that runs it"
+		// An answer is kept by the process that ran the key; the log holds only what others must know.
+		return now + ", never to run again; the answer is with that session", ""
 	}
 	return now + ", outcome " + enumName(key.Outcome.String(), "OUTCOME_"), ""
 }
