Return draining VMs to service when failures exceed the budget

Cause: when more fails during a drain than the reserve covers, a VM that still drains adds to the loss for up to max_drain_s although it works. Change: such a VM returns to service and drains again later.

--- a/wigeoncontrol/wave_test.go
+++ b/wigeoncontrol/wave_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
 // A wave over a healthy pool must reach every VM and never exceed the budget.
@@ -47,3 +50,26 @@
 	w.c.Assert(actions, qt.DeepEquals, []string{"start", "pause", "resume", "end"})
 	w.c.Assert(w.maintained("orders"), qt.IsTrue)
 }
+
+// When more fails than the reserve covers, a VM that still drains must return to service instead of adding to the loss.
+func TestDrainEndsWhenFailuresExceedTheBudget(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, planners{}, "a")
+	w.addVMs("orders", 8, 32)
+	w.run(10*time.Second, nil)
+	for _, id := range w.ids {
+		w.machines[id].busyUntil = w.now.Add(time.Hour)
+	}
+	w.document("orders", 0, 6, "availability: {max_unavailable_workers: 2}\nmaintenance: {max_drain_s: 3000}\n")
+	w.c.Assert(w.run(10*time.Minute, func() bool { return w.phase(wigeonwire.Phase_PHASE_DRAINING) == 1 }), qt.IsTrue)
+	var serving []wigeonstep.VMID
+	for _, vm := range w.state.View().Pools["orders"] {
+		if vm.InService() {
+			serving = append(serving, vm.ID)
+		}
+	}
+	w.kill(serving[:2]...)
+	w.c.Assert(w.run(15*time.Second, func() bool { return w.phase(wigeonwire.Phase_PHASE_DRAINING) == 0 }), qt.IsTrue)
+	w.run(5*time.Minute, nil)
+	w.c.Assert(w.phase(wigeonwire.Phase_PHASE_IN_SERVICE), qt.Equals, 6)
+}
--- a/wigeonmaintenance/step.go
+++ b/wigeonmaintenance/step.go
@@ -49,6 +49,12 @@
 	plan.Act(fleet, wigeonpool.Action{Kind: wigeonpool.ActionDrain, VM: vm.ID, Epoch: vm.Epoch})
 	spent := fleet.View.Time.Sub(vm.PhaseSince)
 	switch {
+	case vm.Wave != "" && pool.Unplanned > 0 && pool.Lost() > pool.MaxUnavailable && !fleet.Down(vm):
+		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_IN_SERVICE, "", "", wigeonpool.Reason{
+			Cause: "failures exceed the disruption budget", Rule: "a VM that still drains returns to service and drains again later",
+			Figures: pool.BudgetFigures(),
+		})
+		pool.GiveBack(vm)
 	case Idle(fleet, vm):
 		drained(plan, fleet, vm)
 	case spent <= pool.MaxDrain:
--- a/wigeonpool/domain.go
+++ b/wigeonpool/domain.go
@@ -94,6 +94,23 @@
 	}
 }
 
+// GiveBack counts a VM that drains as available for the rest of the round.
+func (p *Pool) GiveBack(vm *wigeonstate.VM) {
+	d := p.domainCounts()
+	fits := vm.Shape.Fits(p.Shape)
+	for _, c := range [2]*DomainCount{d.rack(RackOf(vm)), d.zone(vm.DataCentre)} {
+		c.Lost--
+		if fits {
+			c.Available++
+		}
+	}
+	p.Planned--
+	p.reserveKnown = false
+	if fits {
+		p.Available++
+	}
+}
+
 func (d *domains) rack(r Rack) *DomainCount {
 	c := d.racks[r]
 	if c == nil {
