--- a/wigeonmaintenance/planner.go
+++ b/wigeonmaintenance/planner.go
@@ -49,6 +49,10 @@
 	epoch    wigeonstep.Epoch
 	since    time.Time
 	draining bool
+	// sawDrain is set when this process saw the VM draining before, so that no other one asked for its reboot.
+	sawDrain bool
+	// rebootAsked is set when this process asked for the reboot; the call may take effect even if its answer is lost.
+	rebootAsked bool
 }
 
 // awaited is a drain that the planner of another data centre was expected to propose.
@@ -104,7 +108,8 @@
 			}
 			seen, known := p.phases[vm.ID]
 			if !known || seen.epoch != vm.Epoch {
-				seen = seenPhase{epoch: vm.Epoch, since: fleet.Now, draining: vm.Phase == wigeonwire.Phase_PHASE_DRAINING}
+				sawDrain := known && seen.draining && seen.epoch+1 == vm.Epoch
+				seen = seenPhase{epoch: vm.Epoch, since: fleet.Now, draining: vm.Phase == wigeonwire.Phase_PHASE_DRAINING, sawDrain: sawDrain}
 			}
 			phases[vm.ID] = seen
 		}
@@ -117,3 +122,15 @@
 	maps.DeleteFunc(p.returned, func(_ wigeonstep.VMID, at time.Time) bool { return fleet.Now.Sub(at) > maxRest })
 	p.phases = phases
 }
+
+// neverRebooted reports whether a drained VM was certainly not asked to reboot, so that it may return to service.
+func (p *Planner) neverRebooted(vm *wigeonstate.VM) bool {
+	seen := p.phases[vm.ID]
+	return seen.sawDrain && !seen.rebootAsked
+}
+
+func (p *Planner) askReboot(vm *wigeonstate.VM) {
+	seen := p.phases[vm.ID]
+	seen.rebootAsked = true
+	p.phases[vm.ID] = seen
+}
