--- a/wigeonmaintenance/step.go
+++ b/wigeonmaintenance/step.go
@@ -24,7 +24,7 @@
 	case wigeonwire.Phase_PHASE_DRAINING:
 		stepDraining(plan, fleet, pool, vm)
 	case wigeonwire.Phase_PHASE_DRAINED:
-		stepDrained(plan, fleet, pool, vm)
+		p.stepDrained(plan, fleet, pool, vm)
 	case wigeonwire.Phase_PHASE_REBOOTING:
 		p.stepRebooting(plan, fleet, vm)
 	case wigeonwire.Phase_PHASE_VERIFYING:
@@ -50,10 +50,10 @@
 	spent := fleet.View.Time.Sub(vm.PhaseSince)
 	idle, cut := Idle(fleet, vm), vm.Wave != "" && cutInFlight(fleet, vm)
 	switch {
-	case idle && !cut:
-		drained(plan, fleet, vm)
 	case overBudget(pool, vm) && !fleet.Down(vm):
 		backToService(plan, fleet, pool, vm)
+	case idle && !cut:
+		drained(plan, fleet, vm)
 	case spent <= pool.MaxDrain:
 	case pool.Checkpoint && spent <= pool.MaxDrain+checkpointGrace:
 		plan.Act(fleet, wigeonpool.Action{Kind: wigeonpool.ActionCheckpoint, VM: vm.ID, Epoch: vm.Epoch})
@@ -88,11 +88,13 @@
 	return vm.Wave != "" && len(pool.Services) > 0 && pool.Lost() > pool.MaxUnavailable
 }
 
+// backToService returns one VM; the pool counts it as available at once, so that no more VMs return than the budget needs.
 func backToService(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) {
 	plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_IN_SERVICE, "", "", wigeonpool.Reason{
 		Cause: "failures used up the disruption budget during the drain", Rule: "a wave stops when failures use up the budget; the VM drains again later",
 		Figures: elapsed(fleet, vm) + " " + pool.BudgetFigures(),
 	})
+	pool.GiveBack(vm)
 }
 
 func drained(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, vm *wigeonstate.VM) {
@@ -103,7 +105,7 @@
 }
 
 // stepDrained reboots a VM that drained for a wave. A VM that drained for a move is the concern of the pool planner.
-func stepDrained(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) {
+func (p *Planner) stepDrained(plan *wigeonpool.Plan, fleet *wigeonpool.Fleet, pool *wigeonpool.Pool, vm *wigeonstate.VM) {
 	if vm.Wave == "" || vm.Leaving {
 		return
 	}
@@ -115,9 +117,10 @@
 		plan.Transition(vm.ID, vm.Epoch, wigeonwire.Phase_PHASE_REBOOTING, "", "", wigeonpool.Reason{
 			Cause: "the platform accepted the reboot", Rule: "one reboot for each epoch", Figures: fmt.Sprintf("epoch=%d wave=%s", vm.Epoch, vm.Wave),
 		})
-	case overBudget(pool, vm) && !fleet.Down(vm):
+	case overBudget(pool, vm) && !fleet.Down(vm) && p.neverRebooted(vm):
 		backToService(plan, fleet, pool, vm)
 	case fleet.Confirmed(drain):
+		p.askReboot(vm)
 		plan.Act(fleet, reboot)
 	default:
 		plan.Act(fleet, drain)
