Make the tests of the fold and the follower fail against wrong policies

Each rule was replaced by its simplest wrong variant on a scratch copy, to see which test fails. TestInterleavings did not find a missing barrier until its processes paused and moves went to other pools.

--- a/wigeonfollow/follower_test.go
+++ b/wigeonfollow/follower_test.go
@@ -68,7 +68,9 @@
 				defer p.stop()
 				p.opened(t)
 				p.client.set(fault)
-				offset, err := p.Propose(t.Context(), decision("orders"))
+				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+				defer cancel()
+				offset, err := p.Propose(ctx, decision("orders"))
 				c.Assert(err, qt.IsNil)
 				time.Sleep(30 * time.Second)
 				p.Read(func(state *wigeonstate.State) {
@@ -144,19 +146,28 @@
 		}
 		c.Assert(replaced, qt.Equals, 500)
 		c.Assert(p.View().VMs["a7"].Shape.Cores, qt.Equals, 2507)
-		for i := range 200 {
-			_, err := p.Propose(t.Context(), decision(fmt.Sprint(i)))
-			c.Assert(err, qt.IsNil)
-		}
-		_, at := log.batches(1)
-		for i := range at {
-			if i >= 21 {
-				c.Assert(at[i].Sub(at[i-21]) >= time.Second, qt.IsTrue, qt.Commentf("22 appends within %v", at[i].Sub(at[i-21])))
-			}
+		assertRate(c, log, 1)
+		// An entry process reads its verdicts back fastest.
+		entry := startProcess(t, log, 2, entryRole)
+		defer entry.stop()
+		entry.opened(t)
+		for range 200 {
+			_, err := entry.Propose(t.Context(), &wigeonwire.Entry{Body: &wigeonwire.Entry_JobCancel{JobCancel: &wigeonwire.JobCancel{Job: "none"}}})
+			c.Assert(err, qt.ErrorIs, wigeonstep.ErrRejected)
 		}
+		assertRate(c, log, 2)
 	})
 }
 
+// assertRate fails when a process appended more than 20 times, and one in advance, within any second.
+func assertRate(c *qt.C, log *memLog, session wigeonstep.SessionID) {
+	c.Helper()
+	_, at := log.batches(session)
+	for i := 21; i < len(at); i++ {
+		c.Assert(at[i].Sub(at[i-21]) >= time.Second, qt.IsTrue, qt.Commentf("22 appends within %v", at[i].Sub(at[i-21])))
+	}
+}
+
 // Guards against an outage that fills the memory with proposals.
 func TestProposalsAreBounded(t *testing.T) {
 	inBubble(t, func(t *testing.T, c *qt.C, log *memLog) {
--- a/wigeonfollow/restart_test.go
+++ b/wigeonfollow/restart_test.go
@@ -43,7 +43,9 @@
 		c.Assert(err, qt.IsNil)
 		late := startProcess(t, log, 3, controlRole, shortRetention)
 		defer late.stop()
-		c.Assert(late.WaitReady(t.Context()), qt.IsNil)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		c.Assert(late.WaitReady(ctx), qt.IsNil)
 		c.Assert(late.View().VMs, qt.HasLen, 101)
 		late.opened(t)
 		until(t, time.Second, func() bool { return first.View().Next == late.View().Next })
@@ -80,7 +82,7 @@
 	inBubble(t, func(t *testing.T, c *qt.C, log *memLog) {
 		log.append(wigeonstep.SnapshotStream, []byte("garbage"))
 		for _, chunk := range []*wigeonwire.SnapshotChunk{
-			{Covers: 90, Count: 1, Hash: 5, Data: []byte("wrong hash")},
+			{Covers: 90, Count: 1, Hash: 5, Data: marshal(c, &wigeonwire.State{NextOffset: 90})},
 			{Covers: 91, Count: 2, Index: 1, Hash: 5, Data: []byte("half")},
 			{Covers: 92, Count: 1 << 31, Hash: 5, Data: []byte("count")},
 		} {
@@ -114,6 +116,7 @@
 		time.Sleep(20 * time.Second)
 		log.compact()
 		cut.client.set(func(c *client) { c.down = false })
+		until(t, time.Minute, func() bool { return len(proposed) > 0 })
 		c.Assert(<-proposed, qt.IsNil)
 		c.Assert(cut.View().VMs, qt.HasLen, 2)
 		c.Assert(cut.Session(), qt.Not(qt.Equals), wigeonstep.SessionID(2))
@@ -179,13 +182,16 @@
 		defer old.stop()
 		old.opened(t)
 		old.client.set(func(c *client) { c.down = true })
+		// The read that is under way when the platform goes out of reach still ends.
+		time.Sleep(2 * time.Second)
 		_, err := control.Propose(t.Context(), observation("a1", 8))
 		c.Assert(err, qt.IsNil)
 		deaf := &deafPeer{}
-		fresh := startProcess(t, log, 3, entryRole, withPeers(old, deaf, control), platformDown)
+		fresh := startProcess(t, log, 3, entryRole, withPeers(old, deaf, deaf, deaf, deaf, deaf, control), platformDown)
 		defer fresh.stop()
 		c.Assert(fresh.WaitReady(t.Context()), qt.IsNil)
 		c.Assert(deaf.asked.Load() > 0, qt.IsTrue)
+		c.Assert(old.View().VMs, qt.HasLen, 0)
 		c.Assert(fresh.View().VMs, qt.HasLen, 1)
 
 		alone := startProcess(t, log, 4, entryRole, withPeers(deaf), platformDown)
--- a/wigeonstate/interleaving_test.go
+++ b/wigeonstate/interleaving_test.go
@@ -30,8 +30,10 @@
 	sentAt    map[uint64]int
 	leaseFrom int
 	alive     bool
-	versions  map[wigeonstep.ServiceName]wigeonstep.Version
-	sent      [][]byte
+	// pausedUntil is when a paused process acts again; its view stands still until then.
+	pausedUntil int
+	versions    map[wigeonstep.ServiceName]wigeonstep.Version
+	sent        [][]byte
 }
 
 // model is a log with processes that read it at their own speed.
@@ -185,6 +187,9 @@
 // step draws and does one thing that a process may do at any moment.
 func (m *model) step() {
 	r := rapid.SampledFrom(m.readers).Draw(m.t, "process")
+	if r.pausedUntil > m.now {
+		return
+	}
 	if !r.alive {
 		// A killed process may come back on its port; the new session closes the old one.
 		if rapid.IntRange(0, 3).Draw(m.t, "restart") == 0 && m.currentOf(r.address) == r {
@@ -192,7 +197,7 @@
 		}
 		return
 	}
-	actions := []string{"read", "read", "renew", "renew", "renew", "repeat", "expire", "intent", "document", "kill", "leave", "tick", "tick"}
+	actions := []string{"read", "read", "renew", "renew", "renew", "repeat", "expire", "intent", "document", "kill", "leave", "pause", "tick", "tick"}
 	if r.role == wigeonwire.Role_ROLE_CONTROL {
 		actions = []string{"read", "renew", "drain", "drain", "drained", "drained", "drained", "assign", "assign", "return", "repeat", "expire", "kill", "fail"}
 		// A planner mostly acts on a recent view, and sometimes on an old one.
@@ -213,7 +218,7 @@
 	case "drained":
 		m.transition(r, drained, "")
 	case "assign":
-		m.transition(r, inService, rapid.SampledFrom([]string{"orders", "prices"}).Draw(m.t, "pool"))
+		m.transition(r, inService, rapid.SampledFrom([]string{"orders", "prices", "spare", "spare"}).Draw(m.t, "pool"))
 	case "return":
 		m.transition(r, inService, "")
 	case "fail":
@@ -230,6 +235,8 @@
 		service := rapid.SampledFrom([]string{"orders", "prices"}).Draw(m.t, "service")
 		base := rapid.IntRange(0, 3).Draw(m.t, "base")
 		m.append(r, documentEntry(fmt.Sprint(len(m.log)), service, uint64(base), document(service, service, base%3+1, base%2)))
+	case "pause":
+		r.pausedUntil = m.now + rapid.IntRange(1, 2*silentTicks).Draw(m.t, "pause")
 	case "kill":
 		if rapid.IntRange(0, 4).Draw(m.t, "killed") == 0 {
 			r.alive = false
