--- a/wigeonfollow/lease.go
+++ b/wigeonfollow/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -94,6 +95,12 @@
 		// The fold refuses every batch after the end of its session, so these can never take effect.
 		batch.fail(rejected("the session ended before the entry reached the log"))
 	}
+	if f.own.stopped {
+		for _, p := range f.queue.waiting {
+			p.finish(0, fmt.Errorf("%w: the session is closed", wigeonstep.ErrUnavailable))
+		}
+		f.queue = queue{}
+	}
 	f.own = ownSession{
 		id:      wigeonstep.SessionID(rand.Uint64() | 1),
 		stopped: f.own.stopped,
