--- a/wigeonstate/bench_test.go
+++ b/wigeonstate/bench_test.go
@@ -55,6 +55,9 @@
 // sessionID spreads the ids as random ones are; each daemon and entry process has an odd one.
 func sessionID(i int) uint64 { return (uint64(i) + 1) * 0x9e3779b97f4a7c15 }
 
+// operatorSession is outside the ids of the daemons and entry processes.
+func operatorSession(change int) uint64 { return sessionID(1_000_000 + change) }
+
 func (f *benchFleet) entrySession(i int) uint64   { return sessionID(2 * i) }
 func (f *benchFleet) controlSession(i int) uint64 { return sessionID(2*i + 1) }
 func (f *benchFleet) centre(i int) string         { return fmt.Sprint("data-centre-", i%f.size.centres+1) }
@@ -196,12 +199,17 @@
 	f.after(9, func() { f.transition(vm, wigeonwire.Phase_PHASE_IN_SERVICE, "") })
 }
 
+// changeDocument puts the records of one "wigeonstep apply": a session of its own, which it opens, renews once and closes.
 func (f *benchFleet) changeDocument(team int) {
 	f.changes++
+	session := operatorSession(f.changes)
+	f.put(session, openEntry(wigeonwire.Role_ROLE_OPERATOR, "", ""))
+	f.renew(session)
 	service := fmt.Sprintf("service-%02d", team)
 	content := strings.NewReplacer("service: orders", "service: "+service, "team: grafters", fmt.Sprintf("team: team-%02d", team),
 		"pool: orders", "pool: "+f.documentPool(team), "weight: 2", fmt.Sprint("weight: ", f.changes%5+1)).Replace(f.document)
-	f.put(f.controlSession(team%f.size.entries), documentEntry(fmt.Sprintf("%016x", sessionID(f.changes)), service, f.versions[team], content))
+	f.put(session, documentEntry(fmt.Sprintf("%016x", sessionID(f.changes)), service, f.versions[team], content))
+	f.put(session, closeEntry())
 	f.versions[team]++
 }
 
@@ -342,19 +350,27 @@
 // BenchmarkView publishes a view after a renewal and after a change of a VM. The ratio is to a view of the smallest fleet.
 func BenchmarkView(b *testing.B) {
 	baseline := map[string]float64{}
+	renew := func(f *benchFleet, i int) { f.renew(f.entrySession(i % f.size.entries)) }
 	for _, change := range []struct {
 		name string
 		put  func(f *benchFleet, i int)
+		// changes is the number of document changes before, each of which leaves a closed session for a day.
+		changes int
 	}{
-		{"renewal", func(f *benchFleet, i int) { f.renew(f.entrySession(i % f.size.entries)) }},
+		{"renewal", renew, 0},
+		{"renewal_after_14000_changes", renew, 14000},
 		{"vm", func(f *benchFleet, i int) {
 			f.transition(i%f.size.vms, wigeonwire.Phase_PHASE_GONE, "")
 			f.observe(i % f.size.vms)
-		}},
+		}, 0},
 	} {
 		for _, size := range fleetSizes() {
 			b.Run(change.name+"/"+size.String(), func(b *testing.B) {
 				f := newBenchFleet(b, size)
+				for n := range change.changes {
+					f.changeDocument(n % size.teams)
+				}
+				f.fold()
 				f.state.View()
 				var view time.Duration
 				i := 0
