Keep the target of a pool while a data centre is briefly lost

The headroom for a further loss counted only data centres with an open control session, so the loss itself raised every target, and the VMs went back afterwards; one of them was maintained twice. Change: a data centre counts in the headroom for as long as its VMs count as present, 10 minutes.

--- a/wigeonpool/fleet.go
+++ b/wigeonpool/fleet.go
@@ -35,6 +35,8 @@
 type zone struct {
 	// control is set while the data centre has an open control session.
 	control bool
+	// patient is set while the data centre has lacked one for less than zonePatience; its VMs still count as present.
+	patient bool
 	// total and missing count VMs that the fold holds as working, and those of them that the list lacks.
 	total, missing int
 	// trusted is set when the list proves something about the VMs of the data centre; distrust says why it does not.
--- a/wigeonpool/target.go
+++ b/wigeonpool/target.go
@@ -38,7 +38,9 @@
 	case wigeondocument.DomainDataCentre:
 		zones := 0
 		for _, z := range fleet.zones {
-			if z.control && z.total > 0 {
+			// A data centre that has just been lost still counts, as its VMs do; otherwise its loss alone would raise the
+			// target and move VMs that go back when it returns.
+			if (z.control || z.patient) && z.total > 0 {
 				zones++
 			}
 		}
@@ -197,5 +199,6 @@
 		} else if _, known := p.silent[name]; !known {
 			p.silent[name] = fleet.Now
 		}
+		z.patient = !z.control && !p.zoneLost(fleet, name)
 	}
 }
--- a/wigeonreplay/figures.go
+++ b/wigeonreplay/figures.go
@@ -21,6 +21,7 @@
 var measures = map[string]string{
 	"budget_exceeded":          unitS,        // pool seconds beyond a disruption budget that unplanned losses alone would have kept
 	"unplanned_beyond_budget":  unitS,        // pool seconds in which unplanned losses alone exceeded a budget
+	"below_capacity":           unitS,        // pool seconds with fewer workers in service than the documents ask for
 	"jobs_lost":                unitCount,    // accepted jobs without an end and in no process's hands
 	"jobs_run_after_cancel":    unitCount,    // jobs that started after their cancellation was accepted
 	"keys_run_twice":           unitCount,    // idempotency keys whose request or job ran more than once
@@ -70,6 +71,7 @@
 	count := func(name string, value int) { figures[name] = Figure{Value: int64(value), Known: true} }
 	count("budget_exceeded", m.breachS)
 	count("unplanned_beyond_budget", m.unplannedS)
+	count("below_capacity", m.belowS)
 	count("jobs_lost", m.lostJobs)
 	count("jobs_run_after_cancel", m.ranAfterCancel)
 	twice := 0
