--- a/wigeonfollow/snapshot.go
+++ b/wigeonfollow/snapshot.go
@@ -18,8 +18,10 @@
 
 const (
 	// maxChunkBytes bounds one append of the snapshot stream.
-	maxChunkBytes    = 256 << 10
-	snapshotReads    = 16
+	maxChunkBytes = 256 << 10
+	snapshotReads = 16
+	// firstChunkWindow is how many records are read from the end of the stream at first; a snapshot at the target size has 14 chunks.
+	firstChunkWindow = 32
 	snapshotInterval = time.Second
 	// snapshotRetry is the pause after a snapshot that could not be written.
 	snapshotRetry = 5 * time.Second
@@ -124,42 +126,66 @@
 
 // loadSnapshot adopts the newest complete snapshot of the platform, if it is ahead of the state.
 func (f *Follower) loadSnapshot(ctx context.Context) error {
+	assembly, err := f.newestSnapshot(ctx)
+	if err != nil {
+		return err
+	}
+	if assembly.newest == nil {
+		return nil
+	}
+	state, err := wigeonstate.Decode(assembly.newest)
+	if err != nil {
+		f.logger.Warn("snapshot unreadable", zap.Error(err))
+		return fmt.Errorf("load snapshot: %w", err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.adoptLocked(state)
+	return nil
+}
+
+// newestSnapshot reads the end of the snapshot stream, and more of it until a complete snapshot is found. The stream
+// holds about four snapshots, of which only the newest is of use.
+func (f *Follower) newestSnapshot(ctx context.Context) (snapshotAssembly, error) {
+	end, err := f.readSnapshots(ctx, 0, 1)
+	if err != nil && !errors.Is(err, wigeonstep.ErrCompacted) {
+		return snapshotAssembly{}, err
+	}
+	for window := wigeonstep.Offset(firstChunkWindow); ; window *= 4 {
+		from := max(end.First, end.Next-min(window, end.Next))
+		assembly, err := f.readAssembly(ctx, from)
+		if err != nil || assembly.newest != nil || from == end.First {
+			return assembly, err
+		}
+	}
+}
+
+// readAssembly reads the snapshot stream from the offset to its end.
+func (f *Follower) readAssembly(ctx context.Context, from wigeonstep.Offset) (snapshotAssembly, error) {
 	assembly := snapshotAssembly{}
-	for from := wigeonstep.Offset(0); ; {
-		read, err := f.readSnapshots(ctx, from)
+	for {
+		read, err := f.readSnapshots(ctx, from, snapshotReads)
 		if errors.Is(err, wigeonstep.ErrCompacted) && read.First > from {
 			from = read.First
 			continue
 		}
 		if err != nil {
-			return err
+			return assembly, err
 		}
 		for _, record := range read.Records {
 			assembly.add(record.Payload)
 			from = record.Offset + 1
 		}
 		if len(read.Records) == 0 || from >= read.Next {
-			break
+			return assembly, nil
 		}
 	}
-	if assembly.newest == nil {
-		return nil
-	}
-	state, err := wigeonstate.Decode(assembly.newest)
-	if err != nil {
-		f.logger.Warn("snapshot unreadable", zap.Error(err))
-		return fmt.Errorf("load snapshot: %w", err)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.adoptLocked(state)
-	return nil
 }
 
-func (f *Follower) readSnapshots(ctx context.Context, from wigeonstep.Offset) (wigeonstep.LogRead, error) {
+func (f *Follower) readSnapshots(ctx context.Context, from wigeonstep.Offset, limit int) (wigeonstep.LogRead, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	read, err := f.config.Log.Read(ctx, wigeonstep.SnapshotStream, from, snapshotReads, 0)
+	read, err := f.config.Log.Read(ctx, wigeonstep.SnapshotStream, from, limit, 0)
 	if err != nil {
 		return read, fmt.Errorf("read %s: %w", wigeonstep.SnapshotStream, err)
 	}
--- a/wigeonstate/state.go
+++ b/wigeonstate/state.go
@@ -19,8 +19,11 @@
 	jobLifetime     = 24 * time.Hour
 	changeLifetime  = 24 * time.Hour
 	sessionLifetime = 24 * time.Hour
-	waveLifetime    = 7 * 24 * time.Hour
-	goneLifetime    = 7 * 24 * time.Hour
+	// operatorLifetime is shorter, because each change of a document opens a session: 14,000 a day at the target size, which
+	// every view would hold. A duplicate of such a session's batch can come minutes late at most.
+	operatorLifetime = 10 * time.Minute
+	waveLifetime     = 7 * 24 * time.Hour
+	goneLifetime     = 7 * 24 * time.Hour
 )
 
 // State is the folded state. One goroutine applies records; the zero value is the state before the first record.
@@ -206,7 +209,11 @@
 	for id, session := range s.sessions {
 		// An expired entry session may still run, and it blocks drains until it is known to be gone.
 		blocks := session.status == wigeonwire.SessionStatus_SESSION_STATUS_EXPIRED && session.view.Role == wigeonwire.Role_ROLE_ENTRY
-		if !session.open() && !blocks && old(session.endedMS, sessionLifetime) {
+		lifetime := sessionLifetime
+		if session.view.Role == wigeonwire.Role_ROLE_OPERATOR {
+			lifetime = operatorLifetime
+		}
+		if !session.open() && !blocks && old(session.endedMS, lifetime) {
 			delete(s.sessions, id)
 			s.stale.sessions = true
 		}
