Give the first proposer of an expiry time to be seen

Cause: TestSilentSessionExpires failed in 1 of about 20 runs under -race: two processes proposed the same expiry, which the fold accepts once. The rule is checked after a read, reads of a quiet log are 500 ms apart, and the processes were only 200 ms apart. Change: each rank waits 1 s.

--- a/wigeonfollow/silent.go
+++ b/wigeonfollow/silent.go
@@ -18,8 +18,9 @@
 	// freshLease is the greatest age of the own lease at which time counts. When appends fail, no session can renew,
 	// and none is silent by its own fault.
 	freshLease = 4 * time.Second
-	// rankDelay lets the open session with the lowest id propose an expiry first, so that not all processes do at once.
-	rankDelay    = 200 * time.Millisecond
+	// rankDelay lets the open session with the lowest id propose an expiry first, so that not all processes do at once. It is
+	// above readWait, because the rule is checked after a read, and a quiet log makes reads that far apart.
+	rankDelay    = time.Second
 	maxRankDelay = 5 * time.Second
 )
 
