Stop using VMs of other data centres when the lease is lost

An entry process stopped using remote VMs by the age of its view alone. A process whose reads work and whose appends fail keeps a fresh view, yet it is expired after 10 s, and the fold then grants a drain and a move of a remote VM without waiting for it: its view may still show the VM in service for up to 6 s. wigeonentry now asks for a valid lease (8 s from before the last confirmed renewal, less than the 10 s of an expiry) besides the age.

TestLostLeaseEndsRemoteUse fails without the change (waited in vain for requests to be refused) and passes with it; TestFreshViewIsNoLease shows an expired process whose view is under 2 s old.

--- a/wigeonentry/follower_test.go
+++ b/wigeonentry/follower_test.go
@@ -68,6 +68,8 @@
 	view     atomic.Pointer[wigeonstate.View]
 	// confirmed is the time of the last confirmation in nanoseconds, which counts only while the log is down.
 	confirmed atomic.Int64
+	// leaseLost makes the lease invalid while the view stays fresh, as failing appends do.
+	leaseLost atomic.Bool
 	closed    atomic.Bool
 	// ready and closing are guarded by the lock of the log.
 	ready, closing bool
@@ -149,7 +151,9 @@
 	fn(&f.state)
 }
 func (f *testFollower) Session() wigeonstep.SessionID { return f.session }
-func (f *testFollower) LeaseValid() bool              { return f.ConfirmedAge() < 8*time.Second }
+func (f *testFollower) LeaseValid() bool {
+	return !f.leaseLost.Load() && f.ConfirmedAge() < 8*time.Second
+}
 
 func (f *testFollower) ConfirmedAge() time.Duration {
 	f.log.mu.Lock()
--- a/wigeonentry/leave_test.go
+++ b/wigeonentry/leave_test.go
@@ -131,6 +131,20 @@
 	waitFor(t, "requests to be served again", func() bool { return e.read("again").outcome == wigeonstep.OutcomeDone })
 }
 
+// TestLostLeaseEndsRemoteUse guards that VMs of other data centres are unused without a valid lease, however fresh the view is:
+// the process may be expired, and then a drain of such a VM does not wait for it.
+func TestLostLeaseEndsRemoteUse(t *testing.T) {
+	f := newFleet(t, 1, 1, func(c *wigeonentry.Config) { c.DataCentre = "b" })
+	e := f.entries[0]
+	f.c.Assert(e.read("before").outcome, qt.Equals, wigeonstep.OutcomeDone)
+	e.follower.leaseLost.Store(true)
+	waitFor(t, "requests to be refused", func() bool {
+		return send(e.address, http.MethodPost, "/read", "during", wigeonstep.HeaderTeam, "wax", wigeonstep.HeaderClass, "read", wigeonstep.HeaderDeadlineMS, "50").outcome == wigeonstep.OutcomeNotRun
+	})
+	e.follower.leaseLost.Store(false)
+	waitFor(t, "requests to be served again", func() bool { return e.read("again").outcome == wigeonstep.OutcomeDone })
+}
+
 // TestBadSockets guards that truncated and oversized requests and garbage get an error at once and disturb nobody else.
 func TestBadSockets(t *testing.T) {
 	f := newFleet(t, 1, 1, func(c *wigeonentry.Config) { c.MaxBody = 1000 })
--- a/wigeonentry/pools.go
+++ b/wigeonentry/pools.go
@@ -38,7 +38,9 @@
 	p.applyMu.Lock()
 	defer p.applyMu.Unlock()
 	view := p.config.Follower.View()
-	localOnly := p.config.Follower.ConfirmedAge() >= p.config.RemoteMaxAge
+	// The fold stops waiting for a session of another data centre once it expired, and a session whose appends fail expires
+	// although its view is fresh. So the view's age alone does not end the use of remote VMs in time; the lease does.
+	localOnly := p.config.Follower.ConfirmedAge() >= p.config.RemoteMaxAge || !p.config.Follower.LeaseValid()
 	if view == p.applied && localOnly == p.localOnly {
 		return view
 	}
--- a/wigeonfollow/session_test.go
+++ b/wigeonfollow/session_test.go
@@ -147,3 +147,20 @@
 		c.Assert(session.LastRenewal, qt.Equals, uint64(1))
 	})
 }
+
+// Guards against a process that takes a fresh view for a valid lease: with reads that work and appends that fail it is expired,
+// and a VM of another data centre may be given to a new pool at once.
+func TestFreshViewIsNoLease(t *testing.T) {
+	inBubble(t, func(t *testing.T, c *qt.C, log *memLog) {
+		control := startProcess(t, log, 1, controlRole)
+		entry := startProcess(t, log, 2, entryRole)
+		defer control.stop()
+		defer entry.stop()
+		control.opened(t)
+		entry.opened(t)
+		entry.client.set(func(c *client) { c.appendsDown = true })
+		until(t, 30*time.Second, func() bool { return control.View().Sessions[1].Expired })
+		c.Assert(entry.ConfirmedAge() < 2*time.Second, qt.IsTrue)
+		c.Assert(entry.LeaseValid(), qt.IsFalse)
+	})
+}
