Report to planners less often in large fleets, and let leaving VMs drain

Cause: a report of each of 56 entry processes every 2 s would be up to 36 KB/s at a planner with 84 pools (estimate: 1.3 KB each), of 17 KB/s allowed; the fold charged the budget for the drain of a VM that the platform takes away, although its loss counts already. Change: the interval grows with the number of entry processes, to 10 s at 56; the fold takes the drain of a leaving VM.

--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -30,6 +30,8 @@
 	retries *metrics.Counter
 	demands demandBook
 	reach   *reachRecorder
+	// toldPlanners is when the planners were told last; only the goroutine of work uses it.
+	toldPlanners time.Time
 	// refusals are those that no decision on the log covers yet.
 	refusals refusals
 
@@ -154,7 +156,7 @@
 	defer apply.Stop()
 	report := time.NewTicker(p.config.ReportInterval)
 	defer report.Stop()
-	plan := time.NewTicker(plannerInterval)
+	plan := time.NewTicker(minPlannerInterval / 2)
 	defer plan.Stop()
 	p.apply()
 	for {
--- a/wigeonprocess/control.go
+++ b/wigeonprocess/control.go
@@ -58,6 +58,6 @@
 			Period: time.Duration(settings.WaveIntervalS) * time.Second,
 		},
 		Loads: func() map[poolName]int { return book.loads(time.Now(), p.follower.View()) },
-		Reach: func() map[vmID]reach { return book.reach(time.Now()) },
+		Reach: func() map[vmID]reach { return book.reach(time.Now(), p.follower.View()) },
 	})
 }
--- a/wigeonprocess/demand.go
+++ b/wigeonprocess/demand.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonentry"
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonpool"
 	"github.com/wigeonstep/wigeonstep/wigeonstate"
@@ -18,11 +19,8 @@
 	reach    = wigeonpool.Reach
 )
 
-// reportMaxAge is the age from which a demand report no longer counts. Entry processes report to planners every 2 s.
-const reportMaxAge = 7 * time.Second
-
-// reachWindow is the time over which connection results are added up.
-const reachWindow = 10 * time.Second
+// reportMaxAge is the age, in intervals between reports, from which a demand report no longer counts.
+const reportMaxAge = 3
 
 // demandBook keeps the demand reports of entry processes for the planner. The zero value works.
 type demandBook struct {
@@ -76,7 +74,7 @@
 	defer b.mu.Unlock()
 	wanted := make(map[poolName]int)
 	for id, heard := range b.reports {
-		if now.Sub(heard.at) > reportMaxAge {
+		if now.Sub(heard.at) > reportMaxAge*wigeonentry.PlannerInterval(view) {
 			delete(b.reports, id)
 			continue
 		}
@@ -92,14 +90,14 @@
 	return wanted
 }
 
-// reach returns the connection results of the last seconds for each VM.
-func (b *demandBook) reach(now time.Time) map[vmID]reach {
+// reach returns the connection results of the last reports for each VM.
+func (b *demandBook) reach(now time.Time, view *wigeonstate.View) map[vmID]reach {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	kept := b.reached[:0]
 	sums := make(map[vmID]reach)
 	for _, heard := range b.reached {
-		if now.Sub(heard.at) > reachWindow {
+		if now.Sub(heard.at) > reportMaxAge*wigeonentry.PlannerInterval(view) {
 			continue
 		}
 		kept = append(kept, heard)
--- a/wigeonstate/vm.go
+++ b/wigeonstate/vm.go
@@ -126,7 +126,8 @@
 		if reason := s.checkWave(vm, wigeonstep.WaveID(change.GetWave())); reason != "" {
 			return reason
 		}
-		if vm.Phase == phaseInService {
+		// A VM that the platform takes away is lost already, so its drain costs nothing more.
+		if vm.InService() {
 			return s.checkBudget(vm)
 		}
 	case phaseDrained:
--- a/wigeonstate/vm_test.go
+++ b/wigeonstate/vm_test.go
@@ -215,3 +215,17 @@
 	f.refuse(controlA, give("a12"), "service orders asks for 4 workers of pool orders; without this one 3 would be left")
 	f.accept(controlA, f.to("a12", wigeonwire.Phase_PHASE_IN_SERVICE))
 }
+
+// Guards against a VM that the platform takes away and that cannot drain, because the budget counts its loss twice.
+func TestLeavingVMDrainsWithinItsOwnLoss(t *testing.T) {
+	f := newFold(t)
+	f.start()
+	f.observe("orders", "a11", "a12", "a21", "b11")
+	f.accept(operator, documentEntry("d1", "orders", 0, document("orders", "orders", 1, 0)))
+	f.accept(controlA, f.to("a12", failed))
+	entry := observeEntry("a11", "orders")
+	entry.GetVmObserve().Leaving = true
+	f.accept(controlA, entry)
+	f.accept(controlA, f.to("a11", draining))
+	f.refuse(controlA, f.to("a21", draining), "service orders allows 1 unavailable workers; with this drain 3 of 4 would be")
+}
