Begin the lifetime of a key anew when it is claimed again

Cause: a key that was withdrawn and claimed again kept the time of its first claim, so one that ran at hour 23 was forgotten an hour later and could run twice. Change: the second claim sets the time; entries after it in the table are kept no shorter than it is. Result: TestLifetimeOfAKeyClaimedAgain fails without the change and passes with it.

--- a/wigeonstate/keytable.go
+++ b/wigeonstate/keytable.go
@@ -106,10 +106,10 @@
 	t.insert(t.next - 1)
 }
 
-// claimAgain gives a key that did not run to a new holder. The entry keeps its place, and with it the time at which it is
-// forgotten, because the entries are in the order of their first acceptance.
+// claimAgain gives a key that did not run to a new holder. Its lifetime begins anew, since it may run now. The entry keeps
+// its place, so those after it are forgotten no earlier than it is.
 func (t *keyTable) claimAgain(entry *keyEntry, claim keyEntry) {
-	entry.session, entry.offset, entry.request = claim.session, claim.offset, claim.request
+	entry.session, entry.offset, entry.request, entry.atS = claim.session, claim.offset, claim.request, claim.atS
 	entry.setOutcome(claim.outcome())
 }
 
--- a/wigeonstate/withdraw_test.go
+++ b/wigeonstate/withdraw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -29,3 +30,20 @@
 	f.refuse(owner, intentEntry("a"), ".*has an intent.*")
 	qt.Assert(t, f.state.Keys(), qt.Equals, 1)
 }
+
+// Guards against a key that runs at its second claim and is forgotten 24 h after its first one.
+func TestLifetimeOfAKeyClaimedAgain(t *testing.T) {
+	f := newFold(t)
+	f.start()
+	owner := uint64(f.state.View().Owner("a").ID)
+	f.accept(owner, intentEntry("a"))
+	f.accept(owner, outcomeEntry("a", wigeonwire.Outcome_OUTCOME_NOT_RUN))
+	f.advance(23 * time.Hour)
+	f.accept(owner, intentEntry("a"))
+	f.advance(2 * time.Hour)
+	_, known := f.state.Key("a")
+	qt.Assert(t, known, qt.IsTrue)
+	f.advance(23 * time.Hour)
+	_, known = f.state.Key("a")
+	qt.Assert(t, known, qt.IsFalse)
+}
