--- a/wigeonentry/telemetry.go
+++ b/wigeonentry/telemetry.go
@@ -106,8 +106,8 @@
 
 func (p *Process) logLocalOnly(localOnly bool) {
 	if localOnly {
-		p.config.Logger.Warn("the view is not confirmed; VMs of other data centres are not used", zap.Duration("limit", p.config.RemoteMaxAge))
+		p.config.Logger.Warn("the view or the lease is not confirmed; VMs of other data centres are not used", zap.Duration("limit", p.config.RemoteMaxAge))
 		return
 	}
-	p.config.Logger.Info("the view is confirmed again; VMs of other data centres are used")
+	p.config.Logger.Info("the view and the lease are confirmed again; VMs of other data centres are used")
 }
