--- a/wigeonadmission/sim_test.go
+++ b/wigeonadmission/sim_test.go
@@ -22,7 +22,7 @@
 	Finish(now time.Time, t *wigeonadmission.Ticket, run time.Duration) []*wigeonadmission.Ticket
 	Dispatch(now time.Time) []*wigeonadmission.Ticket
 	Expire(now time.Time) []*wigeonadmission.Ticket
-	Demand() wigeonadmission.Demand
+	Demand(now time.Time) wigeonadmission.Demand
 	ExpectedRun(team wigeonstep.TeamName, class wigeonstep.ClassName) time.Duration
 }
 
@@ -97,8 +97,10 @@
 	admit   admitter
 	route   router
 	budgets map[wigeonstep.TeamName]*wigeonretry.Budget
-	// reports has the last report of each process.
+	// reports has the last report of each process, heard its time.
 	reports []wigeonadmission.Report
+	heard   []time.Duration
+	last    wigeonadmission.Grant
 }
 
 type request struct {
@@ -119,6 +121,8 @@
 	backends  map[wigeonstep.VMID]*backend
 	servers   []wigeonrouting.Server
 	sources   []*source
+	// intersect makes the processes use only slots that two splits in a row gave them.
+	intersect bool
 	// unlimited retries every failed request at once, without budget.
 	unlimited bool
 	firsts    int
@@ -132,7 +136,7 @@
 
 // newFleet builds processes and servers. Nil policies are the real ones.
 func newFleet(seed uint64, processes, servers int, documents []*wigeondocument.Document, admit func() admitter, route func() router) *fleet {
-	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), backends: map[wigeonstep.VMID]*backend{}}
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 0)), backends: map[wigeonstep.VMID]*backend{}, intersect: admit == nil}
 	for i := range servers {
 		s := wigeonrouting.Server{VM: wigeonstep.VMID(fmt.Sprintf("vm%d", i)), Slots: 8, Connections: 64, InService: true, Epoch: 1}
 		f.servers = append(f.servers, s)
@@ -196,20 +200,26 @@
 	report = func() {
 		var sent []wigeonadmission.Report
 		for _, p := range f.processes {
-			sent = append(sent, wigeonadmission.Report{Session: p.session, Heard: true, Demand: p.admit.Demand()})
+			sent = append(sent, wigeonadmission.Report{Session: p.session, Heard: true, Demand: p.admit.Demand(f.time())})
 		}
 		f.after(5*time.Millisecond, func() {
 			for i, p := range f.processes {
 				if p.reports == nil {
-					p.reports = make([]wigeonadmission.Report, len(sent))
+					p.reports, p.heard = make([]wigeonadmission.Report, len(sent)), make([]time.Duration, len(sent))
 				}
 				for j, r := range sent {
 					p.reports[j].Session = r.Session
 					if f.cutOff == nil || !f.cutOff(i, j) {
-						p.reports[j] = r
+						p.reports[j], p.heard[j] = r, f.now
 					}
+					p.reports[j].Stale = f.now-p.heard[j] > 2*time.Second
 				}
 				grant := wigeonadmission.Split(8*len(f.servers), p.session, p.reports)
+				if last := p.last; f.intersect && last.Pool > 0 {
+					p.last, grant = grant, grant.Intersect(last)
+				} else {
+					p.last = grant
+				}
 				p.admit.SetSlots(grant)
 				p.route.SetShare(grant.Ranges, grant.Pool)
 				f.start(p, p.admit.Dispatch(f.time()))
--- a/wigeonentry/pool.go
+++ b/wigeonentry/pool.go
@@ -38,7 +38,9 @@
 	documents []*wigeondocument.Document
 	localOnly bool
 	grant     wigeonadmission.Grant
-	slots     int
+	// lastTarget is the split at the last report.
+	lastTarget wigeonadmission.Grant
+	slots      int
 }
 
 func newPool(name wigeonstep.PoolName, config *Config) *pool {
@@ -188,7 +190,7 @@
 	}
 }
 
-// first counts the first attempt of a request against which retries are measured.
+// pickFirst selects the server of a first attempt, and counts it; the retry budget is a share of these.
 func (p *pool) pickFirst(team wigeonstep.TeamName, want wigeonrouting.Want) (wigeonrouting.Server, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -248,7 +250,7 @@
 // unused ends a pick whose server got no request.
 func (p *pool) unused(vm wigeonstep.VMID) {
 	p.mu.Lock()
-	p.picker.Done(p.now(), vm, wigeonstep.BackendResult{Verdict: wigeonstep.BackendWhole, Status: http.StatusOK}, 0, 0)
+	p.picker.Unused(p.now(), vm)
 	p.mu.Unlock()
 }
 
@@ -261,8 +263,8 @@
 	return b
 }
 
-// apply takes over the VMs and documents of a view. localOnly leaves out VMs of other data centres.
-func (p *pool) apply(members []*wigeonstate.VM, documents []*wigeondocument.Document, localOnly bool, dataCentre wigeonstep.DataCentreName) {
+// apply takes over the VMs and documents of a view, and returns whether the servers changed. localOnly leaves out VMs of other data centres.
+func (p *pool) apply(members []*wigeonstate.VM, documents []*wigeondocument.Document, localOnly bool, dataCentre wigeonstep.DataCentreName) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
@@ -278,7 +280,7 @@
 		p.picker.SetBudget(budget)
 	}
 	if p.localOnly == localOnly && slices.Equal(p.members, members) {
-		return
+		return false
 	}
 	p.members, p.localOnly = members, localOnly
 	servers := make([]wigeonrouting.Server, 0, len(members))
@@ -297,14 +299,24 @@
 		servers = append(servers, server)
 	}
 	p.picker.SetServers(now, servers)
+	return true
 }
 
-// split takes over this process's part of the pool's slots.
-func (p *pool) split(self wigeonstep.SessionID, reports []wigeonadmission.Report) {
+// split takes over this process's part of the pool's slots. A slot that another process may hold is used only when two reports in a
+// row gave it to this process, because the other one gives it back when its request ends; a slot that is lost is lost at once.
+func (p *pool) split(self wigeonstep.SessionID, reports []wigeonadmission.Report, reported bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	reports = append(reports, wigeonadmission.Report{Session: self, Heard: true, Demand: p.admission.Demand()})
-	p.setGrant(wigeonadmission.Split(p.slots, self, reports))
+	alone := len(reports) == 0
+	reports = append(reports, wigeonadmission.Report{Session: self, Heard: true, Demand: p.admission.Demand(p.now())})
+	target := wigeonadmission.Split(p.slots, self, reports)
+	if alone {
+		p.lastTarget = target
+	}
+	p.setGrant(target.Intersect(p.lastTarget))
+	if reported {
+		p.lastTarget = target
+	}
 }
 
 func (p *pool) setGrant(grant wigeonadmission.Grant) {
@@ -320,5 +332,5 @@
 func (p *pool) demand() wigeonadmission.Demand {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.admission.Demand()
+	return p.admission.Demand(p.now())
 }
--- a/wigeonentry/pools.go
+++ b/wigeonentry/pools.go
@@ -38,7 +38,9 @@
 	p.applyMu.Lock()
 	defer p.applyMu.Unlock()
 	view := p.config.Follower.View()
-	localOnly := p.config.Follower.ConfirmedAge() >= p.config.RemoteMaxAge
+	// The fold stops waiting for a session of another data centre once it expired, and a session whose appends fail expires
+	// although its view is fresh. So the view's age alone does not end the use of remote VMs in time; the lease does.
+	localOnly := p.config.Follower.ConfirmedAge() >= p.config.RemoteMaxAge || !p.config.Follower.LeaseValid()
 	if view == p.applied && localOnly == p.localOnly {
 		return view
 	}
@@ -58,10 +60,19 @@
 	for name := range documents {
 		p.addPool(name)
 	}
+	changed := false
 	for name, pl := range *p.pools.Load() {
-		pl.apply(view.Pools[name], documents[name], localOnly, p.config.DataCentre)
+		changed = pl.apply(view.Pools[name], documents[name], localOnly, p.config.DataCentre) || changed
+	}
+	// Renewals change the view many times a second; the split changes with the reports, the servers and the set of processes only.
+	sharers := []wigeonstep.SessionID{p.config.Follower.Session()}
+	for _, s := range p.trafficPeers(view) {
+		sharers = append(sharers, s.ID)
+	}
+	if changed || !slices.Equal(sharers, p.sharers) {
+		p.sharers = sharers
+		p.resplit(view, false)
 	}
-	p.resplit(view)
 	return view
 }
 
--- a/wigeonentry/process.go
+++ b/wigeonentry/process.go
@@ -29,14 +29,19 @@
 	meters  meters
 	retries *metrics.Counter
 	demands demandBook
+	reach   *reachRecorder
+	// toldPlanners is when the planners were told last; only the goroutine of work uses it.
+	toldPlanners time.Time
 	// refusals are those that no decision on the log covers yet.
 	refusals refusals
 
 	pools atomic.Pointer[map[wigeonstep.PoolName]*pool]
-	// applyMu guards applied and localOnly and orders the changes of the pools.
+	// applyMu guards applied, localOnly and sharers, and orders the changes of the pools.
 	applyMu   sync.Mutex
 	applied   *wigeonstate.View
 	localOnly bool
+	// sharers are the sessions of the last split, this process's own first.
+	sharers []wigeonstep.SessionID
 
 	ready    atomic.Bool
 	caughtUp atomic.Bool
@@ -54,7 +59,9 @@
 	if err := config.fill(); err != nil {
 		return nil, err
 	}
-	p := &Process{config: config, demands: demandBook{reports: map[wigeonstep.SessionID]*peerReport{}}}
+	reach := &reachRecorder{Backend: config.Backend}
+	config.Backend = reach
+	p := &Process{config: config, reach: reach, demands: demandBook{reports: map[wigeonstep.SessionID]*peerReport{}}}
 	p.lifetime, p.end = context.WithCancel(context.Background())
 	p.pools.Store(&map[wigeonstep.PoolName]*pool{})
 	p.meters.set = config.Metrics
@@ -62,7 +69,7 @@
 	p.jobs = newJobBook(p)
 	p.once = wigeononce.NewTable(wigeononce.Config{
 		Limits:   wigeononce.Limits{AnswersFor: config.AnswersFor, AnswerBytes: config.AnswerBytes},
-		Follower: config.Follower, Runner: onceRunner{p}, Peers: oncePeers{p}, Recorded: recordedJob, Now: config.Now,
+		Follower: config.Follower, Runner: onceRunner{p}, Peers: oncePeers{p}, Recorded: recordedJob, Applied: p.demands.appliedBy, Now: config.Now,
 	})
 	server, err := wigeoncaller.New(wigeoncaller.Config{Handler: p, Logger: config.Logger, MaxBody: config.MaxBody, Now: config.Now})
 	if err != nil {
@@ -75,11 +82,6 @@
 // Ready reports whether the process takes requests; it is false from the begin of a stop on.
 func (p *Process) Ready() bool { return p.ready.Load() }
 
-// Lookup returns the answer that the process keeps for a key.
-func (p *Process) Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
-	return p.once.Lookup(key)
-}
-
 // Run takes requests until ctx ends, then stops gracefully; it returns nil after a graceful stop that cut off no request.
 func (p *Process) Run(ctx context.Context) error {
 	defer p.end()
@@ -94,7 +96,9 @@
 	working, stopWorking := context.WithCancel(context.Background())
 	defer stopWorking()
 	p.background.Go(func() { p.work(working) })
-	p.background.Go(func() { p.becomeReady(ctx) })
+	starting, stopStarting := context.WithCancel(ctx)
+	defer stopStarting()
+	p.background.Go(func() { p.becomeReady(starting) })
 
 	var err error
 	select {
@@ -109,6 +113,7 @@
 		stopWorking()
 	}
 	p.end()
+	stopStarting()
 	p.background.Wait()
 	stopFollowing()
 	parts.Wait()
@@ -151,6 +156,8 @@
 	defer apply.Stop()
 	report := time.NewTicker(p.config.ReportInterval)
 	defer report.Stop()
+	plan := time.NewTicker(minPlannerInterval / 2)
+	defer plan.Stop()
 	p.apply()
 	for {
 		select {
@@ -163,6 +170,8 @@
 			}
 		case <-report.C:
 			p.reportDemand(ctx)
+		case <-plan.C:
+			p.reportToPlanners(ctx)
 		}
 	}
 }
--- a/wigeonfollow/lease.go
+++ b/wigeonfollow/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -94,6 +95,12 @@
 		// The fold refuses every batch after the end of its session, so these can never take effect.
 		batch.fail(rejected("the session ended before the entry reached the log"))
 	}
+	if f.own.stopped {
+		for _, p := range f.queue.waiting {
+			p.finish(0, fmt.Errorf("%w: the session is closed", wigeonstep.ErrUnavailable))
+		}
+		f.queue = queue{}
+	}
 	f.own = ownSession{
 		id:      wigeonstep.SessionID(rand.Uint64() | 1),
 		stopped: f.own.stopped,
@@ -107,6 +114,9 @@
 func (f *Follower) renewLocked(applied wigeonstep.Offset, busy []wigeonstep.VMID, now time.Time) *wigeonwire.Entry {
 	f.own.renewal++
 	f.own.nextRenewal = now.Add(renewInterval)
+	if len(busy) > 0 {
+		f.own.nextRenewal = now.Add(busyRenewInterval)
+	}
 	renew := &wigeonwire.SessionRenew{
 		Renewal:       f.own.renewal,
 		AppliedOffset: uint64(applied),
--- a/wigeonmaintenance/planner.go
+++ b/wigeonmaintenance/planner.go
@@ -4,11 +4,13 @@
 package wigeonmaintenance
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonpool"
 	"github.com/wigeonstep/wigeonstep/wigeonstate"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
 // Config configures a Planner. The zero value works.
@@ -31,7 +33,7 @@
 }
 
 // Planner plans waves and the phases of VMs. Everything that must last is in the fold; the planner remembers only
-// what it waited for in other data centres, which pauses it recorded, and since when it has seen the phases of VMs. Its methods are called from one goroutine.
+// what it waited for in other data centres, which pauses it recorded, and when it saw the phases of VMs. Its methods are called from one goroutine.
 type Planner struct {
 	config  Config
 	waiting map[wigeonstep.PoolName]awaited
@@ -39,11 +41,18 @@
 	paused map[wigeonstep.WaveID]bool
 	// phases holds when this process first saw each VM that is out of service in its phase.
 	phases map[wigeonstep.VMID]seenPhase
+	// returned holds when each VM returned to service from a drain that did not end in time.
+	returned map[wigeonstep.VMID]time.Time
 }
 
 type seenPhase struct {
-	epoch wigeonstep.Epoch
-	since time.Time
+	epoch    wigeonstep.Epoch
+	since    time.Time
+	draining bool
+	// sawDrain is set when this process saw the VM draining before, so that no other one asked for its reboot.
+	sawDrain bool
+	// rebootAsked is set when this process asked for the reboot; the call may take effect even if its answer is lost.
+	rebootAsked bool
 }
 
 // awaited is a drain that the planner of another data centre was expected to propose.
@@ -60,7 +69,7 @@
 	if config.Policy == nil {
 		config.Policy = BudgetPolicy
 	}
-	return &Planner{config: config, waiting: map[wigeonstep.PoolName]awaited{}, paused: map[wigeonstep.WaveID]bool{}, phases: map[wigeonstep.VMID]seenPhase{}}
+	return &Planner{config: config, waiting: map[wigeonstep.PoolName]awaited{}, paused: map[wigeonstep.WaveID]bool{}, phases: map[wigeonstep.VMID]seenPhase{}, returned: map[wigeonstep.VMID]time.Time{}}
 }
 
 // Plan returns the proposals and actions of one round.
@@ -99,10 +108,29 @@
 			}
 			seen, known := p.phases[vm.ID]
 			if !known || seen.epoch != vm.Epoch {
-				seen = seenPhase{epoch: vm.Epoch, since: fleet.Now}
+				sawDrain := known && seen.draining && seen.epoch+1 == vm.Epoch
+				seen = seenPhase{epoch: vm.Epoch, since: fleet.Now, draining: vm.Phase == wigeonwire.Phase_PHASE_DRAINING, sawDrain: sawDrain}
 			}
 			phases[vm.ID] = seen
 		}
 	}
+	for id, seen := range p.phases {
+		if vm := fleet.View.VMs[id]; seen.draining && vm != nil && vm.Epoch == seen.epoch+1 && vm.InService() {
+			p.returned[id] = fleet.Now
+		}
+	}
+	maps.DeleteFunc(p.returned, func(_ wigeonstep.VMID, at time.Time) bool { return fleet.Now.Sub(at) > maxRest })
 	p.phases = phases
 }
+
+// neverRebooted reports whether a drained VM was certainly not asked to reboot, so that it may return to service.
+func (p *Planner) neverRebooted(vm *wigeonstate.VM) bool {
+	seen := p.phases[vm.ID]
+	return seen.sawDrain && !seen.rebootAsked
+}
+
+func (p *Planner) askReboot(vm *wigeonstate.VM) {
+	seen := p.phases[vm.ID]
+	seen.rebootAsked = true
+	p.phases[vm.ID] = seen
+}
--- a/wigeononce/core.go
+++ b/wigeononce/core.go
@@ -127,10 +127,10 @@
 	return nil
 }
 
-// Lookup answers another session's query for a key that this process ran.
-func (c *Core) Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
+// Lookup answers another session's query for a request that this process ran. A withdrawn key may have run with another request since the query was made.
+func (c *Core) Lookup(key wigeonstep.Key, hash uint64) (response wigeonstep.Response, found, running bool) {
 	r := c.runs[key]
-	if r == nil {
+	if r == nil || r.hash != hash {
 		return wigeonstep.Response{}, false, false
 	}
 	if r.state != runEnded {
@@ -214,7 +214,7 @@
 		return c.answer(w, unknown("the answer of the key is not kept any more"))
 	}
 	w.target = fold.Session
-	return []Action{Ask{Waiter: w.arrive.Waiter, Key: w.arrive.Request.Key, Session: fold.Session}}
+	return []Action{Ask{Waiter: w.arrive.Waiter, Key: w.arrive.Request.Key, Hash: w.arrive.Hash, Session: fold.Session}}
 }
 
 // pass sends a request on to the session that may run its key.
@@ -298,12 +298,14 @@
 	release := []Action{Release{Key: r.key, Run: r.id}}
 	switch e.Verdict {
 	case IntentAccepted:
+		// A key that is recorded and not dispatched is withdrawn, so that a repeated request may run it.
 		if len(r.waiters) == 0 {
-			return append(release, c.end(now, r, unknown("the request was given up before its key was recorded; it did not run and will not run"))...)
+			c.drop(r)
+			return append(release, Withdraw{Key: r.key})
 		}
 		if !e.Place.Settled {
 			// The session changed while the entry waited for the log, and another session may still answer not_run.
-			return append(release, c.end(now, r, unknown("the owner of the key changed while the key was recorded; it did not run and will not run"))...)
+			return append(append(release, Withdraw{Key: r.key}), c.dropAll(r, unknown("the owner of the key changed while the key was recorded"))...)
 		}
 		return c.dispatch(r)
 	case IntentRefused:
@@ -338,12 +340,7 @@
 		c.issued.giveBack(r.key)
 		return c.dropAll(r, e.Response)
 	}
-	// The key has an intent, so it never runs again, and a caller that read not_run would repeat it in vain.
-	reason := "the key is recorded and is not run again"
-	if e.Response.Refusal != nil {
-		reason += ": " + e.Response.Refusal.Reason
-	}
-	return c.end(now, r, unknown(reason))
+	return append([]Action{Withdraw{Key: r.key}}, c.dropAll(r, e.Response)...)
 }
 
 func (c *Core) forwardEnded(e ForwardEnded) []Action {
@@ -397,65 +394,3 @@
 	}
 	return actions
 }
-
-// answer gives a waiter its only answer.
-func (c *Core) answer(w *waiter, response wigeonstep.Response) []Action {
-	id := w.arrive.Waiter
-	delete(c.waiters, id)
-	return []Action{Answer{Waiter: id, Response: response}}
-}
-
-func (c *Core) rewait(w *waiter) Action {
-	w.run = nil
-	return Wait{Waiter: w.arrive.Waiter, Failed: w.target}
-}
-
-// again forgets a run that left no trace and lets its waiters arrive again.
-func (c *Core) again(r *run) []Action {
-	c.drop(r)
-	actions := make([]Action, 0, len(r.waiters))
-	for _, id := range r.waiters {
-		actions = append(actions, c.rewait(c.waiters[id]))
-	}
-	return actions
-}
-
-// dropAll forgets a run that left no trace and answers its waiters.
-func (c *Core) dropAll(r *run, response wigeonstep.Response) []Action {
-	c.drop(r)
-	return c.answerAll(r, response)
-}
-
-func (c *Core) answerAll(r *run, response wigeonstep.Response) []Action {
-	var actions []Action
-	for _, id := range r.waiters {
-		actions = append(actions, c.answer(c.waiters[id], response)...)
-	}
-	r.waiters = nil
-	return actions
-}
-
-func (c *Core) drop(r *run) {
-	if c.runs[r.key] == r {
-		delete(c.runs, r.key)
-	}
-}
-
-// end keeps the final answer of a run and gives it to the waiters.
-func (c *Core) end(now time.Time, r *run, response wigeonstep.Response) []Action {
-	r.state, r.response, r.request = runEnded, response, nil
-	actions := c.answerAll(r, response)
-	c.kept.add(r, now.Add(c.limits.AnswersFor))
-	return actions
-}
-
-func (c *Core) expire(now time.Time) {
-	for {
-		r := c.kept.removeOldest(now, c.limits.AnswerBytes)
-		if r == nil {
-			break
-		}
-		c.drop(r)
-	}
-	c.issued.expire(now)
-}
--- a/wigeononce/property_test.go
+++ b/wigeononce/property_test.go
@@ -100,8 +100,10 @@
 		p.expireWaiters()
 	case 15:
 		p.issue()
-	case 16, 17, 18:
+	case 16, 17:
 		p.renew()
+	case 18, 19:
+		p.report(rapid.SampledFrom(s.procs).Draw(s.t, "peer"))
 	default:
 		p.executeOne()
 	}
@@ -202,7 +204,7 @@
 	return nil
 }
 
-func (n *naive) Lookup(wigeonstep.Key) (response wigeonstep.Response, found, running bool) {
+func (n *naive) Lookup(wigeonstep.Key, uint64) (response wigeonstep.Response, found, running bool) {
 	return response, false, false
 }
 
--- a/wigeononce/sim_test.go
+++ b/wigeononce/sim_test.go
@@ -16,7 +16,7 @@
 // machine is the core under test, or the simplest variant that the test shows to be wrong.
 type machine interface {
 	Step(now time.Time, event wigeononce.Event) []wigeononce.Action
-	Lookup(key wigeonstep.Key) (response wigeonstep.Response, found, running bool)
+	Lookup(key wigeonstep.Key, hash uint64) (response wigeonstep.Response, found, running bool)
 }
 
 // sim runs several processes on one log and one backend server; rapid chooses what happens next.
@@ -50,7 +50,9 @@
 	dead     bool
 	cutOff   bool
 	handover wigeononce.Handover
-	waiters  uint64
+	// heard holds the applied offsets that other sessions reported directly.
+	heard   map[wigeonstep.SessionID]wigeonstep.Offset
+	waiters uint64
 	// waiting maps a waiter to what takes its answer.
 	waiting map[wigeononce.WaiterID]*simWaiter
 	// pending are the actions that are not executed yet, in any order.
@@ -98,6 +100,7 @@
 	p := &simProc{
 		sim: s, core: s.create(), state: &wigeonstate.State{},
 		waiting: map[wigeononce.WaiterID]*simWaiter{}, proposed: map[uint64]wigeononce.Propose{},
+		heard: map[wigeonstep.SessionID]wigeonstep.Offset{},
 	}
 	s.procs = append(s.procs, p)
 	p.openSession()
@@ -126,6 +129,13 @@
 	}}})
 }
 
+// report tells another process the applied offset directly.
+func (p *simProc) report(to *simProc) {
+	if !p.dead && p.state.Next() > 0 {
+		to.heard[wigeonstep.SessionID(p.session)] = p.state.Next() - 1
+	}
+}
+
 func (p *simProc) append(entry *wigeonwire.Entry) uint64 {
 	p.sequence++
 	batch := &wigeonwire.Batch{Session: p.session, Sequence: p.sequence, AtUnixMs: p.sim.now.UnixMilli(), Entries: []*wigeonwire.Entry{entry}}
@@ -168,7 +178,7 @@
 
 // place mirrors Table.place. The lease holds as long as the log has not expired the session.
 func (p *simProc) place(key wigeonstep.Key) wigeononce.Place {
-	place := wigeononce.Place{Settled: p.handover.Done(p.state.View(), wigeonstep.SessionID(p.session)), Stale: p.cutOff && p.sim.chance("view is stale", 2)}
+	place := wigeononce.Place{Settled: p.handover.Done(p.state.View(), wigeonstep.SessionID(p.session), func(id wigeonstep.SessionID) wigeonstep.Offset { return p.heard[id] }), Stale: p.cutOff && p.sim.chance("view is stale", 2)}
 	if issuer, ok := wigeononce.IssuedBy(key); ok {
 		for _, session := range p.state.View().Sessions {
 			if session.ID == issuer {
@@ -180,7 +190,7 @@
 	if owner := p.state.View().Owner(key); owner != nil {
 		place.Owner = owner.ID
 	}
-	if k, ok := p.state.Key(key); ok {
+	if k, ok := p.state.Key(key); ok && k.GetOutcome() != wigeonwire.Outcome_OUTCOME_NOT_RUN {
 		place.Fold = &wigeononce.FoldKey{Session: wigeonstep.SessionID(k.GetSession()), Hash: k.GetRequestHash()}
 	}
 	p.sim.control.catchUp(len(p.sim.log))
@@ -253,6 +263,12 @@
 		p.propose(a)
 	case wigeononce.Dispatch:
 		p.dispatch(a)
+	case wigeononce.Withdraw:
+		if !p.cutOff && !s.chance("withdrawal lost", 4) {
+			p.append(&wigeonwire.Entry{Body: &wigeonwire.Entry_KeyOutcome{KeyOutcome: &wigeonwire.KeyOutcome{
+				Key: string(a.Key), Outcome: wigeonwire.Outcome_OUTCOME_NOT_RUN,
+			}}})
+		}
 	}
 }
 
@@ -349,7 +365,7 @@
 	target := p.sim.byID(a.Session)
 	ended := wigeononce.AskEnded{Waiter: a.Waiter}
 	if target != nil && !target.dead && !p.sim.chance("query lost", 6) {
-		ended.Response, ended.Found, ended.Running = target.core.Lookup(a.Key)
+		ended.Response, ended.Found, ended.Running = target.core.Lookup(a.Key, a.Hash)
 	}
 	p.step(ended)
 }
--- a/wigeonpool/fleet.go
+++ b/wigeonpool/fleet.go
@@ -18,7 +18,7 @@
 	// DataCentre is the data centre of the daemon; it changes only VMs of this one.
 	DataCentre wigeonstep.DataCentreName
 	Seen       Observations
-	// Pools holds every pool that has a VM or a document, sorted by name.
+	// Pools holds every pool that has a VM, a document or a wave, sorted by name.
 	Pools []*Pool
 
 	zones map[wigeonstep.DataCentreName]*zone
@@ -35,6 +35,8 @@
 type zone struct {
 	// control is set while the data centre has an open control session.
 	control bool
+	// patient is set while the data centre has lacked one for less than zonePatience; its VMs still count as present.
+	patient bool
 	// total and missing count VMs that the fold holds as working, and those of them that the list lacks.
 	total, missing int
 	// trusted is set when the list proves something about the VMs of the data centre; distrust says why it does not.
@@ -66,6 +68,10 @@
 		s := view.Services[name]
 		f.addPool(s.Document.Pool).addService(s)
 	}
+	// A pool whose VMs have all left may still have a wave to end.
+	for _, w := range view.Waves {
+		f.addPool(w.Pool)
+	}
 	slices.SortFunc(f.Pools, func(a, b *Pool) int { return compareNames(a.Name, b.Name) })
 	f.countMissing()
 	for _, p := range f.Pools {
@@ -74,7 +80,7 @@
 	return f
 }
 
-// Pool returns the pool, or nil when no VM and no document names it.
+// Pool returns the pool, or nil when no VM, document or wave names it.
 func (f *Fleet) Pool(name wigeonstep.PoolName) *Pool { return f.byID[name] }
 
 // Own reports whether this daemon's data centre holds the VM.
--- a/wigeonpool/observations.go
+++ b/wigeonpool/observations.go
@@ -36,6 +36,11 @@
 	return &Listing{List: &wigeonstep.VMList{VMs: l.List.VMs, Pools: list.Pools, Age: list.Age}, TakenAt: arrived.Add(-list.Age), byID: l.byID}
 }
 
+// Same reports whether both listings share one index, so that the later one brings no news besides its age.
+func (l *Listing) Same(other *Listing) bool {
+	return l != nil && other != nil && len(l.List.VMs) == len(other.List.VMs) && (len(l.List.VMs) == 0 || &l.List.VMs[0] == &other.List.VMs[0])
+}
+
 // VM returns the list's record of the VM, or nil when the VM is not listed.
 func (l *Listing) VM(id wigeonstep.VMID) *wigeonstep.ListedVM {
 	if l == nil {
@@ -58,7 +63,8 @@
 type Observations struct {
 	// Listing is the last VM list that was read, nil before the first.
 	Listing *Listing
-	// Loads are the slots that each pool's work wants, held and queued together. A pool without a value is not judged by load.
+	// Loads are the slots that each pool's work wants, held and queued together; a pool without a value wants none.
+	// Nil means that nothing is known, and that no pool is judged by load.
 	Loads map[wigeonstep.PoolName]int
 	// Reach holds connection results of VMs. A VM without a value has none.
 	Reach map[wigeonstep.VMID]Reach
--- a/wigeonprocess/demand.go
+++ b/wigeonprocess/demand.go
@@ -6,8 +6,10 @@
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonentry"
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonpool"
+	"github.com/wigeonstep/wigeonstep/wigeonstate"
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
@@ -17,11 +19,8 @@
 	reach    = wigeonpool.Reach
 )
 
-// reportMaxAge is the age from which a demand report no longer counts. Entry processes report every 200 ms.
-const reportMaxAge = 5 * time.Second
-
-// reachWindow is the time over which connection results are added up.
-const reachWindow = 10 * time.Second
+// reportMaxAge is the age, in intervals between reports, from which a demand report no longer counts.
+const reportMaxAge = 3
 
 // demandBook keeps the demand reports of entry processes for the planner. The zero value works.
 type demandBook struct {
@@ -68,13 +67,14 @@
 	}
 }
 
-// loads returns the slots that the work of each pool wants, over all entry processes heard of lately.
-func (b *demandBook) loads(now time.Time) map[poolName]int {
+// loads returns the slots that the work of each pool wants, over all entry processes. It returns nil unless every ready one
+// was heard of lately, since a sum without one of them would make pools look idle.
+func (b *demandBook) loads(now time.Time, view *wigeonstate.View) map[poolName]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	wanted := make(map[poolName]int)
 	for id, heard := range b.reports {
-		if now.Sub(heard.at) > reportMaxAge {
+		if now.Sub(heard.at) > reportMaxAge*wigeonentry.PlannerInterval(view) {
 			delete(b.reports, id)
 			continue
 		}
@@ -82,17 +82,22 @@
 			wanted[poolName(p.GetPool())] += int(p.GetWanted())
 		}
 	}
+	for _, s := range view.Sessions {
+		if _, heard := b.reports[s.ID]; s.Role == wigeonwire.Role_ROLE_ENTRY && s.Ready && !s.Expired && !heard {
+			return nil
+		}
+	}
 	return wanted
 }
 
-// reach returns the connection results of the last seconds for each VM.
-func (b *demandBook) reach(now time.Time) map[vmID]reach {
+// reach returns the connection results of the last reports for each VM.
+func (b *demandBook) reach(now time.Time, view *wigeonstate.View) map[vmID]reach {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	kept := b.reached[:0]
 	sums := make(map[vmID]reach)
 	for _, heard := range b.reached {
-		if now.Sub(heard.at) > reachWindow {
+		if now.Sub(heard.at) > reportMaxAge*wigeonentry.PlannerInterval(view) {
 			continue
 		}
 		kept = append(kept, heard)
