--- a/cmd/wigeonstep/processes_test.go
+++ b/cmd/wigeonstep/processes_test.go
@@ -91,6 +91,7 @@
 	platform  string
 	callers   []string
 	peers     []string
+	admins    []string
 	entries   []*program
 	backends  []*program
 	servers   []string
@@ -105,7 +106,7 @@
 	eventually(t, "the platform listens", func() bool { return listens(c.platform) })
 	for n, centre := range []string{"budapest", "kecskemet", "szeged"} {
 		addresses := ports(t, fmt.Sprintf("127.0.%d.1", n+1), 5)
-		c.callers, c.peers = append(c.callers, addresses[0]), append(c.peers, addresses[1])
+		c.callers, c.peers, c.admins = append(c.callers, addresses[0]), append(c.peers, addresses[1]), append(c.admins, addresses[2])
 		common := fmt.Sprintf("data_centre: %s\nvm: entry-%s\nplatform_address: %s\n", centre, centre, c.platform)
 		entry := fmt.Sprintf("role: entry\n%scaller_address: %s\npeer_address: %s\nadmin_address: %s\ndrain_delay_ms: 200\n", common, addresses[0], addresses[1], addresses[2])
 		control := fmt.Sprintf("role: control\n%speer_address: %s\nadmin_address: %s\nplan_interval_ms: 200\nlist_interval_ms: 200\n", common, addresses[3], addresses[4])
@@ -287,6 +288,92 @@
 	qt.Assert(t, c.entries[1].ProcessState.ExitCode(), qt.Equals, 0)
 }
 
+// ready reports whether the load balancer would send requests to an entry process.
+func (c *cluster) ready(i int) bool {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + c.admins[i] + "/readyz")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// TestRollingReplacement guards against a replacement of all entry processes, one after the other and under load, that cuts
+// off, loses or repeats a request. The load balancer looks at /readyz every 20 ms.
+func TestRollingReplacement(t *testing.T) {
+	c := startCluster(t)
+	var mu sync.Mutex
+	open := []bool{true, true, true}
+	balancing, stopBalancing := context.WithCancel(t.Context())
+	var balancer sync.WaitGroup
+	balancer.Go(func() {
+		for balancing.Err() == nil {
+			for i := range open {
+				ready := c.ready(i)
+				mu.Lock()
+				open[i] = ready
+				mu.Unlock()
+			}
+			<-time.After(20 * time.Millisecond)
+		}
+	})
+	pick := func(n int) (string, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		for i := range open {
+			if at := (n + i) % len(open); open[at] {
+				return c.callers[at], true
+			}
+		}
+		return "", false
+	}
+	loading, stopLoading := context.WithCancel(t.Context())
+	outcomes := map[string]int{}
+	var failures []string
+	var load sync.WaitGroup
+	for n := range 8 {
+		load.Go(func() {
+			for i := 0; loading.Err() == nil; i++ {
+				address, ok := pick(n + i)
+				if !ok {
+					<-time.After(10 * time.Millisecond)
+					continue
+				}
+				key, class := "", "check-stock"
+				if i%4 == 0 {
+					key, class = fmt.Sprintf("rolling-%d-%d", n, i), "place-order"
+				}
+				answer, err := c.send(address, class, key, fmt.Sprintf("body-%d-%d", n, i))
+				mu.Lock()
+				outcomes[answer.outcome]++
+				if err != nil {
+					failures = append(failures, fmt.Sprintf("request %d-%d: %v", n, i, err))
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range c.entries {
+		qt.Assert(t, c.entries[i].Process.Signal(syscall.SIGTERM), qt.IsNil)
+		<-c.entries[i].exited
+		qt.Check(t, c.entries[i].ProcessState.ExitCode(), qt.Equals, 0)
+		name := []string{"budapest", "kecskemet", "szeged"}[i]
+		c.entries[i] = start(t, "new entry "+name, filepath.Join(c.directory, "wigeonstep"), "entry", "-settings", filepath.Join(c.directory, "entry-"+name+".yaml"))
+		eventually(t, "the replacement is ready", func() bool { return c.ready(i) })
+	}
+	stopLoading()
+	load.Wait()
+	stopBalancing()
+	balancer.Wait()
+	t.Logf("outcomes: %v", outcomes)
+	qt.Assert(t, failures, qt.HasLen, 0)
+	qt.Assert(t, outcomes["done"] > 100, qt.IsTrue)
+	for key, count := range c.runs(t).ByKey {
+		qt.Check(t, count, qt.Equals, 1, qt.Commentf("key %s", key))
+	}
+}
+
 // TestCommandLine guards against bad use or bad files that do not end with status 2.
 func TestCommandLine(t *testing.T) {
 	tests := []struct {
