--- /dev/null
+++ b/wigeonstate/benchmemory_test.go
@@ -0,0 +1,93 @@
+package wigeonstate_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// BenchmarkMemory prints the heap that one more of each kind takes, and its part of a snapshot.
+func BenchmarkMemory(b *testing.B) {
+	for _, kind := range []struct {
+		name  string
+		count int
+		put   func(f *benchFleet, i int)
+	}{
+		{"vm", 7300, func(f *benchFleet, i int) { f.observe(1000 + i) }},
+		{"session", 1000, func(f *benchFleet, i int) {
+			f.put(sessionID(1000+i), f.openEntry(wigeonwire.Role_ROLE_ENTRY, 1000+i, 7001))
+			f.renew(sessionID(1000 + i))
+		}},
+		{"key", 200000, func(f *benchFleet, _ int) { f.keyed() }},
+		{"document", 90, func(f *benchFleet, i int) {
+			f.versions = append(f.versions, 0)
+			f.size.pools = 500
+			f.changeDocument(6 + i)
+		}},
+		{"change", 14000, func(f *benchFleet, i int) { f.changeDocument(i % 2) }},
+		{"decision", 40000, func(f *benchFleet, i int) {
+			f.put(f.controlSession(0), &wigeonwire.Entry{Body: &wigeonwire.Entry_Decision{Decision: &wigeonwire.Decision{
+				SubjectKind: "vm", Subject: f.vmID(i / 50), Action: "drain", Cause: "maintenance wave of the pool", Rule: "disruption budget",
+				Figures: "unavailable 1, allowed 3, reserve 1",
+			}}})
+		}},
+		{"job", 20000, func(f *benchFleet, i int) {
+			f.put(f.entrySession(0), &wigeonwire.Entry{Body: &wigeonwire.Entry_JobAccept{JobAccept: &wigeonwire.JobAccept{
+				Job: fmt.Sprintf("%016x-%d", f.entrySession(0), i), Service: "service-07", Team: "team-07", Class: "monthly-invoices",
+				Method: "POST", Path: "/invoices", Body: make([]byte, 200),
+			}}})
+		}},
+	} {
+		b.Run(kind.name, func(b *testing.B) {
+			for range b.N {
+				f := newBenchFleet(b, fleetSizes()[0])
+				f.prepare(kind.name)
+				before, encodedBefore := heap(), f.encodedBytes()
+				for i := range kind.count {
+					kind.put(f, i)
+					if i%100 == 0 {
+						f.fold()
+					}
+				}
+				f.fold()
+				f.forget()
+				b.ReportMetric(0, "ns/op")
+				b.ReportMetric(float64(heap()-before)/float64(kind.count), "heap-B/each")
+				b.ReportMetric(float64(f.encodedBytes()-encodedBefore)/float64(kind.count), "snapshot-B/each")
+				runtime.KeepAlive(f)
+			}
+		})
+	}
+}
+
+// prepare adds what the items of a kind need: documents need pools with slots.
+func (f *benchFleet) prepare(kind string) {
+	if kind != "document" {
+		return
+	}
+	pools := f.size.pools
+	f.size.pools = 500
+	for vm := range 1500 {
+		f.observe(1000 + vm)
+	}
+	f.size.pools = pools
+	f.fold()
+	f.pending = nil
+	f.state.View()
+}
+
+// forget frees what only the making of records needs, so that the heap is that of the state and its view.
+func (f *benchFleet) forget() {
+	f.pending, f.epochs, f.sequence, f.renewals, f.later = nil, nil, nil, nil, nil
+	f.state.View()
+}
+
+func (f *benchFleet) encodedBytes() int {
+	data, err := f.state.Encode()
+	qt.Assert(f.b, err, qt.IsNil)
+	return len(data)
+}
