Call data centres by the users' word in the planners

Cause: the planners and their tests said zone and machine, which the house style names data centre and VM. Change: names only.

--- a/wigeoncontrol/bench_test.go
+++ b/wigeoncontrol/bench_test.go
@@ -14,14 +14,14 @@
 // BenchmarkRound measures one planning round: quiet, with nothing to do, and wave, with an open wave in every pool.
 // The ratio compares it with the indexing of the VM list, which is the least that any reader of the list does.
 func BenchmarkRound(b *testing.B) {
-	for _, size := range []struct{ vms, pools, zones int }{{50, 5, 3}, {500, 20, 3}, {7300, 84, 7}} {
+	for _, size := range []struct{ vms, pools, centres int }{{50, 5, 3}, {500, 20, 3}, {7300, 84, 7}} {
 		for _, waves := range []bool{false, true} {
 			name := "quiet"
 			if waves {
 				name = "wave"
 			}
 			b.Run(fmt.Sprintf("%s/vms=%d/pools=%d", name, size.vms, size.pools), func(b *testing.B) {
-				view, list, now := benchmarkFleet(b, size.vms, size.pools, size.zones, waves)
+				view, list, now := benchmarkFleet(b, size.vms, size.pools, size.centres, waves)
 				pools := wigeonpool.NewPlanner(wigeonpool.Config{})
 				maintenance := wigeonmaintenance.NewPlanner(wigeonmaintenance.Config{Period: 100 * 365 * 24 * time.Hour})
 				loads := map[wigeonstep.PoolName]int{}
@@ -71,23 +71,23 @@
 }
 
 // benchmarkFleet folds a fleet whose pools hold their targets.
-func benchmarkFleet(b *testing.B, vms, pools, zones int, waves bool) (*wigeonstate.View, *wigeonstep.VMList, time.Time) {
+func benchmarkFleet(b *testing.B, vms, pools, centres int, waves bool) (*wigeonstate.View, *wigeonstep.VMList, time.Time) {
 	b.Helper()
-	names := make([]string, zones)
+	names := make([]string, centres)
 	for i := range names {
 		names[i] = fmt.Sprint("z", i)
 	}
 	w := newWorld(b, planners{}, names...)
-	w.daemons = w.daemons[:zones]
+	w.daemons = w.daemons[:centres]
 	each := vms / pools
 	for p := range pools - 1 {
 		w.addVMs(fmt.Sprintf("pool%02d", p), each, 32)
 	}
 	w.addVMs("spare", vms-each*(pools-1), 32)
 	for _, id := range w.ids {
-		m := w.machines[id]
+		m := w.truth[id]
 		for _, d := range w.daemons {
-			if d.zone == string(m.DataCentre) {
+			if d.centre == string(m.DataCentre) {
 				w.accept(d.session, observeEntry(&m.ListedVM))
 			}
 		}
--- a/wigeoncontrol/fault_test.go
+++ b/wigeoncontrol/fault_test.go
@@ -12,9 +12,9 @@
 )
 
 // settled returns a world whose pools have their targets and whose waves are over.
-func settled(t *testing.T, zones ...string) *world {
+func settled(t *testing.T, centres ...string) *world {
 	t.Helper()
-	w := newWorld(t, planners{}, zones...)
+	w := newWorld(t, planners{}, centres...)
 	w.addVMs("orders", 11, 32)
 	w.addVMs("spare", 3, 32)
 	w.run(10*time.Second, nil)
@@ -36,7 +36,7 @@
 	w.run(time.Minute, nil)
 
 	for _, id := range w.ids[:5] {
-		w.machines[id].hidden = true
+		w.truth[id].hidden = true
 	}
 	w.run(15*time.Minute, nil)
 	w.c.Assert(w.stats.lost, qt.Equals, 0, qt.Commentf("5 of 14 VMs vanished at once"))
@@ -52,7 +52,7 @@
 func TestListAge(t *testing.T) {
 	t.Parallel()
 	w := settled(t, "a")
-	w.machines[w.ids[0]].hidden = true
+	w.truth[w.ids[0]].hidden = true
 	for _, test := range []struct {
 		name       string
 		age        time.Duration
@@ -84,7 +84,7 @@
 func TestVanishedVMIsReplaced(t *testing.T) {
 	t.Parallel()
 	w := settled(t, "a")
-	w.machines[w.ids[0]].hidden = true
+	w.truth[w.ids[0]].hidden = true
 	w.run(15*time.Second, nil)
 	w.c.Assert(w.vm(w.ids[0]).Phase, qt.Equals, wigeonwire.Phase_PHASE_FAILED)
 	w.c.Assert(w.run(5*time.Minute, func() bool { return w.vm(w.ids[0]) == nil && len(w.state.View().Pools["orders"]) == 11 }), qt.IsTrue)
@@ -124,21 +124,21 @@
 	w.addVMs("orders", 3, 32)
 	w.addVMs("spare", 2, 32)
 	broken := w.ids[0]
-	w.machines[broken].neverBack = true
+	w.truth[broken].neverBack = true
 	w.run(10*time.Second, nil)
 	w.document("orders", 0, 2, "maintenance: {max_drain_s: 40}\n")
 	w.c.Assert(w.run(time.Hour, func() bool {
 		vm := w.vm(broken)
 		return vm.Pool == wigeonstep.SparePool && vm.Phase == wigeonwire.Phase_PHASE_FAILED && len(w.state.View().Pools["orders"]) == 3 && w.maintained("orders")
 	}), qt.IsTrue)
-	w.c.Assert(w.machines[broken].reboots, qt.Equals, 1)
+	w.c.Assert(w.truth[broken].reboots, qt.Equals, 1)
 	reported := false
 	for _, e := range w.state.Explain("vm", string(broken)) {
 		reported = reported || (e.GetDecision().GetAction() == "failed" && e.GetDecision().GetCause() == "the VM did not come back from its reboot")
 	}
 	w.c.Assert(reported, qt.IsTrue)
 
-	w.machines[broken].neverBack = false
+	w.truth[broken].neverBack = false
 	w.c.Assert(w.run(5*time.Minute, func() bool { return w.vm(broken).InService() }), qt.IsTrue, qt.Commentf("a repaired VM serves again, in the spare pool"))
 }
 
@@ -167,9 +167,9 @@
 }
 
 // cut takes a data centre off the log, where its control session expires, or back.
-func (w *world) cut(zone string, off bool) {
+func (w *world) cut(centre string, off bool) {
 	for _, d := range w.daemons {
-		if d.zone != zone {
+		if d.centre != centre {
 			continue
 		}
 		d.cut = off
@@ -189,7 +189,7 @@
 	w.run(10*time.Second, nil)
 	w.document("ovens", 0, 1, "maintenance: {max_drain_s: 40}\n")
 	busy := w.ids[0]
-	w.machines[busy].busyUntil = w.now.Add(10 * time.Minute)
+	w.truth[busy].busyUntil = w.now.Add(10 * time.Minute)
 	aborted := func() bool {
 		for _, e := range w.state.Explain("vm", string(busy)) {
 			if e.GetDecision().GetAction() == "in_service" && e.GetDecision().GetCause() == "work was still in flight when max_drain_s had passed" {
@@ -199,8 +199,8 @@
 		return false
 	}
 	w.c.Assert(w.run(8*time.Minute, aborted), qt.IsTrue)
-	w.c.Assert(w.machines[busy].reboots, qt.Equals, 0)
-	w.c.Assert(w.run(time.Hour, func() bool { return w.maintained("ovens") && w.machines[busy].reboots == 1 }), qt.IsTrue)
+	w.c.Assert(w.truth[busy].reboots, qt.Equals, 0)
+	w.c.Assert(w.run(time.Hour, func() bool { return w.maintained("ovens") && w.truth[busy].reboots == 1 }), qt.IsTrue)
 }
 
 // A document that allows a checkpoint lets the VM drain although its work would not end.
@@ -211,11 +211,11 @@
 	w.run(10*time.Second, nil)
 	w.document("ovens", 0, 1, "maintenance: {max_drain_s: 40, checkpoint: true}\n")
 	for _, id := range w.ids {
-		w.machines[id].busyUntil = w.now.Add(24 * time.Hour)
+		w.truth[id].busyUntil = w.now.Add(24 * time.Hour)
 	}
 	w.c.Assert(w.run(time.Hour, func() bool { return w.maintained("ovens") }), qt.IsTrue)
 	for _, id := range w.ids {
-		w.c.Assert(w.machines[id].checkpoints, qt.Equals, 1)
+		w.c.Assert(w.truth[id].checkpoints, qt.Equals, 1)
 	}
 }
 
@@ -227,13 +227,13 @@
 		w.c.Assert(vm.Leaving, qt.IsFalse, qt.Commentf("%s", vm.ID))
 	}
 	left := w.ids[0]
-	w.machines[left].Leaving = true
+	w.truth[left].Leaving = true
 	w.run(listLag+3*time.Second, nil)
 	w.c.Assert(w.vm(left).Leaving, qt.IsTrue)
 	w.c.Assert(w.run(10*time.Minute, func() bool {
 		return w.vm(left).Phase == wigeonwire.Phase_PHASE_DRAINED && len(w.state.View().Pools["orders"]) == 12
 	}), qt.IsTrue)
-	w.machines[left] = nil
+	w.truth[left] = nil
 	w.c.Assert(w.run(3*time.Minute, func() bool { return w.vm(left) == nil }), qt.IsTrue)
 }
 
--- a/wigeoncontrol/policy_test.go
+++ b/wigeoncontrol/policy_test.go
@@ -26,7 +26,7 @@
 	w.run(after, nil)
 	lost := 0
 	for _, id := range w.ids {
-		if w.machines[id].Rack == "b-orders-1" {
+		if w.truth[id].Rack == "b-orders-1" {
 			w.kill(id)
 			lost++
 		}
--- a/wigeoncontrol/random_test.go
+++ b/wigeoncontrol/random_test.go
@@ -50,7 +50,7 @@
 				view := w.state.View()
 				busy := len(view.Waves)
 				for _, id := range w.ids {
-					vm, m := view.VMs[id], w.machines[id]
+					vm, m := view.VMs[id], w.truth[id]
 					if vm == nil || vm.Phase != wigeonwire.Phase_PHASE_IN_SERVICE || vm.LastMaintained.IsZero() || m.Pool != vm.Pool || m.draining {
 						busy++
 					}
@@ -59,13 +59,13 @@
 			})
 			if !done {
 				for _, id := range w.ids {
-					t.Logf("%+v %+v", w.vm(id), w.machines[id])
+					t.Logf("%+v %+v", w.vm(id), w.truth[id])
 				}
 				t.Logf("waves %v", w.state.View().Waves)
 			}
 			w.c.Assert(done, qt.IsTrue)
 			for _, id := range w.ids {
-				w.c.Assert(w.machines[id].reboots, qt.Equals, len(waves[id]), qt.Commentf("VM %s, waves %v", id, waves[id]))
+				w.c.Assert(w.truth[id].reboots, qt.Equals, len(waves[id]), qt.Commentf("VM %s, waves %v", id, waves[id]))
 			}
 			w.c.Assert(w.stats.breachesBySingle, qt.Equals, 0)
 		})
@@ -77,7 +77,7 @@
 	daemon := w.daemons[w.rng.IntN(len(w.daemons))]
 	switch w.rng.IntN(5) {
 	case 0:
-		m := w.machines[w.ids[w.rng.IntN(len(w.ids))]]
+		m := w.truth[w.ids[w.rng.IntN(len(w.ids))]]
 		if m.Up {
 			m.Up, m.upAt = false, w.now.Add(time.Duration(30+w.rng.IntN(200))*time.Second)
 		}
@@ -93,9 +93,9 @@
 		}
 	case 3:
 		if !daemon.cut && !w.daemons[0].cut && daemon != w.daemons[0] {
-			w.cut(daemon.zone, true)
+			w.cut(daemon.centre, true)
 			w.run(time.Duration(30+w.rng.IntN(200))*time.Second, nil)
-			w.cut(daemon.zone, false)
+			w.cut(daemon.centre, false)
 		}
 	case 4:
 		w.dieAt = w.steps + w.rng.IntN(5)
--- a/wigeoncontrol/restart_test.go
+++ b/wigeoncontrol/restart_test.go
@@ -37,7 +37,7 @@
 			out++
 		}
 		for _, id := range w.ids {
-			vm, m := view.VMs[id], w.machines[id]
+			vm, m := view.VMs[id], w.truth[id]
 			if vm == nil {
 				return false
 			}
@@ -57,7 +57,7 @@
 		return quiet > 10
 	}), qt.IsTrue, qt.Commentf("step %d: a wave, a VM or a call to the platform was forgotten", dieAt))
 	for _, id := range w.ids {
-		w.c.Assert(w.machines[id].reboots, qt.Equals, len(waves[id]), qt.Commentf("step %d: VM %s, waves %v", dieAt, id, waves[id]))
+		w.c.Assert(w.truth[id].reboots, qt.Equals, len(waves[id]), qt.Commentf("step %d: VM %s, waves %v", dieAt, id, waves[id]))
 	}
 	w.c.Assert(w.stats.breaches, qt.Equals, 0)
 	return w
--- a/wigeoncontrol/wave_test.go
+++ b/wigeoncontrol/wave_test.go
@@ -24,7 +24,7 @@
 	t.Logf("%+v after %s", w.stats, w.now.Sub(time.Unix(1_800_000_000, 0)))
 	w.c.Assert(w.stats.breaches, qt.Equals, 0)
 	for _, id := range w.ids {
-		w.c.Assert(w.machines[id].reboots, qt.Equals, 1, qt.Commentf("%s", id))
+		w.c.Assert(w.truth[id].reboots, qt.Equals, 1, qt.Commentf("%s", id))
 	}
 }
 
@@ -58,7 +58,7 @@
 	w.addVMs("orders", 8, 32)
 	w.run(10*time.Second, nil)
 	for _, id := range w.ids {
-		w.machines[id].busyUntil = w.now.Add(time.Hour)
+		w.truth[id].busyUntil = w.now.Add(time.Hour)
 	}
 	w.document("orders", 0, 6, "availability: {max_unavailable_workers: 2}\nmaintenance: {max_drain_s: 3000}\n")
 	w.c.Assert(w.run(10*time.Minute, func() bool { return w.phase(wigeonwire.Phase_PHASE_DRAINING) == 1 }), qt.IsTrue)
--- a/wigeoncontrol/world_test.go
+++ b/wigeoncontrol/world_test.go
@@ -32,7 +32,7 @@
 	state     wigeonstate.State
 	offset    wigeonstep.Offset
 	sequences map[uint64]uint64
-	machines  map[wigeonstep.VMID]*machine
+	truth     map[wigeonstep.VMID]*trueVM
 	ids       []wigeonstep.VMID
 	pools     []wigeonstep.PoolName
 	daemons   []*daemon
@@ -66,8 +66,8 @@
 	seconds int
 }
 
-// machine is the truth about a VM.
-type machine struct {
+// trueVM is the truth about a VM.
+type trueVM struct {
 	wigeonstep.ListedVM
 	dead, neverBack, draining bool
 	// hidden VMs work and are missing from the list.
@@ -81,13 +81,13 @@
 type entry struct {
 	session  uint64
 	renewals uint64
-	zone     string
+	centre   string
 }
 
 // daemon is one control daemon without its goroutines.
 type daemon struct {
 	session     uint64
-	zone        string
+	centre      string
 	pools       *wigeonpool.Planner
 	maintenance *wigeonmaintenance.Planner
 	confirmed   map[wigeonpool.Action]time.Time
@@ -102,32 +102,32 @@
 	maintenance wigeonmaintenance.Config
 }
 
-func newWorld(t testing.TB, config planners, zones ...string) *world {
+func newWorld(t testing.TB, config planners, centres ...string) *world {
 	w := &world{
 		t: t, c: qt.New(t), rng: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1_800_000_000, 0),
-		sequences: map[uint64]uint64{}, machines: map[wigeonstep.VMID]*machine{},
+		sequences: map[uint64]uint64{}, truth: map[wigeonstep.VMID]*trueVM{},
 		loads: map[wigeonstep.PoolName]int{}, reach: map[wigeonstep.VMID]wigeonpool.Reach{},
 		dieAt: -1, nextSession: 0xc0, pools: []wigeonstep.PoolName{wigeonstep.SparePool},
 	}
-	w.accept(operatorSession, openEntry(wigeonwire.Role_ROLE_OPERATOR, zones[0], "op"))
-	for i, zone := range zones {
+	w.accept(operatorSession, openEntry(wigeonwire.Role_ROLE_OPERATOR, centres[0], "op"))
+	for i, centre := range centres {
 		for j := range 2 {
-			e := &entry{session: uint64(0xe0 + 2*i + j), zone: zone}
-			w.accept(e.session, openEntry(wigeonwire.Role_ROLE_ENTRY, zone, fmt.Sprint("entry", i, j)))
+			e := &entry{session: uint64(0xe0 + 2*i + j), centre: centre}
+			w.accept(e.session, openEntry(wigeonwire.Role_ROLE_ENTRY, centre, fmt.Sprint("entry", i, j)))
 			w.entries = append(w.entries, e)
 		}
-		w.startDaemon(zone, config)
+		w.startDaemon(centre, config)
 	}
 	w.renew()
 	return w
 }
 
-func openEntry(role wigeonwire.Role, zone, address string) *wigeonwire.Entry {
-	return &wigeonwire.Entry{Body: &wigeonwire.Entry_SessionOpen{SessionOpen: &wigeonwire.SessionOpen{Role: role, DataCentre: zone, PeerAddress: address}}}
+func openEntry(role wigeonwire.Role, centre, address string) *wigeonwire.Entry {
+	return &wigeonwire.Entry{Body: &wigeonwire.Entry_SessionOpen{SessionOpen: &wigeonwire.SessionOpen{Role: role, DataCentre: centre, PeerAddress: address}}}
 }
 
-func (w *world) startDaemon(zone string, config planners) *daemon {
-	d := &daemon{zone: zone, config: config}
+func (w *world) startDaemon(centre string, config planners) *daemon {
+	d := &daemon{centre: centre, config: config}
 	w.restart(d)
 	w.daemons = append(w.daemons, d)
 	return d
@@ -141,7 +141,7 @@
 	d.pools = wigeonpool.NewPlanner(d.config.pool)
 	d.maintenance = wigeonmaintenance.NewPlanner(d.config.maintenance)
 	d.confirmed = map[wigeonpool.Action]time.Time{}
-	w.accept(d.session, openEntry(wigeonwire.Role_ROLE_CONTROL, d.zone, address))
+	w.accept(d.session, openEntry(wigeonwire.Role_ROLE_CONTROL, d.centre, address))
 }
 
 func (w *world) append(session uint64, entry *wigeonwire.Entry) wigeonstate.Verdict {
@@ -173,18 +173,18 @@
 
 // addVMs adds count VMs to the pool, spread over the data centres and over racks of 4.
 func (w *world) addVMs(pool string, count, cores int) {
-	zones := w.zones()
+	centres := w.centres()
 	for i := range count {
-		zone := zones[i%len(zones)]
-		n := i / len(zones)
-		w.addVM(pool, zone, fmt.Sprintf("%s-%s-%d", zone, pool, n%((count/len(zones)+3)/4)), cores)
+		centre := centres[i%len(centres)]
+		n := i / len(centres)
+		w.addVM(pool, centre, fmt.Sprintf("%s-%s-%d", centre, pool, n%((count/len(centres)+3)/4)), cores)
 	}
 }
 
-func (w *world) addVM(pool, zone, rack string, cores int) wigeonstep.VMID {
-	id := wigeonstep.VMID(fmt.Sprintf("%s-%s-%03d", zone, pool, len(w.ids)))
-	w.machines[id] = &machine{ListedVM: wigeonstep.ListedVM{
-		ID: id, DataCentre: wigeonstep.DataCentreName(zone), Rack: wigeonstep.RackName(rack), Pool: wigeonstep.PoolName(pool),
+func (w *world) addVM(pool, centre, rack string, cores int) wigeonstep.VMID {
+	id := wigeonstep.VMID(fmt.Sprintf("%s-%s-%03d", centre, pool, len(w.ids)))
+	w.truth[id] = &trueVM{ListedVM: wigeonstep.ListedVM{
+		ID: id, DataCentre: wigeonstep.DataCentreName(centre), Rack: wigeonstep.RackName(rack), Pool: wigeonstep.PoolName(pool),
 		Address: string(id) + ":1", Shape: wigeonstep.Shape{Cores: cores, MemoryGB: 2 * cores, Slots: 8, Connections: 64}, Up: true,
 	}}
 	w.ids = append(w.ids, id)
@@ -195,14 +195,14 @@
 	return id
 }
 
-func (w *world) zones() []string {
-	var zones []string
+func (w *world) centres() []string {
+	var centres []string
 	for _, e := range w.entries {
-		if !slices.Contains(zones, e.zone) {
-			zones = append(zones, e.zone)
+		if !slices.Contains(centres, e.centre) {
+			centres = append(centres, e.centre)
 		}
 	}
-	return zones
+	return centres
 }
 
 func (w *world) vm(id wigeonstep.VMID) *wigeonstate.VM { return w.state.View().VMs[id] }
@@ -221,7 +221,7 @@
 func (w *world) second() {
 	w.now = w.now.Add(time.Second)
 	for _, id := range w.ids {
-		if m := w.machines[id]; m != nil && !m.Up && !m.dead && !m.neverBack && !w.now.Before(m.upAt) {
+		if m := w.truth[id]; m != nil && !m.Up && !m.dead && !m.neverBack && !w.now.Before(m.upAt) {
 			m.Up = true
 		}
 	}
@@ -243,7 +243,7 @@
 func (w *world) trueList() *wigeonstep.VMList {
 	list := &wigeonstep.VMList{Pools: w.pools, Age: listLag}
 	for _, id := range w.ids {
-		if m := w.machines[id]; m != nil && !m.hidden {
+		if m := w.truth[id]; m != nil && !m.hidden {
 			listed := m.ListedVM
 			listed.Leaving = listed.Leaving || m.draining
 			listed.Up = m.Up && !m.dead
@@ -257,7 +257,7 @@
 	var busy []string
 	view := w.state.View()
 	for _, id := range w.ids {
-		vm, m := view.VMs[id], w.machines[id]
+		vm, m := view.VMs[id], w.truth[id]
 		if vm == nil || m == nil || vm.Phase != wigeonwire.Phase_PHASE_DRAINING {
 			continue
 		}
@@ -303,7 +303,7 @@
 
 // round is what wigeoncontrol does in one round, with a possible death before and after each step.
 func (w *world) round(d *daemon) {
-	fleet := wigeonpool.NewFleet(w.state.View(), w.now, wigeonstep.DataCentreName(d.zone), wigeonpool.Observations{
+	fleet := wigeonpool.NewFleet(w.state.View(), w.now, wigeonstep.DataCentreName(d.centre), wigeonpool.Observations{
 		Listing: w.listing(), Loads: w.loads, Reach: w.reach, Confirmed: d.confirmed,
 	})
 	plan := d.pools.Plan(fleet)
@@ -353,7 +353,7 @@
 
 // call is the platform's side of an action. It refuses epochs below the highest that it has seen.
 func (w *world) call(action wigeonpool.Action) bool {
-	m := w.machines[action.VM]
+	m := w.truth[action.VM]
 	if m == nil || action.Epoch < m.fence {
 		return false
 	}
@@ -392,7 +392,7 @@
 		pool := view.Pools[s.Document.Pool]
 		lost, unplanned := 0, 0
 		for _, vm := range pool {
-			m := w.machines[vm.ID]
+			m := w.truth[vm.ID]
 			broken := m == nil || m.dead || m.neverBack || vm.Phase == wigeonwire.Phase_PHASE_FAILED || (vm.InService() && !m.Up) ||
 				(vm.Phase == wigeonwire.Phase_PHASE_VERIFYING && vm.Wave == "")
 			if broken {
@@ -417,7 +417,7 @@
 // kill makes VMs fail for good.
 func (w *world) kill(ids ...wigeonstep.VMID) {
 	for _, id := range ids {
-		w.machines[id].dead, w.machines[id].Up = true, false
+		w.truth[id].dead, w.truth[id].Up = true, false
 	}
 }
 
@@ -425,7 +425,7 @@
 func (w *world) maintained(pool string) bool {
 	vms := w.state.View().Pools[wigeonstep.PoolName(pool)]
 	for _, vm := range vms {
-		if m := w.machines[vm.ID]; vm.LastWave == "" && m != nil && !m.dead && !m.neverBack {
+		if m := w.truth[vm.ID]; vm.LastWave == "" && m != nil && !m.dead && !m.neverBack {
 			return false
 		}
 	}
--- a/wigeonmaintenance/wave.go
+++ b/wigeonmaintenance/wave.go
@@ -210,7 +210,7 @@
 		if pool.MaxPerRack > 0 && rack.Lost >= pool.MaxPerRack {
 			continue
 		}
-		key := [2]int{pool.ZoneCount(vm.DataCentre).Lost, rack.Lost}
+		key := [2]int{pool.DataCentreCount(vm.DataCentre).Lost, rack.Lost}
 		if best < 0 || before(key, bestKey, vm, ready[best]) {
 			best, bestKey = i, key
 		}
--- a/wigeonpool/domain.go
+++ b/wigeonpool/domain.go
@@ -18,18 +18,18 @@
 
 // domains are the counts of one pool by failure domain. They are computed on first use, since most pools need none.
 type domains struct {
-	racks map[Rack]*DomainCount
-	zones map[wigeonstep.DataCentreName]*DomainCount
+	racks   map[Rack]*DomainCount
+	centres map[wigeonstep.DataCentreName]*DomainCount
 }
 
 func (p *Pool) domainCounts() *domains {
 	if p.domains != nil {
 		return p.domains
 	}
-	d := &domains{racks: map[Rack]*DomainCount{}, zones: map[wigeonstep.DataCentreName]*DomainCount{}}
+	d := &domains{racks: map[Rack]*DomainCount{}, centres: map[wigeonstep.DataCentreName]*DomainCount{}}
 	for i, vm := range p.VMs {
 		available := p.available[i]
-		for _, c := range [2]*DomainCount{d.rack(RackOf(vm)), d.zone(vm.DataCentre)} {
+		for _, c := range [2]*DomainCount{d.rack(RackOf(vm)), d.centre(vm.DataCentre)} {
 			c.Total++
 			if !available {
 				c.Lost++
@@ -45,9 +45,9 @@
 // RackCount returns the counts of the VM's rack.
 func (p *Pool) RackCount(rack Rack) DomainCount { return *p.domainCounts().rack(rack) }
 
-// ZoneCount returns the counts of a data centre.
-func (p *Pool) ZoneCount(dataCentre wigeonstep.DataCentreName) DomainCount {
-	return *p.domainCounts().zone(dataCentre)
+// DataCentreCount returns the counts of a data centre.
+func (p *Pool) DataCentreCount(dataCentre wigeonstep.DataCentreName) DomainCount {
+	return *p.domainCounts().centre(dataCentre)
 }
 
 // largestLoss returns the most available VMs that the loss of one failure domain takes away. It looks at racks, and at
@@ -63,7 +63,7 @@
 		consider(c)
 	}
 	if p.Survive == wigeondocument.DomainDataCentre {
-		for _, c := range p.domainCounts().zones {
+		for _, c := range p.domainCounts().centres {
 			consider(c)
 		}
 	}
@@ -74,14 +74,14 @@
 func (p *Pool) Expect(vm *wigeonstate.VM) {
 	d := p.domainCounts()
 	d.rack(RackOf(vm)).Total++
-	d.zone(vm.DataCentre).Total++
+	d.centre(vm.DataCentre).Total++
 }
 
 // Take counts the VM as a planned loss for the rest of the round.
 func (p *Pool) Take(vm *wigeonstate.VM) {
 	d := p.domainCounts()
 	fits := vm.Shape.Fits(p.Shape)
-	for _, c := range [2]*DomainCount{d.rack(RackOf(vm)), d.zone(vm.DataCentre)} {
+	for _, c := range [2]*DomainCount{d.rack(RackOf(vm)), d.centre(vm.DataCentre)} {
 		c.Lost++
 		if fits {
 			c.Available--
@@ -98,7 +98,7 @@
 func (p *Pool) GiveBack(vm *wigeonstate.VM) {
 	d := p.domainCounts()
 	fits := vm.Shape.Fits(p.Shape)
-	for _, c := range [2]*DomainCount{d.rack(RackOf(vm)), d.zone(vm.DataCentre)} {
+	for _, c := range [2]*DomainCount{d.rack(RackOf(vm)), d.centre(vm.DataCentre)} {
 		c.Lost--
 		if fits {
 			c.Available++
@@ -120,11 +120,11 @@
 	return c
 }
 
-func (d *domains) zone(name wigeonstep.DataCentreName) *DomainCount {
-	c := d.zones[name]
+func (d *domains) centre(name wigeonstep.DataCentreName) *DomainCount {
+	c := d.centres[name]
 	if c == nil {
 		c = &DomainCount{}
-		d.zones[name] = c
+		d.centres[name] = c
 	}
 	return c
 }
--- a/wigeonpool/fleet.go
+++ b/wigeonpool/fleet.go
@@ -21,8 +21,8 @@
 	// Pools holds every pool that has a VM, a document or a wave, sorted by name.
 	Pools []*Pool
 
-	zones map[wigeonstep.DataCentreName]*zone
-	byID  map[wigeonstep.PoolName]*Pool
+	centres map[wigeonstep.DataCentreName]*centre
+	byID    map[wigeonstep.PoolName]*Pool
 	// broken holds the VMs of this data centre that do not work by the observations, in whatever phase.
 	broken []*wigeonstate.VM
 	// leaving holds the VMs of this data centre that the platform takes away while they are in service.
@@ -31,11 +31,11 @@
 	entryPools map[wigeonstep.PoolName]bool
 }
 
-// zone is what a round knows of one data centre.
-type zone struct {
+// centre is what a round knows of one data centre.
+type centre struct {
 	// control is set while the data centre has an open control session.
 	control bool
-	// patient is set while the data centre has lacked one for less than zonePatience; its VMs still count as present.
+	// patient is set while the data centre has lacked one for less than centrePatience; its VMs still count as present.
 	patient bool
 	// total and missing count VMs that the fold holds as working, and those of them that the list lacks.
 	total, missing int
@@ -48,8 +48,8 @@
 func NewFleet(view *wigeonstate.View, now time.Time, dataCentre wigeonstep.DataCentreName, seen Observations) *Fleet {
 	f := &Fleet{
 		View: view, Now: now, DataCentre: dataCentre, Seen: seen,
-		zones: map[wigeonstep.DataCentreName]*zone{},
-		byID:  make(map[wigeonstep.PoolName]*Pool, len(view.Pools)),
+		centres: map[wigeonstep.DataCentreName]*centre{},
+		byID:    make(map[wigeonstep.PoolName]*Pool, len(view.Pools)),
 
 		entryPools: map[wigeonstep.PoolName]bool{},
 	}
@@ -58,7 +58,7 @@
 			f.entryPools[vm.Pool] = true
 		}
 		if s.Role == wigeonwire.Role_ROLE_CONTROL && !s.Expired {
-			f.zone(s.DataCentre).control = true
+			f.centre(s.DataCentre).control = true
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(view.Pools)) {
@@ -88,7 +88,7 @@
 
 // HasControl reports whether the data centre has an open control session.
 func (f *Fleet) HasControl(dataCentre wigeonstep.DataCentreName) bool {
-	z := f.zones[dataCentre]
+	z := f.centres[dataCentre]
 	return z != nil && z.control
 }
 
@@ -97,11 +97,11 @@
 	return vm.InService() && f.HasControl(vm.DataCentre) && !f.Down(vm)
 }
 
-func (f *Fleet) zone(name wigeonstep.DataCentreName) *zone {
-	z := f.zones[name]
+func (f *Fleet) centre(name wigeonstep.DataCentreName) *centre {
+	z := f.centres[name]
 	if z == nil {
-		z = &zone{}
-		f.zones[name] = z
+		z = &centre{}
+		f.centres[name] = z
 	}
 	return z
 }
--- a/wigeonpool/move.go
+++ b/wigeonpool/move.go
@@ -27,7 +27,7 @@
 }
 
 func (p *Planner) move(plan *Plan, fleet *Fleet) {
-	p.watchZones(fleet)
+	p.watchDataCentres(fleet)
 	m := &moves{plan: plan, fleet: fleet, chosen: map[wigeonstep.VMID]bool{}}
 	for _, pool := range fleet.Pools {
 		if len(pool.Services) > 0 {
@@ -222,7 +222,7 @@
 	return slices.MinFunc(free, func(a, b *wigeonstate.VM) int {
 		return cmp.Or(
 			compareBool(a.Shape.Fits(d.pool.Shape), b.Shape.Fits(d.pool.Shape)),
-			cmp.Compare(d.pool.ZoneCount(b.DataCentre).Available, d.pool.ZoneCount(a.DataCentre).Available),
+			cmp.Compare(d.pool.DataCentreCount(b.DataCentre).Available, d.pool.DataCentreCount(a.DataCentre).Available),
 			cmp.Compare(d.pool.RackCount(RackOf(b)).Available, d.pool.RackCount(RackOf(a)).Available),
 			compareShapes(b.Shape, a.Shape),
 			cmp.Compare(a.ID, b.ID),
--- a/wigeonpool/placement.go
+++ b/wigeonpool/placement.go
@@ -26,7 +26,7 @@
 func compareFit(fleet *Fleet, pool *Pool, a, b *wigeonstate.VM) int {
 	size := compareShapes(a.Shape, b.Shape)
 	spread := cmp.Or(
-		cmp.Compare(pool.ZoneCount(a.DataCentre).Total, pool.ZoneCount(b.DataCentre).Total),
+		cmp.Compare(pool.DataCentreCount(a.DataCentre).Total, pool.DataCentreCount(b.DataCentre).Total),
 		cmp.Compare(pool.RackCount(RackOf(a)).Total, pool.RackCount(RackOf(b)).Total),
 	)
 	if domainSize(pool.Survive) > 0 {
--- a/wigeonpool/pool.go
+++ b/wigeonpool/pool.go
@@ -94,18 +94,18 @@
 		p.MaxUnavailable = max(1, len(p.VMs)/4)
 	}
 	if len(p.VMs) == 0 {
-		for name, z := range f.zones {
+		for name, z := range f.centres {
 			if z.control && (p.first == "" || name < p.first) {
 				p.first = name
 			}
 		}
 	}
 	p.available = make([]bool, len(p.VMs))
-	z, name := (*zone)(nil), wigeonstep.DataCentreName("")
+	z, name := (*centre)(nil), wigeonstep.DataCentreName("")
 	for i, vm := range p.VMs {
 		if z == nil || vm.DataCentre != name {
 			name = vm.DataCentre
-			z = f.zone(name)
+			z = f.centre(name)
 			if z.control && (p.first == "" || name < p.first) {
 				p.first = name
 			}
--- a/wigeonpool/target.go
+++ b/wigeonpool/target.go
@@ -14,8 +14,8 @@
 	baseWait = 60 * time.Second
 	// minWait bounds the wait from below whatever the weights say, so that a burst of seconds never moves a VM.
 	minWait = 15 * time.Second
-	// zonePatience is how long a data centre may have no open control session before its VMs are replaced elsewhere.
-	zonePatience = 10 * time.Minute
+	// centrePatience is how long a data centre may have no open control session before its VMs are replaced elsewhere.
+	centrePatience = 10 * time.Minute
 )
 
 // Target returns how many workers the pool is to have: what its documents ask for, headroom for the loss of the failure
@@ -36,19 +36,19 @@
 		}
 		return min(largest, max(1, pool.Workers))
 	case wigeondocument.DomainDataCentre:
-		zones := 0
-		for _, z := range fleet.zones {
+		centres := 0
+		for _, z := range fleet.centres {
 			// A data centre that has just been lost still counts, as its VMs do; otherwise its loss alone would raise the
 			// target and move VMs that go back when it returns.
 			if (z.control || z.patient) && z.total > 0 {
-				zones++
+				centres++
 			}
 		}
-		if zones < 2 {
+		if centres < 2 {
 			return 0
 		}
 		// Spread evenly over the data centres, the pool keeps Workers when it loses one of them.
-		return (pool.Workers + zones - 2) / (zones - 1)
+		return (pool.Workers + centres - 2) / (centres - 1)
 	}
 	return 0
 }
@@ -171,7 +171,7 @@
 }
 
 func (p *Planner) returns(fleet *Fleet, vm *wigeonstate.VM) bool {
-	if vm.Leaving || p.zoneLost(fleet, vm.DataCentre) {
+	if vm.Leaving || p.dataCentreLost(fleet, vm.DataCentre) {
 		return false
 	}
 	switch vm.Phase {
@@ -188,19 +188,19 @@
 	return trusted
 }
 
-// zoneLost reports whether the data centre has had no open control session for so long that its VMs are replaced elsewhere.
-func (p *Planner) zoneLost(fleet *Fleet, dataCentre wigeonstep.DataCentreName) bool {
+// dataCentreLost reports whether the data centre has had no open control session for so long that its VMs are replaced elsewhere.
+func (p *Planner) dataCentreLost(fleet *Fleet, dataCentre wigeonstep.DataCentreName) bool {
 	since, silent := p.silent[dataCentre]
-	return silent && fleet.Now.Sub(since) >= zonePatience
+	return silent && fleet.Now.Sub(since) >= centrePatience
 }
 
-func (p *Planner) watchZones(fleet *Fleet) {
-	for name, z := range fleet.zones {
+func (p *Planner) watchDataCentres(fleet *Fleet) {
+	for name, z := range fleet.centres {
 		if z.control {
 			delete(p.silent, name)
 		} else if _, known := p.silent[name]; !known {
 			p.silent[name] = fleet.Now
 		}
-		z.patient = !z.control && !p.zoneLost(fleet, name)
+		z.patient = !z.control && !p.dataCentreLost(fleet, name)
 	}
 }
--- a/wigeonpool/trust.go
+++ b/wigeonpool/trust.go
@@ -21,11 +21,11 @@
 	if f.Seen.Listing == nil {
 		return false, "no VM list was read yet"
 	}
-	z := f.zone(dataCentre)
+	z := f.centre(dataCentre)
 	return z.trusted, z.distrust
 }
 
-func (f *Fleet) judgeList(dataCentre wigeonstep.DataCentreName, z *zone) (bool, string) {
+func (f *Fleet) judgeList(dataCentre wigeonstep.DataCentreName, z *centre) (bool, string) {
 	l := f.Seen.Listing
 	switch {
 	case len(l.List.VMs) == 0:
@@ -43,10 +43,10 @@
 
 // Down reports whether the observations show that the VM does not work. An untrusted list alone shows nothing.
 func (f *Fleet) Down(vm *wigeonstate.VM) bool {
-	return f.Seen.Listing != nil && f.down(vm, f.Listed(vm), f.zone(vm.DataCentre))
+	return f.Seen.Listing != nil && f.down(vm, f.Listed(vm), f.centre(vm.DataCentre))
 }
 
-func (f *Fleet) down(vm *wigeonstate.VM, listed *wigeonstep.ListedVM, z *zone) bool {
+func (f *Fleet) down(vm *wigeonstate.VM, listed *wigeonstep.ListedVM, z *centre) bool {
 	switch {
 	case listed != nil && listed.Up:
 		return false
@@ -64,11 +64,11 @@
 	}
 	for _, p := range f.Pools {
 		p.listed = make([]*wigeonstep.ListedVM, len(p.VMs))
-		z, name := (*zone)(nil), wigeonstep.DataCentreName("")
+		z, name := (*centre)(nil), wigeonstep.DataCentreName("")
 		for i, vm := range p.VMs {
 			p.listed[i] = f.Listed(vm)
 			if z == nil || vm.DataCentre != name {
-				z, name = f.zone(vm.DataCentre), vm.DataCentre
+				z, name = f.centre(vm.DataCentre), vm.DataCentre
 			}
 			if vm.Phase == wigeonwire.Phase_PHASE_FAILED || vm.Leaving {
 				continue
@@ -79,7 +79,7 @@
 			}
 		}
 	}
-	for name, z := range f.zones {
+	for name, z := range f.centres {
 		z.trusted, z.distrust = f.judgeList(name, z)
 	}
 }
