Let a stop wait as long as the longest job

Cause: at a planned stop a running job is waited for at most 10 minutes whatever the settings say, so a curing watch of hours would lose its answer.

--- a/wigeonsettings/settings.go
+++ b/wigeonsettings/settings.go
@@ -30,8 +30,9 @@
 	LogLevel string `yaml:"log_level" check:"oneof=debug|info|warn|error,default=info"`
 	// LogRetentionS is how long the platform's log keeps records, in seconds, default 3600.
 	LogRetentionS int `yaml:"log_retention_s" check:"min=10,max=31536000,default=3600"`
-	// StopTimeoutMS bounds the time for work in flight at a stop, in milliseconds, default 60000.
-	StopTimeoutMS int `yaml:"stop_timeout_ms" check:"min=1,max=600000,default=60000"`
+	// StopTimeoutMS bounds the time for work in flight at a stop, running jobs included, in milliseconds, default 60000. A job
+	// that is still running then ends as unknown, or starts again if it is idempotent.
+	StopTimeoutMS int `yaml:"stop_timeout_ms" check:"min=1,max=604800000,default=60000"`
 }
 
 // StopTimeout returns StopTimeoutMS as a duration.
