Look at the waves once more at the end of the demo

Cause: a wave that ended between the last sample and the end of the demo was shown as running, with 11 of 12 VMs done. Change: one more sample. Result: go run ./cmd/wigeonstep demo shows both waves as ended with 12 of 12.

--- a/wigeondemo/run.go
+++ b/wigeondemo/run.go
@@ -147,6 +147,7 @@
 	r.awaitWaves(ctx)
 	stopSampling()
 	err = errors.Join(err, sampled.Wait())
+	r.watcher.sample(time.Now())
 	r.result.collect(report, r.watcher)
 	return err
 }
