Run jobs on the users' platform: model, owner of a shard, adapter and node process

Cause: the platform hands in jobs of steps and tasks; the product only knew requests to backend servers. Change: wigeonjob (model and records), wigeonreplica and wigeontail (following the log), wigeonshard (decisions of the owner of a shard, pure), wigeonwave (upkeep, pure), wigeondaemon (the process), platform/ (translation), the node command. Ruled out: two processes a VM (both would follow the log); one owner for all services (1,000 starts a second on the grown sites do not fit into a fifth of a core).

--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -73,6 +73,7 @@
 		ShortHelp:  "manages the capacity and maintenance of a fleet",
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
+			newNode(out, errOut),
 			newEntry(errOut),
 			newControl(errOut),
 			newApply(out, errOut),
--- a/errors.go
+++ b/errors.go
@@ -14,6 +14,12 @@
 	ErrCompacted = errors.New("the log no longer holds the offset")
 	// ErrRejected means that a peer refused the call and that the call had no effect.
 	ErrRejected = errors.New("peer rejected the call")
+	// ErrFenced means that the peer has seen a higher fencing token and that the call had no effect.
+	ErrFenced = errors.New("a higher fencing token was seen")
+	// ErrWorkerGone means that another life of the worker answered and that the call had no effect.
+	ErrWorkerGone = errors.New("the worker has been replaced")
+	// ErrBusy means that the VM is not up and that the call had no effect.
+	ErrBusy = errors.New("the VM is not up")
 )
 
 // StepError is an error of one step towards one peer.
--- a/ids.go
+++ b/ids.go
@@ -60,3 +60,40 @@
 
 // SparePool is the pool of VMs that no service uses.
 const SparePool PoolName = "spare"
+
+type (
+	// WorkerID is the id of one worker: one life of a VM in a pool.
+	WorkerID string
+	// QueueName names a queue of jobs.
+	QueueName string
+	// Label is a property of a worker, for example its kind.
+	Label string
+	// ImageName names what the tasks of a step run.
+	ImageName string
+	// Checkpoint is the saved progress of a task; empty means none.
+	Checkpoint string
+	// Ticket is the permission of the advice service to start a step on a worker.
+	Ticket string
+)
+
+// Partition is a partition of the job log.
+type Partition int
+
+// Fence is the fencing token of an owner. A worker, a VM and a partition of the log refuse a lower one than they have seen.
+type Fence uint64
+
+// RunNumber numbers the starts of a task from 1 on.
+type RunNumber uint32
+
+type (
+	// MilliCPU is a thousandth of a core.
+	MilliCPU int64
+	// Megabytes is a size in memory.
+	Megabytes int64
+)
+
+// UnixMillis is a wall clock time in milliseconds since 1970.
+type UnixMillis int64
+
+// WorkerMillis is a time in milliseconds on the steady clock of one life of a worker.
+type WorkerMillis int64
--- /dev/null
+++ b/wigeondaemon/daemon.go
@@ -0,0 +1,320 @@
+// Package wigeondaemon runs one process of the system: it follows the logs, owns the shards that the group gives it,
+// carries out what their owners decide, and answers clients and peers.
+//
+// One goroutine holds all state. Calls to peers run on others and hand their results back to it.
+package wigeondaemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonpeer"
+	"github.com/wigeonstep/wigeonstep/wigeonshard"
+	"github.com/wigeonstep/wigeonstep/wigeontail"
+	"github.com/wigeonstep/wigeonstep/wigeonwave"
+)
+
+const (
+	// fleetPartition carries the upkeep orders; services use the others.
+	fleetPartition wigeonstep.Partition = 0
+	// stepInterval is how often the owners look at the time when nothing else happens.
+	stepInterval = 25 * time.Millisecond
+	// eventBacklog bounds the results that wait for the goroutine that holds the state.
+	eventBacklog = 4096
+	// joinInterval is how often membership is renewed.
+	joinInterval = 400 * time.Millisecond
+	// ownedGap is the pause between reads of a partition that this process owns; otherGap for the others, whose state
+	// only answers clients.
+	ownedGap = 20 * time.Millisecond
+	otherGap = 700 * time.Millisecond
+	// workersGap is the pause between reads of the workers' entries.
+	workersGap = 300 * time.Millisecond
+	// ownedWait, otherWait and operatorWait are how long reads wait for a record.
+	ownedWait    = time.Second
+	otherWait    = 2 * time.Second
+	operatorWait = time.Second
+	// epochsPerGeneration leaves room for the epochs that one generation of the group may need.
+	epochsPerGeneration = 1000
+)
+
+// WaveReporter tells the operator how far a wave is.
+type WaveReporter interface {
+	SetWaveState(ctx context.Context, wave int, completed bool) error
+}
+
+// Config configures a Daemon. All fields are required but Advisor.
+type Config struct {
+	Logger   *zap.Logger
+	Jobs     wigeonstep.JobLog
+	Group    wigeonstep.Group
+	Operator wigeonstep.KeyedLog
+	Workers  wigeonstep.KeyedLog
+	Decoder  wigeonstep.Decoder
+	Orders   wigeonstep.WorkerOrders
+	Machines wigeonstep.MachineOrders
+	// Advisor is nil when there is no advice service.
+	Advisor wigeonstep.Advisor
+	Waves   WaveReporter
+	Peers   *wigeonpeer.Client
+	Metrics *Metrics
+	// Member names this life of the process in the group.
+	Member string
+	// Partitions is the number of partitions of the job log, at least 2.
+	Partitions int
+	// MemberTTL is after how long the group drops a silent member.
+	MemberTTL time.Duration
+	Shard     wigeonshard.Settings
+	// Now returns the time.
+	Now func() wigeonshard.Now
+}
+
+// Daemon is one process of the system.
+type Daemon struct {
+	config Config
+	events chan func()
+	ctx    context.Context
+	ready  atomic.Bool
+	// routes is the configuration in force; nil while none is known.
+	routes atomic.Pointer[routeTable]
+
+	// The fields below belong to the goroutine of Run.
+	shards     map[wigeonstep.Partition]*shard
+	order      []*shard
+	assigned   map[wigeonstep.Partition]bool
+	generation uint64
+	leaving    bool
+	workers    registry
+	waves      map[int]wigeonstep.Wave
+	fleet      fleet
+	limits     map[wigeonstep.WorkerID]chan struct{}
+	stepped    time.Duration
+}
+
+// New returns a daemon.
+func New(c Config) *Daemon {
+	return &Daemon{
+		config:   c,
+		events:   make(chan func(), eventBacklog),
+		shards:   map[wigeonstep.Partition]*shard{},
+		assigned: map[wigeonstep.Partition]bool{},
+		waves:    map[int]wigeonstep.Wave{},
+		limits:   map[wigeonstep.WorkerID]chan struct{}{},
+		fleet:    fleet{planner: &wigeonwave.Planner{}, reported: map[int]bool{}},
+	}
+}
+
+// Run follows the logs and owns shards until ctx ends.
+func (d *Daemon) Run(ctx context.Context) {
+	d.ctx = ctx
+	d.follow(fleetPartition)
+	go d.tailOperator(ctx)
+	go d.tailWorkers(ctx)
+	go d.join(ctx)
+	timer := time.NewTimer(stepInterval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-d.events:
+			event()
+			d.drainEvents()
+		case <-timer.C:
+		}
+		d.step()
+		timer.Reset(d.nextStep())
+	}
+}
+
+// drainEvents handles the events that are already there, so that one step answers all of them.
+func (d *Daemon) drainEvents() {
+	for {
+		select {
+		case event := <-d.events:
+			event()
+		default:
+			return
+		}
+	}
+}
+
+// idleInterval is how often a process that owns nothing looks at the time.
+const idleInterval = 250 * time.Millisecond
+
+func (d *Daemon) nextStep() time.Duration {
+	for _, sh := range d.order {
+		if sh.owner != nil || sh.part == fleetPartition && sh.owned {
+			return stepInterval
+		}
+	}
+	return idleInterval
+}
+
+// post hands an event to the goroutine that holds the state.
+func (d *Daemon) post(event func()) {
+	select {
+	case d.events <- event:
+	case <-d.ctx.Done():
+	}
+}
+
+// ask runs a question on the goroutine that holds the state and reports whether it ran before ctx ended.
+func (d *Daemon) ask(ctx context.Context, question func()) bool {
+	done := make(chan struct{})
+	select {
+	case d.events <- func() { question(); close(done) }:
+	case <-ctx.Done():
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Leave gives all shards back and makes the process not ready.
+func (d *Daemon) Leave(ctx context.Context) {
+	d.ready.Store(false)
+	d.ask(ctx, func() {
+		d.leaving = true
+		for _, sh := range d.order {
+			d.drop(sh, "the process stops")
+		}
+	})
+	if err := d.config.Group.Leave(ctx, d.membership()); err != nil {
+		d.config.Logger.Warn("group_leave_failed", zap.Error(err))
+	}
+}
+
+func (d *Daemon) membership() wigeonstep.Membership {
+	return wigeonstep.Membership{Member: d.config.Member, TTL: d.config.MemberTTL}
+}
+
+// join renews the membership in the group until ctx ends.
+func (d *Daemon) join(ctx context.Context) {
+	ticker := time.NewTicker(joinInterval)
+	defer ticker.Stop()
+	m := d.membership()
+	failing := false
+	for ctx.Err() == nil {
+		leaving := false
+		if !d.ask(ctx, func() { leaving = d.leaving }) || leaving {
+			return
+		}
+		sent := d.config.Now().Steady
+		assignment, err := d.config.Group.Join(ctx, m)
+		if (err != nil) != failing {
+			failing = err != nil
+			d.logPeer("group", err)
+		}
+		if err == nil {
+			m.Generation = assignment.Generation
+			d.post(func() { d.assign(sent, assignment) })
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// logPeer writes the line of a lost or regained dependency.
+func (d *Daemon) logPeer(peer string, err error) {
+	if err != nil {
+		d.config.Logger.Warn("peer_lost", zap.String("peer", peer), zap.Error(err))
+		return
+	}
+	d.config.Logger.Info("peer_regained", zap.String("peer", peer))
+}
+
+func (d *Daemon) tailOperator(ctx context.Context) {
+	tail := wigeontail.Tail{
+		Log: d.config.Operator, Wait: operatorWait,
+		Apply:    func(b wigeontail.Batch) { d.post(func() { d.applyOperator(b) }) },
+		Lost:     func(err error) { d.logPeer("operator log", err) },
+		Regained: func() { d.logPeer("operator log", nil) },
+	}
+	tail.Run(ctx)
+}
+
+func (d *Daemon) tailWorkers(ctx context.Context) {
+	tail := wigeontail.Tail{
+		Log: d.config.Workers, Wait: otherWait,
+		Gap:      func() time.Duration { return workersGap },
+		Apply:    func(b wigeontail.Batch) { d.post(func() { d.applyWorkers(b) }) },
+		Lost:     func(err error) { d.logPeer("worker log", err) },
+		Regained: func() { d.logPeer("worker log", nil) },
+	}
+	tail.Run(ctx)
+}
+
+// applyOperator takes configurations and waves over.
+func (d *Daemon) applyOperator(b wigeontail.Batch) {
+	for _, record := range b.Records {
+		if len(record.Value) == 0 {
+			continue
+		}
+		decoded, err := d.config.Decoder.DecodeOperator(record)
+		if err != nil {
+			d.config.Logger.Warn("operator_record_skipped", zap.String("key", record.Key), zap.Error(err))
+			continue
+		}
+		if decoded.Configuration != nil {
+			d.configure(decoded.Configuration)
+		}
+		if decoded.Wave != nil {
+			d.waves[decoded.Wave.Number] = *decoded.Wave
+			d.config.Logger.Info("wave_read", zap.Int("wave", decoded.Wave.Number), zap.Int("vms", len(decoded.Wave.VMs)), zap.Int("max_count", decoded.Wave.MaxCount), zap.Duration("period", decoded.Wave.Period))
+		}
+	}
+}
+
+// configure puts a configuration in force unless a newer one is.
+func (d *Daemon) configure(c *wigeonstep.Configuration) {
+	if current := d.routes.Load(); current != nil && c.Version <= current.version {
+		return
+	}
+	d.routes.Store(newRouteTable(c))
+	d.config.Logger.Info("configuration_in_force", zap.Uint64("version", uint64(c.Version)), zap.Int("queues", len(c.Queues)), zap.Int("services", len(c.Services)))
+	for _, s := range c.Services {
+		d.follow(d.partition(s.Name))
+	}
+	d.updateReady()
+}
+
+// updateReady makes the process ready once it knows a configuration and the jobs of every service.
+func (d *Daemon) updateReady() {
+	if d.ready.Load() || d.leaving || d.routes.Load() == nil {
+		return
+	}
+	for _, sh := range d.order {
+		if !sh.loaded {
+			return
+		}
+	}
+	d.ready.Store(true)
+	d.config.Logger.Info("ready")
+}
+
+// step lets every owner act on what has happened.
+func (d *Daemon) step() {
+	now := d.config.Now()
+	d.workers.expire(now.Steady, d.spreadWorkers)
+	for _, sh := range d.order {
+		if sh.owner == nil {
+			continue
+		}
+		d.execute(sh, sh.owner.Step(now))
+		if sh.owner.Deposed() {
+			d.drop(sh, "a peer has seen a higher fence")
+			sh.retryClaim = now.Steady + claimRetryDelay
+		}
+	}
+	d.stepFleet(now)
+}
--- /dev/null
+++ b/wigeonjob/key.go
@@ -0,0 +1,69 @@
+package wigeonjob
+
+import (
+	"strings"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+// Kind is what a key of the job log holds.
+type Kind byte
+
+// Kinds of keys.
+const (
+	KindJob      Kind = 'j'
+	KindProgress Kind = 'p'
+	KindCancel   Kind = 'c'
+	KindOwner    Kind = 'o'
+	KindUpkeep   Kind = 'u'
+	KindRelease  Kind = 'r'
+)
+
+// Key returns the key of an id.
+func Key[T ~string](kind Kind, id T) string {
+	return string(kind) + "/" + string(id)
+}
+
+// SplitKey returns the kind and the id of a key.
+func SplitKey(key string) (kind Kind, id string, ok bool) {
+	if len(key) < 2 || key[1] != '/' {
+		return 0, "", false
+	}
+	return Kind(key[0]), key[2:], true
+}
+
+// OwnerKey is the key of the owner's note.
+const OwnerKey = "o/"
+
+// ParseTaskID reads the form ID.OCCURRENCE.STEP.INDEX.
+func ParseTaskID(text string) (wigeonstep.TaskID, bool) {
+	parts := strings.Split(text, ".")
+	if len(parts) != 4 || parts[0] == "" {
+		return wigeonstep.TaskID{}, false
+	}
+	var numbers [3]int
+	for i, part := range parts[1:] {
+		n, ok := parseNumber(part)
+		if !ok {
+			return wigeonstep.TaskID{}, false
+		}
+		numbers[i] = n
+	}
+	return wigeonstep.TaskID{Job: wigeonstep.JobID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, true
+}
+
+// parseNumber reads a decimal number of at most nine digits.
+func parseNumber(text string) (int, bool) {
+	if text == "" || len(text) > 9 {
+		return 0, false
+	}
+	n := 0
+	for i := range len(text) {
+		digit := text[i] - '0'
+		if digit > 9 {
+			return 0, false
+		}
+		n = n*10 + int(digit)
+	}
+	return n, true
+}
--- /dev/null
+++ b/wigeonjob/record.go
@@ -0,0 +1,231 @@
+package wigeonjob
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// EncodeJob returns the record of a job.
+func EncodeJob(j *Job) ([]byte, error) {
+	r := &wigeonwire.JobRecord{
+		Queue:          string(j.Queue),
+		Service:        string(j.Service),
+		Spec:           j.Spec,
+		Repeats:        uint32(j.Repeats),
+		StartUnixMs:    int64(j.StartAt),
+		IntervalMs:     j.Interval.Milliseconds(),
+		AcceptedUnixMs: int64(j.Accepted),
+		Attempts:       uint32(j.Policy.Attempts),
+		Priority:       uint32(j.Policy.Priority),
+		Stretch:        j.Policy.Stretch,
+		TargetMs:       j.Policy.Target.Milliseconds(),
+	}
+	if a := j.Policy.Advice; a != nil {
+		r.Advice = &wigeonwire.AdvicePolicy{DecideMs: a.Decide.Milliseconds(), EachMs: a.Each.Milliseconds(), ValidMs: a.Valid.Milliseconds()}
+	}
+	for i := range j.Steps {
+		r.Steps = append(r.Steps, encodeStep(&j.Steps[i]))
+	}
+	return encode(r)
+}
+
+func encodeStep(s *Step) *wigeonwire.StepRecord {
+	r := &wigeonwire.StepRecord{
+		Count:         uint32(s.Count),
+		MilliCpu:      int64(s.Need.CPU),
+		MemoryMb:      int64(s.Need.Memory),
+		Gpu:           s.Need.GPU,
+		EstimateMs:    s.Estimate.Milliseconds(),
+		SavesProgress: s.SavesProgress,
+		Gang:          s.Gang,
+		SameRack:      s.SameRack,
+		RequiredLabel: string(s.RequiredLabel),
+		DataRack:      string(s.DataRack),
+		MaxPerWorker:  uint32(s.MaxPerWorker),
+		Speculative:   s.Speculative,
+		LongRunning:   s.LongRunning,
+		Image:         string(s.Image),
+		TargetMs:      s.Target.Milliseconds(),
+		Fills:         s.Fills,
+		MayMiss:       uint32(s.MayMiss),
+	}
+	for _, before := range s.After {
+		r.After = append(r.After, uint32(before))
+	}
+	return r
+}
+
+// DecodeJob reads the record of a job.
+func DecodeJob(id wigeonstep.JobID, value []byte) (*Job, error) {
+	var r wigeonwire.JobRecord
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return nil, fmt.Errorf("record of job %s: %w", id, err)
+	}
+	j := &Job{
+		ID:       id,
+		Queue:    wigeonstep.QueueName(r.GetQueue()),
+		Service:  wigeonstep.ServiceName(r.GetService()),
+		Spec:     r.GetSpec(),
+		Repeats:  int(r.GetRepeats()),
+		StartAt:  wigeonstep.UnixMillis(r.GetStartUnixMs()),
+		Interval: milliseconds(r.GetIntervalMs()),
+		Accepted: wigeonstep.UnixMillis(r.GetAcceptedUnixMs()),
+		Policy: wigeonstep.QueuePolicy{
+			Attempts: int(r.GetAttempts()),
+			Priority: int(r.GetPriority()),
+			Stretch:  r.GetStretch(),
+			Target:   milliseconds(r.GetTargetMs()),
+		},
+	}
+	if a := r.GetAdvice(); a != nil {
+		j.Policy.Advice = &wigeonstep.AdvicePolicy{Decide: milliseconds(a.GetDecideMs()), Each: milliseconds(a.GetEachMs()), Valid: milliseconds(a.GetValidMs())}
+	}
+	for _, s := range r.GetSteps() {
+		j.Steps = append(j.Steps, decodeStep(s))
+	}
+	if err := j.Check(); err != nil {
+		return nil, fmt.Errorf("record of job %s: %w", id, err)
+	}
+	return j, nil
+}
+
+func decodeStep(r *wigeonwire.StepRecord) Step {
+	s := Step{
+		Count:         int(r.GetCount()),
+		Need:          wigeonstep.Resources{CPU: wigeonstep.MilliCPU(r.GetMilliCpu()), Memory: wigeonstep.Megabytes(r.GetMemoryMb()), GPU: r.GetGpu()},
+		Estimate:      milliseconds(r.GetEstimateMs()),
+		SavesProgress: r.GetSavesProgress(),
+		Gang:          r.GetGang(),
+		SameRack:      r.GetSameRack(),
+		RequiredLabel: wigeonstep.Label(r.GetRequiredLabel()),
+		DataRack:      wigeonstep.Label(r.GetDataRack()),
+		MaxPerWorker:  int(r.GetMaxPerWorker()),
+		Speculative:   r.GetSpeculative(),
+		LongRunning:   r.GetLongRunning(),
+		Image:         wigeonstep.ImageName(r.GetImage()),
+		Target:        milliseconds(r.GetTargetMs()),
+		Fills:         r.GetFills(),
+		MayMiss:       int(r.GetMayMiss()),
+	}
+	for _, before := range r.GetAfter() {
+		s.After = append(s.After, int(before))
+	}
+	return s
+}
+
+// EncodeProgress returns the record of a job's progress.
+func EncodeProgress(p *Progress) ([]byte, error) {
+	r := &wigeonwire.ProgressRecord{State: wigeonwire.ProgressState(p.State), EndedUnixMs: int64(p.Ended)}
+	for _, k := range p.Finished {
+		r.Finished = append(r.Finished, uint32(k))
+	}
+	for i := range p.Tasks {
+		t := &p.Tasks[i]
+		task := &wigeonwire.TaskProgress{
+			Occurrence: uint32(t.Occurrence),
+			Step:       uint32(t.Step),
+			Index:      uint32(t.Index),
+			LastRun:    uint32(t.LastRun),
+			Failures:   uint32(t.Failures),
+			Done:       t.Done,
+			Checkpoint: string(t.Checkpoint),
+		}
+		for _, run := range t.Runs {
+			task.Runs = append(task.Runs, &wigeonwire.RunProgress{Run: uint32(run.Number), Worker: string(run.Worker)})
+		}
+		r.Tasks = append(r.Tasks, task)
+	}
+	return encode(r)
+}
+
+// DecodeProgress reads the record of a job's progress.
+func DecodeProgress(value []byte) (*Progress, error) {
+	var r wigeonwire.ProgressRecord
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return nil, fmt.Errorf("record of progress: %w", err)
+	}
+	p := &Progress{State: State(r.GetState()), Ended: wigeonstep.UnixMillis(r.GetEndedUnixMs())}
+	for _, k := range r.GetFinished() {
+		p.Finished = append(p.Finished, int(k))
+	}
+	for _, t := range r.GetTasks() {
+		task := TaskProgress{
+			Occurrence: int(t.GetOccurrence()),
+			Step:       int(t.GetStep()),
+			Index:      int(t.GetIndex()),
+			LastRun:    wigeonstep.RunNumber(t.GetLastRun()),
+			Failures:   int(t.GetFailures()),
+			Done:       t.GetDone(),
+			Checkpoint: wigeonstep.Checkpoint(t.GetCheckpoint()),
+		}
+		for _, run := range t.GetRuns() {
+			task.Runs = append(task.Runs, LiveRun{Number: wigeonstep.RunNumber(run.GetRun()), Worker: wigeonstep.WorkerID(run.GetWorker())})
+		}
+		p.Tasks = append(p.Tasks, task)
+	}
+	return p, nil
+}
+
+// EncodeCancel returns the record of a cancellation.
+func EncodeCancel(at wigeonstep.UnixMillis) ([]byte, error) {
+	return encode(&wigeonwire.CancelRecord{CancelledUnixMs: int64(at)})
+}
+
+// EncodeOwner returns the record of an owner.
+func EncodeOwner(o OwnerNote) ([]byte, error) {
+	return encode(&wigeonwire.OwnerRecord{Epoch: uint64(o.Epoch), Address: o.Address})
+}
+
+// DecodeOwner reads the record of an owner.
+func DecodeOwner(value []byte) (OwnerNote, error) {
+	var r wigeonwire.OwnerRecord
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return OwnerNote{}, fmt.Errorf("record of the owner: %w", err)
+	}
+	return OwnerNote{Epoch: wigeonstep.Fence(r.GetEpoch()), Address: r.GetAddress()}, nil
+}
+
+// EncodeUpkeep returns the record of an upkeep order.
+func EncodeUpkeep(o UpkeepOrder) ([]byte, error) {
+	return encode(&wigeonwire.UpkeepRecord{Wave: uint32(o.Wave), Worker: string(o.Worker), Phase: wigeonwire.UpkeepRecord_Phase(o.Phase)})
+}
+
+// DecodeUpkeep reads the record of an upkeep order.
+func DecodeUpkeep(vm wigeonstep.VMID, value []byte) (UpkeepOrder, error) {
+	var r wigeonwire.UpkeepRecord
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return UpkeepOrder{}, fmt.Errorf("record of the upkeep of %s: %w", vm, err)
+	}
+	return UpkeepOrder{VM: vm, Wave: int(r.GetWave()), Worker: wigeonstep.WorkerID(r.GetWorker()), Phase: UpkeepPhase(r.GetPhase())}, nil
+}
+
+// EncodeRelease returns the record of a release.
+func EncodeRelease(r Release) ([]byte, error) {
+	return encode(&wigeonwire.ReleaseRecord{Vm: string(r.VM), Epoch: uint64(r.Epoch)})
+}
+
+// DecodeRelease reads the record of a release.
+func DecodeRelease(worker wigeonstep.WorkerID, value []byte) (Release, error) {
+	var r wigeonwire.ReleaseRecord
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return Release{}, fmt.Errorf("record of the release of %s: %w", worker, err)
+	}
+	return Release{Worker: worker, VM: wigeonstep.VMID(r.GetVm()), Epoch: wigeonstep.Fence(r.GetEpoch())}, nil
+}
+
+func encode(message proto.Message) ([]byte, error) {
+	value, err := proto.Marshal(message)
+	if err != nil {
+		return nil, fmt.Errorf("encode %s: %w", message.ProtoReflect().Descriptor().Name(), err)
+	}
+	return value, nil
+}
+
+func milliseconds(n int64) time.Duration {
+	return time.Duration(n) * time.Millisecond
+}
--- /dev/null
+++ b/wigeonshard/empty.go
@@ -0,0 +1,94 @@
+package wigeonshard
+
+import (
+	"time"
+
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+)
+
+// maxFinishWait is how long finite work on a worker that has to be emptied may go on before what saves its progress is
+// stopped.
+const maxFinishWait = 2500 * time.Millisecond
+
+// empty moves work away from workers that drain or are cordoned, and releases cordoned ones that are empty.
+func (o *Owner) empty(now Now) {
+	for _, w := range o.roster {
+		switch {
+		case w.cordoned != "":
+			o.emptyCordoned(now, w)
+		case w.Draining:
+			o.emptyDraining(w)
+		}
+	}
+}
+
+func (o *Owner) emptyCordoned(now Now, w *worker) {
+	if len(w.runs) == 0 && w.ghosts == 0 && w.known && !w.released {
+		w.released = true
+		o.releases = append(o.releases, wigeonjob.Release{Worker: w.ID, VM: w.cordoned, Epoch: o.fence})
+		o.noteWorker("worker_released", w, "it is empty for the upkeep of its VM")
+		return
+	}
+	for _, r := range w.runs {
+		if r.stopping || r.phase != runTaken {
+			continue
+		}
+		s := r.task.step
+		switch {
+		case s.LongRunning:
+			if s.mayStop(r) && o.roomElsewhere(r) {
+				o.note("run_moved", r, "its VM is due for upkeep", 0)
+				r.stopping = true
+			}
+		case s.SavesProgress && now.Steady-r.began > maxFinishWait && r.task.checkpoint != "":
+			o.note("run_moved", r, "its VM is due for upkeep and its progress is saved", 0)
+			r.stopping = true
+		}
+	}
+}
+
+// emptyDraining restarts long-running tasks elsewhere while their worker still runs.
+func (o *Owner) emptyDraining(w *worker) {
+	for _, r := range w.runs {
+		s := r.task.step
+		if s.LongRunning && !r.stopping && r.phase == runTaken && s.mayStop(r) && o.roomElsewhere(r) {
+			o.note("run_moved", r, "its worker drains", 0)
+			r.stopping = true
+		}
+	}
+}
+
+// mayStop reports whether a run may end without more tasks of its step being away than allowed.
+func (s *step) mayStop(stopped *run) bool {
+	away := 0
+	for _, t := range s.tasks {
+		if t == stopped.task {
+			continue
+		}
+		working := false
+		for _, r := range t.runs {
+			working = working || r.atWork()
+		}
+		if !working {
+			away++
+		}
+	}
+	return away < max(s.MayMiss, 1)
+}
+
+// roomElsewhere reports whether another worker can take the task of the run.
+func (o *Owner) roomElsewhere(r *run) bool {
+	s := r.task.step
+	for _, w := range o.roster {
+		if w == r.worker || !w.usable() || w.Service != s.job.Service || !w.free().Holds(s.Room()) {
+			continue
+		}
+		if s.RequiredLabel != "" && !w.hasLabel(s.RequiredLabel) {
+			continue
+		}
+		if s.MaxPerWorker == 0 || w.countOf(s) < s.MaxPerWorker {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/wigeonshard/flush.go
@@ -0,0 +1,180 @@
+package wigeonshard
+
+import (
+	"slices"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+)
+
+// maxFlushBytes bounds one append; the log takes 2 MB.
+const maxFlushBytes = 512 << 10
+
+// flush is what one append makes durable.
+type flush struct {
+	jobs     []flushedJob
+	runs     []*run
+	workers  []*worker
+	releases int
+	owner    bool
+}
+
+type flushedJob struct {
+	job   *job
+	state wigeonjob.State
+}
+
+// write hands the changed progress to the log, unless an append is on its way.
+func (o *Owner) write(now Now) {
+	if o.flush != nil {
+		return
+	}
+	if len(o.dirty) == 0 && len(o.releases) == 0 && o.noted {
+		for _, w := range o.roster {
+			w.durable = w.seen
+		}
+		return
+	}
+	f := &flush{releases: len(o.releases), owner: !o.noted}
+	var records []wigeonstep.KeyedRecord
+	if !o.noted {
+		value, err := wigeonjob.EncodeOwner(wigeonjob.OwnerNote{Epoch: o.fence, Address: o.settings.Address})
+		if err == nil {
+			records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.OwnerKey, Value: value})
+		}
+	}
+	for _, r := range o.releases {
+		value, err := wigeonjob.EncodeRelease(r)
+		if err == nil {
+			records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindRelease, r.Worker), Value: value})
+		}
+	}
+	size := 0
+	taken := 0
+	for _, j := range o.dirty {
+		if size > maxFlushBytes {
+			break
+		}
+		taken++
+		if j.state.Terminal() && j.ended == 0 {
+			j.ended = now.Wall
+		}
+		value, runs := o.encode(j)
+		size += len(value)
+		records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindProgress, j.ID), Value: value})
+		f.jobs = append(f.jobs, flushedJob{job: j, state: j.state})
+		f.runs = append(f.runs, runs...)
+		j.dirty = false
+	}
+	o.dirty = slices.Delete(o.dirty, 0, taken)
+	if len(o.dirty) == 0 {
+		for _, w := range o.roster {
+			if w.seen > w.durable {
+				w.writing = w.seen
+				f.workers = append(f.workers, w)
+			}
+		}
+	}
+	o.flush = f
+	o.out.Append = records
+}
+
+// encode returns the progress of a job and the planned runs that it makes durable.
+func (o *Owner) encode(j *job) ([]byte, []*run) {
+	p := wigeonjob.Progress{State: j.state, Ended: j.ended}
+	var planned []*run
+	if !j.state.Terminal() {
+		p.Finished = j.finished
+	}
+	for _, occ := range j.occurrences {
+		for _, s := range occ.steps {
+			for _, t := range s.tasks {
+				for _, r := range t.runs {
+					if r.phase == runPlanned {
+						r.phase = runWriting
+						planned = append(planned, r)
+					}
+				}
+				if !j.state.Terminal() && t.lastRun > 0 {
+					p.Tasks = append(p.Tasks, t.progress())
+				}
+			}
+		}
+	}
+	value, err := wigeonjob.EncodeProgress(&p)
+	if err != nil {
+		// Only a string that is not UTF-8 fails to encode; checkpoints and worker ids come decoded from JSON.
+		return nil, planned
+	}
+	return value, planned
+}
+
+func (t *task) progress() wigeonjob.TaskProgress {
+	p := wigeonjob.TaskProgress{
+		Occurrence: t.id.Occurrence,
+		Step:       t.id.Step,
+		Index:      t.id.Index,
+		LastRun:    t.lastRun,
+		Failures:   t.failures,
+		Done:       t.done,
+	}
+	if !t.done {
+		p.Checkpoint = t.checkpoint
+	}
+	for _, r := range t.runs {
+		p.Runs = append(p.Runs, wigeonjob.LiveRun{Number: r.number, Worker: r.worker.ID})
+	}
+	return p
+}
+
+// Flushed takes the result of the append over. Only an acknowledged append is reported; one without an answer is
+// repeated by the caller.
+func (o *Owner) Flushed(now Now) {
+	f := o.flush
+	if f == nil {
+		return
+	}
+	o.flush = nil
+	o.Confirm(now.Steady)
+	if f.owner {
+		o.noted = true
+	}
+	for _, r := range o.releases[:f.releases] {
+		o.released[r.Worker] = true
+	}
+	o.releases = slices.Delete(o.releases, 0, f.releases)
+	for _, w := range f.workers {
+		w.durable = max(w.durable, w.writing)
+	}
+	for _, fj := range f.jobs {
+		fj.job.shown = fj.state
+	}
+	for _, r := range f.runs {
+		o.begin(now, r)
+	}
+	o.forgetJobs()
+}
+
+// begin sends the start of a run whose record is durable.
+func (o *Owner) begin(now Now, r *run) {
+	if r.phase != runWriting {
+		return
+	}
+	if r.stopping {
+		o.resolve(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+		return
+	}
+	r.began, r.moved, r.seen = now.Steady, now.Steady, now.Steady
+	o.sendStart(now, r)
+}
+
+// forgetJobs drops the jobs whose last state is durable and that run nowhere.
+func (o *Owner) forgetJobs() {
+	o.order = slices.DeleteFunc(o.order, func(j *job) bool {
+		gone := j.shown.Terminal() && j.liveRuns == 0 && !j.dirty
+		if gone {
+			delete(o.jobs, j.ID)
+		}
+		return gone
+	})
+}
--- /dev/null
+++ b/wigeonshard/place.go
@@ -0,0 +1,323 @@
+package wigeonshard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+// maxPlannedPerRound bounds the runs that one round plans, so that one append stays small.
+const maxPlannedPerRound = 400
+
+// lateFactor times the objective is the time after which a job is worth nothing more.
+const lateFactor = 3
+
+// urgency groups steps by what starting them now is worth.
+type urgency int
+
+const (
+	// urgencyLasting is a long-running step: every second in which it is not at work is lost.
+	urgencyLasting urgency = iota
+	// urgencyOnTime is a step whose job can still meet its objective.
+	urgencyOnTime
+	// urgencyLate is a step whose job will be late.
+	urgencyLate
+	// urgencyOverdue is a step whose job is too late to be worth anything but its promise.
+	urgencyOverdue
+)
+
+// candidate is a step with tasks to place.
+type candidate struct {
+	step     *step
+	urgency  urgency
+	priority int
+	// work is what is left of the occurrence, in core-milliseconds.
+	work float64
+	// begun is set when other tasks of the occurrence have run.
+	begun bool
+}
+
+// place plans runs for the tasks that wait, in the order of compare.
+func (o *Owner) place(now Now) {
+	candidates := o.candidates(now)
+	if len(candidates) == 0 {
+		return
+	}
+	slices.SortStableFunc(candidates, compare)
+	pool := o.pool(now)
+	planned := 0
+	for _, c := range candidates {
+		if planned >= maxPlannedPerRound || len(pool) == 0 {
+			return
+		}
+		planned += o.placeStep(now, c.step, pool)
+	}
+}
+
+// compare orders the steps: by urgency, by the queue's priority, then the shortest remaining work first.
+func compare(a, b candidate) int {
+	return cmp.Or(
+		cmp.Compare(a.urgency, b.urgency),
+		cmp.Compare(a.priority, b.priority),
+		cmp.Compare(a.work, b.work),
+	)
+}
+
+// candidates returns the steps whose turn has come and that have tasks to place.
+func (o *Owner) candidates(now Now) []candidate {
+	var found []candidate
+	for _, j := range o.order {
+		if j.state.Terminal() {
+			continue
+		}
+		for _, occ := range j.occurrences {
+			found = appendCandidates(found, now, j, occ)
+		}
+	}
+	return found
+}
+
+func appendCandidates(found []candidate, now Now, j *job, occ *occurrence) []candidate {
+	for _, s := range occ.steps {
+		if s.left == 0 || !s.ready() || !s.wants(now.Steady) {
+			continue
+		}
+		c := candidate{step: s, priority: j.Policy.Priority}
+		c.work, c.begun = occ.remainingWork()
+		c.urgency = occ.urgency(now.Steady, j)
+		if s.LongRunning {
+			c.urgency = urgencyLasting
+		}
+		found = append(found, c)
+	}
+	return found
+}
+
+// ready reports whether all tasks of the steps before are done.
+func (s *step) ready() bool {
+	for _, before := range s.After {
+		if s.occurrence.steps[before].left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// wants reports whether a task of the step has to be placed now.
+func (s *step) wants(now time.Duration) bool {
+	if s.Gang && s.live > 0 {
+		return false
+	}
+	if s.left <= s.live && !s.Gang {
+		return false
+	}
+	for _, t := range s.tasks {
+		if t.waiting() && now >= t.retryAt {
+			return true
+		}
+	}
+	return false
+}
+
+// remainingWork returns the work of the tasks that are not done, in core-milliseconds, and whether any task has run.
+func (occ *occurrence) remainingWork() (work float64, begun bool) {
+	for _, s := range occ.steps {
+		cores := max(float64(s.Need.CPU)/1000, 0.1) + acceleratorCores*float64(s.Need.GPU)
+		work += float64(s.left) * cores * float64(s.Estimate.Milliseconds())
+		begun = begun || s.live > 0 || s.left < s.Count
+	}
+	return work, begun
+}
+
+// acceleratorCores is what an accelerator counts in cores.
+const acceleratorCores = 8
+
+// urgency returns how much the objective of an occurrence still allows.
+func (occ *occurrence) urgency(now time.Duration, j *job) urgency {
+	objective := j.Objective()
+	age := now - occ.due
+	switch {
+	case age+occ.remainingChain() <= objective:
+		return urgencyOnTime
+	case age+occ.remainingChain() <= lateFactor*objective:
+		return urgencyLate
+	}
+	return urgencyOverdue
+}
+
+// remainingChain returns the longest chain of estimated durations of the steps that are not done.
+func (occ *occurrence) remainingChain() time.Duration {
+	var longest time.Duration
+	ends := make([]time.Duration, len(occ.steps))
+	for i, s := range occ.steps {
+		for _, before := range s.After {
+			ends[i] = max(ends[i], ends[before])
+		}
+		if s.left > 0 {
+			ends[i] += s.Estimate
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
+// pool returns the workers that may take new work.
+func (o *Owner) pool(now Now) []*worker {
+	var usable, suspect []*worker
+	for _, w := range o.roster {
+		switch {
+		case !w.usable():
+		case w.trust.suspect(now.Steady):
+			suspect = append(suspect, w)
+		default:
+			usable = append(usable, w)
+		}
+	}
+	// A fault that hits every worker is not the workers'; beyond a share of the pool suspicion is ignored.
+	if spare := len(suspect) - (len(usable)+len(suspect))/maxSuspectShare; spare > 0 {
+		usable = append(usable, suspect[:spare]...)
+	}
+	return usable
+}
+
+// placeStep plans runs for the waiting tasks of a step and returns how many.
+func (o *Owner) placeStep(now Now, s *step, pool []*worker) int {
+	pool = o.allowed(now, s, pool)
+	if s.Gang {
+		return o.placeGang(s, pool)
+	}
+	planned := 0
+	room := s.Room()
+	for _, t := range s.tasks {
+		if !t.waiting() || now.Steady < t.retryAt {
+			continue
+		}
+		w := s.choose(t, pool, room)
+		if w == nil {
+			break
+		}
+		o.plan(t, w, t.lastRun+1)
+		planned++
+	}
+	return planned
+}
+
+// placeGang plans one run for all tasks of a gang, or none.
+func (o *Owner) placeGang(s *step, pool []*worker) int {
+	number := wigeonstep.RunNumber(0)
+	for _, t := range s.tasks {
+		number = max(number, t.lastRun)
+	}
+	number++
+	room := s.Room()
+	var planned []*run
+	for _, t := range s.tasks {
+		w := s.choose(t, pool, room)
+		if w == nil {
+			for _, r := range planned {
+				o.detach(r)
+				r.phase = runEnded
+			}
+			return 0
+		}
+		planned = append(planned, o.plan(t, w, number))
+	}
+	return len(planned)
+}
+
+// plan adds a run that leaves once the log holds it.
+func (o *Owner) plan(t *task, w *worker, number wigeonstep.RunNumber) *run {
+	r := &run{task: t, number: number, worker: w, settled: -1, pace: fullPace, paceSent: fullPace}
+	t.lastRun = number
+	o.attach(r)
+	o.start(t.step.job)
+	return r
+}
+
+// allowed returns the workers of the pool on which the step may run.
+func (o *Owner) allowed(now Now, s *step, pool []*worker) []*worker {
+	if s.job.Policy.Advice != nil {
+		pool = o.advised(now, s, pool)
+	}
+	if s.RequiredLabel == "" {
+		return pool
+	}
+	var labelled []*worker
+	for _, w := range pool {
+		if w.hasLabel(s.RequiredLabel) {
+			labelled = append(labelled, w)
+		}
+	}
+	return labelled
+}
+
+// choose returns the best worker of the pool for a task, or nil when none has room.
+func (s *step) choose(t *task, pool []*worker, room wigeonstep.Resources) *worker {
+	var best *worker
+	var bestScore score
+	for _, w := range pool {
+		if !w.free().Holds(room) || w.Service != s.job.Service {
+			continue
+		}
+		if s.MaxPerWorker > 0 && w.countOf(s) >= s.MaxPerWorker {
+			continue
+		}
+		candidate := s.score(t, w, room)
+		if best == nil || candidate.less(bestScore) {
+			best, bestScore = w, candidate
+		}
+	}
+	return best
+}
+
+// score orders workers for a task; lower fields and values are better.
+type score struct {
+	// avoided is 1 when the task failed there last.
+	avoided int
+	// far is 1 when the data, or the other tasks of a step that belongs on one rack, are on another rack.
+	far int
+	// crowd counts what would disturb the task or be disturbed by it.
+	crowd int
+	// left is the CPU that stays free; finite work packs, long-running work spreads.
+	left wigeonstep.MilliCPU
+}
+
+func (a score) less(b score) bool {
+	return cmp.Or(cmp.Compare(a.avoided, b.avoided), cmp.Compare(a.far, b.far), cmp.Compare(a.crowd, b.crowd), cmp.Compare(a.left, b.left)) < 0
+}
+
+func (s *step) score(t *task, w *worker, room wigeonstep.Resources) score {
+	sc := score{left: w.free().CPU - room.CPU}
+	if t.avoid == w.ID {
+		sc.avoided = 1
+	}
+	if s.DataRack != "" && !w.hasLabel(s.DataRack) {
+		sc.far = 1
+	}
+	if s.SameRack && !s.besideOthers(w) {
+		sc.far = 1
+	}
+	if s.LongRunning {
+		sc.left = -sc.left
+		sc.crowd = w.fillers
+		if s.Fills {
+			sc.crowd = len(w.runs)
+		}
+	}
+	return sc
+}
+
+// besideOthers reports whether the worker is on the rack of the first run of the step, or the step has no run.
+func (s *step) besideOthers(w *worker) bool {
+	if s.live == 0 {
+		return true
+	}
+	for _, t := range s.tasks {
+		for _, r := range t.runs {
+			return r.worker.Rack == w.Rack
+		}
+	}
+	return true
+}
