Tell lives of a worker apart, and let the lease of a silent one end

A new life under the same id was told to forget ends by a number of the old one. Found by TestTasksOfSilentWorkerStartElsewhere and TestSeededFaults, which failed first.

--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -160,7 +160,7 @@
 	if r.phase != runWriting {
 		return
 	}
-	if r.stopping {
+	if r.stopping || !r.worker.known || r.worker.failures > 0 {
 		o.resolve(now, r, wigeonstep.EndStopped, r.task.checkpoint)
 		return
 	}
--- a/wigeonshard/hold.go
+++ b/wigeonshard/hold.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
@@ -24,7 +25,13 @@
 		if unwritten || !w.known || w.failures > 0 {
 			order.Wait = 0
 		}
-		if w.clock != 0 {
+		if w.failures > 0 {
+			// The next life of the worker counts its ends anew; it must not forget any by a number of this one.
+			order.LastSeen = 0
+		}
+		// A worker that does not answer gets no renewal: it may receive this hold all the same, and its lease must end
+		// some time, so that its tasks can start elsewhere.
+		if w.clock != 0 && w.failures == 0 {
 			order.Until = w.lease(now.Steady, o.settings.Lease)
 		}
 		w.holding, w.holdSent, w.renewed = true, now.Steady, now.Steady
@@ -56,8 +63,9 @@
 		return
 	}
 	if result.Born != 0 && w.Born != 0 && result.Born != w.Born {
-		o.reborn(now, w, result.Born)
+		o.reborn(now, w, func(r *run) bool { return lists(result, r.id()) })
 	}
+	w.Born = result.Born
 	if w.failures > 0 && w.known {
 		o.noteWorker("worker_regained", w, "it answers again")
 	}
@@ -68,12 +76,20 @@
 	if !w.known {
 		w.known = true
 		w.nextHold = now.Steady
+		// An earlier owner may have given a lease until just before this answer.
+		w.until = max(w.until, w.clock+wigeonstep.WorkerMillis(o.settings.Lease.Milliseconds()))
 	} else {
 		w.nextHold = now.Steady + o.settings.HoldGap
 	}
 	o.pace(now, w)
 }
 
+// lists reports whether the answer lists the run as running or ended.
+func lists(result wigeonstep.HoldResult, id wigeonstep.RunID) bool {
+	return slices.ContainsFunc(result.Running, func(e wigeonstep.RunningRun) bool { return e.Run == id }) ||
+		slices.ContainsFunc(result.Ended, func(e wigeonstep.EndedRun) bool { return e.Run == id })
+}
+
 func (o *Owner) takeEnds(now Now, w *worker, ended []wigeonstep.EndedRun) {
 	for _, e := range ended {
 		if e.Number <= w.seen {
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -25,6 +25,9 @@
 	maxHoldRetryDelay = 800 * time.Millisecond
 	// maxRenewalPause is how long the renewal of a lease may wait for ends to become durable.
 	maxRenewalPause = 1200 * time.Millisecond
+	// clockRegress is how far a worker's clock must have gone back to be that of a new life; answers overtake each other
+	// by less.
+	clockRegress wigeonstep.WorkerMillis = 1000
 	// restoredPace is the share at which runs of an earlier owner that fill are let work until the tails are known.
 	restoredPace = 50
 )
@@ -66,8 +69,11 @@
 	if w == nil {
 		return
 	}
-	w.readClock(result.Clock, now.Steady)
 	r := w.find(id)
+	if result.Clock != 0 && result.Clock+clockRegress < w.clock {
+		o.reborn(now, w, func(other *run) bool { return other == r })
+	}
+	w.readClock(result.Clock, now.Steady)
 	switch result.Verdict {
 	case wigeonstep.StartFenced:
 		o.deposed = true
@@ -174,7 +180,7 @@
 			case r.stopping && r.stopSent == 0 && now.Steady >= r.retryAt && (r.phase == runTaken || r.phase == runUnknown):
 				r.stopSent = now.Steady
 				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id()})
-			case !r.stopping && r.phase == runUnknown && r.startTry > 0 && now.Steady >= r.retryAt && o.sure(now):
+			case !r.stopping && r.phase == runUnknown && r.startTry > 0 && now.Steady >= r.retryAt && w.failures == 0 && o.sure(now):
 				o.sendStart(now, r)
 			case r.phase == runTaken && !r.stopping && r.pace != r.paceSent && r.task.step.Fills:
 				r.paceSent = r.pace
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -90,12 +90,12 @@
 	}
 	for _, l := range listed {
 		w := o.worker(now, l.ID)
-		if w.Born != 0 && l.Born != 0 && l.Born > w.Born {
-			o.reborn(now, w, l.Born)
-		}
-		born := max(w.Born, l.Born)
+		born := w.Born
 		w.ListedWorker = l
-		w.Born = born
+		if w.known {
+			// What the worker itself said last tells its lives apart; an entry may be older or newer than that.
+			w.Born = born
+		}
 		w.listed = true
 	}
 	o.forgetWorkers()
@@ -148,14 +148,26 @@
 	return w
 }
 
-// reborn notes that a worker has started again under its id: nothing of before runs, and its counts start anew.
-func (o *Owner) reborn(now Now, w *worker, born wigeonstep.UnixMillis) {
-	o.loseRuns(now, w, "the worker started again")
-	w.Born = born
+// reborn notes that a worker has started again under its id: nothing of before runs, and its counts start anew. there
+// names the runs that the new life has. A start of before that got no answer may yet begin in the new life, so such a
+// run is stopped there before its task goes on.
+func (o *Owner) reborn(now Now, w *worker, there func(*run) bool) {
+	for _, r := range slices.Clone(w.runs) {
+		switch {
+		case there(r), r.phase == runPlanned, r.phase == runWriting, r.phase == runStarting && r.startTry == 0:
+		case r.phase == runStarting, r.phase == runUnknown:
+			r.phase, r.settled, r.stopping, r.stopSent = runUnknown, -1, true, 0
+		default:
+			o.note("run_lost", r, "the worker started again", now.Steady-r.seen)
+			o.resolve(now, r, wigeonstep.EndLapsed, r.task.checkpoint)
+		}
+	}
+	w.Born = 0
 	w.clock, w.clockAt, w.until = 0, 0, 0
 	w.seen, w.writing, w.durable = 0, 0, 0
 	w.known = false
 	w.trust = trust{}
+	o.noteWorker("worker_reborn", w, "it started again under its id")
 }
 
 // loseRuns resolves every run of a worker that is certainly not there any more.
--- /dev/null
+++ b/wigeonshard/owner_test.go
@@ -0,0 +1,175 @@
+package wigeonshard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+)
+
+// Guards against a job whose steps never start or never end on a calm day.
+func TestCalmDayCompletesAllJobs(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 1, 4)
+	w.own()
+	for i := range 20 {
+		w.submit(testJob(wigeonstep.JobID(fmt.Sprintf("job%02d", i)), testStep(4), testStep(3, 0)))
+	}
+	w.run(20 * time.Second)
+	c.Assert(w.faults, qt.HasLen, 0)
+	c.Assert(w.unfinished(), qt.HasLen, 0)
+}
+
+// Guards against renewals that keep the lease of a silent worker alive: every hold that got no answer moved the end of
+// the lease on, so the tasks of a worker that was gone for good never started again.
+func TestTasksOfSilentWorkerStartElsewhere(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 2, 3)
+	w.own()
+	lasting := testStep(2)
+	lasting.LongRunning, lasting.MaxPerWorker = true, 1
+	w.submit(testJob("lasting", lasting))
+	w.run(2 * time.Second)
+	var held wigeonstep.WorkerID
+	for _, l := range w.listed {
+		if len(w.workers[l.ID].runs) > 0 {
+			held = l.ID
+		}
+	}
+	w.crash(held, false)
+	w.run(testSettings.Lease + 3*time.Second)
+	c.Assert(w.faults, qt.HasLen, 0)
+	for i := range lasting.Count {
+		c.Assert(w.running[wigeonstep.TaskID{Job: "lasting", Index: i}], qt.Equals, 1)
+	}
+}
+
+// Guards against a task that runs twice, is lost, or starts after its end was noted, while owners replace each other,
+// calls are lost or carried out late, workers crash and come back, and the log is away.
+func TestSeededFaults(t *testing.T) {
+	seeds := 150
+	if testing.Short() {
+		seeds = 20
+	}
+	for seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			c := qt.New(t)
+			w := newWorld(t, uint64(seed), 6)
+			w.loss, w.late = 0.03, 0.02
+			w.own()
+			for i := range 40 {
+				job := testJob(wigeonstep.JobID(fmt.Sprintf("job%02d", i)), testStep(1+w.random.IntN(6)), testStep(1+w.random.IntN(3), 0))
+				w.after(time.Duration(w.random.IntN(15_000))*time.Millisecond, func() { w.submit(job) })
+				if w.random.IntN(8) == 0 {
+					w.after(time.Duration(w.random.IntN(20_000))*time.Millisecond, func() {
+						if w.log.Find(job.ID) != nil {
+							w.cancel(job.ID)
+						}
+					})
+				}
+			}
+			for range 6 {
+				w.after(time.Duration(w.random.IntN(20_000))*time.Millisecond, func() { w.disturb() })
+			}
+			w.run(22 * time.Second)
+			w.calm()
+			w.run(60 * time.Second)
+			c.Assert(w.faults, qt.HasLen, 0)
+			c.Assert(w.unfinished(), qt.HasLen, 0)
+		})
+	}
+}
+
+// disturb does one thing that may happen to a fleet.
+func (w *world) disturb() {
+	id := w.listed[w.random.IntN(len(w.listed))].ID
+	newest := w.owners[len(w.owners)-1]
+	switch w.random.IntN(6) {
+	case 0:
+		newest.dead = true
+		w.after(time.Second, func() { w.own() })
+	case 1:
+		// The former owner is cut off from the log and goes on.
+		newest.cutFromLog = true
+		w.own()
+	case 2:
+		w.crash(id, true)
+	case 3:
+		newest.cut[id] = true
+		w.after(8*time.Second, func() { newest.cut[id] = false })
+	case 4:
+		w.logDown = true
+		w.after(4*time.Second, func() { w.logDown = false })
+	case 5:
+		// A new owner while the former one still reaches everything.
+		w.own()
+	}
+}
+
+// calm ends all disturbances.
+func (w *world) calm() {
+	w.loss, w.late, w.logDown = 0, 0, false
+	for _, o := range w.owners {
+		o.cut = map[wigeonstep.WorkerID]bool{}
+		o.cutFromLog = false
+	}
+	if w.owners[len(w.owners)-1].dead {
+		w.own()
+	}
+}
+
+// Guards against a job that can never be done and holds its workers for ever.
+func TestHopelessJobFailsAfterItsAttempts(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 3, 2)
+	starts := 0
+	w.duration = func(wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) {
+		starts++
+		return 100 * time.Millisecond, wigeonstep.EndFailed
+	}
+	w.own()
+	w.submit(testJob("hopeless", testStep(1)))
+	w.run(10 * time.Second)
+	c.Assert(starts, qt.Equals, 4)
+	c.Assert(w.log.Find("hopeless").State(), qt.Equals, wigeonjob.StateFailed)
+}
+
+// Guards against an upkeep that ends work: a worker is released only when nothing runs there, and long-running tasks
+// move one at a time.
+func TestCordonedWorkerIsEmptiedWithinBudget(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 4, 5)
+	o := w.own()
+	lasting := testStep(3)
+	lasting.LongRunning, lasting.MaxPerWorker, lasting.MayMiss = true, 1, 1
+	w.submit(testJob("lasting", lasting))
+	w.run(2 * time.Second)
+	for _, l := range w.listed {
+		if len(w.workers[l.ID].runs) > 0 {
+			w.cordons[l.ID] = wigeonstep.VMID("vm-" + string(l.ID))
+			if len(w.cordons) == 2 {
+				break
+			}
+		}
+	}
+	o.SetCordons(w.cordons)
+	least := 3
+	for range 300 {
+		w.run(10 * time.Millisecond)
+		running := 0
+		for i := range 3 {
+			running += w.running[wigeonstep.TaskID{Job: "lasting", Index: i}]
+		}
+		least = min(least, running)
+	}
+	c.Assert(w.faults, qt.HasLen, 0)
+	c.Assert(least, qt.Equals, 2)
+	for id := range w.cordons {
+		c.Assert(w.workers[id].runs, qt.HasLen, 0)
+		c.Assert(w.log.Releases[id].Worker, qt.Equals, id)
+	}
+}
