Move VMs between pools with the demand of the queues

Cause: each queue in its turn asks several times what its pool holds, while the other pools idle. wigeonbalance sizes a pool by the work that arrives and waits; idle VMs go to pools that lack some, or are switched off.

--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -192,9 +192,16 @@
 
 // HandlePeer implements wigeonpeer.Handler.
 func (d *Daemon) HandlePeer(ctx context.Context, request *wigeonwire.PeerRequest) *wigeonwire.PeerResponse {
+	if report := request.GetShard(); report != nil {
+		var orders *wigeonwire.ShardOrders
+		if !d.ask(ctx, func() { orders = d.takeReport(report) }) {
+			return nil
+		}
+		return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Shard{Shard: orders}}
+	}
 	query := request.GetJob()
 	if query == nil {
-		return &wigeonwire.PeerResponse{Error: "this process answers only questions about jobs"}
+		return &wigeonwire.PeerResponse{Error: "this process answers only questions about jobs and reports of shards"}
 	}
 	v, ok := d.look(ctx, wigeonstep.Partition(query.GetPartition()), wigeonstep.JobID(query.GetJob()))
 	if !ok {
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -15,7 +15,6 @@
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeontail"
-	"github.com/wigeonstep/wigeonstep/wigeonwave"
 )
 
 const (
@@ -91,7 +90,11 @@
 	waves      map[int]wigeonstep.Wave
 	fleet      fleet
 	limits     map[wigeonstep.WorkerID]chan struct{}
-	stepped    time.Duration
+	// reported is when the owned shards last reported to the owner of the fleet's partition.
+	reported  time.Duration
+	reporting bool
+	// extraCordons are the cordons that the owner of the fleet's partition named and that the replica does not hold yet.
+	extraCordons map[wigeonstep.WorkerID]wigeonstep.VMID
 }
 
 // New returns a daemon.
@@ -103,7 +106,7 @@
 		assigned: map[wigeonstep.Partition]bool{},
 		waves:    map[int]wigeonstep.Wave{},
 		limits:   map[wigeonstep.WorkerID]chan struct{}{},
-		fleet:    fleet{planner: &wigeonwave.Planner{}, reported: map[int]bool{}},
+		fleet:    newFleet(),
 	}
 }
 
@@ -316,5 +319,6 @@
 			sh.retryClaim = now.Steady + claimRetryDelay
 		}
 	}
+	d.reportShards(now)
 	d.stepFleet(now)
 }
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -10,49 +10,90 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonbalance"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeonwave"
 )
 
-// listInterval is the pause between two readings of the list of VMs while a wave is under way.
-const listInterval = 500 * time.Millisecond
+const (
+	// listInterval is the pause between two readings of the list of VMs while VMs change, idleListInterval otherwise.
+	listInterval     = 400 * time.Millisecond
+	idleListInterval = 1500 * time.Millisecond
+	// planInterval is the pause between two plans.
+	planInterval = 50 * time.Millisecond
+)
 
 // fleet is the state of the owner of the fleet's partition.
 type fleet struct {
-	planner *wigeonwave.Planner
-	vms     map[wigeonstep.VMID]wigeonstep.PooledVM
+	planner  *wigeonwave.Planner
+	balancer *wigeonbalance.Planner
+	vms      map[wigeonstep.VMID]wigeonstep.PooledVM
 	// listed is when the newest reading of the list was sent, fresh the time before which readings no longer count.
 	listed, fresh time.Duration
 	listing       bool
 	writing       bool
-	// done holds the orders whose upkeep the platform has confirmed and whose record is not written.
-	done []wigeonjob.UpkeepOrder
+	// done and moved hold the orders that the platform has confirmed and whose records are not written.
+	done  []wigeonjob.UpkeepOrder
+	moved []wigeonjob.MoveOrder
 	// reported tells which waves the operator was told are completed.
 	reported map[int]bool
+	// demands holds the newest report of each service, released the workers that shards reported as empty.
+	demands  map[wigeonstep.PoolName]wigeonbalance.Demand
+	released map[wigeonstep.WorkerID]bool
+	planned  time.Duration
 }
 
-func (f *fleet) reset() {
-	*f = fleet{planner: &wigeonwave.Planner{}, reported: map[int]bool{}}
+func newFleet() fleet {
+	return fleet{
+		planner: &wigeonwave.Planner{}, balancer: &wigeonbalance.Planner{}, reported: map[int]bool{},
+		demands: map[wigeonstep.PoolName]wigeonbalance.Demand{}, released: map[wigeonstep.WorkerID]bool{},
+	}
 }
 
-// stepFleet carries out the waves while this process owns the fleet's partition.
+// stepFleet carries out waves and moves while this process owns the fleet's partition.
 func (d *Daemon) stepFleet(now wigeonshard.Now) {
 	sh := d.shards[fleetPartition]
 	f := &d.fleet
-	if !sh.owned || len(d.waves) == 0 || d.allReported() {
+	if !sh.owned || d.routes.Load() == nil {
 		return
 	}
-	if !f.listing && (f.vms == nil || now.Steady-f.listed > listInterval) {
+	interval := idleListInterval
+	if !d.allReported() || d.changing(sh) {
+		interval = listInterval
+	}
+	if !f.listing && (f.vms == nil || now.Steady-f.listed > interval) {
 		d.listVMs(sh, now.Steady)
 	}
-	if f.writing || f.vms == nil {
+	if f.writing || f.vms == nil || now.Steady-f.planned < planInterval {
 		return
 	}
+	f.planned = now.Steady
+	records := d.planWaves(sh, now)
+	records = append(records, d.planMoves(sh, now)...)
+	d.writeOrders(sh, records)
+}
+
+// changing reports whether a VM is on its way or has orders that are not done.
+func (d *Daemon) changing(sh *shard) bool {
+	for id, order := range sh.replica.Moves {
+		if order.Phase != wigeonjob.OrderDone || d.fleet.vms[id].State == wigeonstep.VMMoving || d.fleet.vms[id].Worker == order.Worker {
+			return true
+		}
+	}
+	return false
+}
+
+func (d *Daemon) planWaves(sh *shard, now wigeonshard.Now) []wigeonstep.KeyedRecord {
+	f := &d.fleet
 	plan := f.planner.Plan(now.Steady, wigeonwave.Fleet{
 		Waves: d.sortedWaves(), VMs: f.vms, Orders: sh.replica.Upkeep, Released: d.released, Spare: d.spare,
+		Moving: func(vm wigeonstep.VMID) bool {
+			order, ordered := sh.replica.Moves[vm]
+			return ordered && order.Phase != wigeonjob.OrderDone
+		},
+		Idle: d.idle,
 	})
-	d.writeOrders(sh, append(f.done, plan.Orders...))
 	for _, order := range plan.Calls {
 		d.callUpkeep(sh, order)
 	}
@@ -62,6 +103,44 @@
 	for _, wave := range plan.Completed {
 		d.report(sh, wave, true)
 	}
+	var records []wigeonstep.KeyedRecord
+	for _, order := range append(f.done, plan.Orders...) {
+		value, err := wigeonjob.EncodeUpkeep(order)
+		if err != nil {
+			d.config.Logger.Error("upkeep_record_failed", zap.String("vm", string(order.VM)), zap.Error(err))
+			continue
+		}
+		records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindUpkeep, order.VM), Value: value})
+		d.config.Logger.Info("upkeep_order", zap.String("vm", string(order.VM)), zap.Int("wave", order.Wave), zap.String("worker", string(order.Worker)), zap.Int("phase", int(order.Phase)))
+	}
+	f.done = nil
+	return records
+}
+
+func (d *Daemon) planMoves(sh *shard, now wigeonshard.Now) []wigeonstep.KeyedRecord {
+	f := &d.fleet
+	plan := f.balancer.Plan(now.Steady, wigeonbalance.Fleet{
+		VMs: f.vms, Moves: sh.replica.Moves, Demands: f.demands, Spare: d.sparePools(), Released: d.released,
+		InUpkeep: func(vm wigeonstep.VMID) bool {
+			order, ordered := sh.replica.Upkeep[vm]
+			return ordered && order.Phase != wigeonjob.OrderDone
+		},
+	})
+	for _, order := range plan.Calls {
+		d.callMove(sh, order)
+	}
+	var records []wigeonstep.KeyedRecord
+	for _, order := range append(f.moved, plan.Orders...) {
+		value, err := wigeonjob.EncodeMove(order)
+		if err != nil {
+			d.config.Logger.Error("move_record_failed", zap.String("vm", string(order.VM)), zap.Error(err))
+			continue
+		}
+		records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindMove, order.VM), Value: value})
+		d.config.Logger.Info("move_order", zap.String("vm", string(order.VM)), zap.String("from", string(order.From)), zap.String("to", string(order.Pool)), zap.String("worker", string(order.Worker)), zap.Int("phase", int(order.Phase)))
+	}
+	f.moved = nil
+	return records
 }
 
 func (d *Daemon) allReported() bool {
@@ -81,6 +160,9 @@
 
 // released reports whether a shard has emptied the worker.
 func (d *Daemon) released(worker wigeonstep.WorkerID) bool {
+	if d.fleet.released[worker] {
+		return true
+	}
 	for _, sh := range d.order {
 		if _, ok := sh.replica.Releases[worker]; ok {
 			return true
@@ -94,6 +176,27 @@
 	return table != nil && table.spare[wigeonstep.ServiceName(pool)]
 }
 
+// sparePools returns the pools whose VMs are off.
+func (d *Daemon) sparePools() map[wigeonstep.PoolName]bool {
+	pools := map[wigeonstep.PoolName]bool{}
+	for name, spare := range d.routes.Load().spare {
+		if spare {
+			pools[wigeonstep.PoolName(name)] = true
+		}
+	}
+	return pools
+}
+
+// idle reports whether nothing runs on a worker.
+func (d *Daemon) idle(worker wigeonstep.WorkerID) bool {
+	for _, demand := range d.fleet.demands {
+		if demand.Idle[worker] {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Daemon) listVMs(sh *shard, now time.Duration) {
 	d.fleet.listing = true
 	ctx := sh.ctx
@@ -121,33 +224,55 @@
 }
 
 // writeOrders makes orders durable. No plan is made until then.
-func (d *Daemon) writeOrders(sh *shard, orders []wigeonjob.UpkeepOrder) {
-	if len(orders) == 0 {
+func (d *Daemon) writeOrders(sh *shard, records []wigeonstep.KeyedRecord) {
+	if len(records) == 0 {
 		return
 	}
-	var records []wigeonstep.KeyedRecord
-	for _, order := range orders {
-		value, err := wigeonjob.EncodeUpkeep(order)
-		if err != nil {
-			d.config.Logger.Error("upkeep_record_failed", zap.String("vm", string(order.VM)), zap.Error(err))
-			return
-		}
-		records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindUpkeep, order.VM), Value: value})
-		d.config.Logger.Info("upkeep_order", zap.String("vm", string(order.VM)), zap.Int("wave", order.Wave), zap.String("worker", string(order.Worker)), zap.Int("phase", int(order.Phase)))
-	}
-	d.fleet.done = nil
 	d.fleet.writing = true
 	d.append(sh, records, func() {
 		d.fleet.writing = false
 		for _, record := range records {
 			if err := sh.replica.Apply(record); err != nil {
-				d.config.Logger.Error("upkeep_record_failed", zap.String("key", record.Key), zap.Error(err))
+				d.config.Logger.Error("fleet_record_failed", zap.String("key", record.Key), zap.Error(err))
 			}
 		}
 		d.spreadCordons()
 	})
 }
 
+func (d *Daemon) callMove(sh *shard, order wigeonjob.MoveOrder) {
+	ctx, fence := sh.ctx, sh.epoch
+	go func() {
+		err := d.config.Machines.Move(ctx, order.VM, order.Pool, fence)
+		d.post(func() {
+			if ctx.Err() == nil {
+				d.moveCalled(sh, order, err)
+			}
+		})
+	}()
+}
+
+func (d *Daemon) moveCalled(sh *shard, order wigeonjob.MoveOrder, err error) {
+	now := d.config.Now().Steady
+	f := &d.fleet
+	f.balancer.Called(now, order.VM, err == nil)
+	d.config.Logger.Info("move_called", zap.String("vm", string(order.VM)), zap.String("to", string(order.Pool)), zap.Error(err))
+	switch {
+	case err == nil:
+		order.Phase = wigeonjob.OrderDone
+		f.moved = append(f.moved, order)
+		if vm, ok := f.vms[order.VM]; ok {
+			// The list says so as soon as it is read again.
+			vm.State, vm.Pool = wigeonstep.VMMoving, order.Pool
+			f.vms[order.VM] = vm
+		}
+		f.fresh = now
+	case errors.Is(err, wigeonstep.ErrFenced):
+		d.drop(sh, "the machines' service has seen a higher fence")
+		sh.retryClaim = now + claimRetryDelay
+	}
+}
+
 func (d *Daemon) callUpkeep(sh *shard, order wigeonjob.UpkeepOrder) {
 	ctx, fence := sh.ctx, sh.epoch
 	go func() {
@@ -167,10 +292,14 @@
 	d.config.Logger.Info("upkeep_called", zap.String("vm", string(order.VM)), zap.Int("wave", order.Wave), zap.Error(err))
 	switch {
 	case err == nil:
-		order.Phase = wigeonjob.UpkeepDone
+		order.Phase = wigeonjob.OrderDone
 		f.done = append(f.done, order)
-		// Older readings may still show the VM as up.
-		f.fresh, f.vms = now, nil
+		if vm, ok := f.vms[order.VM]; ok {
+			// The list says so as soon as it is read again; older readings may still show the VM as up.
+			vm.State = wigeonstep.VMUpkeep
+			f.vms[order.VM] = vm
+		}
+		f.fresh = now
 	case errors.Is(err, wigeonstep.ErrFenced):
 		d.drop(sh, "the machines' service has seen a higher fence")
 		sh.retryClaim = now + claimRetryDelay
--- a/wigeondaemon/registry.go
+++ b/wigeondaemon/registry.go
@@ -126,7 +126,16 @@
 // cordons returns the workers that the fleet's owner wants emptied.
 func (d *Daemon) cordons() map[wigeonstep.WorkerID]wigeonstep.VMID {
 	cordons := map[wigeonstep.WorkerID]wigeonstep.VMID{}
-	for vm, order := range d.shards[fleetPartition].replica.Upkeep {
+	for worker, vm := range d.extraCordons {
+		cordons[worker] = vm
+	}
+	replica := d.shards[fleetPartition].replica
+	for vm, order := range replica.Upkeep {
+		if order.Worker != "" {
+			cordons[order.Worker] = vm
+		}
+	}
+	for vm, order := range replica.Moves {
 		if order.Worker != "" {
 			cordons[order.Worker] = vm
 		}
--- /dev/null
+++ b/wigeondaemon/report.go
@@ -0,0 +1,150 @@
+package wigeondaemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonbalance"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonshard"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// reportInterval is how often the owner of a shard tells the owner of the fleet's partition what its services need.
+const reportInterval = 60 * time.Millisecond
+
+// reportShards sends the reports of the owned shards that are due.
+func (d *Daemon) reportShards(now wigeonshard.Now) {
+	if now.Steady-d.reported < reportInterval || d.reporting {
+		return
+	}
+	var reports []*wigeonwire.ShardReport
+	for _, sh := range d.order {
+		if sh.owner != nil {
+			reports = append(reports, d.shardReport(sh, now))
+		}
+	}
+	if len(reports) == 0 {
+		return
+	}
+	d.reported = now.Steady
+	fleetShard := d.shards[fleetPartition]
+	if fleetShard.owned {
+		for _, r := range reports {
+			d.takeReport(r)
+		}
+		return
+	}
+	address := fleetShard.replica.Owner.Address
+	if address == "" || address == d.config.Shard.Address {
+		return
+	}
+	d.reporting = true
+	go d.sendReports(address, reports)
+}
+
+func (d *Daemon) sendReports(address string, reports []*wigeonwire.ShardReport) {
+	cordons := map[wigeonstep.WorkerID]wigeonstep.VMID{}
+	for _, r := range reports {
+		ctx, cancel := context.WithTimeout(d.ctx, peerTimeout)
+		answer, err := d.config.Peers.Call(ctx, address, &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Shard{Shard: r}})
+		cancel()
+		if err != nil {
+			d.config.Metrics.peerFailures.Inc()
+			break
+		}
+		if orders := answer.GetShard(); orders.GetOwner() {
+			for _, c := range orders.GetCordons() {
+				cordons[wigeonstep.WorkerID(c.GetWorker())] = wigeonstep.VMID(c.GetVm())
+			}
+		}
+	}
+	d.post(func() {
+		d.reporting = false
+		if len(cordons) > 0 {
+			d.extraCordons = cordons
+			d.spreadCordons()
+		}
+	})
+}
+
+// shardReport returns what the services of an owned shard need and have.
+func (d *Daemon) shardReport(sh *shard, now wigeonshard.Now) *wigeonwire.ShardReport {
+	var services []wigeonstep.ServiceName
+	if table := d.routes.Load(); table != nil {
+		for _, name := range table.services {
+			if d.partition(name) == sh.part {
+				services = append(services, name)
+			}
+		}
+	}
+	report := &wigeonwire.ShardReport{Partition: uint32(sh.part), Epoch: uint64(sh.epoch)}
+	for _, demand := range sh.owner.Demands(now, services) {
+		report.Services = append(report.Services, &wigeonwire.ServiceDemand{
+			Service:          string(demand.Service),
+			WorkCoreMs:       int64(demand.Work),
+			ArrivalMilliCpu:  int64(demand.Arrival * 1000),
+			CapacityMilliCpu: int64(demand.Capacity),
+			Blocked:          uint32(max(demand.Blocked, 0)),
+			Usable:           texts(demand.Usable),
+			Idle:             texts(demand.Idle),
+		})
+	}
+	report.Released = texts(sh.owner.Released())
+	return report
+}
+
+func texts(ids []wigeonstep.WorkerID) []string {
+	all := make([]string, len(ids))
+	for i, id := range ids {
+		all[i] = string(id)
+	}
+	return all
+}
+
+func workerSet(ids []string) map[wigeonstep.WorkerID]bool {
+	set := make(map[wigeonstep.WorkerID]bool, len(ids))
+	for _, id := range ids {
+		set[wigeonstep.WorkerID(id)] = true
+	}
+	return set
+}
+
+// takeReport takes the report of a shard over and returns what its owner has to empty.
+func (d *Daemon) takeReport(r *wigeonwire.ShardReport) *wigeonwire.ShardOrders {
+	sh := d.shards[fleetPartition]
+	if !sh.owned {
+		return &wigeonwire.ShardOrders{}
+	}
+	now := d.config.Now().Steady
+	for _, s := range r.GetServices() {
+		d.fleet.demands[wigeonstep.PoolName(s.GetService())] = wigeonbalance.Demand{
+			At:       now,
+			Work:     float64(s.GetWorkCoreMs()),
+			Arrival:  float64(s.GetArrivalMilliCpu()) / 1000,
+			Capacity: wigeonstep.MilliCPU(s.GetCapacityMilliCpu()),
+			Blocked:  int(s.GetBlocked()),
+			Usable:   workerSet(s.GetUsable()),
+			Idle:     workerSet(s.GetIdle()),
+		}
+	}
+	for _, worker := range r.GetReleased() {
+		d.fleet.released[wigeonstep.WorkerID(worker)] = true
+	}
+	orders := &wigeonwire.ShardOrders{Owner: true}
+	for vm, order := range sh.replica.Upkeep {
+		orders.Cordons = appendCordon(orders.Cordons, order.Worker, vm, order.Phase)
+	}
+	for vm, order := range sh.replica.Moves {
+		orders.Cordons = appendCordon(orders.Cordons, order.Worker, vm, order.Phase)
+	}
+	return orders
+}
+
+func appendCordon(all []*wigeonwire.CordonedWorker, worker wigeonstep.WorkerID, vm wigeonstep.VMID, phase wigeonjob.OrderPhase) []*wigeonwire.CordonedWorker {
+	if worker == "" || phase == wigeonjob.OrderDone {
+		return all
+	}
+	return append(all, &wigeonwire.CordonedWorker{Worker: string(worker), Vm: string(vm)})
+}
--- a/wigeondaemon/routes.go
+++ b/wigeondaemon/routes.go
@@ -11,6 +11,8 @@
 	version wigeonstep.ConfigVersion
 	hosts   map[string][]wigeonstep.Queue
 	spare   map[wigeonstep.ServiceName]bool
+	// services are in the order of the configuration.
+	services []wigeonstep.ServiceName
 }
 
 func newRouteTable(c *wigeonstep.Configuration) *routeTable {
@@ -21,6 +23,7 @@
 	}
 	for _, s := range c.Services {
 		t.spare[s.Name] = s.Spare
+		t.services = append(t.services, s.Name)
 	}
 	return t
 }
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -225,7 +225,8 @@
 	sh.ctx, sh.cancel = context.WithCancel(d.ctx)
 	d.config.Logger.Info("shard_owned", zap.Int("partition", int(sh.part)), zap.Uint64("epoch", uint64(sh.epoch)), zap.Uint64("offset", uint64(sh.next)), zap.Int("jobs", len(sh.replica.Jobs())))
 	if sh.part == fleetPartition {
-		d.fleet.reset()
+		d.fleet = newFleet()
+		d.noteOwner(sh)
 		return
 	}
 	sh.owner = wigeonshard.NewOwner(d.config.Shard, sh.epoch, now)
@@ -247,6 +248,16 @@
 	d.tellWorkers(sh, now)
 }
 
+// noteOwner tells the others where the owner of the fleet's partition is reached.
+func (d *Daemon) noteOwner(sh *shard) {
+	value, err := wigeonjob.EncodeOwner(wigeonjob.OwnerNote{Epoch: sh.epoch, Address: d.config.Shard.Address})
+	if err != nil {
+		d.config.Logger.Error("owner_record_failed", zap.Error(err))
+		return
+	}
+	d.append(sh, []wigeonstep.KeyedRecord{{Key: wigeonjob.OwnerKey, Value: value}}, func() {})
+}
+
 func accepted(sh *shard, id wigeonstep.JobID) wigeonstep.UnixMillis {
 	if e := sh.replica.Find(id); e != nil {
 		return e.Job.Accepted
--- a/wigeonjob/key.go
+++ b/wigeonjob/key.go
@@ -17,6 +17,7 @@
 	KindOwner    Kind = 'o'
 	KindUpkeep   Kind = 'u'
 	KindRelease  Kind = 'r'
+	KindMove     Kind = 'm'
 )
 
 // Key returns the key of an id.
--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -70,16 +70,16 @@
 	Tasks []TaskProgress
 }
 
-// UpkeepPhase is how far the upkeep of a VM is.
-type UpkeepPhase int
+// OrderPhase is how far the order to change a VM is.
+type OrderPhase int
 
 const (
-	// UpkeepCordon means that the worker is to be emptied.
-	UpkeepCordon UpkeepPhase = iota
-	// UpkeepCalled means that the upkeep may have begun.
-	UpkeepCalled
-	// UpkeepDone means that the platform has confirmed the upkeep.
-	UpkeepDone
+	// OrderCordon means that the worker is to be emptied.
+	OrderCordon OrderPhase = iota
+	// OrderCalled means that the change may have begun.
+	OrderCalled
+	// OrderDone means that the platform has confirmed the change.
+	OrderDone
 )
 
 // UpkeepOrder is the order of the fleet's owner to take a VM down for the upkeep of a wave.
@@ -88,7 +88,17 @@
 	Wave int
 	// Worker is the life of the VM that is emptied; empty when the VM is off.
 	Worker wigeonstep.WorkerID
-	Phase  UpkeepPhase
+	Phase  OrderPhase
+}
+
+// MoveOrder is the order of the fleet's owner to move a VM to another pool.
+type MoveOrder struct {
+	VM   wigeonstep.VMID
+	From wigeonstep.PoolName
+	Pool wigeonstep.PoolName
+	// Worker is the life of the VM that is emptied; empty when the VM is off.
+	Worker wigeonstep.WorkerID
+	Phase  OrderPhase
 }
 
 // Release says that a worker is empty and that its shard starts nothing there any more.
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -201,7 +201,24 @@
 	if err := proto.Unmarshal(value, &r); err != nil {
 		return UpkeepOrder{}, fmt.Errorf("record of the upkeep of %s: %w", vm, err)
 	}
-	return UpkeepOrder{VM: vm, Wave: int(r.GetWave()), Worker: wigeonstep.WorkerID(r.GetWorker()), Phase: UpkeepPhase(r.GetPhase())}, nil
+	return UpkeepOrder{VM: vm, Wave: int(r.GetWave()), Worker: wigeonstep.WorkerID(r.GetWorker()), Phase: OrderPhase(r.GetPhase())}, nil
+}
+
+// EncodeMove returns the record of a move order.
+func EncodeMove(o MoveOrder) ([]byte, error) {
+	return encode(&wigeonwire.MoveRecord{Pool: string(o.Pool), From: string(o.From), Worker: string(o.Worker), Phase: wigeonwire.UpkeepRecord_Phase(o.Phase)})
+}
+
+// DecodeMove reads the record of a move order.
+func DecodeMove(vm wigeonstep.VMID, value []byte) (MoveOrder, error) {
+	var r wigeonwire.MoveRecord
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return MoveOrder{}, fmt.Errorf("record of the move of %s: %w", vm, err)
+	}
+	return MoveOrder{
+		VM: vm, From: wigeonstep.PoolName(r.GetFrom()), Pool: wigeonstep.PoolName(r.GetPool()),
+		Worker: wigeonstep.WorkerID(r.GetWorker()), Phase: OrderPhase(r.GetPhase()),
+	}, nil
 }
 
 // EncodeRelease returns the record of a release.
--- a/wigeonreplica/replica.go
+++ b/wigeonreplica/replica.go
@@ -30,6 +30,8 @@
 	Owner wigeonjob.OwnerNote
 	// Upkeep holds the newest upkeep order of each VM; only the fleet's partition has any.
 	Upkeep map[wigeonstep.VMID]wigeonjob.UpkeepOrder
+	// Moves holds the newest move order of each VM; only the fleet's partition has any.
+	Moves map[wigeonstep.VMID]wigeonjob.MoveOrder
 	// Releases holds the workers that a shard has emptied.
 	Releases map[wigeonstep.WorkerID]wigeonjob.Release
 
@@ -89,6 +91,15 @@
 			r.Upkeep = map[wigeonstep.VMID]wigeonjob.UpkeepOrder{}
 		}
 		r.Upkeep[order.VM] = order
+	case wigeonjob.KindMove:
+		order, err := wigeonjob.DecodeMove(wigeonstep.VMID(id), record.Value)
+		if err != nil {
+			return err
+		}
+		if r.Moves == nil {
+			r.Moves = map[wigeonstep.VMID]wigeonjob.MoveOrder{}
+		}
+		r.Moves[order.VM] = order
 	case wigeonjob.KindRelease:
 		release, err := wigeonjob.DecodeRelease(wigeonstep.WorkerID(id), record.Value)
 		if err != nil {
@@ -160,6 +171,8 @@
 		delete(r.jobs, wigeonstep.JobID(id))
 	case wigeonjob.KindUpkeep:
 		delete(r.Upkeep, wigeonstep.VMID(id))
+	case wigeonjob.KindMove:
+		delete(r.Moves, wigeonstep.VMID(id))
 	case wigeonjob.KindRelease:
 		delete(r.Releases, wigeonstep.WorkerID(id))
 	}
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -24,6 +24,9 @@
 		o.recount(j, occ)
 	}
 	o.raise(now, j)
+	if j.state == wigeonjob.StatePending {
+		o.arrived(now, j)
+	}
 	if cancelled {
 		o.Cancel(now, accepted.ID)
 	}
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -41,6 +41,7 @@
 	roster []*worker
 	// released names the workers whose release the log holds.
 	released map[wigeonstep.WorkerID]bool
+	arrivals map[wigeonstep.ServiceName]*arrivals
 
 	dirty    []*job
 	releases []wigeonjob.Release
@@ -59,6 +60,7 @@
 		jobs:      map[wigeonstep.JobID]*job{},
 		workers:   map[wigeonstep.WorkerID]*worker{},
 		released:  map[wigeonstep.WorkerID]bool{},
+		arrivals:  map[wigeonstep.ServiceName]*arrivals{},
 	}
 }
 
@@ -121,6 +123,17 @@
 	}
 }
 
+// Released returns the workers whose release the log holds.
+func (o *Owner) Released() []wigeonstep.WorkerID {
+	var released []wigeonstep.WorkerID
+	for _, w := range o.roster {
+		if o.released[w.ID] {
+			released = append(released, w.ID)
+		}
+	}
+	return released
+}
+
 // SetReleased names a worker whose release the log holds.
 func (o *Owner) SetReleased(r wigeonjob.Release) {
 	o.released[r.Worker] = true
--- a/wigeonwave/plan.go
+++ b/wigeonwave/plan.go
@@ -24,6 +24,10 @@
 	VMs map[wigeonstep.VMID]wigeonstep.PooledVM
 	// Orders are the orders that the log holds.
 	Orders map[wigeonstep.VMID]wigeonjob.UpkeepOrder
+	// Moving tells whether a move of the VM is under way; its upkeep waits.
+	Moving func(vm wigeonstep.VMID) bool
+	// Idle tells whether nothing runs on a worker.
+	Idle func(worker wigeonstep.WorkerID) bool
 	// Released tells whether the shard of a worker has emptied it.
 	Released func(worker wigeonstep.WorkerID) bool
 	// Spare tells whether the VMs of a pool are off.
@@ -68,7 +72,7 @@
 	for _, id := range wave.VMs {
 		vm, present := fleet.VMs[id]
 		order, ordered := fleet.Orders[id]
-		if ordered && order.Wave != wave.Number && order.Phase != wigeonjob.UpkeepDone {
+		if ordered && order.Wave != wave.Number && order.Phase != wigeonjob.OrderDone {
 			// Another wave's upkeep of the VM comes first.
 			left++
 			continue
@@ -78,25 +82,25 @@
 				continue
 			}
 			left++
-			if vm.State == wigeonstep.VMUp {
+			if vm.State == wigeonstep.VMUp && !fleet.Moving(id) {
 				fresh = append(fresh, wigeonjob.UpkeepOrder{VM: id, Wave: wave.Number, Worker: vm.Worker})
 			}
 			continue
 		}
 		switch order.Phase {
-		case wigeonjob.UpkeepDone:
+		case wigeonjob.OrderDone:
 			begun++
 			if present && (vm.State == wigeonstep.VMUpkeep || (vm.Worker == order.Worker && order.Worker != "" && vm.State != wigeonstep.VMDown)) {
 				down++
 			}
-		case wigeonjob.UpkeepCalled:
+		case wigeonjob.OrderCalled:
 			if !present {
 				continue
 			}
 			left++
 			down++
 			p.call(now, order, plan)
-		case wigeonjob.UpkeepCordon:
+		case wigeonjob.OrderCordon:
 			if !present {
 				continue
 			}
@@ -117,7 +121,7 @@
 		}
 		down++
 		cordoned--
-		order.Phase = wigeonjob.UpkeepCalled
+		order.Phase = wigeonjob.OrderCalled
 		plan.Orders = append(plan.Orders, order)
 	}
 	p.cordon(fleet, wave, fresh, cordoned, plan)
@@ -128,7 +132,7 @@
 	}
 }
 
-// cordon orders the next VMs of a wave to be emptied: those that are off first, since they need no emptying.
+// cordon orders the next VMs of a wave to be emptied: those that are off first, then those on which nothing runs.
 func (p *Planner) cordon(fleet Fleet, wave wigeonstep.Wave, fresh []wigeonjob.UpkeepOrder, cordoned int, plan *Plan) {
 	slices.SortStableFunc(fresh, func(a, b wigeonjob.UpkeepOrder) int {
 		return rank(fleet, a) - rank(fleet, b)
@@ -146,7 +150,10 @@
 	if order.Worker == "" || fleet.Spare(fleet.VMs[order.VM].Pool) {
 		return 0
 	}
-	return 1
+	if fleet.Idle(order.Worker) {
+		return 1
+	}
+	return 2
 }
 
 func (p *Planner) call(now time.Duration, order wigeonjob.UpkeepOrder, plan *Plan) {
