Notice runs that stand still and workers that are slow; read the end of a log at once after loading

Cause: a replica of a quiet partition was complete only after a read that waited 2 s, which delayed ready and claims after a restart of everything. A worker on which tasks hang was never emptied for its upkeep.

--- a/wigeondaemon/registry.go
+++ b/wigeondaemon/registry.go
@@ -114,8 +114,9 @@
 
 func (d *Daemon) tellWorkers(sh *shard, now wigeonshard.Now) {
 	var listed []wigeonstep.ListedWorker
+	table := d.routes.Load()
 	for _, w := range d.workers.list() {
-		if d.partition(w.Service) == sh.part {
+		if d.partition(w.Service) == sh.part && (table == nil || !table.spare[w.Service]) {
 			listed = append(listed, w)
 		}
 	}
--- a/wigeonshard/hold.go
+++ b/wigeonshard/hold.go
@@ -21,7 +21,7 @@
 		if unwritten && now.Steady-w.renewed < maxRenewalPause {
 			continue
 		}
-		order := wigeonstep.HoldOrder{Fence: o.fence, LastSeen: w.durable, Wait: o.settings.HoldWait}
+		order := wigeonstep.HoldOrder{Fence: o.fence, LastSeen: w.durable, Wait: o.holdWaitFor(now, w)}
 		if unwritten || !w.known || w.failures > 0 {
 			order.Wait = 0
 		}
@@ -82,6 +82,7 @@
 		w.nextHold = now.Steady + o.settings.HoldGap
 	}
 	o.pace(now, w)
+	o.watch(now, w)
 }
 
 // lists reports whether the answer lists the run as running or ended.
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -77,11 +77,13 @@
 	avoid wigeonstep.WorkerID
 	// retryAt is when the task may be placed again.
 	retryAt time.Duration
+	// copyWanted is set when a copy of a speculative task should run elsewhere.
+	copyWanted bool
 }
 
 // waiting reports whether the task has to be placed.
 func (t *task) waiting() bool {
-	return !t.done && len(t.runs) == 0
+	return !t.done && (len(t.runs) == 0 || t.copyWanted && len(t.runs) == 1)
 }
 
 // runPhase is how far an order to start is.
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -110,9 +110,6 @@
 	if s.Gang && s.live > 0 {
 		return false
 	}
-	if s.left <= s.live && !s.Gang {
-		return false
-	}
 	for _, t := range s.tasks {
 		if t.waiting() && now >= t.retryAt {
 			return true
@@ -231,6 +228,7 @@
 func (o *Owner) plan(t *task, w *worker, number wigeonstep.RunNumber) *run {
 	r := &run{task: t, number: number, worker: w, settled: -1, pace: fullPace, paceSent: fullPace}
 	t.lastRun = number
+	t.copyWanted = false
 	o.attach(r)
 	o.start(t.step.job)
 	return r
@@ -258,7 +256,7 @@
 	var best *worker
 	var bestScore score
 	for _, w := range pool {
-		if !w.free().Holds(room) || w.Service != s.job.Service {
+		if !w.free().Holds(room) || w.Service != s.job.Service || t.runsOn(w) {
 			continue
 		}
 		if s.MaxPerWorker > 0 && w.countOf(s) >= s.MaxPerWorker {
@@ -272,6 +270,11 @@
 	return best
 }
 
+// runsOn reports whether a run of the task is on the worker.
+func (t *task) runsOn(w *worker) bool {
+	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker == w })
+}
+
 // score orders workers for a task; lower fields and values are better.
 type score struct {
 	// avoided is 1 when the task failed there last.
@@ -280,7 +283,7 @@
 	far int
 	// crowd counts what would disturb the task or be disturbed by it.
 	crowd int
-	// left is the CPU that stays free; finite work packs, long-running work spreads.
+	// left is the CPU that stays free. Work packs, so that whole VMs stay idle for other pools or for their upkeep.
 	left wigeonstep.MilliCPU
 }
 
@@ -299,7 +302,8 @@
 	if s.SameRack && !s.besideOthers(w) {
 		sc.far = 1
 	}
-	if s.LongRunning {
+	if s.Fills || s.Target > 0 {
+		// What fills and what serves disturb each other, so they spread.
 		sc.left = -sc.left
 		sc.crowd = w.fillers
 		if s.Fills {
--- a/wigeontail/tail.go
+++ b/wigeontail/tail.go
@@ -49,9 +49,9 @@
 func (t *Tail) Run(ctx context.Context) {
 	delay := minRetryDelay
 	failing := false
-	next, loaded := wigeonstep.Offset(0), false
+	next, loaded, complete := wigeonstep.Offset(0), false, false
 	for ctx.Err() == nil {
-		batch, err := t.read(ctx, loaded, next)
+		batch, err := t.read(ctx, loaded, next, complete)
 		switch {
 		case errors.Is(err, wigeonstep.ErrCompacted):
 			loaded = false
@@ -71,7 +71,7 @@
 			t.Regained()
 		}
 		failing, delay = false, minRetryDelay
-		loaded, next = true, batch.Next
+		loaded, next, complete = true, batch.Next, batch.Complete
 		t.Apply(batch)
 		if t.Gap != nil && batch.Complete {
 			pause(ctx, t.Gap(), t.Kick)
@@ -79,11 +79,16 @@
 	}
 }
 
-func (t *Tail) read(ctx context.Context, loaded bool, next wigeonstep.Offset) (Batch, error) {
+func (t *Tail) read(ctx context.Context, loaded bool, next wigeonstep.Offset, complete bool) (Batch, error) {
 	if !loaded {
 		return t.load(ctx)
 	}
-	read, err := t.Log.ReadKeyed(ctx, t.Part, next, t.Wait)
+	wait := t.Wait
+	if !complete {
+		// The state is not that of one moment yet; the end of the log is there to be read at once.
+		wait = 0
+	}
+	read, err := t.Log.ReadKeyed(ctx, t.Part, next, wait)
 	if err != nil {
 		return Batch{}, err
 	}
