Size a pool by the steps whose turn has come

A cordoned worker whose long-running tasks have no other worker now asks for one, so the waves end in time.

--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -41,7 +41,7 @@
 	Arrival float64
 	// Capacity is the CPU of usable workers, less what long-running tasks take.
 	Capacity wigeonstep.MilliCPU
-	// Blocked counts the long-running tasks that no worker has room for.
+	// Blocked is how many workers are missing for long-running tasks.
 	Blocked int
 	// Usable are the workers that may take work, Idle those of them on which nothing runs.
 	Usable map[wigeonstep.WorkerID]bool
@@ -70,6 +70,19 @@
 	Orders []wigeonjob.MoveOrder
 	// Calls are moves to ask the platform for; the log holds their orders as called.
 	Calls []wigeonjob.MoveOrder
+	// Sizes says for each pool what the plan was made from.
+	Sizes []Size
+}
+
+// Size is the size of a pool in a plan.
+type Size struct {
+	Pool wigeonstep.PoolName
+	// VMs counts those that are there or on their way, Idle those on which nothing runs.
+	VMs, Idle int
+	// Need is the number of VMs that the pool lacks; negative when it has too many.
+	Need int
+	// Age is how old the report was.
+	Age time.Duration
 }
 
 // Planner makes plans. The zero value is ready. Its methods are called by one goroutine.
@@ -101,6 +114,9 @@
 	p.init()
 	incoming := p.follow(now, fleet, &plan)
 	pools := p.pools(now, fleet, incoming)
+	for _, pl := range pools {
+		plan.Sizes = append(plan.Sizes, Size{Pool: pl.name, VMs: pl.size, Idle: len(pl.idle), Need: pl.need, Age: now - fleet.Demands[pl.name].At})
+	}
 	p.move(now, fleet, pools, &plan)
 	return plan
 }
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -22,6 +22,8 @@
 	idleListInterval = 1500 * time.Millisecond
 	// planInterval is the pause between two plans.
 	planInterval = 50 * time.Millisecond
+	// sizeLogInterval is the pause between two lines about the sizes of the pools.
+	sizeLogInterval = time.Second
 )
 
 // fleet is the state of the owner of the fleet's partition.
@@ -42,6 +44,8 @@
 	demands  map[wigeonstep.PoolName]wigeonbalance.Demand
 	released map[wigeonstep.WorkerID]bool
 	planned  time.Duration
+	// sized is when the sizes of the pools were last logged.
+	sized time.Duration
 }
 
 func newFleet() fleet {
@@ -129,6 +133,12 @@
 	for _, order := range plan.Calls {
 		d.callMove(sh, order)
 	}
+	if now.Steady-f.sized > sizeLogInterval {
+		f.sized = now.Steady
+		for _, size := range plan.Sizes {
+			d.config.Logger.Info("pool_size", zap.String("pool", string(size.Pool)), zap.Int("vms", size.VMs), zap.Int("idle", size.Idle), zap.Int("need", size.Need), zap.Duration("age", size.Age))
+		}
+	}
 	var records []wigeonstep.KeyedRecord
 	for _, order := range append(f.moved, plan.Orders...) {
 		value, err := wigeonjob.EncodeMove(order)
--- a/wigeonshard/demand.go
+++ b/wigeonshard/demand.go
@@ -30,13 +30,13 @@
 // Demand is what a service needs and has.
 type Demand struct {
 	Service wigeonstep.ServiceName
-	// Work is what is left of accepted jobs that end, in core-milliseconds.
+	// Work is what is left of the finite steps whose turn has come, in core-milliseconds.
 	Work float64
 	// Arrival is the work that arrives, in cores.
 	Arrival float64
 	// Capacity is the CPU of usable workers, less what long-running tasks take.
 	Capacity wigeonstep.MilliCPU
-	// Blocked counts the long-running tasks that wait for a worker.
+	// Blocked is how many workers are missing for long-running tasks that wait or that have to leave their worker.
 	Blocked int
 	// Usable are the workers that may take work, Idle those of them on which nothing runs.
 	Usable []wigeonstep.WorkerID
@@ -71,21 +71,72 @@
 			}
 		}
 	}
+	for name, n := range o.blocked() {
+		if d := index[name]; d != nil {
+			d.Blocked = n
+		}
+	}
 	for _, j := range o.order {
 		d := index[j.Service]
 		if d == nil || j.state.Terminal() {
 			continue
 		}
 		for _, occ := range j.occurrences {
-			d.Work += occ.finiteWork()
+			d.Work += occ.readyWork()
+		}
+	}
+	return demands
+}
+
+// blocked returns for each service how many workers are missing for long-running tasks. One worker takes tasks of many
+// steps, so the step that lacks most decides.
+func (o *Owner) blocked() map[wigeonstep.ServiceName]int {
+	missing := map[wigeonstep.ServiceName]int{}
+	for _, j := range o.order {
+		if j.state.Terminal() {
+			continue
+		}
+		for _, occ := range j.occurrences {
 			for _, s := range occ.steps {
-				if s.LongRunning {
-					d.Blocked += s.Count - s.live
+				if s.LongRunning && s.ready() {
+					missing[j.Service] = max(missing[j.Service], o.stuck(s))
 				}
 			}
 		}
 	}
-	return demands
+	return missing
+}
+
+// stuck counts the tasks of a long-running step that need a worker which no usable one can replace.
+func (o *Owner) stuck(s *step) int {
+	n := 0
+	for _, t := range s.tasks {
+		if len(t.runs) == 0 && !o.roomFor(s, nil) {
+			n++
+			continue
+		}
+		for _, r := range t.runs {
+			leaving := r.worker.cordoned != "" || r.worker.Draining
+			if leaving && !r.stopping && !o.roomElsewhere(r) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// readyWork returns the work that is left of the finite steps whose turn has come, in core-milliseconds. Later steps do
+// not count: no VM can work on them yet. Half of what runs is taken as done.
+func (occ *occurrence) readyWork() float64 {
+	work := 0.0
+	for _, s := range occ.steps {
+		if s.LongRunning || s.left == 0 || !s.ready() {
+			continue
+		}
+		tasks := float64(s.left) - float64(min(s.live, s.left))/2
+		work += tasks * float64(s.Need.CPU) / 1000 * float64(s.Estimate.Milliseconds())
+	}
+	return work
 }
 
 // finiteWork returns the work that is left of the tasks that end, in core-milliseconds.
--- a/wigeonshard/empty.go
+++ b/wigeonshard/empty.go
@@ -78,9 +78,13 @@
 
 // roomElsewhere reports whether another worker can take the task of the run.
 func (o *Owner) roomElsewhere(r *run) bool {
-	s := r.task.step
+	return o.roomFor(r.task.step, r.worker)
+}
+
+// roomFor reports whether a worker other than the given one can take a task of the step.
+func (o *Owner) roomFor(s *step, except *worker) bool {
 	for _, w := range o.roster {
-		if w == r.worker || !w.usable() || w.Service != s.job.Service || !w.free().Holds(s.Room()) {
+		if w == except || !w.usable() || w.Service != s.job.Service || !w.free().Holds(s.Room()) {
 			continue
 		}
 		if s.RequiredLabel != "" && !w.hasLabel(s.RequiredLabel) {
