Keep the lapse of a silent worker through changes of the owner, and move VMs that are empty soon

The owner's note now holds when the last lease on a silent worker ends, and no lease is renewed there before a newer note is durable. A pool with too many VMs had none idle, since its work was spread over all of them: workers on which only short work runs are emptied for a move. Test: TestOwnersInSuccessionGiveSilentWorkerUp, which failed first.

--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -27,6 +27,8 @@
 	reportLife = 600 * time.Millisecond
 	// retryDelay is the pause before a move that was refused or not answered is asked for again.
 	retryDelay = 300 * time.Millisecond
+	// maxEmptying is the longest time that a VM may take to become empty for a move.
+	maxEmptying = 1500 * time.Millisecond
 	// leastVMs is what a pool with a queue keeps, so that the first job of a burst starts at once.
 	leastVMs = 2
 )
@@ -46,6 +48,8 @@
 	// Usable are the workers that may take work, Idle those of them on which nothing runs.
 	Usable map[wigeonstep.WorkerID]bool
 	Idle   map[wigeonstep.WorkerID]bool
+	// Emptying are the workers on which only work that ends runs, with the time that it is expected to take.
+	Emptying map[wigeonstep.WorkerID]time.Duration
 }
 
 // Fleet is what a plan is made from.
@@ -100,7 +104,9 @@
 	name wigeonstep.PoolName
 	// need is the number of VMs that the pool lacks; negative when it has too many.
 	need int
-	idle []wigeonstep.PooledVM
+	// idle holds the VMs on which nothing runs, emptying those that are empty soon, the soonest last.
+	idle     []wigeonstep.PooledVM
+	emptying []wigeonstep.PooledVM
 	// size counts the VMs that are there or on their way.
 	size int
 }
@@ -209,10 +215,18 @@
 		pl.need = p.vmsFor(fleet, missing) + max(demand.Blocked-len(incoming[name]), 0)
 		for _, id := range slices.Sorted(maps.Keys(fleet.VMs)) {
 			vm := fleet.VMs[id]
-			if vm.Pool == name && vm.State == wigeonstep.VMUp && demand.Idle[vm.Worker] && p.free(fleet, id) {
+			if vm.Pool != name || vm.State != wigeonstep.VMUp || !p.free(fleet, id) {
+				continue
+			}
+			if demand.Idle[vm.Worker] {
 				pl.idle = append(pl.idle, vm)
+			} else if remaining, ok := demand.Emptying[vm.Worker]; ok && remaining <= maxEmptying {
+				pl.emptying = append(pl.emptying, vm)
 			}
 		}
+		slices.SortStableFunc(pl.emptying, func(a, b wigeonstep.PooledVM) int {
+			return cmp.Compare(demand.Emptying[b.Worker], demand.Emptying[a.Worker])
+		})
 		pools = append(pools, pl)
 	}
 	slices.SortStableFunc(pools, func(a, b *pool) int { return cmp.Compare(b.need, a.need) })
@@ -238,15 +252,19 @@
 	return (!ordered || order.Phase == wigeonjob.OrderDone) && !fleet.InUpkeep(vm)
 }
 
-// move orders VMs to the pools that lack some: those that are idle where there are too many, then those that are off.
+// move orders VMs to the pools that lack some: those that are idle where there are too many, then those that are off,
+// then those that are empty soon where there are too many.
 func (p *Planner) move(now time.Duration, fleet Fleet, pools []*pool, plan *Plan) {
 	off := p.off(fleet)
 	for _, to := range pools {
 		for ; to.need > 0; to.need-- {
-			vm, ok := p.takeIdle(pools, to)
+			vm, ok := takeIdle(pools, to)
 			if !ok && len(off) > 0 {
 				vm, off, ok = off[0], off[1:], true
 			}
+			if !ok {
+				vm, ok = takeEmptying(pools, to)
+			}
 			if !ok {
 				break
 			}
@@ -271,14 +289,24 @@
 }
 
 // takeIdle takes an idle VM out of the pool that can spare most.
-func (p *Planner) takeIdle(pools []*pool, to *pool) (wigeonstep.PooledVM, bool) {
+func takeIdle(pools []*pool, to *pool) (wigeonstep.PooledVM, bool) {
+	return take(pools, to, func(pl *pool) *[]wigeonstep.PooledVM { return &pl.idle })
+}
+
+// takeEmptying takes a VM that is empty soon out of the pool that can spare most.
+func takeEmptying(pools []*pool, to *pool) (wigeonstep.PooledVM, bool) {
+	return take(pools, to, func(pl *pool) *[]wigeonstep.PooledVM { return &pl.emptying })
+}
+
+func take(pools []*pool, to *pool, list func(*pool) *[]wigeonstep.PooledVM) (wigeonstep.PooledVM, bool) {
 	for i := len(pools) - 1; i >= 0; i-- {
 		from := pools[i]
-		if from == to || from.need >= 0 || len(from.idle) == 0 || from.size <= leastVMs {
+		vms := list(from)
+		if from == to || from.need >= 0 || len(*vms) == 0 || from.size <= leastVMs {
 			continue
 		}
-		vm := from.idle[len(from.idle)-1]
-		from.idle = from.idle[:len(from.idle)-1]
+		vm := (*vms)[len(*vms)-1]
+		*vms = (*vms)[:len(*vms)-1]
 		from.need++
 		from.size--
 		return vm, true
--- a/wigeondaemon/report.go
+++ b/wigeondaemon/report.go
@@ -81,7 +81,7 @@
 	}
 	report := &wigeonwire.ShardReport{Partition: uint32(sh.part), Epoch: uint64(sh.epoch)}
 	for _, demand := range sh.owner.Demands(now, services) {
-		report.Services = append(report.Services, &wigeonwire.ServiceDemand{
+		service := &wigeonwire.ServiceDemand{
 			Service:          string(demand.Service),
 			WorkCoreMs:       int64(demand.Work),
 			ArrivalMilliCpu:  int64(demand.Arrival * 1000),
@@ -89,7 +89,11 @@
 			Blocked:          uint32(max(demand.Blocked, 0)),
 			Usable:           texts(demand.Usable),
 			Idle:             texts(demand.Idle),
-		})
+		}
+		for _, e := range demand.Emptying {
+			service.Emptying = append(service.Emptying, &wigeonwire.EmptyingWorker{Worker: string(e.Worker), RemainingMs: uint32(e.Remaining.Milliseconds())})
+		}
+		report.Services = append(report.Services, service)
 	}
 	report.Released = texts(sh.owner.Released())
 	return report
@@ -119,6 +123,10 @@
 	}
 	now := d.config.Now().Steady
 	for _, s := range r.GetServices() {
+		emptying := map[wigeonstep.WorkerID]time.Duration{}
+		for _, e := range s.GetEmptying() {
+			emptying[wigeonstep.WorkerID(e.GetWorker())] = time.Duration(e.GetRemainingMs()) * time.Millisecond
+		}
 		d.fleet.demands[wigeonstep.PoolName(s.GetService())] = wigeonbalance.Demand{
 			At:       now,
 			Work:     float64(s.GetWorkCoreMs()),
@@ -127,6 +135,7 @@
 			Blocked:  int(s.GetBlocked()),
 			Usable:   workerSet(s.GetUsable()),
 			Idle:     workerSet(s.GetIdle()),
+			Emptying: emptying,
 		}
 	}
 	for _, worker := range r.GetReleased() {
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -229,7 +229,7 @@
 		d.noteOwner(sh)
 		return
 	}
-	sh.owner = wigeonshard.NewOwner(d.config.Shard, sh.epoch, now)
+	sh.owner = wigeonshard.NewOwner(d.config.Shard, sh.epoch, now, sh.replica.Owner)
 	for _, r := range sh.replica.Releases {
 		sh.owner.SetReleased(r)
 	}
--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -112,4 +112,13 @@
 type OwnerNote struct {
 	Epoch   wigeonstep.Fence
 	Address string
+	// Lapses says for each worker that does not answer when every lease on it has ended. The owner renews none of them
+	// before a note without the worker is durable.
+	Lapses []Lapse
+}
+
+// Lapse is the end of all leases on a worker.
+type Lapse struct {
+	Worker wigeonstep.WorkerID
+	At     wigeonstep.UnixMillis
 }
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -178,7 +178,11 @@
 
 // EncodeOwner returns the record of an owner.
 func EncodeOwner(o OwnerNote) ([]byte, error) {
-	return encode(&wigeonwire.OwnerRecord{Epoch: uint64(o.Epoch), Address: o.Address})
+	r := &wigeonwire.OwnerRecord{Epoch: uint64(o.Epoch), Address: o.Address}
+	for _, l := range o.Lapses {
+		r.Lapses = append(r.Lapses, &wigeonwire.Lapse{Worker: string(l.Worker), UnixMs: int64(l.At)})
+	}
+	return encode(r)
 }
 
 // DecodeOwner reads the record of an owner.
@@ -187,7 +191,11 @@
 	if err := proto.Unmarshal(value, &r); err != nil {
 		return OwnerNote{}, fmt.Errorf("record of the owner: %w", err)
 	}
-	return OwnerNote{Epoch: wigeonstep.Fence(r.GetEpoch()), Address: r.GetAddress()}, nil
+	o := OwnerNote{Epoch: wigeonstep.Fence(r.GetEpoch()), Address: r.GetAddress()}
+	for _, l := range r.GetLapses() {
+		o.Lapses = append(o.Lapses, Lapse{Worker: wigeonstep.WorkerID(l.GetWorker()), At: wigeonstep.UnixMillis(l.GetUnixMs())})
+	}
+	return o, nil
 }
 
 // EncodeUpkeep returns the record of an upkeep order.
--- a/wigeonshard/demand.go
+++ b/wigeonshard/demand.go
@@ -41,6 +41,14 @@
 	// Usable are the workers that may take work, Idle those of them on which nothing runs.
 	Usable []wigeonstep.WorkerID
 	Idle   []wigeonstep.WorkerID
+	// Emptying are the usable workers on which only work that ends runs, with the time that it is expected to take.
+	Emptying []Emptying
+}
+
+// Emptying is a worker that would be empty soon if it got no more work.
+type Emptying struct {
+	Worker    wigeonstep.WorkerID
+	Remaining time.Duration
 }
 
 // Demands returns what each of the services needs and has.
@@ -63,6 +71,8 @@
 		d.Usable = append(d.Usable, w.ID)
 		if len(w.runs) == 0 {
 			d.Idle = append(d.Idle, w.ID)
+		} else if remaining, ends := w.remaining(now.Steady); ends {
+			d.Emptying = append(d.Emptying, Emptying{Worker: w.ID, Remaining: remaining})
 		}
 		d.Capacity += w.Capacity.CPU
 		for _, r := range w.runs {
@@ -88,6 +98,23 @@
 	return demands
 }
 
+// remaining returns the time until the runs of the worker are expected to have ended; ends is false when one is
+// long-running.
+func (w *worker) remaining(now time.Duration) (longest time.Duration, ends bool) {
+	for _, r := range w.runs {
+		s := r.task.step
+		if s.LongRunning {
+			return 0, false
+		}
+		left := s.Estimate
+		if r.phase == runTaken {
+			left = max(s.Estimate-(now-r.began), 0)
+		}
+		longest = max(longest, left)
+	}
+	return longest, true
+}
+
 // blocked returns for each service how many workers are missing for long-running tasks. One worker takes tasks of many
 // steps, so the step that lacks most decides.
 func (o *Owner) blocked() map[wigeonstep.ServiceName]int {
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -16,7 +16,8 @@
 	runs     []*run
 	workers  []*worker
 	releases int
-	owner    bool
+	// lapses names the workers in the note of the owner; nil when the flush holds no note.
+	lapses map[wigeonstep.WorkerID]bool
 }
 
 type flushedJob struct {
@@ -29,19 +30,16 @@
 	if o.flush != nil {
 		return
 	}
-	if len(o.dirty) == 0 && len(o.releases) == 0 && o.noted {
+	if len(o.dirty) == 0 && len(o.releases) == 0 && o.noted && !o.renote {
 		for _, w := range o.roster {
 			w.durable = w.seen
 		}
 		return
 	}
-	f := &flush{releases: len(o.releases), owner: !o.noted}
+	f := &flush{releases: len(o.releases)}
 	var records []wigeonstep.KeyedRecord
-	if !o.noted {
-		value, err := wigeonjob.EncodeOwner(wigeonjob.OwnerNote{Epoch: o.fence, Address: o.settings.Address})
-		if err == nil {
-			records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.OwnerKey, Value: value})
-		}
+	if !o.noted || o.renote {
+		records = append(records, o.encodeNote(f))
 	}
 	for _, r := range o.releases {
 		value, err := wigeonjob.EncodeRelease(r)
@@ -79,6 +77,27 @@
 	o.out.Append = records
 }
 
+// encodeNote returns the note of this owner, with the workers that do not answer and may still hold runs.
+func (o *Owner) encodeNote(f *flush) wigeonstep.KeyedRecord {
+	o.renote = false
+	f.lapses = map[wigeonstep.WorkerID]bool{}
+	note := wigeonjob.OwnerNote{Epoch: o.fence, Address: o.settings.Address}
+	for _, w := range o.roster {
+		if w.lapse != 0 && len(w.runs) > 0 {
+			note.Lapses = append(note.Lapses, wigeonjob.Lapse{Worker: w.ID, At: w.lapse})
+			f.lapses[w.ID] = true
+			// From now on the log may hold the lapse, whatever becomes of this append.
+			w.noted = true
+		}
+	}
+	value, err := wigeonjob.EncodeOwner(note)
+	if err != nil {
+		// Only a string that is not UTF-8 fails to encode; the address comes from settings that were checked.
+		value = nil
+	}
+	return wigeonstep.KeyedRecord{Key: wigeonjob.OwnerKey, Value: value}
+}
+
 // encode returns the progress of a job and the planned runs that it makes durable.
 func (o *Owner) encode(j *job) ([]byte, []*run) {
 	p := wigeonjob.Progress{State: j.state, Ended: j.ended}
@@ -136,8 +155,12 @@
 	}
 	o.flush = nil
 	o.Confirm(now.Steady)
-	if f.owner {
+	if f.lapses != nil {
 		o.noted = true
+		for _, w := range o.roster {
+			w.noted = f.lapses[w.ID]
+			o.renote = o.renote || w.noted && w.lapse == 0
+		}
 	}
 	for _, r := range o.releases[:f.releases] {
 		o.released[r.Worker] = true
--- a/wigeonshard/hold.go
+++ b/wigeonshard/hold.go
@@ -30,8 +30,8 @@
 			order.LastSeen = 0
 		}
 		// A worker that does not answer gets no renewal: it may receive this hold all the same, and its lease must end
-		// some time, so that its tasks can start elsewhere.
-		if w.clock != 0 && w.failures == 0 {
+		// some time, so that its tasks can start elsewhere. Nor does one whose lapse the log holds.
+		if w.clock != 0 && w.failures == 0 && o.noted && !w.noted {
 			order.Until = w.lease(now.Steady, o.settings.Lease)
 		}
 		w.holding, w.holdSent, w.renewed = true, now.Steady, now.Steady
@@ -59,6 +59,10 @@
 			o.noteWorker("worker_lost", w, err.Error())
 		}
 		w.failures++
+		if w.lapse == 0 {
+			w.lapse = w.lapseAt(now)
+			o.renote = o.renote || len(w.runs) > 0
+		}
 		w.nextHold = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHoldRetryDelay)
 		return
 	}
@@ -70,6 +74,8 @@
 		o.noteWorker("worker_regained", w, "it answers again")
 	}
 	w.failures = 0
+	w.lapse = 0
+	o.renote = o.renote || w.noted
 	w.readClock(result.Clock, now.Steady)
 	o.takeEnds(now, w, result.Ended)
 	o.takeRunning(now, w, result.Running)
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -45,14 +45,24 @@
 
 	dirty    []*job
 	releases []wigeonjob.Release
-	noted    bool
-	flush    *flush
-	out      Actions
+	// noted is set once a note of this owner is durable, renote while the newest one is out of date.
+	noted  bool
+	renote bool
+	// inherited holds the lapses in the note of the owner before.
+	inherited map[wigeonstep.WorkerID]wigeonstep.UnixMillis
+	flush     *flush
+	out       Actions
 }
 
 // NewOwner returns the owner of a shard from the moment at which the log accepted its fence.
-func NewOwner(settings Settings, fence wigeonstep.Fence, now Now) *Owner {
+// before is the newest note of an owner that the log holds.
+func NewOwner(settings Settings, fence wigeonstep.Fence, now Now, before wigeonjob.OwnerNote) *Owner {
+	inherited := map[wigeonstep.WorkerID]wigeonstep.UnixMillis{}
+	for _, l := range before.Lapses {
+		inherited[l.Worker] = l.At
+	}
 	return &Owner{
+		inherited: inherited,
 		settings:  settings,
 		fence:     fence,
 		began:     now.Steady,
@@ -155,6 +165,10 @@
 	if w.released {
 		w.cordoned = wigeonstep.VMID(id)
 	}
+	if at, ok := o.inherited[id]; ok {
+		w.lapse, w.noted = at, true
+		w.lost = min(w.lost, now.Steady+max(time.Duration(at-now.Wall)*time.Millisecond+wallMargin, 0))
+	}
 	o.workers[id] = w
 	i, _ := slices.BinarySearchFunc(o.roster, id, func(w *worker, id wigeonstep.WorkerID) int { return cmp.Compare(w.ID, id) })
 	o.roster = slices.Insert(o.roster, i, w)
@@ -230,6 +244,9 @@
 	o.out.Notes = append(o.out.Notes, Note{Event: event, Cause: cause, Worker: w.ID})
 }
 
+// wallMargin covers the difference between the times of day of two VMs.
+const wallMargin = 2500 * time.Millisecond
+
 func (o *Owner) touch(j *job) {
 	if !j.dirty {
 		j.dirty = true
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -48,6 +48,31 @@
 	}
 }
 
+// Guards against a wait that begins anew with each owner: while owners replaced each other every two seconds, none of
+// them waited long enough to give up the runs of a worker that was gone.
+func TestOwnersInSuccessionGiveSilentWorkerUp(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 5, 3)
+	w.own()
+	lasting := testStep(1)
+	lasting.LongRunning = true
+	w.submit(testJob("lasting", lasting))
+	w.run(2 * time.Second)
+	for _, l := range w.listed {
+		if len(w.workers[l.ID].runs) > 0 {
+			w.crash(l.ID, false)
+		}
+	}
+	w.run(time.Second)
+	for range 5 {
+		w.owners[len(w.owners)-1].dead = true
+		w.own()
+		w.run(2 * time.Second)
+	}
+	c.Assert(w.faults, qt.HasLen, 0)
+	c.Assert(w.running[wigeonstep.TaskID{Job: "lasting"}], qt.Equals, 1)
+}
+
 // Guards against a task that runs twice, is lost, or starts after its end was noted, while owners replace each other,
 // calls are lost or carried out late, workers crash and come back, and the log is away.
 func TestSeededFaults(t *testing.T) {
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -29,6 +29,10 @@
 	until wigeonstep.WorkerMillis
 	// lost is when the runs of earlier owners on a worker that never answered count as gone.
 	lost time.Duration
+	// lapse is when every lease on the worker has ended by the time of day, while it does not answer; 0 otherwise.
+	lapse wigeonstep.UnixMillis
+	// noted is set while the durable note of the owner may hold the lapse; no lease is renewed then.
+	noted bool
 
 	runs []*run
 	used wigeonstep.Resources
@@ -88,6 +92,15 @@
 	return w.clockLow(now) > w.until+wigeonstep.WorkerMillis(lapseMargin.Milliseconds())
 }
 
+// lapseAt returns the time of day at which every lease that this owner or an earlier one gave has ended.
+func (w *worker) lapseAt(now Now) wigeonstep.UnixMillis {
+	left := w.lost - now.Steady
+	if w.known {
+		left = time.Duration(float64(w.until-w.clockLow(now.Steady))/clockRate)*time.Millisecond + lapseMargin
+	}
+	return now.Wall + wigeonstep.UnixMillis(max(left, 0).Milliseconds())
+}
+
 func (w *worker) hasLabel(label wigeonstep.Label) bool {
 	return slices.Contains(w.Labels, label)
 }
--- a/wigeonshard/world_test.go
+++ b/wigeonshard/world_test.go
@@ -158,7 +158,7 @@
 func (w *world) own() *fakeOwner {
 	w.epoch++
 	w.sequence = 0
-	o := &fakeOwner{Owner: NewOwner(testSettings, w.epoch, w.time()), epoch: w.epoch, cut: map[wigeonstep.WorkerID]bool{}}
+	o := &fakeOwner{Owner: NewOwner(testSettings, w.epoch, w.time(), w.log.Owner), epoch: w.epoch, cut: map[wigeonstep.WorkerID]bool{}}
 	for _, r := range w.log.Releases {
 		o.SetReleased(r)
 	}
