--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -209,6 +209,13 @@
 		pl := &pool{name: name, size: len(incoming[name]) + len(demand.Usable)}
 		cores := demand.Arrival + demand.Work/float64(clearTime.Milliseconds())
 		missing := cores - float64(demand.Capacity)/1000
+		for _, order := range leaving(fleet, name) {
+			// The report may be older than the order.
+			if demand.Usable[order.Worker] {
+				pl.size--
+				missing += float64(fleet.VMs[order.VM].Capacity.CPU) / 1000
+			}
+		}
 		for _, id := range incoming[name] {
 			missing -= float64(fleet.VMs[id].Capacity.CPU) / 1000
 		}
@@ -233,6 +240,17 @@
 	return pools
 }
 
+// leaving returns the orders that take a VM out of a pool and are not done.
+func leaving(fleet Fleet, from wigeonstep.PoolName) []wigeonjob.MoveOrder {
+	var orders []wigeonjob.MoveOrder
+	for _, order := range fleet.Moves {
+		if order.From == from && order.Phase != wigeonjob.OrderDone {
+			orders = append(orders, order)
+		}
+	}
+	return orders
+}
+
 // vmsFor returns how many VMs of the usual size hold so many cores; a negative number of cores rounds towards needing more.
 func (p *Planner) vmsFor(fleet Fleet, cores float64) int {
 	var sum wigeonstep.MilliCPU
