--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -23,14 +23,15 @@
 )
 
 const (
-	// maxLease bounds the lease of running work. It covers a change of owner, and a worker that is gone for good
-	// keeps its tasks no longer than that.
-	maxLease = 5 * time.Second
+	// maxLease bounds the lease of running work. It covers a change of owner: a hold that had just not been renewed, the
+	// time after which the group drops the old owner, and the first hold of the new one. A worker that is gone or cut
+	// off keeps its tasks no longer than that.
+	maxLease = 3200 * time.Millisecond
 	// confirmLimit is how long an owner that hears nothing from the log renews leases; with the lease it covers the
 	// outages of the log that are common.
 	confirmLimit = 6 * time.Second
 	// holdWait is how long a worker may wait for an end; a lease covers two renewals that get no answer.
-	holdWait = 1500 * time.Millisecond
+	holdWait = 800 * time.Millisecond
 	// holdGap lets ends that come together be reported together.
 	holdGap = 20 * time.Millisecond
 	// memberTTL is after how long a silent process loses its shards.
--- a/wigeonshard/hold.go
+++ b/wigeonshard/hold.go
@@ -63,6 +63,11 @@
 			w.lapse = w.lapseAt(now)
 			o.renote = o.renote || len(w.runs) > 0
 		}
+		for _, r := range w.runs {
+			if r.task.step.Speculative && len(r.task.runs) == 1 {
+				r.task.copyWanted = true
+			}
+		}
 		w.nextHold = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHoldRetryDelay)
 		return
 	}
