--- /dev/null
+++ b/cmd/wigeonstep/node_test.go
@@ -0,0 +1,281 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/wigeonstep/wigeonstep/platform"
+	"github.com/wigeonstep/wigeonstep/platform/wigeonstandin"
+	"github.com/wigeonstep/wigeonstep/wigeondaemon"
+)
+
+const (
+	nodeTestPartitions = 6
+	nodeTestWait       = 20 * time.Second
+	nodeTestHost       = "orders.example"
+)
+
+// fleetStandIn is the platform around the nodes of a test.
+type fleetStandIn struct {
+	store   *wigeonstandin.Store
+	workers []*wigeonstandin.Worker
+	cloud   *wigeonstandin.Cloud
+}
+
+func newFleetStandIn(t *testing.T, workers int) *fleetStandIn {
+	t.Helper()
+	c := qt.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	store, err := wigeonstandin.NewStore(ctx, nodeTestPartitions)
+	c.Assert(err, qt.IsNil)
+	f := &fleetStandIn{store: store}
+	var machines []*wigeonstandin.Machine
+	for i := range workers {
+		w, err := wigeonstandin.NewWorker(ctx, store, fmt.Sprintf("i-%d", i), "orders", fmt.Sprintf("r%d", i))
+		c.Assert(err, qt.IsNil)
+		f.workers = append(f.workers, w)
+		machines = append(machines, &wigeonstandin.Machine{ID: fmt.Sprintf("m-%d", i), Pool: "orders", Worker: w.ID})
+	}
+	f.cloud, err = wigeonstandin.NewCloud(ctx, machines...)
+	c.Assert(err, qt.IsNil)
+	f.configure(c, 1, "/new/")
+	return f
+}
+
+// configure puts a configuration with one queue into the store.
+func (f *fleetStandIn) configure(c *qt.C, version int, prefix string) {
+	err := f.store.PutOperator("config", map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "r-new", "host": nodeTestHost, "path_prefix": prefix, "timeout_ms": 3000, "target_duration_ms": 600, "service": "orders", "attempts": 4, "stretch": 1.6,
+		}},
+		"services": []map[string]any{{"name": "orders", "admission_check": true, "spare": false}},
+	})
+	c.Assert(err, qt.IsNil)
+}
+
+// testNode is one node in this process.
+type testNode struct {
+	address string
+	daemon  *wigeondaemon.Daemon
+	kill    context.CancelFunc
+}
+
+func freeAddress(c *qt.C) (host string, port int) {
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	address, _ := l.Addr().(*net.TCPAddr)
+	return "127.0.0.1", address.Port
+}
+
+// startNode runs a node. Its end is that of a process which is killed: it says goodbye to nobody.
+func (f *fleetStandIn) startNode(t *testing.T, name string) *testNode {
+	t.Helper()
+	c := qt.New(t)
+	var settings platform.Settings
+	settings.NodeName, settings.IP = name, "127.0.0.1"
+	var ports [4]int
+	for i := range ports {
+		_, ports[i] = freeAddress(c)
+	}
+	settings.Listen.Frontend = fmt.Sprintf("127.0.0.1:%d", ports[0])
+	settings.Listen.Ready = fmt.Sprintf("127.0.0.1:%d", ports[1])
+	settings.InternalPorts = []int{ports[2], ports[3]}
+	settings.Bounds.HoldMaxMS, settings.Bounds.GraceS = 10_000, 6
+	settings.Store.Address, settings.Store.Parts, settings.Store.TTLMinMS = f.store.Address(), nodeTestPartitions, 1000
+	settings.Cloud.Address = f.cloud.Address()
+	set := metrics.NewSet()
+	config, err := nodeConfig(settings, zap.NewNop(), set)
+	c.Assert(err, qt.IsNil)
+	n := &testNode{address: settings.Listen.Frontend, daemon: wigeondaemon.New(config)}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.kill = cancel
+	t.Cleanup(cancel)
+	_, err = serveNode(ctx, settings, zap.NewNop(), n.daemon, &platform.Frontend{Jobs: n.daemon}, set)
+	c.Assert(err, qt.IsNil)
+	go n.daemon.Run(ctx)
+	waitFor(c, "the node is ready", n.daemon.Ready)
+	return n
+}
+
+func waitFor(c *qt.C, what string, condition func() bool) {
+	c.Helper()
+	deadline := time.Now().Add(nodeTestWait)
+	tick := time.NewTicker(10 * time.Millisecond)
+	defer tick.Stop()
+	for !condition() {
+		if time.Now().After(deadline) {
+			c.Fatalf("not reached in %s: %s", nodeTestWait, what)
+		}
+		<-tick.C
+	}
+}
+
+// request sends one request of a client and returns the status and the body.
+func (n *testNode) request(c *qt.C, method, path string, body any) (int, map[string]any) {
+	c.Helper()
+	encoded, err := json.Marshal(body)
+	c.Assert(err, qt.IsNil)
+	r, err := http.NewRequestWithContext(context.Background(), method, "http://"+n.address+path, bytes.NewReader(encoded))
+	c.Assert(err, qt.IsNil)
+	r.Host = nodeTestHost
+	response, err := http.DefaultClient.Do(r)
+	c.Assert(err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	c.Assert(err, qt.IsNil)
+	answer := map[string]any{}
+	if len(data) > 0 {
+		c.Assert(json.Unmarshal(data, &answer), qt.IsNil, qt.Commentf("%s", data))
+	}
+	return response.StatusCode, answer
+}
+
+func (n *testNode) state(c *qt.C, id string) string {
+	status, body := n.request(c, http.MethodGet, "/new/"+id, nil)
+	if status != http.StatusOK {
+		return fmt.Sprint(status)
+	}
+	return fmt.Sprint(body["state"])
+}
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n+1) }
+
+func twoSteps(spec string) map[string]any {
+	return map[string]any{"spec": spec, "steps": []map[string]any{
+		{"count": 3, "cpu": 1000, "mem_mb": 100, "estimate_ms": 150},
+		{"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 150, "after": []int{0}},
+	}}
+}
+
+// Guards the whole path: a job is accepted at one node, done, and shown at another; the same id again is the same job; a
+// job that does not exist is said not to.
+func TestNodeServesJobs(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 2)
+	a, b := f.startNode(t, "a"), f.startNode(t, "b")
+	for i := range 10 {
+		status, _ := a.request(c, http.MethodPost, "/new/"+jobID(i), twoSteps("order"))
+		c.Assert(status, qt.Equals, http.StatusOK)
+	}
+	status, _ := b.request(c, http.MethodPost, "/new/"+jobID(0), twoSteps("order"))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	waitFor(c, "all jobs are completed", func() bool {
+		for i := range 10 {
+			if b.state(c, jobID(i)) != "completed" {
+				return false
+			}
+		}
+		return true
+	})
+	starts := 0
+	for _, w := range f.workers {
+		starts += w.Starts(jobID(0) + ".0.0.0")
+	}
+	c.Assert(starts, qt.Equals, 1)
+	c.Assert(a.state(c, jobID(99)), qt.Equals, "410")
+	status, _ = a.request(c, http.MethodGet, "/none/"+jobID(0), nil)
+	c.Assert(status, qt.Equals, http.StatusNotFound)
+	status, body := b.request(c, http.MethodGet, "/new/", nil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	c.Assert(body["waiting"], qt.Equals, 0.0)
+	status, body = a.request(c, http.MethodPost, "/new/"+jobID(50), map[string]any{"spec": "x", "steps": []any{}})
+	c.Assert(status, qt.Equals, http.StatusBadRequest)
+	c.Assert(strings.Contains(fmt.Sprint(body["reason"]), "steps"), qt.IsTrue)
+}
+
+// Guards against accepted jobs that are forgotten, or that run twice, when every process is killed at once.
+func TestJobsSurviveTheLossOfAllNodes(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 2)
+	a, b := f.startNode(t, "a"), f.startNode(t, "b")
+	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), map[string]any{"spec": "lasts", "steps": []map[string]any{
+		{"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 500, "long_running": true},
+	}})
+	c.Assert(status, qt.Equals, http.StatusOK)
+	running := func() int { return f.workers[0].Running() + f.workers[1].Running() }
+	waitFor(c, "the long-running tasks are at work", func() bool { return running() == 2 })
+	status, _ = b.request(c, http.MethodPost, "/new/"+jobID(1), twoSteps("order"))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	a.kill()
+	b.kill()
+	d := f.startNode(t, "d")
+	waitFor(c, "the accepted job is completed", func() bool { return d.state(c, jobID(1)) == "completed" })
+	c.Assert(d.state(c, jobID(0)), qt.Equals, "running")
+	c.Assert(running(), qt.Equals, 2)
+	starts := f.workers[0].Starts(jobID(0)+".0.0.0") + f.workers[1].Starts(jobID(0)+".0.0.0")
+	c.Assert(starts, qt.Equals, 1)
+
+	status, _ = d.request(c, http.MethodDelete, "/new/"+jobID(0), nil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	waitFor(c, "the cancelled job is stopped", func() bool { return running() == 0 })
+	c.Assert(d.state(c, jobID(0)), qt.Equals, "cancelled")
+}
+
+// Guards against a refusal that is not true: an append whose answer was lost is repeated, and a job is refused only when
+// the store certainly has nothing of it.
+func TestLostAnswersAndOutages(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 1)
+	a := f.startNode(t, "a")
+	f.store.LoseAnswers.Store(2)
+	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), twoSteps("order"))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	waitFor(c, "the job is completed", func() bool { return a.state(c, jobID(0)) == "completed" })
+
+	f.store.Down.Store(true)
+	status, body := a.request(c, http.MethodPost, "/new/"+jobID(1), twoSteps("order"))
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	c.Assert(body["step"], qt.Equals, "record")
+	f.store.Down.Store(false)
+	waitFor(c, "the refused job is unknown", func() bool { return a.state(c, jobID(1)) == "410" })
+	status, _ = a.request(c, http.MethodPost, "/new/"+jobID(1), twoSteps("order"))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	f.store.Forget()
+	waitFor(c, "the job is completed after the history is gone", func() bool { return a.state(c, jobID(1)) == "completed" })
+}
+
+// Guards against a configuration that does not come into force, and against one that goes back.
+func TestConfigurationComesIntoForce(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 1)
+	a := f.startNode(t, "a")
+	f.configure(c, 5, "/newer/")
+	waitFor(c, "the new queue is there", func() bool {
+		status, _ := a.request(c, http.MethodGet, "/newer/", nil)
+		return status == http.StatusOK
+	})
+	f.configure(c, 4, "/new/")
+	f.configure(c, 6, "/newest/")
+	waitFor(c, "the newest queue is there", func() bool {
+		status, _ := a.request(c, http.MethodGet, "/newest/", nil)
+		return status == http.StatusOK
+	})
+	status, _ := a.request(c, http.MethodGet, "/new/", nil)
+	c.Assert(status, qt.Equals, http.StatusNotFound)
+}
+
+// Guards against a wave that is not carried out, that is carried out twice, or that ends work.
+func TestWaveOfUpkeepIsCarriedOut(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 2)
+	f.startNode(t, "a")
+	err := f.store.PutOperator("wave/3", map[string]any{"wave": 3, "machines": []string{"m-0", "m-1"}, "period_s": 20, "max_count": 1})
+	c.Assert(err, qt.IsNil)
+	waitFor(c, "the first VM has had its upkeep", func() bool { return len(f.cloud.Waves("m-0"))+len(f.cloud.Waves("m-1")) == 1 })
+	c.Assert(f.store.Status("wave/3"), qt.Equals, `{"state":"running"}`)
+}
