--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -139,12 +139,7 @@
 		if time.Until(deadline) < unknownMargin {
 			return wigeonstep.Unknown(true, last.Error(), "record", "job log")
 		}
-		timer := time.NewTimer(submitDelay/2 + rand.N(submitDelay))
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		pause(ctx, submitDelay/2+rand.N(submitDelay))
 	}
 }
 
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -24,6 +24,8 @@
 	stepInterval = 25 * time.Millisecond
 	// eventBacklog bounds the results that wait for the goroutine that holds the state.
 	eventBacklog = 4096
+	// readyPoll is how often a process that is not ready looks whether it may join the group.
+	readyPoll = 20 * time.Millisecond
 	// joinInterval is how often membership is renewed.
 	joinInterval = 400 * time.Millisecond
 	// ownedGap is the pause between reads of a partition that this process owns; otherGap for the others, whose state
@@ -210,6 +212,11 @@
 		if !d.ask(ctx, func() { leaving = d.leaving }) || leaving {
 			return
 		}
+		if !d.ready.Load() {
+			// A shard that is given to a process without its state has no owner until the state is read.
+			pause(ctx, readyPoll)
+			continue
+		}
 		sent := d.config.Now().Steady
 		assignment, err := d.config.Group.Join(ctx, m)
 		if (err != nil) != failing {
@@ -227,6 +234,16 @@
 	}
 }
 
+// pause waits, at most until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // logPeer writes the line of a lost or regained dependency.
 func (d *Daemon) logPeer(peer string, err error) {
 	if err != nil {
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -306,12 +306,7 @@
 				return
 			}
 			d.config.Metrics.appendRetries.Inc()
-			timer := time.NewTimer(delay/2 + rand.N(delay))
-			select {
-			case <-ctx.Done():
-			case <-timer.C:
-			}
-			timer.Stop()
+			pause(ctx, delay/2+rand.N(delay))
 			delay = min(2*delay, maxAppendDelay)
 		}
 	}()
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -225,7 +225,8 @@
 // expire resolves the runs of workers whose leases have certainly passed.
 func (o *Owner) expire(now Now) {
 	for _, w := range o.roster {
-		if len(w.runs) > 0 && w.failures > 0 && w.lapsed(now.Steady) {
+		// A worker that is known only from the log has no address and never fails to answer.
+		if len(w.runs) > 0 && (w.failures > 0 || !w.known) && w.lapsed(now.Steady) {
 			o.loseRuns(now, w, "the lease lapsed")
 		}
 	}
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -73,6 +74,31 @@
 	c.Assert(w.running[wigeonstep.TaskID{Job: "lasting"}], qt.Equals, 1)
 }
 
+// Guards against runs on a worker that is known only from the log: its entry was gone when the new owner began, so it was
+// never asked, never failed to answer, and its tasks never started elsewhere.
+func TestRunsOfUnlistedWorkerAreGivenUp(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 6, 3)
+	w.own()
+	lasting := testStep(1)
+	lasting.LongRunning = true
+	w.submit(testJob("lasting", lasting))
+	w.run(2 * time.Second)
+	for i, l := range w.listed {
+		if len(w.workers[l.ID].runs) > 0 {
+			w.crash(l.ID, false)
+			w.listed = slices.Delete(w.listed, i, i+1)
+			break
+		}
+	}
+	w.owners[0].dead = true
+	w.run(time.Second)
+	w.own()
+	w.run(testSettings.ConfirmLimit + testSettings.Lease + 2*time.Second)
+	c.Assert(w.faults, qt.HasLen, 0)
+	c.Assert(w.running[wigeonstep.TaskID{Job: "lasting"}], qt.Equals, 1)
+}
+
 // Guards against a task that runs twice, is lost, or starts after its end was noted, while owners replace each other,
 // calls are lost or carried out late, workers crash and come back, and the log is away.
 func TestSeededFaults(t *testing.T) {
