Do not forget a worker while the owner's note names it

Ruled out: a lease that was renewed too late (the note was older than the start by 2 s). Test: TestWorkerThatCameBackIsNotTakenForLapsed, failing first.

--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -113,10 +113,14 @@
 	o.forgetWorkers()
 }
 
-// forgetWorkers drops the workers that are neither listed nor hold a run.
+// forgetWorkers drops the workers that are neither listed nor hold a run, once the log holds no lapse of them.
 func (o *Owner) forgetWorkers() {
 	o.roster = slices.DeleteFunc(o.roster, func(w *worker) bool {
 		gone := !w.listed && len(w.runs) == 0
+		if gone && w.noted {
+			o.renote = true
+			return false
+		}
 		if gone {
 			delete(o.workers, w.ID)
 		}
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -99,6 +99,35 @@
 	c.Assert(w.running[wigeonstep.TaskID{Job: "lasting"}], qt.Equals, 1)
 }
 
+// Guards against a note that outlives its worker's silence: the worker's entry was gone for a while and it was forgotten,
+// it came back and got work, and the next owner took that work for lapsed because the note still named the worker.
+func TestWorkerThatCameBackIsNotTakenForLapsed(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 7, 1)
+	o := w.own()
+	lasting := testStep(1)
+	lasting.LongRunning = true
+	w.submit(testJob("lasting", lasting))
+	w.run(2 * time.Second)
+	o.cut["w00"] = true
+	listed := w.listed
+	w.run(testSettings.Lease + 3*time.Second)
+	o.SetWorkers(w.time(), nil)
+	w.run(time.Second)
+	o.cut["w00"] = false
+	o.SetWorkers(w.time(), listed)
+	w.run(2 * time.Second)
+	task := wigeonstep.TaskID{Job: "lasting"}
+	c.Assert(w.running[task], qt.Equals, 1)
+	c.Assert(w.log.Owner.Lapses, qt.HasLen, 0)
+	w.run(5 * time.Second)
+	w.owners[0].dead = true
+	w.own()
+	w.run(3 * time.Second)
+	c.Assert(w.faults, qt.HasLen, 0)
+	c.Assert(w.running[task], qt.Equals, 1)
+}
+
 // Guards against a task that runs twice, is lost, or starts after its end was noted, while owners replace each other,
 // calls are lost or carried out late, workers crash and come back, and the log is away.
 func TestSeededFaults(t *testing.T) {
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -111,7 +111,7 @@
 
 // usable reports whether new work may be started on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.known && !w.Draining && w.cordoned == "" && w.failures == 0 && w.ghosts == 0
+	return w.listed && w.known && !w.Draining && w.cordoned == "" && w.failures == 0 && w.ghosts == 0 && !w.noted
 }
 
 func (w *worker) attach(r *run) {
