--- /dev/null
+++ b/wigeonreplica/replica_test.go
@@ -0,0 +1,84 @@
+package wigeonreplica
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+)
+
+func record(c *qt.C, kind wigeonjob.Kind, id string, value []byte, err error) wigeonstep.KeyedRecord {
+	c.Assert(err, qt.IsNil)
+	return wigeonstep.KeyedRecord{Key: wigeonjob.Key(kind, id), Value: value}
+}
+
+func jobRecord(c *qt.C, id, spec string) wigeonstep.KeyedRecord {
+	value, err := wigeonjob.EncodeJob(&wigeonjob.Job{
+		ID: wigeonstep.JobID(id), Queue: "q", Service: "s", Spec: spec, Steps: []wigeonjob.Step{{Count: 1}},
+	})
+	return record(c, wigeonjob.KindJob, id, value, err)
+}
+
+// Guards against a job that changes because it was handed in twice.
+func TestFirstRecordOfAJobStays(t *testing.T) {
+	c := qt.New(t)
+	var r Replica
+	c.Assert(r.Apply(jobRecord(c, "1", "first")), qt.IsNil)
+	c.Assert(r.Apply(jobRecord(c, "1", "second")), qt.IsNil)
+	c.Assert(r.Find("1").Job.Spec, qt.Equals, "first")
+	c.Assert(r.Waiting("q"), qt.Equals, 1)
+}
+
+// Guards against a cancellation that overtakes the job, and against one that changes a job which has ended.
+func TestCancelledState(t *testing.T) {
+	c := qt.New(t)
+	var r Replica
+	cancel, err := wigeonjob.EncodeCancel(5)
+	c.Assert(r.Apply(record(c, wigeonjob.KindCancel, "1", cancel, err)), qt.IsNil)
+	c.Assert(r.Find("1"), qt.IsNil)
+	c.Assert(r.Apply(jobRecord(c, "1", "x")), qt.IsNil)
+	c.Assert(r.Find("1").State(), qt.Equals, wigeonjob.StateCancelled)
+	c.Assert(r.Waiting("q"), qt.Equals, 0)
+
+	c.Assert(r.Apply(jobRecord(c, "2", "x")), qt.IsNil)
+	ended, err := wigeonjob.EncodeProgress(&wigeonjob.Progress{State: wigeonjob.StateCompleted})
+	c.Assert(r.Apply(record(c, wigeonjob.KindProgress, "2", ended, err)), qt.IsNil)
+	c.Assert(r.Apply(record(c, wigeonjob.KindCancel, "2", cancel, nil)), qt.IsNil)
+	c.Assert(r.Find("2").State(), qt.Equals, wigeonjob.StateCompleted)
+}
+
+// Guards against records that can't be read and disturb the others.
+func TestOddRecordsAreSkipped(t *testing.T) {
+	c := qt.New(t)
+	var r Replica
+	for _, odd := range []wigeonstep.KeyedRecord{
+		{Key: "", Value: []byte("x")},
+		{Key: "z/1", Value: []byte("x")},
+		{Key: "j/1", Value: []byte("\xff\xff")},
+		{Key: "p/1", Value: []byte("\xff\xff")},
+		{Key: "o/", Value: []byte("\xff")},
+	} {
+		c.Assert(r.Apply(odd), qt.IsNotNil, qt.Commentf("%q", odd.Key))
+	}
+	c.Assert(r.Apply(jobRecord(c, "1", "x")), qt.IsNil)
+	c.Assert(r.Find("1").State(), qt.Equals, wigeonjob.StatePending)
+}
+
+// Guards against progress that is lost or changed on its way through the log.
+func TestProgressRoundTrip(t *testing.T) {
+	c := qt.New(t)
+	progress := wigeonjob.Progress{
+		State: wigeonjob.StateRunning, Finished: []int{0, 2},
+		Tasks: []wigeonjob.TaskProgress{
+			{Occurrence: 1, Step: 1, Index: 3, LastRun: 4, Failures: 2, Checkpoint: "aa", Runs: []wigeonjob.LiveRun{{Number: 4, Worker: "w"}}},
+			{Occurrence: 3, Done: true, LastRun: 1},
+		},
+	}
+	value, err := wigeonjob.EncodeProgress(&progress)
+	c.Assert(err, qt.IsNil)
+	read, err := wigeonjob.DecodeProgress(value)
+	c.Assert(err, qt.IsNil)
+	c.Assert(*read, qt.DeepEquals, progress)
+}
--- a/wigeonshard/hold.go
+++ b/wigeonshard/hold.go
@@ -82,6 +82,9 @@
 	w.lapse = 0
 	o.renote = o.renote || w.noted
 	w.readClock(result.Clock, now.Steady)
+	for _, row := range result.Skipped {
+		o.noteWorker("row_skipped", w, row)
+	}
 	o.takeEnds(now, w, result.Ended)
 	o.takeRunning(now, w, result.Running)
 	if !w.known {
--- a/worker.go
+++ b/worker.go
@@ -168,6 +168,8 @@
 	Born    UnixMillis
 	Running []RunningRun
 	Ended   []EndedRun
+	// Skipped describes the rows that could not be read.
+	Skipped []string
 }
 
 // WorkerOrders gives orders to workers. Errors wrap ErrFenced, ErrWorkerGone, ErrRejected, ErrUnavailable or ErrAnswerLost.
