--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -132,7 +132,8 @@
 			return done
 		}
 		last = err
-		maybe = maybe || !(errors.Is(err, wigeonstep.ErrUnavailable) || errors.Is(err, wigeonstep.ErrRejected))
+		certain := errors.Is(err, wigeonstep.ErrUnavailable) || errors.Is(err, wigeonstep.ErrRejected)
+		maybe = maybe || !certain
 		if !maybe && (try >= submitTries || errors.Is(err, wigeonstep.ErrRejected)) {
 			return wigeonstep.NotRun(http.StatusServiceUnavailable, last.Error(), "record", "job log", refusalRetry+rand.N(refusalRetry))
 		}
