Do not take an ended job over again

Ruled out: a lapse taken too early (the worker answered all the time), two owners (one epoch throughout). Test: TestEndedJobIsNotTakenOverAgain, failing first. Also: moves are carried out in the step after their order is durable, VMs that are off need no emptying, the workers' entries are read every 120 ms by owners.

--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -27,6 +27,8 @@
 	reportLife = 600 * time.Millisecond
 	// retryDelay is the pause before a move that was refused or not answered is asked for again.
 	retryDelay = 300 * time.Millisecond
+	// idleReserve is how many idle VMs a pool keeps for the first seconds of a burst, before others arrive.
+	idleReserve = 0
 	// maxEmptying is the longest time that a VM may take to become empty for a move.
 	maxEmptying = 1500 * time.Millisecond
 	// leastVMs is what a pool with a queue keeps, so that the first job of a burst starts at once.
@@ -286,7 +288,12 @@
 			if !ok {
 				break
 			}
-			plan.Orders = append(plan.Orders, wigeonjob.MoveOrder{VM: vm.ID, From: vm.Pool, Pool: to.name, Worker: vm.Worker})
+			order := wigeonjob.MoveOrder{VM: vm.ID, From: vm.Pool, Pool: to.name, Worker: vm.Worker}
+			if fleet.Spare[vm.Pool] {
+				// Nothing runs on a VM that is off.
+				order.Phase = wigeonjob.OrderCalled
+			}
+			plan.Orders = append(plan.Orders, order)
 		}
 	}
 	for _, from := range pools {
@@ -308,19 +315,19 @@
 
 // takeIdle takes an idle VM out of the pool that can spare most.
 func takeIdle(pools []*pool, to *pool) (wigeonstep.PooledVM, bool) {
-	return take(pools, to, func(pl *pool) *[]wigeonstep.PooledVM { return &pl.idle })
+	return take(pools, to, idleReserve, func(pl *pool) *[]wigeonstep.PooledVM { return &pl.idle })
 }
 
 // takeEmptying takes a VM that is empty soon out of the pool that can spare most.
 func takeEmptying(pools []*pool, to *pool) (wigeonstep.PooledVM, bool) {
-	return take(pools, to, func(pl *pool) *[]wigeonstep.PooledVM { return &pl.emptying })
+	return take(pools, to, 0, func(pl *pool) *[]wigeonstep.PooledVM { return &pl.emptying })
 }
 
-func take(pools []*pool, to *pool, list func(*pool) *[]wigeonstep.PooledVM) (wigeonstep.PooledVM, bool) {
+func take(pools []*pool, to *pool, reserve int, list func(*pool) *[]wigeonstep.PooledVM) (wigeonstep.PooledVM, bool) {
 	for i := len(pools) - 1; i >= 0; i-- {
 		from := pools[i]
 		vms := list(from)
-		if from == to || from.need >= 0 || len(*vms) == 0 || from.size <= leastVMs {
+		if from == to || from.need >= 0 || len(*vms) <= reserve || from.size <= leastVMs {
 			continue
 		}
 		vm := (*vms)[len(*vms)-1]
@@ -347,7 +354,7 @@
 		return
 	}
 	target := slices.Min(slices.Collect(maps.Keys(fleet.Spare)))
-	for ; from.need < 0 && len(from.idle) > 0 && from.size > leastVMs; from.need++ {
+	for ; from.need < 0 && len(from.idle) > idleReserve && from.size > leastVMs; from.need++ {
 		vm := from.idle[len(from.idle)-1]
 		from.idle = from.idle[:len(from.idle)-1]
 		from.size--
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -32,8 +33,10 @@
 	// only answers clients.
 	ownedGap = 20 * time.Millisecond
 	otherGap = 700 * time.Millisecond
-	// workersGap is the pause between reads of the workers' entries.
-	workersGap = 300 * time.Millisecond
+	// ownerWorkersGap is the pause between reads of the workers' entries in a process that owns a shard, workersGap in
+	// the others.
+	ownerWorkersGap = 120 * time.Millisecond
+	workersGap      = 600 * time.Millisecond
 	// ownedWait, otherWait and operatorWait are how long reads wait for a record.
 	ownedWait    = time.Second
 	otherWait    = 2 * time.Second
@@ -266,7 +269,7 @@
 func (d *Daemon) tailWorkers(ctx context.Context) {
 	tail := wigeontail.Tail{
 		Log: d.config.Workers, Wait: otherWait,
-		Gap:      func() time.Duration { return workersGap },
+		Gap:      d.workersPause,
 		Apply:    func(b wigeontail.Batch) { d.post(func() { d.applyWorkers(b) }) },
 		Lost:     func(err error) { d.logPeer("worker log", err) },
 		Regained: func() { d.logPeer("worker log", nil) },
@@ -274,6 +277,17 @@
 	tail.Run(ctx)
 }
 
+// workersPause returns the pause before the workers' entries are read again.
+func (d *Daemon) workersPause() time.Duration {
+	gap := workersGap
+	d.ask(d.ctx, func() {
+		if slices.ContainsFunc(d.order, func(sh *shard) bool { return sh.owner != nil }) {
+			gap = ownerWorkersGap
+		}
+	})
+	return gap
+}
+
 // applyOperator takes configurations and waves over.
 func (d *Daemon) applyOperator(b wigeontail.Batch) {
 	for _, record := range b.Records {
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -240,7 +240,8 @@
 	}
 	d.fleet.writing = true
 	d.append(sh, records, func() {
-		d.fleet.writing = false
+		// What the orders allow is done at once.
+		d.fleet.writing, d.fleet.planned = false, 0
 		for _, record := range records {
 			if err := sh.replica.Apply(record); err != nil {
 				d.config.Logger.Error("fleet_record_failed", zap.String("key", record.Key), zap.Error(err))
--- a/wigeondaemon/report.go
+++ b/wigeondaemon/report.go
@@ -16,7 +16,7 @@
 
 // reportShards sends the reports of the owned shards that are due.
 func (d *Daemon) reportShards(now wigeonshard.Now) {
-	if now.Steady-d.reported < reportInterval || d.reporting {
+	if now.Steady-d.reported < reportInterval && !d.newRelease() || d.reporting {
 		return
 	}
 	var reports []*wigeonwire.ShardReport
@@ -44,6 +44,21 @@
 	go d.sendReports(address, reports)
 }
 
+// newRelease reports whether an owned shard has emptied a worker since its last report, and forgets that it has.
+func (d *Daemon) newRelease() bool {
+	fresh := false
+	for _, sh := range d.order {
+		if sh.owner == nil {
+			continue
+		}
+		if n := len(sh.owner.Released()); n != sh.reportedReleases {
+			sh.reportedReleases = n
+			fresh = true
+		}
+	}
+	return fresh
+}
+
 func (d *Daemon) sendReports(address string, reports []*wigeonwire.ShardReport) {
 	cordons := map[wigeonstep.WorkerID]wigeonstep.VMID{}
 	for _, r := range reports {
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -44,6 +44,8 @@
 	// claimEnd is the end of the partition when the claim was accepted; the replica must reach it first.
 	claimEnd   wigeonstep.Offset
 	retryClaim time.Duration
+	// reportedReleases is how many released workers the newest report named.
+	reportedReleases int
 	// cancel ends the appends of the ownership.
 	cancel context.CancelFunc
 	ctx    context.Context
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -197,6 +197,7 @@
 		gone := j.shown.Terminal() && j.liveRuns == 0 && !j.dirty
 		if gone {
 			delete(o.jobs, j.ID)
+			o.ended[j.ID] = j.shown
 		}
 		return gone
 	})
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -34,6 +34,8 @@
 	deposed   bool
 
 	jobs map[wigeonstep.JobID]*job
+	// ended holds the durable last states of the jobs that this owner has forgotten.
+	ended map[wigeonstep.JobID]wigeonjob.State
 	// order holds the jobs in the order in which they became known.
 	order   []*job
 	workers map[wigeonstep.WorkerID]*worker
@@ -68,6 +70,7 @@
 		began:     now.Steady,
 		confirmed: now.Steady,
 		jobs:      map[wigeonstep.JobID]*job{},
+		ended:     map[wigeonstep.JobID]wigeonjob.State{},
 		workers:   map[wigeonstep.WorkerID]*worker{},
 		released:  map[wigeonstep.WorkerID]bool{},
 		arrivals:  map[wigeonstep.ServiceName]*arrivals{},
@@ -87,7 +90,8 @@
 func (o *Owner) State(id wigeonstep.JobID) (wigeonjob.State, bool) {
 	j := o.jobs[id]
 	if j == nil {
-		return 0, false
+		state, known := o.ended[id]
+		return state, known
 	}
 	if j.cancelled && !j.shown.Terminal() {
 		return wigeonjob.StateCancelled, true
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -128,6 +128,27 @@
 	c.Assert(w.running[task], qt.Equals, 1)
 }
 
+// Guards against a job that is taken over again after its end: it was handed in twice, and the second record was read
+// together with progress older than the end.
+func TestEndedJobIsNotTakenOverAgain(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 8, 2)
+	o := w.own()
+	job := testJob("twice", testStep(2))
+	w.submit(job)
+	w.run(100 * time.Millisecond)
+	stale := w.log.Find("twice").Progress
+	c.Assert(stale.State, qt.Equals, wigeonjob.StateRunning)
+	w.run(3 * time.Second)
+	c.Assert(w.log.Find("twice").State(), qt.Equals, wigeonjob.StateCompleted)
+	o.Add(w.time(), job, stale, false)
+	w.run(3 * time.Second)
+	c.Assert(w.faults, qt.HasLen, 0)
+	state, known := o.State("twice")
+	c.Assert(known, qt.IsTrue)
+	c.Assert(state, qt.Equals, wigeonjob.StateCompleted)
+}
+
 // Guards against a task that runs twice, is lost, or starts after its end was noted, while owners replace each other,
 // calls are lost or carried out late, workers crash and come back, and the log is away.
 func TestSeededFaults(t *testing.T) {
