--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -17,7 +17,7 @@
 
 const (
 	// clearTime is the time in which a pool should clear what waits; the objectives of short jobs are about as long.
-	clearTime = 1500 * time.Millisecond
+	clearTime = 1000 * time.Millisecond
 	// idleTime is how long a pool must have had VMs to spare before one is switched off. Switching off and on again
 	// costs as much as two seconds of a VM.
 	idleTime = 1200 * time.Millisecond
--- a/wigeonshard/demand.go
+++ b/wigeonshard/demand.go
@@ -8,7 +8,7 @@
 )
 
 // arrivalSpan is the time over which the work that arrives is averaged; the turns of the queues take seconds.
-const arrivalSpan = 700 * time.Millisecond
+const arrivalSpan = 350 * time.Millisecond
 
 // arrivals averages the work that arrives at a service.
 type arrivals struct {
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -33,10 +33,8 @@
 	step     *step
 	urgency  urgency
 	priority int
-	// work is what is left of the occurrence, in core-milliseconds.
-	work float64
-	// begun is set when other tasks of the occurrence have run.
-	begun bool
+	// slack is the time that is left until the longest chain that remains has to begin.
+	slack time.Duration
 }
 
 // place plans runs for the tasks that wait, in the order of compare.
@@ -56,12 +54,13 @@
 	}
 }
 
-// compare orders the steps: by urgency, by the queue's priority, then the shortest remaining work first.
+// compare orders the steps: by urgency, by the queue's priority, then the one first that can wait least. Long jobs are
+// not starved by short ones this way; jobs that can't be on time any more have left the first group.
 func compare(a, b candidate) int {
 	return cmp.Or(
 		cmp.Compare(a.urgency, b.urgency),
 		cmp.Compare(a.priority, b.priority),
-		cmp.Compare(a.work, b.work),
+		cmp.Compare(a.slack, b.slack),
 	)
 }
 
@@ -85,8 +84,7 @@
 			continue
 		}
 		c := candidate{step: s, priority: j.Policy.Priority}
-		c.work, c.begun = occ.remainingWork()
-		c.urgency = occ.urgency(now.Steady, j)
+		c.slack, c.urgency = occ.slack(now.Steady, j)
 		if s.LongRunning {
 			c.urgency = urgencyLasting
 		}
@@ -118,30 +116,18 @@
 	return false
 }
 
-// remainingWork returns the work of the tasks that are not done, in core-milliseconds, and whether any task has run.
-func (occ *occurrence) remainingWork() (work float64, begun bool) {
-	for _, s := range occ.steps {
-		cores := max(float64(s.Need.CPU)/1000, 0.1) + acceleratorCores*float64(s.Need.GPU)
-		work += float64(s.left) * cores * float64(s.Estimate.Milliseconds())
-		begun = begun || s.live > 0 || s.left < s.Count
-	}
-	return work, begun
-}
-
-// acceleratorCores is what an accelerator counts in cores.
-const acceleratorCores = 8
-
-// urgency returns how much the objective of an occurrence still allows.
-func (occ *occurrence) urgency(now time.Duration, j *job) urgency {
+// slack returns the time until the longest chain that remains has to begin, and what starting it now is worth.
+func (occ *occurrence) slack(now time.Duration, j *job) (time.Duration, urgency) {
 	objective := j.Objective()
-	age := now - occ.due
+	chain := occ.remainingChain()
+	left := objective - (now - occ.due) - chain
 	switch {
-	case age+occ.remainingChain() <= objective:
-		return urgencyOnTime
-	case age+occ.remainingChain() <= lateFactor*objective:
-		return urgencyLate
+	case left >= 0:
+		return left, urgencyOnTime
+	case left >= -(lateFactor-1)*objective:
+		return left, urgencyLate
 	}
-	return urgencyOverdue
+	return left, urgencyOverdue
 }
 
 // remainingChain returns the longest chain of estimated durations of the steps that are not done.
