--- /dev/null
+++ b/wigeonshard/bench_test.go
@@ -0,0 +1,95 @@
+package wigeonshard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+)
+
+// fullOwner returns an owner whose workers are full and that has jobs waiting.
+func fullOwner(workers, waiting int) (*Owner, Now) {
+	now := Now{Steady: time.Hour, Wall: 1_700_000_000_000}
+	o := NewOwner(testSettings, 1, now, wigeonjob.OwnerNote{})
+	var listed []wigeonstep.ListedWorker
+	for i := range workers {
+		id := wigeonstep.WorkerID(fmt.Sprintf("w%05d", i))
+		listed = append(listed, wigeonstep.ListedWorker{
+			ID: id, Address: "10.0.0.1:80", Service: testService, Capacity: wigeonstep.Resources{CPU: 32_000, Memory: 65_536},
+			Labels: []wigeonstep.Label{"a", wigeonstep.Label(fmt.Sprintf("r%d", i/8))},
+		})
+	}
+	o.SetWorkers(now, listed)
+	o.Step(now)
+	for _, w := range o.roster {
+		o.Held(now, w.ID, wigeonstep.HoldResult{Clock: 5000}, nil)
+	}
+	o.Flushed(now)
+	perJob := 8
+	fill := workers * 17 / perJob
+	for i := range fill + waiting {
+		job := testJob(wigeonstep.JobID(fmt.Sprintf("%016x", i)), testStep(perJob), testStep(perJob, 0))
+		job.Accepted = now.Wall
+		o.Add(now, job, wigeonjob.Progress{}, false)
+	}
+	for range 20 {
+		now.Steady += 50 * time.Millisecond
+		a := o.Step(now)
+		if a.Append != nil {
+			o.Flushed(now)
+		}
+		for _, s := range a.Starts {
+			o.Started(now, s.Worker.ID, s.Order.Run, wigeonstep.StartResult{Verdict: wigeonstep.StartTaken, Clock: 5000})
+		}
+	}
+	return o, now
+}
+
+// BenchmarkEnd is one task that ends on a full pool, and what starts in its place. Its cost decides how many starts a
+// second an entry VM with a fifth of a core can decide. The ratio to the smallest pool is reported, since figures in
+// seconds differ between machines.
+func BenchmarkEnd(b *testing.B) {
+	var base float64
+	for _, size := range []struct{ workers, waiting int }{{50, 100}, {90, 600}, {350, 600}, {7300, 600}} {
+		b.Run(fmt.Sprintf("workers=%d/waiting=%d", size.workers, size.waiting), func(b *testing.B) {
+			o, now := fullOwner(size.workers, size.waiting)
+			ends := map[wigeonstep.WorkerID]uint64{}
+			b.ResetTimer()
+			for i := range b.N {
+				now.Steady += time.Millisecond
+				w := o.roster[i%len(o.roster)]
+				w.holding = true
+				if len(w.runs) > 0 {
+					r := w.runs[0]
+					ends[w.ID]++
+					o.Held(now, w.ID, wigeonstep.HoldResult{Clock: 5000, Ended: []wigeonstep.EndedRun{{Number: ends[w.ID], Run: r.id(), Cause: wigeonstep.EndStopped}}, Running: running(w, r)}, nil)
+				}
+				a := o.Step(now)
+				if a.Append != nil {
+					o.Flushed(now)
+				}
+				for _, s := range o.Step(now).Starts {
+					o.Started(now, s.Worker.ID, s.Order.Run, wigeonstep.StartResult{Verdict: wigeonstep.StartTaken, Clock: 5000})
+				}
+			}
+			per := float64(b.Elapsed().Nanoseconds()) / float64(b.N)
+			if base == 0 {
+				base = per
+			}
+			b.ReportMetric(per/base, "ratio")
+		})
+	}
+}
+
+// running lists what a worker runs but one.
+func running(w *worker, but *run) []wigeonstep.RunningRun {
+	var all []wigeonstep.RunningRun
+	for _, r := range w.runs {
+		if r != but {
+			all = append(all, wigeonstep.RunningRun{Run: r.id(), Percent: 50})
+		}
+	}
+	return all
+}
--- a/wigeonshard/hold.go
+++ b/wigeonshard/hold.go
@@ -89,6 +89,7 @@
 	o.takeRunning(now, w, result.Running)
 	if !w.known {
 		w.known = true
+		o.changed = true
 		w.nextHold = now.Steady
 		// An earlier owner may have given a lease until just before this answer.
 		w.until = max(w.until, w.clock+wigeonstep.WorkerMillis(o.settings.Lease.Milliseconds()))
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -16,6 +16,7 @@
 	}
 	j := &job{Job: accepted, state: progress.State, shown: progress.State, finished: slices.Clone(progress.Finished)}
 	j.due = now.Steady - time.Duration(max(now.Wall-accepted.Accepted, 0))*time.Millisecond
+	o.changed = true
 	o.jobs[accepted.ID] = j
 	o.order = append(o.order, j)
 	for i := range progress.Tasks {
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -45,6 +45,10 @@
 	released map[wigeonstep.WorkerID]bool
 	arrivals map[wigeonstep.ServiceName]*arrivals
 
+	// placed is when the last round of placement was, changed is set when something has changed since.
+	placed  time.Duration
+	changed bool
+
 	dirty    []*job
 	releases []wigeonjob.Release
 	// noted is set once a note of this owner is durable, renote while the newest one is out of date.
@@ -101,6 +105,7 @@
 
 // SetWorkers takes over the workers of the services of this shard.
 func (o *Owner) SetWorkers(now Now, listed []wigeonstep.ListedWorker) {
+	o.changed = true
 	for _, w := range o.roster {
 		w.listed = false
 	}
@@ -257,6 +262,7 @@
 const wallMargin = 2500 * time.Millisecond
 
 func (o *Owner) touch(j *job) {
+	o.changed = true
 	if !j.dirty {
 		j.dirty = true
 		o.dirty = append(o.dirty, j)
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -37,23 +37,60 @@
 	slack time.Duration
 }
 
-// place plans runs for the tasks that wait, in the order of compare.
+// place plans runs for the tasks that wait, in the order of compare. Rounds that nothing could change are left out, and
+// on a busy shard the events of placeInterval share one.
 func (o *Owner) place(now Now) {
+	since := now.Steady - o.placed
+	if since < placeInterval || !o.changed && since < idlePlaceInterval {
+		return
+	}
+	o.placed, o.changed = now.Steady, false
 	candidates := o.candidates(now)
 	if len(candidates) == 0 {
 		return
 	}
 	slices.SortStableFunc(candidates, compare)
-	pool := o.pool(now)
+	r := round{pool: o.pool(now)}
 	planned := 0
 	for _, c := range candidates {
-		if planned >= maxPlannedPerRound || len(pool) == 0 {
+		if planned >= maxPlannedPerRound || len(r.pool) == 0 {
+			o.changed = true
 			return
 		}
-		planned += o.placeStep(now, c.step, pool)
+		planned += o.placeStep(now, c.step, &r)
 	}
 }
 
+const (
+	// placeInterval is the pause between two rounds of placement.
+	placeInterval = 4 * time.Millisecond
+	// idlePlaceInterval is the pause between two rounds when nothing has changed but the time.
+	idlePlaceInterval = 100 * time.Millisecond
+)
+
+// round is the state of one round of placement.
+type round struct {
+	// pool holds the workers that may take new work.
+	pool []*worker
+	// failed holds rooms that no worker of a service has; what needs as much or more need not be tried.
+	failed []failedRoom
+}
+
+type failedRoom struct {
+	service wigeonstep.ServiceName
+	room    wigeonstep.Resources
+}
+
+// hopeless reports whether a task of the given room has been found not to fit.
+func (r *round) hopeless(service wigeonstep.ServiceName, room wigeonstep.Resources) bool {
+	for _, f := range r.failed {
+		if f.service == service && room.Holds(f.room) {
+			return true
+		}
+	}
+	return false
+}
+
 // compare orders the steps: by urgency, by the queue's priority, then the one first that can wait least. Long jobs are
 // not starved by short ones this way; jobs that can't be on time any more have left the first group.
 func compare(a, b candidate) int {
@@ -166,19 +203,25 @@
 }
 
 // placeStep plans runs for the waiting tasks of a step and returns how many.
-func (o *Owner) placeStep(now Now, s *step, pool []*worker) int {
-	pool = o.allowed(now, s, pool)
+func (o *Owner) placeStep(now Now, s *step, r *round) int {
+	room := s.Room()
+	if r.hopeless(s.job.Service, room) {
+		return 0
+	}
+	pool := o.allowed(now, s, r.pool)
 	if s.Gang {
 		return o.placeGang(s, pool)
 	}
 	planned := 0
-	room := s.Room()
 	for _, t := range s.tasks {
 		if !t.waiting() || now.Steady < t.retryAt {
 			continue
 		}
 		w := s.choose(t, pool, room)
 		if w == nil {
+			if s.unrestricted() && len(t.runs) == 0 {
+				r.failed = append(r.failed, failedRoom{service: s.job.Service, room: room})
+			}
 			break
 		}
 		o.plan(t, w, t.lastRun+1)
@@ -187,6 +230,11 @@
 	return planned
 }
 
+// unrestricted reports whether only room decides where the tasks of a step run.
+func (s *step) unrestricted() bool {
+	return s.MaxPerWorker == 0 && s.RequiredLabel == "" && s.job.Policy.Advice == nil
+}
+
 // placeGang plans one run for all tasks of a gang, or none.
 func (o *Owner) placeGang(s *step, pool []*worker) int {
 	number := wigeonstep.RunNumber(0)
