--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -139,9 +139,9 @@
 	return wigeonstep.RunID{Task: r.task.id, Number: r.number}
 }
 
-// atWork reports whether a long-running run serves.
+// atWork reports whether a long-running run serves, as far as is known. What a worker said before it fell silent is not.
 func (r *run) atWork() bool {
-	return r.phase == runTaken && !r.stopping && r.percent >= 100
+	return r.phase == runTaken && !r.stopping && r.percent >= fullPace && r.worker.failures == 0
 }
 
 // adviceState is what the advice service said of a step.
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -149,6 +149,37 @@
 	c.Assert(state, qt.Equals, wigeonjob.StateCompleted)
 }
 
+// Guards against planned work that adds to a failure: while the worker of one task is silent, no other task of the step
+// is stopped for an upkeep.
+func TestNoTaskMovesWhileAnotherIsSilent(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 9, 5)
+	o := w.own()
+	lasting := testStep(3)
+	lasting.LongRunning, lasting.MaxPerWorker, lasting.MayMiss = true, 1, 1
+	w.submit(testJob("lasting", lasting))
+	w.run(2 * time.Second)
+	var busy []wigeonstep.WorkerID
+	for _, l := range w.listed {
+		if len(w.workers[l.ID].runs) > 0 {
+			busy = append(busy, l.ID)
+		}
+	}
+	w.crash(busy[0], false)
+	w.run(time.Second)
+	w.cordons[busy[1]] = "vm"
+	o.SetCordons(w.cordons)
+	for range 40 {
+		w.run(50 * time.Millisecond)
+		c.Assert(w.workers[busy[1]].runs, qt.HasLen, 1)
+	}
+	w.run(testSettings.Lease + 2*time.Second)
+	c.Assert(w.workers[busy[1]].runs, qt.HasLen, 0)
+	for i := range 3 {
+		c.Assert(w.running[wigeonstep.TaskID{Job: "lasting", Index: i}], qt.Equals, 1)
+	}
+}
+
 // Guards against a task that runs twice, is lost, or starts after its end was noted, while owners replace each other,
 // calls are lost or carried out late, workers crash and come back, and the log is away.
 func TestSeededFaults(t *testing.T) {
