--- a/cmd/wigeonstep/node_test.go
+++ b/cmd/wigeonstep/node_test.go
@@ -84,6 +84,12 @@
 
 // startNode runs a node. Its end is that of a process which is killed: it says goodbye to nobody.
 func (f *fleetStandIn) startNode(t *testing.T, name string) *testNode {
+	t.Helper()
+	return f.startNodeAt(t, name, f.store.Address())
+}
+
+// startNodeAt runs a node that reaches the store at the address.
+func (f *fleetStandIn) startNodeAt(t *testing.T, name, store string) *testNode {
 	t.Helper()
 	c := qt.New(t)
 	var settings platform.Settings
@@ -96,7 +102,7 @@
 	settings.Listen.Ready = fmt.Sprintf("127.0.0.1:%d", ports[1])
 	settings.InternalPorts = []int{ports[2], ports[3]}
 	settings.Bounds.HoldMaxMS, settings.Bounds.GraceS = 10_000, 6
-	settings.Store.Address, settings.Store.Parts, settings.Store.TTLMinMS = f.store.Address(), nodeTestPartitions, 1000
+	settings.Store.Address, settings.Store.Parts, settings.Store.TTLMinMS = store, nodeTestPartitions, 1000
 	settings.Cloud.Address = f.cloud.Address()
 	set := metrics.NewSet()
 	config, err := nodeConfig(settings, zap.NewNop(), set)
@@ -249,6 +255,28 @@
 	waitFor(c, "the job is completed after the history is gone", func() bool { return a.state(c, jobID(1)) == "completed" })
 }
 
+// Guards against refusals by a node that alone is turned away by the store: it hands jobs to the log through another one,
+// and answers for their state.
+func TestNodeWithoutTheStoreGoesThroughAnother(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	gate, err := f.store.NewGate(ctx)
+	c.Assert(err, qt.IsNil)
+	f.startNode(t, "b")
+	a := f.startNodeAt(t, "a", gate.Address())
+	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), twoSteps("order"))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	waitFor(c, "the owner is known", func() bool { return a.state(c, jobID(0)) == "completed" })
+	gate.Shut.Store(true)
+	for i := 1; i < 5; i++ {
+		status, _ = a.request(c, http.MethodPost, "/new/"+jobID(i), twoSteps("order"))
+		c.Assert(status, qt.Equals, http.StatusOK)
+		waitFor(c, "the job is completed", func() bool { return a.state(c, jobID(i)) == "completed" })
+	}
+}
+
 // Guards against a configuration that does not come into force, and against one that goes back.
 func TestConfigurationComesIntoForce(t *testing.T) {
 	c := qt.New(t)
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -16,12 +15,6 @@
 )
 
 const (
-	// submitTries is how many refusals of the log end the attempt to accept a job.
-	submitTries = 4
-	// submitDelay is the pause before the log is tried again.
-	submitDelay = 30 * time.Millisecond
-	// unknownMargin is the time that is left for the answer when the log has not answered.
-	unknownMargin = 150 * time.Millisecond
 	// peerTimeout bounds the question to the owner of a shard.
 	peerTimeout = 250 * time.Millisecond
 	// refusalRetry is when a client may come back after the log refused.
@@ -116,34 +109,6 @@
 	return response
 }
 
-// record appends a record that any process may write, and answers what became of it.
-func (d *Daemon) record(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord) wigeonstep.Response {
-	deadline, _ := ctx.Deadline()
-	maybe := false
-	var last error
-	for try := 1; ; try++ {
-		_, err := d.config.Jobs.Append(ctx, part, []wigeonstep.KeyedRecord{record}, nil)
-		if err == nil {
-			d.post(func() {
-				if sh := d.shards[part]; sh != nil && sh.owned {
-					sh.wake()
-				}
-			})
-			return done
-		}
-		last = err
-		certain := errors.Is(err, wigeonstep.ErrUnavailable) || errors.Is(err, wigeonstep.ErrRejected)
-		maybe = maybe || !certain
-		if !maybe && (try >= submitTries || errors.Is(err, wigeonstep.ErrRejected)) {
-			return wigeonstep.NotRun(http.StatusServiceUnavailable, last.Error(), "record", "job log", refusalRetry+rand.N(refusalRetry))
-		}
-		if time.Until(deadline) < unknownMargin {
-			return wigeonstep.Unknown(true, last.Error(), "record", "job log")
-		}
-		pause(ctx, submitDelay/2+rand.N(submitDelay))
-	}
-}
-
 // Show implements platform.Jobs.
 func (d *Daemon) Show(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue) (wigeonjob.State, wigeonstep.Response) {
 	v, response := d.find(ctx, id, queue)
@@ -195,9 +160,12 @@
 		}
 		return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Shard{Shard: orders}}
 	}
+	if a := request.GetAppend(); a != nil {
+		return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Append{Append: d.appendFor(ctx, a)}}
+	}
 	query := request.GetJob()
 	if query == nil {
-		return &wigeonwire.PeerResponse{Error: "this process answers only questions about jobs and reports of shards"}
+		return &wigeonwire.PeerResponse{Error: "this process does not answer such a request"}
 	}
 	v, ok := d.look(ctx, wigeonstep.Partition(query.GetPartition()), wigeonstep.JobID(query.GetJob()))
 	if !ok {
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -82,6 +82,8 @@
 	events chan func()
 	ctx    context.Context
 	ready  atomic.Bool
+	// logLost is set while reads of the job log fail here.
+	logLost atomic.Bool
 	// routes is the configuration in force; nil while none is known.
 	routes atomic.Pointer[routeTable]
 
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -83,9 +83,15 @@
 	peer := "job log"
 	tail := wigeontail.Tail{
 		Log: d.config.Jobs, Part: sh.part, Wait: otherWait, Gap: gap, Kick: sh.kick,
-		Apply:    func(b wigeontail.Batch) { d.post(func() { d.apply(sh, b) }) },
-		Lost:     func(err error) { d.logPeer(peer, err) },
-		Regained: func() { d.logPeer(peer, nil) },
+		Apply: func(b wigeontail.Batch) { d.post(func() { d.apply(sh, b) }) },
+		Lost: func(err error) {
+			d.logLost.Store(true)
+			d.logPeer(peer, err)
+		},
+		Regained: func() {
+			d.logLost.Store(false)
+			d.logPeer(peer, nil)
+		},
 	}
 	tail.Run(d.ctx)
 }
