--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -95,6 +95,7 @@
 	leaving    bool
 	workers    registry
 	waves      map[int]wigeonstep.Wave
+	shared     sharedAppends
 	fleet      fleet
 	limits     map[wigeonstep.WorkerID]chan struct{}
 	// reported is when the owned shards last reported to the owner of the fleet's partition.
--- a/wigeondaemon/record.go
+++ b/wigeondaemon/record.go
@@ -18,8 +18,8 @@
 	recordTries = 4
 	// recordDelay is the pause before the next try.
 	recordDelay = 20 * time.Millisecond
-	// recordTimeout bounds one try when there are others to try.
-	recordTimeout = 700 * time.Millisecond
+	// recordTimeout bounds one try when there are others to try. A slow store takes about a second.
+	recordTimeout = 1400 * time.Millisecond
 	// unknownMargin is the time that is left for the answer when no try was answered.
 	unknownMargin = 300 * time.Millisecond
 )
@@ -65,8 +65,7 @@
 // writers returns the ways to write a record, the best first.
 func (d *Daemon) writers(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord) []writer {
 	own := writer{peer: "job log", write: func(ctx context.Context) error {
-		_, err := d.config.Jobs.Append(ctx, part, []wigeonstep.KeyedRecord{record}, nil)
-		return err
+		return d.appendShared(ctx, part, record)
 	}}
 	var peers []writer
 	for _, address := range d.peers(ctx) {
@@ -124,7 +123,7 @@
 	part := wigeonstep.Partition(a.GetPartition())
 	ctx, cancel := context.WithTimeout(ctx, recordTimeout)
 	defer cancel()
-	_, err := d.config.Jobs.Append(ctx, part, []wigeonstep.KeyedRecord{{Key: a.GetKey(), Value: a.GetValue()}}, nil)
+	err := d.appendShared(ctx, part, wigeonstep.KeyedRecord{Key: a.GetKey(), Value: a.GetValue()})
 	if err == nil {
 		d.wakeOwner(part)
 		return &wigeonwire.AppendResult{Done: true}
