Refuse jobs at once while the log answers nobody

Others are asked; if none reaches the log the refusal is certain and immediate, with spread times to return.

--- a/wigeondaemon/record.go
+++ b/wigeondaemon/record.go
@@ -35,6 +35,9 @@
 func (d *Daemon) record(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord) wigeonstep.Response {
 	deadline, _ := ctx.Deadline()
 	writers := d.writers(ctx, part, record)
+	if len(writers) == 0 {
+		return refusedByLog("the log does not answer here, and no other process is known", "job log")
+	}
 	maybe := false
 	for try := 1; ; try++ {
 		w := writers[(try-1)%len(writers)]
@@ -46,8 +49,8 @@
 		certain := errors.Is(err, wigeonstep.ErrUnavailable) || errors.Is(err, wigeonstep.ErrRejected)
 		maybe = maybe || !certain
 		switch {
-		case !maybe && (try >= max(recordTries, len(writers)) || errors.Is(err, wigeonstep.ErrRejected)):
-			return wigeonstep.NotRun(http.StatusServiceUnavailable, err.Error(), "record", w.peer, refusalRetry+rand.N(refusalRetry))
+		case !maybe && (try >= recordTries && try >= len(writers) || try >= len(writers) && d.logLost.Load() || errors.Is(err, wigeonstep.ErrRejected)):
+			return refusedByLog(err.Error(), w.peer)
 		case time.Until(deadline) < unknownMargin+recordDelay:
 			return wigeonstep.Unknown(true, err.Error(), "record", w.peer)
 		}
@@ -55,6 +58,12 @@
 	}
 }
 
+// refusedByLog is the answer to a client whose record was certainly not written. The times to return are spread, so that
+// the end of an outage is not met by all clients at once.
+func refusedByLog(reason, peer string) wigeonstep.Response {
+	return wigeonstep.NotRun(http.StatusServiceUnavailable, reason, "record", peer, refusalRetry+rand.N(refusalRetry))
+}
+
 // writeOnce tries one way, and leaves time for an answer to the client.
 func (d *Daemon) writeOnce(ctx context.Context, w writer, deadline time.Time) error {
 	ctx, cancel := context.WithTimeout(ctx, min(recordTimeout, time.Until(deadline)-unknownMargin))
@@ -74,8 +83,9 @@
 		}})
 	}
 	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	if d.logLost.Load() && len(peers) > 0 {
-		return append(peers, own)
+	if d.logLost.Load() {
+		// A try here would most likely end without an answer, and then nobody could say that the job never runs.
+		return peers
 	}
 	return append([]writer{own}, peers...)
 }
