--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -209,6 +210,9 @@
 		return 0
 	}
 	pool := o.allowed(now, s, r.pool)
+	if s.SameRack && s.live == 0 {
+		pool = s.oneRack(pool)
+	}
 	if s.Gang {
 		return o.placeGang(s, pool)
 	}
@@ -232,7 +236,7 @@
 
 // unrestricted reports whether only room decides where the tasks of a step run.
 func (s *step) unrestricted() bool {
-	return s.MaxPerWorker == 0 && s.RequiredLabel == "" && s.job.Policy.Advice == nil
+	return s.MaxPerWorker == 0 && s.RequiredLabel == "" && !s.SameRack && s.job.Policy.Advice == nil
 }
 
 // placeGang plans one run for all tasks of a gang, or none.
@@ -243,31 +247,83 @@
 	}
 	number++
 	room := s.Room()
-	var planned []*run
+	var members []*run
 	for _, t := range s.tasks {
 		w := s.choose(t, pool, room)
 		if w == nil {
-			for _, r := range planned {
+			for _, r := range members {
 				o.detach(r)
-				r.phase = runEnded
 			}
 			return 0
 		}
-		planned = append(planned, o.plan(t, w, number))
+		members = append(members, o.reserve(t, w, number))
+	}
+	for _, r := range members {
+		o.commit(r)
 	}
-	return len(planned)
+	return len(members)
 }
 
 // plan adds a run that leaves once the log holds it.
-func (o *Owner) plan(t *task, w *worker, number wigeonstep.RunNumber) *run {
+func (o *Owner) plan(t *task, w *worker, number wigeonstep.RunNumber) {
+	o.commit(o.reserve(t, w, number))
+}
+
+// reserve takes the room of a run, which may still be given back.
+func (o *Owner) reserve(t *task, w *worker, number wigeonstep.RunNumber) *run {
 	r := &run{task: t, number: number, worker: w, settled: -1, pace: fullPace, paceSent: fullPace}
-	t.lastRun = number
-	t.copyWanted = false
 	o.attach(r)
-	o.start(t.step.job)
 	return r
 }
 
+// commit makes a reserved run a planned one.
+func (o *Owner) commit(r *run) {
+	r.task.lastRun = r.number
+	r.task.copyWanted = false
+	o.start(r.task.step.job)
+}
+
+// oneRack returns the workers of the rack that holds all tasks of the step with the least room to spare, or the whole
+// pool when no rack does.
+func (s *step) oneRack(pool []*worker) []*worker {
+	racks := map[wigeonstep.Label][]*worker{}
+	for _, w := range pool {
+		if w.Service == s.job.Service {
+			racks[w.Rack] = append(racks[w.Rack], w)
+		}
+	}
+	best, bestFits := pool, 0
+	for _, rack := range slices.Sorted(maps.Keys(racks)) {
+		fits := 0
+		for _, w := range racks[rack] {
+			fits += s.fitting(w)
+		}
+		if fits >= s.left && (bestFits == 0 || fits < bestFits) {
+			best, bestFits = racks[rack], fits
+		}
+	}
+	return best
+}
+
+// fitting returns how many tasks of the step a worker has room for.
+func (s *step) fitting(w *worker) int {
+	room, free := s.Room(), w.free()
+	n := s.left
+	if s.MaxPerWorker > 0 {
+		n = min(n, s.MaxPerWorker)
+	}
+	if room.CPU > 0 {
+		n = min(n, int(free.CPU/room.CPU))
+	}
+	if room.Memory > 0 {
+		n = min(n, int(free.Memory/room.Memory))
+	}
+	if room.GPU > 0 {
+		n = min(n, int(free.GPU/room.GPU))
+	}
+	return max(n, 0)
+}
+
 // allowed returns the workers of the pool on which the step may run.
 func (o *Owner) allowed(now Now, s *step, pool []*worker) []*worker {
 	if s.job.Policy.Advice != nil {
