--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -54,6 +54,29 @@
 	Emptying map[wigeonstep.WorkerID]time.Duration
 }
 
+// Sum adds the demands of the shards of one service. Until all of them have reported, and when one falls silent, the sum
+// is as old as the oldest report, so that nothing is decided from a part.
+func Sum(shards map[uint32]Demand, count int) Demand {
+	sum := Demand{Usable: map[wigeonstep.WorkerID]bool{}, Idle: map[wigeonstep.WorkerID]bool{}, Emptying: map[wigeonstep.WorkerID]time.Duration{}}
+	for i, shard := range slices.Sorted(maps.Keys(shards)) {
+		d := shards[shard]
+		if i == 0 || d.At < sum.At {
+			sum.At = d.At
+		}
+		sum.Work += d.Work
+		sum.Arrival += d.Arrival
+		sum.Capacity += d.Capacity
+		sum.Blocked += d.Blocked
+		maps.Copy(sum.Usable, d.Usable)
+		maps.Copy(sum.Idle, d.Idle)
+		maps.Copy(sum.Emptying, d.Emptying)
+	}
+	if len(shards) < count {
+		sum.At = 0
+	}
+	return sum
+}
+
 // Fleet is what a plan is made from.
 type Fleet struct {
 	// VMs is the newest list of the platform; nil while there is none.
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -39,6 +39,7 @@
 var (
 	done     = wigeonstep.Response{Outcome: wigeonstep.OutcomeDone, Status: http.StatusOK}
 	accept   = wigeonstep.Response{Outcome: wigeonstep.OutcomeAccepted, Status: http.StatusOK}
+	notSplit = wigeonstep.NotRun(http.StatusServiceUnavailable, "the service of the queue has no partitions yet", "look up", "job log", refusalRetry)
 	notFound = wigeonstep.NotRun(http.StatusGone, "no such job", "look up", "job log", 0)
 )
 
@@ -100,7 +101,11 @@
 		return wigeonstep.NotRun(http.StatusBadRequest, err.Error(), "encode", "client", 0)
 	}
 	record := wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindJob, job.ID), Value: value}
-	response := d.record(ctx, d.partition(job.Service), record)
+	part, known := d.jobPartition(job.Service, job.ID)
+	if !known {
+		return notSplit
+	}
+	response := d.record(ctx, part, record)
 	if response.Status == http.StatusOK {
 		response = accept
 	}
@@ -117,7 +122,10 @@
 
 // find returns the newest state of a job that can be had: of the owner, or else of the log.
 func (d *Daemon) find(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue) (view, wigeonstep.Response) {
-	part := d.partition(queue.Service)
+	part, known := d.jobPartition(queue.Service, id)
+	if !known {
+		return view{}, notSplit
+	}
 	v, ok := d.look(ctx, part, id)
 	switch {
 	case !ok:
@@ -214,17 +222,24 @@
 	if err != nil {
 		return wigeonstep.Unknown(false, err.Error(), "encode", "process")
 	}
-	response = d.record(ctx, d.partition(queue.Service), wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindCancel, id), Value: value})
+	part, _ := d.jobPartition(queue.Service, id)
+	response = d.record(ctx, part, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindCancel, id), Value: value})
 	d.logRequest("cancel", id, queue, response, time.Since(began))
 	return response
 }
 
 // Waiting implements platform.Jobs.
 func (d *Daemon) Waiting(ctx context.Context, queue wigeonstep.Queue) (int, wigeonstep.Response) {
-	n, loaded := 0, false
+	parts := d.partitions(queue.Service)
+	n, loaded := 0, len(parts) > 0
 	ok := d.ask(ctx, func() {
-		if sh := d.shards[d.partition(queue.Service)]; sh != nil && sh.loaded {
-			n, loaded = sh.replica.Waiting(queue.Name), true
+		for _, part := range parts {
+			sh := d.shards[part]
+			if sh == nil || !sh.loaded {
+				loaded = false
+				return
+			}
+			n += sh.replica.Waiting(queue.Name)
 		}
 	})
 	if !ok || !loaded {
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -25,7 +25,7 @@
 	stepInterval = 25 * time.Millisecond
 	// eventBacklog bounds the results that wait for the goroutine that holds the state.
 	eventBacklog = 4096
-	// readyPoll is how often a process that is not ready looks whether it may join the group.
+	// readyPoll is how often a process that has not read its state looks whether it may join the group.
 	readyPoll = 20 * time.Millisecond
 	// joinInterval is how often membership is renewed.
 	joinInterval = 400 * time.Millisecond
@@ -84,6 +84,8 @@
 	ready  atomic.Bool
 	// logLost is set while reads of the job log fail here.
 	logLost atomic.Bool
+	// splits holds the partitions of the services; nil while none is known.
+	splits atomic.Pointer[splits]
 	// routes is the configuration in force; nil while none is known.
 	routes atomic.Pointer[routeTable]
 
@@ -214,11 +216,11 @@
 	m := d.membership()
 	failing := false
 	for ctx.Err() == nil {
-		leaving := false
-		if !d.ask(ctx, func() { leaving = d.leaving }) || leaving {
+		leaving, loaded := false, false
+		if !d.ask(ctx, func() { leaving, loaded = d.leaving, d.loaded() }) || leaving {
 			return
 		}
-		if !d.ready.Load() {
+		if !loaded {
 			// A shard that is given to a process without its state has no owner until the state is read.
 			pause(ctx, readyPoll)
 			continue
@@ -319,9 +321,6 @@
 	}
 	d.routes.Store(newRouteTable(c))
 	d.config.Logger.Info("configuration_in_force", zap.Uint64("version", uint64(c.Version)), zap.Int("queues", len(c.Queues)), zap.Int("services", len(c.Services)))
-	for _, s := range c.Services {
-		d.follow(d.partition(s.Name))
-	}
 	d.updateReady()
 }
 
@@ -330,15 +329,24 @@
 	if d.ready.Load() || d.leaving || d.routes.Load() == nil {
 		return
 	}
-	for _, sh := range d.order {
-		if !sh.loaded {
+	table := d.routes.Load()
+	for _, service := range table.services {
+		if !table.spare[service] && len(d.partitions(service)) == 0 {
 			return
 		}
 	}
+	if !d.loaded() {
+		return
+	}
 	d.ready.Store(true)
 	d.config.Logger.Info("ready")
 }
 
+// loaded reports whether the state of every partition that is followed has been read.
+func (d *Daemon) loaded() bool {
+	return !slices.ContainsFunc(d.order, func(sh *shard) bool { return !sh.loaded })
+}
+
 // step lets every owner act on what has happened.
 func (d *Daemon) step() {
 	now := d.config.Now()
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -40,7 +40,8 @@
 	moved []wigeonjob.MoveOrder
 	// reported tells which waves the operator was told are completed.
 	reported map[int]bool
-	// demands holds the newest report of each service, released the workers that shards reported as empty.
+	// parts holds the newest report of each partition of a service, demands their sum, released the workers that shards reported as empty.
+	parts    map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand
 	demands  map[wigeonstep.PoolName]wigeonbalance.Demand
 	released map[wigeonstep.WorkerID]bool
 	planned  time.Duration
@@ -51,6 +52,7 @@
 func newFleet() fleet {
 	return fleet{
 		planner: &wigeonwave.Planner{}, balancer: &wigeonbalance.Planner{}, reported: map[int]bool{},
+		parts:   map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand{},
 		demands: map[wigeonstep.PoolName]wigeonbalance.Demand{}, released: map[wigeonstep.WorkerID]bool{},
 	}
 }
@@ -69,12 +71,15 @@
 	if !f.listing && (f.vms == nil || now.Steady-f.listed > interval) {
 		d.listVMs(sh, now.Steady)
 	}
-	if f.writing || f.vms == nil || now.Steady-f.planned < planInterval {
+	if f.writing || now.Steady-f.planned < planInterval {
 		return
 	}
 	f.planned = now.Steady
-	records := d.planWaves(sh, now)
-	records = append(records, d.planMoves(sh, now)...)
+	records := d.planSplits(sh, now)
+	if f.vms != nil {
+		records = append(records, d.planWaves(sh, now)...)
+		records = append(records, d.planMoves(sh, now)...)
+	}
 	d.writeOrders(sh, records)
 }
 
@@ -248,6 +253,7 @@
 			}
 		}
 		d.spreadCordons()
+		d.readSplits()
 	})
 }
 
--- a/wigeondaemon/registry.go
+++ b/wigeondaemon/registry.go
@@ -116,7 +116,8 @@
 	var listed []wigeonstep.ListedWorker
 	table := d.routes.Load()
 	for _, w := range d.workers.list() {
-		if d.partition(w.Service) == sh.part && (table == nil || !table.spare[w.Service]) {
+		part, known := d.workerPartition(w.Service, w.ID)
+		if known && part == sh.part && (table == nil || !table.spare[w.Service]) {
 			listed = append(listed, w)
 		}
 	}
--- a/wigeondaemon/report.go
+++ b/wigeondaemon/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
@@ -89,7 +90,7 @@
 	var services []wigeonstep.ServiceName
 	if table := d.routes.Load(); table != nil {
 		for _, name := range table.services {
-			if d.partition(name) == sh.part {
+			if slices.Contains(d.partitions(name), sh.part) {
 				services = append(services, name)
 			}
 		}
@@ -142,7 +143,11 @@
 		for _, e := range s.GetEmptying() {
 			emptying[wigeonstep.WorkerID(e.GetWorker())] = time.Duration(e.GetRemainingMs()) * time.Millisecond
 		}
-		d.fleet.demands[wigeonstep.PoolName(s.GetService())] = wigeonbalance.Demand{
+		pool := wigeonstep.PoolName(s.GetService())
+		if d.fleet.parts[pool] == nil {
+			d.fleet.parts[pool] = map[uint32]wigeonbalance.Demand{}
+		}
+		d.fleet.parts[pool][r.GetPartition()] = wigeonbalance.Demand{
 			At:       now,
 			Work:     float64(s.GetWorkCoreMs()),
 			Arrival:  float64(s.GetArrivalMilliCpu()) / 1000,
@@ -152,6 +157,7 @@
 			Idle:     workerSet(s.GetIdle()),
 			Emptying: emptying,
 		}
+		d.fleet.demands[pool] = wigeonbalance.Sum(d.fleet.parts[pool], len(d.partitions(wigeonstep.ServiceName(pool))))
 	}
 	for _, worker := range r.GetReleased() {
 		d.fleet.released[wigeonstep.WorkerID(worker)] = true
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/wigeonstep/wigeonstep"
@@ -40,7 +39,9 @@
 	owner    *wigeonshard.Owner
 	epoch    wigeonstep.Fence
 	sequence uint64
-	claiming bool
+	// ownedSince is when the ownership began.
+	ownedSince time.Duration
+	claiming   bool
 	// claimEnd is the end of the partition when the claim was accepted; the replica must reach it first.
 	claimEnd   wigeonstep.Offset
 	retryClaim time.Duration
@@ -51,12 +52,6 @@
 	ctx    context.Context
 }
 
-// partition returns the partition of a service.
-func (d *Daemon) partition(service wigeonstep.ServiceName) wigeonstep.Partition {
-	others := uint64(d.config.Partitions - 1) //nolint:gosec // at least 1
-	return 1 + wigeonstep.Partition(xxhash.Sum64String(string(service))%others)
-}
-
 // follow starts to follow a partition unless it is followed already.
 func (d *Daemon) follow(part wigeonstep.Partition) {
 	if d.shards[part] != nil {
@@ -126,6 +121,9 @@
 		}
 		d.tellOwner(sh, record.Key)
 	}
+	if sh.part == fleetPartition {
+		d.readSplits()
+	}
 	if b.Complete && !sh.loaded {
 		sh.loaded = true
 		d.updateReady()
@@ -230,6 +228,7 @@
 
 func (d *Daemon) own(sh *shard) {
 	now := d.config.Now()
+	sh.ownedSince = now.Steady
 	sh.ctx, sh.cancel = context.WithCancel(d.ctx)
 	d.config.Logger.Info("shard_owned", zap.Int("partition", int(sh.part)), zap.Uint64("epoch", uint64(sh.epoch)), zap.Uint64("offset", uint64(sh.next)), zap.Int("jobs", len(sh.replica.Jobs())))
 	if sh.part == fleetPartition {
--- a/wigeonjob/key.go
+++ b/wigeonjob/key.go
@@ -18,6 +18,7 @@
 	KindUpkeep   Kind = 'u'
 	KindRelease  Kind = 'r'
 	KindMove     Kind = 'm'
+	KindSplit    Kind = 's'
 )
 
 // Key returns the key of an id.
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -229,6 +229,28 @@
 	}, nil
 }
 
+// EncodeSplit returns the record of the partitions of a service.
+func EncodeSplit(parts []wigeonstep.Partition) ([]byte, error) {
+	r := &wigeonwire.SplitRecord{}
+	for _, part := range parts {
+		r.Partitions = append(r.Partitions, uint32(part))
+	}
+	return encode(r)
+}
+
+// DecodeSplit reads the record of the partitions of a service.
+func DecodeSplit(value []byte) ([]wigeonstep.Partition, error) {
+	var r wigeonwire.SplitRecord
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return nil, fmt.Errorf("record of a split: %w", err)
+	}
+	var parts []wigeonstep.Partition
+	for _, part := range r.GetPartitions() {
+		parts = append(parts, wigeonstep.Partition(part))
+	}
+	return parts, nil
+}
+
 // EncodeRelease returns the record of a release.
 func EncodeRelease(r Release) ([]byte, error) {
 	return encode(&wigeonwire.ReleaseRecord{Vm: string(r.VM), Epoch: uint64(r.Epoch)})
--- a/wigeonreplica/replica.go
+++ b/wigeonreplica/replica.go
@@ -32,6 +32,8 @@
 	Upkeep map[wigeonstep.VMID]wigeonjob.UpkeepOrder
 	// Moves holds the newest move order of each VM; only the fleet's partition has any.
 	Moves map[wigeonstep.VMID]wigeonjob.MoveOrder
+	// Splits holds the partitions of each service; only the fleet's partition has any.
+	Splits map[wigeonstep.ServiceName][]wigeonstep.Partition
 	// Releases holds the workers that a shard has emptied.
 	Releases map[wigeonstep.WorkerID]wigeonjob.Release
 
@@ -91,6 +93,15 @@
 			r.Upkeep = map[wigeonstep.VMID]wigeonjob.UpkeepOrder{}
 		}
 		r.Upkeep[order.VM] = order
+	case wigeonjob.KindSplit:
+		parts, err := wigeonjob.DecodeSplit(record.Value)
+		if err != nil {
+			return err
+		}
+		if r.Splits == nil {
+			r.Splits = map[wigeonstep.ServiceName][]wigeonstep.Partition{}
+		}
+		r.Splits[wigeonstep.ServiceName(id)] = parts
 	case wigeonjob.KindMove:
 		order, err := wigeonjob.DecodeMove(wigeonstep.VMID(id), record.Value)
 		if err != nil {
