--- a/cmd/wigeonstep/node_test.go
+++ b/cmd/wigeonstep/node_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/wigeonstep/wigeonstep/platform"
 	"github.com/wigeonstep/wigeonstep/platform/wigeonstandin"
 	"github.com/wigeonstep/wigeonstep/wigeondaemon"
+	"github.com/wigeonstep/wigeonstep/wigeontelemetry"
 )
 
 const (
@@ -32,6 +34,7 @@
 	store   *wigeonstandin.Store
 	workers []*wigeonstandin.Worker
 	cloud   *wigeonstandin.Cloud
+	logger  *zap.Logger
 }
 
 func newFleetStandIn(t *testing.T, workers int) *fleetStandIn {
@@ -41,7 +44,7 @@
 	t.Cleanup(cancel)
 	store, err := wigeonstandin.NewStore(ctx, nodeTestPartitions)
 	c.Assert(err, qt.IsNil)
-	f := &fleetStandIn{store: store}
+	f := &fleetStandIn{store: store, logger: zap.NewNop()}
 	var machines []*wigeonstandin.Machine
 	for i := range workers {
 		w, err := wigeonstandin.NewWorker(ctx, store, fmt.Sprintf("i-%d", i), "orders", fmt.Sprintf("r%d", i))
@@ -105,7 +108,7 @@
 	settings.Store.Address, settings.Store.Parts, settings.Store.TTLMinMS = store, nodeTestPartitions, 1000
 	settings.Cloud.Address = f.cloud.Address()
 	set := metrics.NewSet()
-	config, err := nodeConfig(settings, zap.NewNop(), set)
+	config, err := nodeConfig(settings, f.logger, set)
 	c.Assert(err, qt.IsNil)
 	n := &testNode{address: settings.Listen.Frontend, daemon: wigeondaemon.New(config)}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -281,6 +284,72 @@
 	}
 }
 
+// lockedBuffer collects lines from many goroutines.
+type lockedBuffer struct {
+	mu    sync.Mutex
+	lines strings.Builder
+}
+
+func (b *lockedBuffer) Write(line []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.lines.Write(line)
+}
+
+// about returns the events that name a job, in order, and its last line.
+func (b *lockedBuffer) about(job string) (events []string, last string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.Lines(b.lines.String()) {
+		if strings.Contains(line, "job="+job) {
+			_, rest, _ := strings.Cut(line, "event=")
+			event, _, _ := strings.Cut(rest, " ")
+			events, last = append(events, event), line
+		}
+	}
+	return events, last
+}
+
+// Guards the paths of docs/OPERATIONS.md: from the id of a job that was refused, and of one whose worker was lost, to the
+// cause, by the lines that name the id.
+func TestLogsLeadFromAJobToItsCause(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 2)
+	lines := &lockedBuffer{}
+	logger, err := wigeontelemetry.NewLogger(lines, "info")
+	c.Assert(err, qt.IsNil)
+	f.logger = logger
+	a := f.startNode(t, "a")
+
+	f.store.Down.Store(true)
+	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), twoSteps("order"))
+	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
+	f.store.Down.Store(false)
+	events, line := lines.about(jobID(0))
+	c.Assert(events, qt.DeepEquals, []string{"submit"})
+	for _, field := range []string{"status=503", "outcome=not_run", "queue=r-new", "reason=", "step=record", "version=1", "took="} {
+		c.Assert(strings.Contains(line, field), qt.IsTrue, qt.Commentf("%s in %s", field, line))
+	}
+
+	waitFor(c, "a long-running job is taken", func() bool {
+		status, _ = a.request(c, http.MethodPost, "/new/"+jobID(1), map[string]any{"spec": "lasts", "steps": []map[string]any{{"count": 1, "cpu": 1000, "long_running": true}}})
+		return status == http.StatusOK
+	})
+	running := func(w *wigeonstandin.Worker) bool { return w.Running() == 1 }
+	waitFor(c, "it runs", func() bool { return running(f.workers[0]) || running(f.workers[1]) })
+	lost := f.workers[0]
+	if running(f.workers[1]) {
+		lost = f.workers[1]
+	}
+	lost.Crash()
+	waitFor(c, "it runs elsewhere", func() bool { return running(f.workers[0]) || running(f.workers[1]) })
+	events, _ = lines.about(jobID(1))
+	c.Assert(events[len(events)-2:], qt.DeepEquals, []string{"job_started", "run_lost"})
+	_, line = lines.about(jobID(1))
+	c.Assert(strings.Contains(line, "worker="+lost.ID), qt.IsTrue, qt.Commentf("%s", line))
+	c.Assert(strings.Contains(line, "lease lapsed"), qt.IsTrue, qt.Commentf("%s", line))
+}
+
 // Guards against a configuration that does not come into force, and against one that goes back.
 func TestConfigurationComesIntoForce(t *testing.T) {
 	c := qt.New(t)
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -170,6 +170,9 @@
 		w.durable = max(w.durable, w.writing)
 	}
 	for _, fj := range f.jobs {
+		if fj.state.Terminal() && !fj.job.shown.Terminal() {
+			o.noteJob("job_ended", fj.job, fj.state.String(), now.Steady-fj.job.due)
+		}
 		fj.job.shown = fj.state
 	}
 	for _, r := range f.runs {
@@ -188,6 +191,10 @@
 		return
 	}
 	r.began, r.moved, r.seen = now.Steady, now.Steady, now.Steady
+	if j := r.task.step.job; !j.begun {
+		j.begun = true
+		o.note("job_started", r, "its first task starts", now.Steady-j.due)
+	}
 	o.sendStart(now, r)
 }
 
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -39,6 +39,8 @@
 	due time.Duration
 	// liveRuns counts the runs of all tasks.
 	liveRuns int
+	// begun is set once a start of the job has left this owner.
+	begun bool
 }
 
 type occurrence struct {
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -254,6 +254,10 @@
 	o.out.Notes = append(o.out.Notes, n)
 }
 
+func (o *Owner) noteJob(event string, j *job, cause string, age time.Duration) {
+	o.out.Notes = append(o.out.Notes, Note{Event: event, Cause: cause, Age: age, Run: wigeonstep.RunID{Task: wigeonstep.TaskID{Job: j.ID}}})
+}
+
 func (o *Owner) noteWorker(event string, w *worker, cause string) {
 	o.out.Notes = append(o.out.Notes, Note{Event: event, Cause: cause, Worker: w.ID})
 }
