Remove ended jobs from the log, and write the fleet's records one append at a time

Cause: the state of ended jobs was kept for ever; the note of a new owner of the fleet's partition and its first orders were two appends on their way at once, which the log may receive in the wrong order and refuse. Test: TestEndedJobsAreDropped.

--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -42,6 +42,9 @@
 	// drainAfterTerm is the part of the grace period after which a stopping process ends in any case.
 	drainAfterTerm = 0.85
 	drainPoll      = 20 * time.Millisecond
+	// retentionFactor times the shortest time for which clients may ask for an ended job is how long it is kept; it
+	// covers wrong clocks and late retries of the request that handed it in.
+	retentionFactor = 3
 )
 
 func newNode(out, errOut io.Writer) *ffcli.Command {
@@ -138,6 +141,7 @@
 		Metrics:    wigeondaemon.NewMetrics(set),
 		Member:     fmt.Sprintf("%s@%d", settings.NodeName, time.Now().UnixNano()),
 		Partitions: settings.Store.Parts,
+		Retention:  retentionFactor * settings.Retention(),
 		MemberTTL:  max(memberTTL, settings.MinMemberTTL()),
 		Shard: wigeonshard.Settings{
 			Lease:        min(maxLease, settings.MaxLease()),
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -50,7 +50,7 @@
 	SetWaveState(ctx context.Context, wave int, completed bool) error
 }
 
-// Config configures a Daemon. All fields are required but Advisor.
+// Config configures a Daemon. All fields are required but Advisor and Retention.
 type Config struct {
 	Logger   *zap.Logger
 	Jobs     wigeonstep.JobLog
@@ -69,6 +69,8 @@
 	Member string
 	// Partitions is the number of partitions of the job log, at least 2.
 	Partitions int
+	// Retention is how long the state of an ended job is kept, default 10 min.
+	Retention time.Duration
 	// MemberTTL is after how long the group drops a silent member.
 	MemberTTL time.Duration
 	Shard     wigeonshard.Settings
@@ -103,12 +105,17 @@
 	// reported is when the owned shards last reported to the owner of the fleet's partition.
 	reported  time.Duration
 	reporting bool
+	// swept is when ended jobs were last removed.
+	swept time.Duration
 	// extraCordons are the cordons that the owner of the fleet's partition named and that the replica does not hold yet.
 	extraCordons map[wigeonstep.WorkerID]wigeonstep.VMID
 }
 
 // New returns a daemon.
 func New(c Config) *Daemon {
+	if c.Retention <= 0 {
+		c.Retention = 10 * time.Minute
+	}
 	return &Daemon{
 		config:   c,
 		events:   make(chan func(), eventBacklog),
@@ -347,6 +354,26 @@
 	return !slices.ContainsFunc(d.order, func(sh *shard) bool { return !sh.loaded })
 }
 
+const (
+	// sweepInterval is the pause between two removals of ended jobs, maxSwept bounds one of a shard.
+	sweepInterval = 2 * time.Second
+	maxSwept      = 100
+)
+
+// dropEnded removes jobs from the owned shards that ended longer ago than their state is kept.
+func (d *Daemon) dropEnded(now wigeonshard.Now) {
+	if now.Steady-d.swept < sweepInterval {
+		return
+	}
+	d.swept = now.Steady
+	before := now.Wall - wigeonstep.UnixMillis(d.config.Retention.Milliseconds())
+	for _, sh := range d.order {
+		if sh.owner != nil {
+			sh.owner.Drop(sh.replica.Expired(before, maxSwept))
+		}
+	}
+}
+
 // step lets every owner act on what has happened.
 func (d *Daemon) step() {
 	now := d.config.Now()
@@ -361,6 +388,7 @@
 			sh.retryClaim = now.Steady + claimRetryDelay
 		}
 	}
+	d.dropEnded(now)
 	d.reportShards(now)
 	d.stepFleet(now)
 }
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -262,7 +262,9 @@
 		d.config.Logger.Error("owner_record_failed", zap.Error(err))
 		return
 	}
-	d.append(sh, []wigeonstep.KeyedRecord{{Key: wigeonjob.OwnerKey, Value: value}}, func() {})
+	// Appends of an epoch reach the log in their order only if there is one at a time.
+	d.fleet.writing = true
+	d.append(sh, []wigeonstep.KeyedRecord{{Key: wigeonjob.OwnerKey, Value: value}}, func() { d.fleet.writing = false })
 }
 
 func accepted(sh *shard, id wigeonstep.JobID) wigeonstep.UnixMillis {
--- a/wigeonreplica/replica.go
+++ b/wigeonreplica/replica.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
@@ -154,6 +155,18 @@
 	return nil
 }
 
+// Expired returns up to limit jobs that ended before the time, in the order of their ids.
+func (r *Replica) Expired(before wigeonstep.UnixMillis, limit int) []wigeonstep.JobID {
+	var expired []wigeonstep.JobID
+	for id, e := range r.jobs {
+		if e.Progress.State.Terminal() && e.Progress.Ended != 0 && e.Progress.Ended < before {
+			expired = append(expired, id)
+		}
+	}
+	slices.Sort(expired)
+	return expired[:min(len(expired), limit)]
+}
+
 func (r *Replica) entry(id wigeonstep.JobID) *Entry {
 	e := r.jobs[id]
 	if e == nil {
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -30,7 +30,7 @@
 	if o.flush != nil {
 		return
 	}
-	if len(o.dirty) == 0 && len(o.releases) == 0 && o.noted && !o.renote {
+	if len(o.dirty) == 0 && len(o.releases) == 0 && len(o.drops) == 0 && o.noted && !o.renote {
 		for _, w := range o.roster {
 			w.durable = w.seen
 		}
@@ -47,6 +47,12 @@
 			records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindRelease, r.Worker), Value: value})
 		}
 	}
+	for _, id := range o.drops {
+		for _, kind := range []wigeonjob.Kind{wigeonjob.KindJob, wigeonjob.KindProgress, wigeonjob.KindCancel} {
+			records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(kind, id)})
+		}
+	}
+	o.drops = nil
 	size := 0
 	taken := 0
 	for _, j := range o.dirty {
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -51,6 +51,8 @@
 
 	dirty    []*job
 	releases []wigeonjob.Release
+	// drops names ended jobs that are to be removed from the log.
+	drops []wigeonstep.JobID
 	// noted is set once a note of this owner is durable, renote while the newest one is out of date.
 	noted  bool
 	renote bool
@@ -103,6 +105,16 @@
 	return j.shown, true
 }
 
+// Drop removes jobs from the log whose last state nobody asks for any more.
+func (o *Owner) Drop(ended []wigeonstep.JobID) {
+	for _, id := range ended {
+		if o.jobs[id] == nil {
+			delete(o.ended, id)
+			o.drops = append(o.drops, id)
+		}
+	}
+}
+
 // SetWorkers takes over the workers of the services of this shard.
 func (o *Owner) SetWorkers(now Now, listed []wigeonstep.ListedWorker) {
 	o.changed = true
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -180,6 +180,27 @@
 	}
 }
 
+// Guards against a log that grows for ever: an ended job is removed with all its keys, and a job that runs is not.
+func TestEndedJobsAreDropped(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 10, 2)
+	o := w.own()
+	lasting := testStep(1)
+	lasting.LongRunning = true
+	w.submit(testJob("ended", testStep(2)))
+	w.submit(testJob("lasting", lasting))
+	w.run(3 * time.Second)
+	expired := w.log.Expired(w.time().Wall, 10)
+	c.Assert(expired, qt.DeepEquals, []wigeonstep.JobID{"ended"})
+	o.Drop(append(expired, "lasting"))
+	w.run(time.Second)
+	c.Assert(w.log.Find("ended"), qt.IsNil)
+	c.Assert(w.log.Jobs(), qt.HasLen, 1)
+	_, known := o.State("ended")
+	c.Assert(known, qt.IsFalse)
+	c.Assert(w.running[wigeonstep.TaskID{Job: "lasting"}], qt.Equals, 1)
+}
+
 // Guards against a task that runs twice, is lost, or starts after its end was noted, while owners replace each other,
 // calls are lost or carried out late, workers crash and come back, and the log is away.
 func TestSeededFaults(t *testing.T) {
