Answer questions to the state by value, and open listeners before their addresses are used

Cause: a question that outlived its caller's context wrote to the caller's variables (race detector, TestJobsSurviveTheLossOfAllNodes, once in 8 runs beside load); a port that was found free could be taken before it was opened (the same test, once). Peers could call a daemon before Run had set its context. Also: the demo shows the job path on stand-ins beside the other one.

--- a/cmd/wigeonstep/demo.go
+++ b/cmd/wigeonstep/demo.go
@@ -21,7 +21,8 @@
 		ShortUsage: "wigeonstep demo [-for DURATION]",
 		ShortHelp:  "plays a recorded trace of two deployments on stand-ins",
 		LongHelp: `Starts entry processes, control daemons and stand-ins for two deployments in three data centres each, sends a recorded
-trace, changes a document, runs a maintenance wave and lets a worker fail. It ends with a table of outcomes and measures.
+trace, changes a document, runs a maintenance wave and lets a worker fail. Meanwhile it hands jobs in at one of two nodes
+on stand-ins of the users' platform, kills that node and sees the jobs completed at the other. It ends with a table of outcomes and measures.
 The exit status is 1 when an outcome breaks a promise.
 
 Example:
@@ -35,8 +36,12 @@
 			if err != nil {
 				return usageError{err}
 			}
+			jobs := startJobDemo(ctx, logger)
 			results, err := wigeondemo.Run(ctx, wigeondemo.Config{Length: *length, Progress: out, Logger: logger})
-			breached := false
+			job := <-jobs
+			job.write(out)
+			err = errors.Join(err, job.err)
+			breached := job.broken()
 			for _, result := range results {
 				if result != nil {
 					err = errors.Join(err, result.WriteText(out))
--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -91,10 +91,11 @@
 	frontend := &platform.Frontend{Jobs: daemon}
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
-	failed, err := serveNode(running, settings, logger, daemon, frontend, set)
+	listeners, err := listenNode(ctx, settings)
 	if err != nil {
 		return err
 	}
+	failed := serveNode(running, listeners, logger, daemon, frontend, set)
 	go daemon.Run(running)
 	logger.Info("started", zap.String("data_centre", settings.DataCentre), zap.String("clients", settings.Listen.Frontend), zap.String("peers", settings.PeerAddress()))
 	for {
@@ -160,23 +161,33 @@
 	return c, nil
 }
 
-// serveNode opens the listeners and serves them; the channel receives the error of the first one that fails.
-func serveNode(ctx context.Context, settings platform.Settings, logger *zap.Logger, daemon *wigeondaemon.Daemon, frontend *platform.Frontend, set *metrics.Set) (<-chan error, error) {
-	var listeners []net.Listener
+// nodeListeners are the listeners of a node.
+type nodeListeners struct {
+	clients, ready, peers, metrics net.Listener
+}
+
+// listenNode opens the listeners at the addresses of the settings.
+func listenNode(ctx context.Context, settings platform.Settings) (nodeListeners, error) {
+	var opened []net.Listener
 	for _, address := range []string{settings.Listen.Frontend, settings.Listen.Ready, settings.PeerAddress(), settings.MetricsAddress()} {
 		l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 		if err != nil {
-			return nil, errors.Join(fmt.Errorf("listen on %s: %w", address, err), closeAll(listeners))
+			return nodeListeners{}, errors.Join(fmt.Errorf("listen on %s: %w", address, err), closeAll(opened))
 		}
-		listeners = append(listeners, l)
+		opened = append(opened, l)
 	}
-	failed := make(chan error, len(listeners))
-	go func() { failed <- frontend.Serve(ctx, listeners[0]) }()
-	go func() { failed <- frontend.ServeReady(ctx, listeners[1]) }()
-	go func() { failed <- wigeonpeer.NewServer(listeners[2], daemon, logger).Serve() }()
+	return nodeListeners{clients: opened[0], ready: opened[1], peers: opened[2], metrics: opened[3]}, nil
+}
+
+// serveNode serves the listeners until ctx ends; the channel receives the error of the first one that fails.
+func serveNode(ctx context.Context, listeners nodeListeners, logger *zap.Logger, daemon *wigeondaemon.Daemon, frontend *platform.Frontend, set *metrics.Set) <-chan error {
+	failed := make(chan error, 4)
+	go func() { failed <- frontend.Serve(ctx, listeners.clients) }()
+	go func() { failed <- frontend.ServeReady(ctx, listeners.ready) }()
+	go func() { failed <- wigeonpeer.NewServer(listeners.peers, daemon, logger).Serve() }()
 	admin := &wigeontelemetry.Admin{Metrics: set, Ready: daemon.Ready}
-	go func() { failed <- admin.Serve(ctx, listeners[3]) }()
-	return failed, nil
+	go func() { failed <- admin.Serve(ctx, listeners.metrics) }()
+	return failed
 }
 
 func closeAll(listeners []net.Listener) error {
--- a/cmd/wigeonstep/node_test.go
+++ b/cmd/wigeonstep/node_test.go
@@ -6,27 +6,23 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
-	"github.com/wigeonstep/wigeonstep/platform"
 	"github.com/wigeonstep/wigeonstep/platform/wigeonstandin"
 	"github.com/wigeonstep/wigeonstep/wigeondaemon"
 	"github.com/wigeonstep/wigeonstep/wigeontelemetry"
 )
 
 const (
-	nodeTestPartitions = 6
-	nodeTestWait       = 20 * time.Second
-	nodeTestHost       = "orders.example"
+	nodeTestWait = 20 * time.Second
+	nodeTestHost = "orders.example"
 )
 
 // fleetStandIn is the platform around the nodes of a test.
@@ -42,7 +38,7 @@
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	store, err := wigeonstandin.NewStore(ctx, nodeTestPartitions)
+	store, err := wigeonstandin.NewStore(ctx, localPartitions)
 	c.Assert(err, qt.IsNil)
 	f := &fleetStandIn{store: store, logger: zap.NewNop()}
 	var machines []*wigeonstandin.Machine
@@ -77,14 +73,6 @@
 	kill    context.CancelFunc
 }
 
-func freeAddress(c *qt.C) (host string, port int) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	address, _ := l.Addr().(*net.TCPAddr)
-	return "127.0.0.1", address.Port
-}
-
 // startNode runs a node. Its end is that of a process which is killed: it says goodbye to nobody.
 func (f *fleetStandIn) startNode(t *testing.T, name string) *testNode {
 	t.Helper()
@@ -95,28 +83,11 @@
 func (f *fleetStandIn) startNodeAt(t *testing.T, name, store string) *testNode {
 	t.Helper()
 	c := qt.New(t)
-	var settings platform.Settings
-	settings.NodeName, settings.IP = name, "127.0.0.1"
-	var ports [4]int
-	for i := range ports {
-		_, ports[i] = freeAddress(c)
-	}
-	settings.Listen.Frontend = fmt.Sprintf("127.0.0.1:%d", ports[0])
-	settings.Listen.Ready = fmt.Sprintf("127.0.0.1:%d", ports[1])
-	settings.InternalPorts = []int{ports[2], ports[3]}
-	settings.Bounds.HoldMaxMS, settings.Bounds.GraceS = 10_000, 6
-	settings.Store.Address, settings.Store.Parts, settings.Store.TTLMinMS = store, nodeTestPartitions, 1000
-	settings.Cloud.Address = f.cloud.Address()
-	set := metrics.NewSet()
-	config, err := nodeConfig(settings, f.logger, set)
-	c.Assert(err, qt.IsNil)
-	n := &testNode{address: settings.Listen.Frontend, daemon: wigeondaemon.New(config)}
 	ctx, cancel := context.WithCancel(context.Background())
-	n.kill = cancel
 	t.Cleanup(cancel)
-	_, err = serveNode(ctx, settings, zap.NewNop(), n.daemon, &platform.Frontend{Jobs: n.daemon}, set)
+	local, err := startLocal(ctx, name, store, f.cloud.Address(), f.logger)
 	c.Assert(err, qt.IsNil)
-	go n.daemon.Run(ctx)
+	n := &testNode{address: local.address, daemon: local.daemon, kill: cancel}
 	waitFor(c, "the node is ready", n.daemon.Ready)
 	return n
 }
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,13 +57,12 @@
 
 // look returns what this process knows of a job of a shard.
 func (d *Daemon) look(ctx context.Context, part wigeonstep.Partition, id wigeonstep.JobID) (view, bool) {
-	var v view
-	ok := d.ask(ctx, func() {
+	return ask(ctx, d, func() view {
 		sh := d.shards[part]
 		if sh == nil {
-			return
+			return view{}
 		}
-		v = view{loaded: sh.loaded, next: sh.next, owner: sh.replica.Owner.Address}
+		v := view{loaded: sh.loaded, next: sh.next, owner: sh.replica.Owner.Address}
 		if e := sh.replica.Find(id); e != nil {
 			v.state, v.known = e.State(), true
 		}
@@ -72,18 +72,15 @@
 			}
 			v.owned = true
 		}
+		return v
 	})
-	return v, ok
 }
 
 // knownAnywhere reports whether any shard holds the job, which happens when a queue changes its service between two
 // requests with the same id.
 func (d *Daemon) knownAnywhere(ctx context.Context, id wigeonstep.JobID) bool {
-	known := false
-	d.ask(ctx, func() {
-		for _, sh := range d.order {
-			known = known || sh.replica.Find(id) != nil
-		}
+	known, _ := ask(ctx, d, func() bool {
+		return slices.ContainsFunc(d.order, func(sh *shard) bool { return sh.replica.Find(id) != nil })
 	})
 	return known
 }
@@ -162,8 +159,8 @@
 // HandlePeer implements wigeonpeer.Handler.
 func (d *Daemon) HandlePeer(ctx context.Context, request *wigeonwire.PeerRequest) *wigeonwire.PeerResponse {
 	if report := request.GetShard(); report != nil {
-		var orders *wigeonwire.ShardOrders
-		if !d.ask(ctx, func() { orders = d.takeReport(report) }) {
+		orders, ok := ask(ctx, d, func() *wigeonwire.ShardOrders { return d.takeReport(report) })
+		if !ok {
 			return nil
 		}
 		return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Shard{Shard: orders}}
@@ -195,7 +192,7 @@
 			break
 		}
 		batch := wigeontail.Batch{Records: read.Records, From: v.next, Next: read.Next, Complete: read.Next >= read.End}
-		d.ask(ctx, func() { d.apply(d.shards[part], batch) })
+		d.post(func() { d.apply(d.shards[part], batch) })
 		fresh, ok := d.look(ctx, part, id)
 		switch {
 		case !ok:
@@ -231,23 +228,29 @@
 // Waiting implements platform.Jobs.
 func (d *Daemon) Waiting(ctx context.Context, queue wigeonstep.Queue) (int, wigeonstep.Response) {
 	parts := d.partitions(queue.Service)
-	n, loaded := 0, len(parts) > 0
-	ok := d.ask(ctx, func() {
-		for _, part := range parts {
-			sh := d.shards[part]
-			if sh == nil || !sh.loaded {
-				loaded = false
-				return
-			}
-			n += sh.replica.Waiting(queue.Name)
-		}
-	})
-	if !ok || !loaded {
+	n, ok := ask(ctx, d, func() int { return d.countWaiting(parts, queue.Name) })
+	if !ok || n < 0 {
 		return 0, wigeonstep.NotRun(http.StatusServiceUnavailable, "the jobs of the queue are not known yet", "count", "job log", refusalRetry)
 	}
 	return n, done
 }
 
+// countWaiting counts the waiting jobs of a queue; it is negative while they are not known.
+func (d *Daemon) countWaiting(parts []wigeonstep.Partition, queue wigeonstep.QueueName) int {
+	n := 0
+	for _, part := range parts {
+		sh := d.shards[part]
+		if sh == nil || !sh.loaded {
+			return -1
+		}
+		n += sh.replica.Waiting(queue)
+	}
+	if len(parts) == 0 {
+		return -1
+	}
+	return n
+}
+
 // logRequest writes the line of a client's request.
 func (d *Daemon) logRequest(event string, id wigeonstep.JobID, queue wigeonstep.Queue, response wigeonstep.Response, took time.Duration) {
 	fields := []zap.Field{zap.String("job", string(id)), zap.String("queue", string(queue.Name)), zap.Int("status", response.Status), zap.String("outcome", string(response.Outcome)), zap.Duration("took", took)}
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -82,7 +82,9 @@
 type Daemon struct {
 	config Config
 	events chan func()
+	// ctx ends with Run; it is there before, since peers and clients may call at once.
 	ctx    context.Context
+	cancel context.CancelFunc
 	ready  atomic.Bool
 	// logLost is set while reads of the job log fail here.
 	logLost atomic.Bool
@@ -116,7 +118,10 @@
 	if c.Retention <= 0 {
 		c.Retention = 10 * time.Minute
 	}
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Daemon{
+		ctx:      ctx,
+		cancel:   cancel,
 		config:   c,
 		events:   make(chan func(), eventBacklog),
 		shards:   map[wigeonstep.Partition]*shard{},
@@ -129,7 +134,7 @@
 
 // Run follows the logs and owns shards until ctx ends.
 func (d *Daemon) Run(ctx context.Context) {
-	d.ctx = ctx
+	defer context.AfterFunc(ctx, d.cancel)()
 	d.follow(fleetPartition)
 	go d.tailOperator(ctx)
 	go d.tailWorkers(ctx)
@@ -182,30 +187,32 @@
 	}
 }
 
-// ask runs a question on the goroutine that holds the state and reports whether it ran before ctx ended.
-func (d *Daemon) ask(ctx context.Context, question func()) bool {
-	done := make(chan struct{})
+// ask runs a question on the goroutine that holds the state and returns its answer; ok is false when ctx ended first. The
+// question may still run then, so it hands everything back as its answer and writes to no variable of the caller.
+func ask[T any](ctx context.Context, d *Daemon, question func() T) (answer T, ok bool) {
+	answers := make(chan T, 1)
 	select {
-	case d.events <- func() { question(); close(done) }:
+	case d.events <- func() { answers <- question() }:
 	case <-ctx.Done():
-		return false
+		return answer, false
 	}
 	select {
-	case <-done:
-		return true
+	case answer = <-answers:
+		return answer, true
 	case <-ctx.Done():
-		return false
+		return answer, false
 	}
 }
 
 // Leave gives all shards back and makes the process not ready.
 func (d *Daemon) Leave(ctx context.Context) {
 	d.ready.Store(false)
-	d.ask(ctx, func() {
+	ask(ctx, d, func() bool {
 		d.leaving = true
 		for _, sh := range d.order {
 			d.drop(sh, "the process stops")
 		}
+		return true
 	})
 	if err := d.config.Group.Leave(ctx, d.membership()); err != nil {
 		d.config.Logger.Warn("group_leave_failed", zap.Error(err))
@@ -216,6 +223,9 @@
 	return wigeonstep.Membership{Member: d.config.Member, TTL: d.config.MemberTTL}
 }
 
+// joinState is what decides whether a process may join the group.
+type joinState struct{ leaving, loaded bool }
+
 // join renews the membership in the group until ctx ends.
 func (d *Daemon) join(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
@@ -223,11 +233,11 @@
 	m := d.membership()
 	failing := false
 	for ctx.Err() == nil {
-		leaving, loaded := false, false
-		if !d.ask(ctx, func() { leaving, loaded = d.leaving, d.loaded() }) || leaving {
+		state, ok := ask(ctx, d, func() joinState { return joinState{leaving: d.leaving, loaded: d.loaded()} })
+		if !ok || state.leaving {
 			return
 		}
-		if !loaded {
+		if !state.loaded {
 			// A shard that is given to a process without its state has no owner until the state is read.
 			pause(ctx, readyPoll)
 			continue
@@ -291,13 +301,13 @@
 
 // workersPause returns the pause before the workers' entries are read again.
 func (d *Daemon) workersPause() time.Duration {
-	gap := workersGap
-	d.ask(d.ctx, func() {
-		if slices.ContainsFunc(d.order, func(sh *shard) bool { return sh.owner != nil }) {
-			gap = ownerWorkersGap
-		}
+	owns, _ := ask(d.ctx, d, func() bool {
+		return slices.ContainsFunc(d.order, func(sh *shard) bool { return sh.owner != nil })
 	})
-	return gap
+	if owns {
+		return ownerWorkersGap
+	}
+	return workersGap
 }
 
 // applyOperator takes configurations and waves over.
--- a/wigeondaemon/record.go
+++ b/wigeondaemon/record.go
@@ -92,15 +92,16 @@
 
 // peers returns the addresses of other processes that have owned a shard.
 func (d *Daemon) peers(ctx context.Context) []string {
-	var addresses []string
-	known := map[string]bool{"": true, d.config.Shard.Address: true}
-	d.ask(ctx, func() {
+	addresses, _ := ask(ctx, d, func() []string {
+		var addresses []string
+		known := map[string]bool{"": true, d.config.Shard.Address: true}
 		for _, sh := range d.order {
 			if address := sh.replica.Owner.Address; !known[address] {
 				known[address] = true
 				addresses = append(addresses, address)
 			}
 		}
+		return addresses
 	})
 	return addresses
 }
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -67,13 +67,11 @@
 // tail follows the partition. A partition that this process owns is read more often.
 func (d *Daemon) tail(sh *shard) {
 	gap := func() time.Duration {
-		pause := otherGap
-		d.ask(d.ctx, func() {
-			if sh.owned || sh.claiming || sh.claimEnd > sh.next {
-				pause = ownedGap
-			}
-		})
-		return pause
+		owned, _ := ask(d.ctx, d, func() bool { return sh.owned || sh.claiming || sh.claimEnd > sh.next })
+		if owned {
+			return ownedGap
+		}
+		return otherGap
 	}
 	peer := "job log"
 	tail := wigeontail.Tail{
--- a/wigeondaemon/share.go
+++ b/wigeondaemon/share.go
@@ -31,7 +31,11 @@
 // appendShared writes a record together with those of others.
 func (d *Daemon) appendShared(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord) error {
 	s := sharedRecord{record: record, result: make(chan error, 1)}
-	if !d.ask(ctx, func() { d.share(part, s) }) {
+	shared := func() bool {
+		d.share(part, s)
+		return true
+	}
+	if _, ok := ask(ctx, d, shared); !ok {
 		return fmt.Errorf("append: %w: %w", wigeonstep.ErrAnswerLost, ctx.Err())
 	}
 	select {
