--- a/cmd/wigeonstep/jobdemo.go
+++ b/cmd/wigeonstep/jobdemo.go
@@ -13,11 +13,13 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonstep/wigeonstep/platform/wigeonstandin"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
 )
 
 const (
 	demoJobs    = 40
 	demoWorkers = 4
+	demoService = "orders"
 	demoHost    = "orders.example"
 	demoPrefix  = "/orders/"
 	demoPoll    = 20 * time.Millisecond
@@ -63,7 +65,7 @@
 	}
 	var workers []*wigeonstandin.Worker
 	for i := range demoWorkers {
-		w, err := wigeonstandin.NewWorker(ctx, store, fmt.Sprintf("i-%d", i), "orders", fmt.Sprintf("r%d", i/2))
+		w, err := wigeonstandin.NewWorker(ctx, store, fmt.Sprintf("i-%d", i), demoService, fmt.Sprintf("r%d", i/2))
 		if err != nil {
 			return jobResult{}, err
 		}
@@ -73,7 +75,7 @@
 	if err != nil {
 		return jobResult{}, err
 	}
-	if err := store.PutOperator("config", demoConfiguration()); err != nil {
+	if err := store.PutQueue(1, demoService, demoHost, demoPrefix); err != nil {
 		return jobResult{}, err
 	}
 	first, kill := context.WithCancel(ctx)
@@ -116,7 +118,7 @@
 	began := map[string]time.Time{}
 	for i := range demoJobs {
 		id := fmt.Sprintf("%016x", i+1)
-		status, _, err := demoRequest(ctx, http.MethodPost, a, id, demoJob())
+		status, _, err := demoRequest(ctx, http.MethodPost, a, id, wigeonstandin.Job("order"))
 		if err != nil {
 			return result, err
 		}
@@ -132,7 +134,7 @@
 	var took []time.Duration
 	err := poll(ctx, func() bool {
 		for id, at := range began {
-			if _, state, err := demoRequest(ctx, http.MethodGet, b, id, nil); err == nil && state == "completed" {
+			if _, state, err := demoRequest(ctx, http.MethodGet, b, id, nil); err == nil && state == wigeonjob.StateCompleted.String() {
 				took = append(took, time.Since(at))
 				delete(began, id)
 			}
@@ -160,21 +162,6 @@
 	return n
 }
 
-func demoConfiguration() map[string]any {
-	return map[string]any{
-		"version":  1,
-		"routes":   []map[string]any{{"name": "orders", "host": demoHost, "path_prefix": demoPrefix, "timeout_ms": 3000, "target_duration_ms": 600, "service": "orders", "attempts": 4, "stretch": 1.6}},
-		"services": []map[string]any{{"name": "orders", "admission_check": true}},
-	}
-}
-
-func demoJob() map[string]any {
-	return map[string]any{"spec": "order", "steps": []map[string]any{
-		{"count": 3, "cpu": 1000, "mem_mb": 100, "estimate_ms": 150},
-		{"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 150, "after": []int{0}},
-	}}
-}
-
 // demoRequest sends one request of a client and returns the status and the state in the answer.
 func demoRequest(ctx context.Context, method, address, id string, body any) (status int, state string, err error) {
 	encoded, err := json.Marshal(body)
--- a/cmd/wigeonstep/node_test.go
+++ b/cmd/wigeonstep/node_test.go
@@ -56,14 +56,7 @@
 
 // configure puts a configuration with one queue into the store.
 func (f *fleetStandIn) configure(c *qt.C, version int, prefix string) {
-	err := f.store.PutOperator("config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{{
-			"name": "r-new", "host": nodeTestHost, "path_prefix": prefix, "timeout_ms": 3000, "target_duration_ms": 600, "service": "orders", "attempts": 4, "stretch": 1.6,
-		}},
-		"services": []map[string]any{{"name": "orders", "admission_check": true, "spare": false}},
-	})
-	c.Assert(err, qt.IsNil)
+	c.Assert(f.store.PutQueue(version, "orders", nodeTestHost, prefix), qt.IsNil)
 }
 
 // testNode is one node in this process.
@@ -135,13 +128,6 @@
 
 func jobID(n int) string { return fmt.Sprintf("%016x", n+1) }
 
-func twoSteps(spec string) map[string]any {
-	return map[string]any{"spec": spec, "steps": []map[string]any{
-		{"count": 3, "cpu": 1000, "mem_mb": 100, "estimate_ms": 150},
-		{"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 150, "after": []int{0}},
-	}}
-}
-
 // Guards the whole path: a job is accepted at one node, done, and shown at another; the same id again is the same job; a
 // job that does not exist is said not to.
 func TestNodeServesJobs(t *testing.T) {
@@ -149,10 +135,10 @@
 	f := newFleetStandIn(t, 2)
 	a, b := f.startNode(t, "a"), f.startNode(t, "b")
 	for i := range 10 {
-		status, _ := a.request(c, http.MethodPost, "/new/"+jobID(i), twoSteps("order"))
+		status, _ := a.request(c, http.MethodPost, "/new/"+jobID(i), wigeonstandin.Job("order"))
 		c.Assert(status, qt.Equals, http.StatusOK)
 	}
-	status, _ := b.request(c, http.MethodPost, "/new/"+jobID(0), twoSteps("order"))
+	status, _ := b.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.Job("order"))
 	c.Assert(status, qt.Equals, http.StatusOK)
 	waitFor(c, "all jobs are completed", func() bool {
 		for i := range 10 {
@@ -173,7 +159,7 @@
 	status, body := b.request(c, http.MethodGet, "/new/", nil)
 	c.Assert(status, qt.Equals, http.StatusOK)
 	c.Assert(body["waiting"], qt.Equals, 0.0)
-	status, body = a.request(c, http.MethodPost, "/new/"+jobID(50), map[string]any{"spec": "x", "steps": []any{}})
+	status, body = a.request(c, http.MethodPost, "/new/"+jobID(50), wigeonstandin.EmptyJob())
 	c.Assert(status, qt.Equals, http.StatusBadRequest)
 	c.Assert(strings.Contains(fmt.Sprint(body["reason"]), "steps"), qt.IsTrue)
 }
@@ -183,13 +169,11 @@
 	c := qt.New(t)
 	f := newFleetStandIn(t, 2)
 	a, b := f.startNode(t, "a"), f.startNode(t, "b")
-	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), map[string]any{"spec": "lasts", "steps": []map[string]any{
-		{"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 500, "long_running": true},
-	}})
+	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.LongRunningJob(2))
 	c.Assert(status, qt.Equals, http.StatusOK)
 	running := func() int { return f.workers[0].Running() + f.workers[1].Running() }
 	waitFor(c, "the long-running tasks are at work", func() bool { return running() == 2 })
-	status, _ = b.request(c, http.MethodPost, "/new/"+jobID(1), twoSteps("order"))
+	status, _ = b.request(c, http.MethodPost, "/new/"+jobID(1), wigeonstandin.Job("order"))
 	c.Assert(status, qt.Equals, http.StatusOK)
 	a.kill()
 	b.kill()
@@ -213,20 +197,20 @@
 	f := newFleetStandIn(t, 1)
 	a := f.startNode(t, "a")
 	f.store.LoseAnswers.Store(2)
-	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), twoSteps("order"))
+	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.Job("order"))
 	c.Assert(status, qt.Equals, http.StatusOK)
 	waitFor(c, "the job is completed", func() bool { return a.state(c, jobID(0)) == "completed" })
 
 	f.store.Down.Store(true)
 	began := time.Now()
-	status, body := a.request(c, http.MethodPost, "/new/"+jobID(1), twoSteps("order"))
+	status, body := a.request(c, http.MethodPost, "/new/"+jobID(1), wigeonstandin.Job("order"))
 	c.Assert(time.Since(began) < 2*time.Second, qt.IsTrue)
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	c.Assert(body["step"], qt.Equals, "record")
 	f.store.Down.Store(false)
 	waitFor(c, "the refused job is unknown", func() bool { return a.state(c, jobID(1)) == "410" })
 	waitFor(c, "jobs are taken again", func() bool {
-		status, _ = a.request(c, http.MethodPost, "/new/"+jobID(1), twoSteps("order"))
+		status, _ = a.request(c, http.MethodPost, "/new/"+jobID(1), wigeonstandin.Job("order"))
 		return status == http.StatusOK
 	})
 	f.store.Forget()
@@ -244,12 +228,12 @@
 	c.Assert(err, qt.IsNil)
 	f.startNode(t, "b")
 	a := f.startNodeAt(t, "a", gate.Address())
-	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), twoSteps("order"))
+	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.Job("order"))
 	c.Assert(status, qt.Equals, http.StatusOK)
 	waitFor(c, "the owner is known", func() bool { return a.state(c, jobID(0)) == "completed" })
 	gate.Shut.Store(true)
 	for i := 1; i < 5; i++ {
-		status, _ = a.request(c, http.MethodPost, "/new/"+jobID(i), twoSteps("order"))
+		status, _ = a.request(c, http.MethodPost, "/new/"+jobID(i), wigeonstandin.Job("order"))
 		c.Assert(status, qt.Equals, http.StatusOK)
 		waitFor(c, "the job is completed", func() bool { return a.state(c, jobID(i)) == "completed" })
 	}
@@ -293,17 +277,17 @@
 	a := f.startNode(t, "a")
 
 	f.store.Down.Store(true)
-	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), twoSteps("order"))
+	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.Job("order"))
 	c.Assert(status, qt.Equals, http.StatusServiceUnavailable)
 	f.store.Down.Store(false)
 	events, line := lines.about(jobID(0))
 	c.Assert(events, qt.DeepEquals, []string{"submit"})
-	for _, field := range []string{"status=503", "outcome=not_run", "queue=r-new", "reason=", "step=record", "version=1", "took="} {
+	for _, field := range []string{"status=503", "outcome=not_run", "queue=r-orders", "reason=", "step=record", "version=1", "took="} {
 		c.Assert(strings.Contains(line, field), qt.IsTrue, qt.Commentf("%s in %s", field, line))
 	}
 
 	waitFor(c, "a long-running job is taken", func() bool {
-		status, _ = a.request(c, http.MethodPost, "/new/"+jobID(1), map[string]any{"spec": "lasts", "steps": []map[string]any{{"count": 1, "cpu": 1000, "long_running": true}}})
+		status, _ = a.request(c, http.MethodPost, "/new/"+jobID(1), wigeonstandin.LongRunningJob(1))
 		return status == http.StatusOK
 	})
 	running := func(w *wigeonstandin.Worker) bool { return w.Running() == 1 }
@@ -346,8 +330,8 @@
 	c := qt.New(t)
 	f := newFleetStandIn(t, 2)
 	f.startNode(t, "a")
-	err := f.store.PutOperator("wave/3", map[string]any{"wave": 3, "machines": []string{"m-0", "m-1"}, "period_s": 20, "max_count": 1})
+	err := f.store.PutWave(3, 1, "m-0", "m-1")
 	c.Assert(err, qt.IsNil)
 	waitFor(c, "the first VM has had its upkeep", func() bool { return len(f.cloud.Waves("m-0"))+len(f.cloud.Waves("m-1")) == 1 })
-	c.Assert(f.store.Status("wave/3"), qt.Equals, `{"state":"running"}`)
+	c.Assert(f.store.WaveState(3), qt.Equals, `{"state":"running"}`)
 }
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -134,7 +134,7 @@
 
 // Run follows the logs and owns shards until ctx ends.
 func (d *Daemon) Run(ctx context.Context) {
-	defer context.AfterFunc(ctx, d.cancel)()
+	defer d.cancel()
 	d.follow(fleetPartition)
 	go d.tailOperator(ctx)
 	go d.tailWorkers(ctx)
--- a/wigeonjob/job.go
+++ b/wigeonjob/job.go
@@ -45,16 +45,16 @@
 	Image       wigeonstep.ImageName
 	// Target bounds the tail of the response times of a long-running task; 0 means that it serves nobody.
 	Target time.Duration
-	// Fills is set when the tasks take only the processor time that others leave; their CPU is not counted.
-	Fills bool
-	// MayMiss is how many tasks of a long-running step may be away at once because of planned work.
-	MayMiss int
+	// BestEffort is set when the tasks take only the processor time that others leave; their CPU is not counted.
+	BestEffort bool
+	// MaxUnavailable is how many tasks of a long-running step may be away at once because of planned work.
+	MaxUnavailable int
 }
 
 // Room returns what a task of the step takes of a worker's capacity.
 func (s *Step) Room() wigeonstep.Resources {
 	need := s.Need
-	if s.Fills {
+	if s.BestEffort {
 		need.CPU = 0
 	}
 	return need
@@ -144,7 +144,7 @@
 	if s.Count < 1 || s.Count > maxTasksPerStep {
 		return fmt.Errorf("count is %d; it must be 1 to %d", s.Count, maxTasksPerStep)
 	}
-	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.GPU < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MayMiss < 0 || s.Target < 0 {
+	if s.Need.CPU < 0 || s.Need.Memory < 0 || s.Need.GPU < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.Target < 0 {
 		return errors.New("a size, duration or bound is negative")
 	}
 	for _, before := range s.After {
--- a/wigeonshard/empty.go
+++ b/wigeonshard/empty.go
@@ -23,7 +23,7 @@
 }
 
 func (o *Owner) emptyCordoned(now Now, w *worker) {
-	if len(w.runs) == 0 && w.ghosts == 0 && w.known && !w.released {
+	if len(w.runs) == 0 && w.unexpected == 0 && w.known && !w.released {
 		w.released = true
 		o.releases = append(o.releases, wigeonjob.Release{Worker: w.ID, VM: w.cordoned, Epoch: o.fence})
 		o.noteWorker("worker_released", w, "it is empty for the upkeep of its VM")
@@ -73,7 +73,7 @@
 			away++
 		}
 	}
-	return away < max(s.MayMiss, 1)
+	return away < max(s.MaxUnavailable, 1)
 }
 
 // roomElsewhere reports whether another worker can take the task of the run.
--- a/wigeonshard/hold.go
+++ b/wigeonshard/hold.go
@@ -156,11 +156,11 @@
 // takeRunning compares what the worker lists with what should run there.
 func (o *Owner) takeRunning(now Now, w *worker, running []wigeonstep.RunningRun) {
 	listed := make(map[*run]bool, len(running))
-	w.ghosts = 0
+	w.unexpected = 0
 	for _, entry := range running {
 		r := w.find(entry.Run)
 		if r == nil {
-			w.ghosts++
+			w.unexpected++
 			o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: entry.Run})
 			continue
 		}
@@ -195,7 +195,7 @@
 }
 
 const (
-	// paceDownShare and paceUpShare are the shares of a target above which what fills is slowed down, and below which
+	// paceDownShare and paceUpShare are the shares of a target above which best-effort work is slowed down, and below which
 	// it may speed up again.
 	paceDownShare = 0.75
 	paceUpShare   = 0.5
@@ -207,14 +207,14 @@
 	fullPace = 100
 )
 
-// pace slows the tasks that fill while a task beside them is near its target, and lets them speed up again after that.
+// pace slows the best-effort tasks while a task beside them is near its target, and lets them speed up again after that.
 func (o *Owner) pace(now Now, w *worker) {
-	if w.fillers == 0 {
+	if w.bestEffort == 0 {
 		return
 	}
 	worst := 0.0
 	for _, r := range w.runs {
-		if target := r.task.step.Target; target > 0 && r.atWork() && !r.task.step.Fills {
+		if target := r.task.step.Target; target > 0 && r.atWork() && !r.task.step.BestEffort {
 			worst = max(worst, float64(r.tail)/float64(target))
 		}
 	}
@@ -229,7 +229,7 @@
 func (o *Owner) repace(now Now, w *worker, change func(int) int) {
 	w.paced = now.Steady
 	for _, r := range w.runs {
-		if r.task.step.Fills {
+		if r.task.step.BestEffort {
 			r.pace = change(r.pace)
 		}
 	}
--- a/wigeonshard/kinds_test.go
+++ b/wigeonshard/kinds_test.go
@@ -76,7 +76,7 @@
 }
 
 // Guards against a gang that never ends because a member fails as often as its queue allows.
-func TestHopelessGangFails(t *testing.T) {
+func TestFailingGangEndsAfterItsAttempts(t *testing.T) {
 	c := qt.New(t)
 	w := gangWorld(t, 100)
 	w.own()
@@ -220,9 +220,9 @@
 	}
 }
 
-// Guards against serving tasks that stay over their target because of what fills beside them, and against tasks that
+// Guards against serving tasks that stay over their target because of best-effort work beside them, and against tasks that
 // fill and are never let go again.
-func TestFillersYieldToServingTasks(t *testing.T) {
+func TestBestEffortYieldsToServingTasks(t *testing.T) {
 	c := qt.New(t)
 	now := Now{Steady: time.Hour, Wall: 1_700_000_000_000}
 	o := NewOwner(testSettings, 1, now, wigeonjob.OwnerNote{})
@@ -230,11 +230,11 @@
 	o.Step(now)
 	o.Held(now, "w", wigeonstep.HoldResult{Clock: 5000}, nil)
 	o.Flushed(now)
-	serving, filling := testStep(1), testStep(1)
+	serving, besteffort := testStep(1), testStep(1)
 	serving.LongRunning, serving.Target = true, 40*time.Millisecond
-	filling.LongRunning, filling.Fills = true, true
+	besteffort.LongRunning, besteffort.BestEffort = true, true
 	o.Add(now, testJob("serving", serving), wigeonjob.Progress{}, false)
-	o.Add(now, testJob("filling", filling), wigeonjob.Progress{}, false)
+	o.Add(now, testJob("besteffort", besteffort), wigeonjob.Progress{}, false)
 	step := func(tail time.Duration) []Pace {
 		now.Steady += time.Second
 		if o.Step(now).Append != nil {
@@ -264,7 +264,7 @@
 	pace := 100
 	for range 3 {
 		for _, p := range step(60 * time.Millisecond) {
-			c.Assert(p.Run.Task.Job, qt.Equals, wigeonstep.JobID("filling"))
+			c.Assert(p.Run.Task.Job, qt.Equals, wigeonstep.JobID("besteffort"))
 			c.Assert(p.Percent < pace, qt.IsTrue)
 			pace = p.Percent
 		}
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -28,7 +28,7 @@
 	// clockRegress is how far a worker's clock must have gone back to be that of a new life; answers overtake each other
 	// by less.
 	clockRegress wigeonstep.WorkerMillis = 1000
-	// restoredPace is the share at which runs of an earlier owner that fill are let work until the tails are known.
+	// restoredPace is the share at which best-effort runs of an earlier owner are let work until the tails are known.
 	restoredPace = 50
 )
 
@@ -182,7 +182,7 @@
 				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id()})
 			case !r.stopping && r.phase == runUnknown && r.startTry > 0 && now.Steady >= r.retryAt && w.failures == 0 && o.sure(now):
 				o.sendStart(now, r)
-			case r.phase == runTaken && !r.stopping && r.pace != r.paceSent && r.task.step.Fills:
+			case r.phase == runTaken && !r.stopping && r.pace != r.paceSent && r.task.step.BestEffort:
 				r.paceSent = r.pace
 				o.out.Paces = append(o.out.Paces, Pace{Worker: w.ref(), Run: r.id(), Percent: r.pace})
 			}
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -156,7 +156,7 @@
 	w := newWorld(t, 9, 5)
 	o := w.own()
 	lasting := testStep(3)
-	lasting.LongRunning, lasting.MaxPerWorker, lasting.MayMiss = true, 1, 1
+	lasting.LongRunning, lasting.MaxPerWorker, lasting.MaxUnavailable = true, 1, 1
 	w.submit(testJob("lasting", lasting))
 	w.run(2 * time.Second)
 	var busy []wigeonstep.WorkerID
@@ -276,7 +276,7 @@
 }
 
 // Guards against a job that can never be done and holds its workers for ever.
-func TestHopelessJobFailsAfterItsAttempts(t *testing.T) {
+func TestFailingJobEndsAfterItsAttempts(t *testing.T) {
 	c := qt.New(t)
 	w := newWorld(t, 3, 2)
 	starts := 0
@@ -285,10 +285,10 @@
 		return 100 * time.Millisecond, wigeonstep.EndFailed
 	}
 	w.own()
-	w.submit(testJob("hopeless", testStep(1)))
+	w.submit(testJob("failing", testStep(1)))
 	w.run(10 * time.Second)
 	c.Assert(starts, qt.Equals, 4)
-	c.Assert(w.log.Find("hopeless").State(), qt.Equals, wigeonjob.StateFailed)
+	c.Assert(w.log.Find("failing").State(), qt.Equals, wigeonjob.StateFailed)
 }
 
 // Guards against an upkeep that ends work: a worker is released only when nothing runs there, and long-running tasks
@@ -298,7 +298,7 @@
 	w := newWorld(t, 4, 5)
 	o := w.own()
 	lasting := testStep(3)
-	lasting.LongRunning, lasting.MaxPerWorker, lasting.MayMiss = true, 1, 1
+	lasting.LongRunning, lasting.MaxPerWorker, lasting.MaxUnavailable = true, 1, 1
 	w.submit(testJob("lasting", lasting))
 	w.run(2 * time.Second)
 	for _, l := range w.listed {
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -82,8 +82,8 @@
 	room    wigeonstep.Resources
 }
 
-// hopeless reports whether a task of the given room has been found not to fit.
-func (r *round) hopeless(service wigeonstep.ServiceName, room wigeonstep.Resources) bool {
+// neverFits reports whether a task of the given room has been found not to fit.
+func (r *round) neverFits(service wigeonstep.ServiceName, room wigeonstep.Resources) bool {
 	for _, f := range r.failed {
 		if f.service == service && room.Holds(f.room) {
 			return true
@@ -206,7 +206,7 @@
 // placeStep plans runs for the waiting tasks of a step and returns how many.
 func (o *Owner) placeStep(now Now, s *step, r *round) int {
 	room := s.Room()
-	if r.hopeless(s.job.Service, room) {
+	if r.neverFits(s.job.Service, room) {
 		return 0
 	}
 	pool := o.allowed(now, s, r.pool)
@@ -392,11 +392,11 @@
 	if s.SameRack && !s.besideOthers(w) {
 		sc.far = 1
 	}
-	if s.Fills || s.Target > 0 {
-		// What fills and what serves disturb each other, so they spread.
+	if s.BestEffort || s.Target > 0 {
+		// Best-effort work and serving tasks disturb each other, so they spread.
 		sc.left = -sc.left
-		sc.crowd = w.fillers
-		if s.Fills {
+		sc.crowd = w.bestEffort
+		if s.BestEffort {
 			sc.crowd = len(w.runs)
 		}
 	}
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -36,12 +36,12 @@
 
 	runs []*run
 	used wigeonstep.Resources
-	// fillers counts the runs that fill.
-	fillers int
-	// paced is when the pace of the runs that fill last changed.
+	// bestEffort counts the best-effort runs.
+	bestEffort int
+	// paced is when the pace of the best-effort runs last changed.
 	paced time.Duration
-	// ghosts counts the runs that the worker listed and that should not be there.
-	ghosts int
+	// unexpected counts the runs that the worker listed and that should not be there.
+	unexpected int
 
 	// seen is the number of the last end that was taken over, durable the last one whose consequences the log holds.
 	seen, writing, durable uint64
@@ -111,14 +111,14 @@
 
 // usable reports whether new work may be started on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.known && !w.Draining && w.cordoned == "" && w.failures == 0 && w.ghosts == 0 && !w.noted
+	return w.listed && w.known && !w.Draining && w.cordoned == "" && w.failures == 0 && w.unexpected == 0 && !w.noted
 }
 
 func (w *worker) attach(r *run) {
 	w.runs = append(w.runs, r)
 	w.used = w.used.Add(r.task.step.Room())
-	if r.task.step.Fills {
-		w.fillers++
+	if r.task.step.BestEffort {
+		w.bestEffort++
 	}
 }
 
@@ -129,8 +129,8 @@
 	}
 	w.runs = slices.Delete(w.runs, i, i+1)
 	w.used = w.used.Sub(r.task.step.Room())
-	if r.task.step.Fills {
-		w.fillers--
+	if r.task.step.BestEffort {
+		w.bestEffort--
 	}
 }
 
