--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -387,7 +387,7 @@
 // step lets every owner act on what has happened.
 func (d *Daemon) step() {
 	now := d.config.Now()
-	d.workers.expire(now.Steady, d.spreadWorkers)
+	d.expireWorkers(now.Steady)
 	for _, sh := range d.order {
 		if sh.owner == nil {
 			continue
--- a/wigeondaemon/registry.go
+++ b/wigeondaemon/registry.go
@@ -36,18 +36,16 @@
 		a.Draining == b.Draining && a.Capacity == b.Capacity
 }
 
-// expire forgets the workers whose entries are gone for good.
-func (g *registry) expire(now time.Duration, changed func()) {
-	dropped := false
+// expire forgets the workers whose entries are gone for good and returns them.
+func (g *registry) expire(now time.Duration) []wigeonstep.WorkerID {
+	var gone []wigeonstep.WorkerID
 	for id, w := range g.workers {
 		if w.removed != 0 && now-w.removed > removalDelay {
 			delete(g.workers, id)
-			dropped = true
+			gone = append(gone, id)
 		}
 	}
-	if dropped {
-		changed()
-	}
+	return gone
 }
 
 // list returns the workers in the order of their ids.
@@ -102,6 +100,18 @@
 	}
 }
 
+// expireWorkers forgets the workers whose entries are gone for good.
+func (d *Daemon) expireWorkers(now time.Duration) {
+	gone := d.workers.expire(now)
+	if len(gone) == 0 {
+		return
+	}
+	for _, id := range gone {
+		delete(d.limits, id)
+	}
+	d.spreadWorkers()
+}
+
 // spreadWorkers tells every owner of a shard in this process about the workers.
 func (d *Daemon) spreadWorkers() {
 	now := d.config.Now()
