--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -87,7 +87,6 @@
 		occ.steps = append(occ.steps, s)
 	}
 	j.occurrences = append(j.occurrences, occ)
-	j.nextOccurrence = max(j.nextOccurrence, number+1)
 	return occ
 }
 
--- a/wigeonshard/kinds_test.go
+++ b/wigeonshard/kinds_test.go
@@ -132,6 +132,28 @@
 	}
 }
 
+// Guards against an occurrence that no owner starts: it had not begun when a later one had, and a new owner took the later
+// one for the first that is left.
+func TestOccurrenceThatNeverBeganIsNotLeftOut(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 25, 2)
+	job := testJob("timed", testStep(1))
+	job.Repeats, job.Interval, job.StartAt = 3, time.Second, w.time().Wall-1500
+	w.submit(job)
+	value, err := wigeonjob.EncodeProgress(&wigeonjob.Progress{
+		State: wigeonjob.StateRunning, Tasks: []wigeonjob.TaskProgress{{Occurrence: 1, LastRun: 1, Failures: 1}},
+	})
+	c.Assert(err, qt.IsNil)
+	w.apply(wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindProgress, job.ID), Value: value})
+	w.own()
+	w.run(5 * time.Second)
+	c.Assert(w.faults, qt.HasLen, 0)
+	for k := range job.Repeats {
+		c.Assert(w.doneTasks[wigeonstep.TaskID{Job: "timed", Occurrence: k}], qt.IsTrue)
+	}
+	c.Assert(w.log.Find("timed").State(), qt.Equals, wigeonjob.StateCompleted)
+}
+
 // Guards against tasks on workers without the label they need, or more of them on one worker than allowed.
 func TestLabelsAndCopiesPerWorker(t *testing.T) {
 	c := qt.New(t)
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -28,7 +28,7 @@
 	// shown is the state that is durable; callers are shown no other.
 	shown wigeonjob.State
 	ended wigeonstep.UnixMillis
-	// occurrences holds those that are due and not finished, in order.
+	// occurrences holds those that are due and not finished.
 	occurrences []*occurrence
 	// nextOccurrence is the first one that has not been due.
 	nextOccurrence int
