--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -40,7 +40,8 @@
 	moved []wigeonjob.MoveOrder
 	// reported tells which waves the operator was told are completed.
 	reported map[int]bool
-	// parts holds the newest report of each partition of a service, demands their sum, released the workers that shards reported as empty.
+	// parts holds the newest report of each partition of a service, demands their sum, released the workers that shards
+	// reported as empty.
 	parts    map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand
 	demands  map[wigeonstep.PoolName]wigeonbalance.Demand
 	released map[wigeonstep.WorkerID]bool
@@ -78,7 +79,10 @@
 	records := d.planSplits(sh, now)
 	if f.vms != nil {
 		records = append(records, d.planWaves(sh, now)...)
-		records = append(records, d.planMoves(sh, now)...)
+	}
+	if f.vms != nil && len(records) == 0 {
+		// Moves are planned from upkeep orders that are written, so that no VM gets an order of both kinds at once.
+		records = d.planMoves(sh, now)
 	}
 	d.writeOrders(sh, records)
 }
