Keep owners on larger VMs, and refuse at once while cut off

Owners on VMs that can carry them (wigeongroup). Cause: the store shares partitions out evenly, so on the grown sites the owner of a pool of 77 VMs mostly ran with 0.19 of a core and 10 Mbit/s. Starts and holds of a queue in its turn (1,000 to 1,700 runs a second) filled its link; ends were learned of half a second late, so that a step that followed began as late, and the pool looked busy while it idled. A process whose VM is small stays out of the group while members on larger VMs hold partitions and give each shard more than it could; members tell their rate in their names. TestBelongs and TestSmallVMLeavesShardsToLargerOnes (failed before).

A job that was certainly not handed on is refused with 503. Cause: while the log did not answer, jobs were sent through peers that were cut off as well; such a call ends without an answer, and the client was told 504 and may not send the job elsewhere. Now peers are asked whether the log answers them before a record goes through them, a request without a way is refused at once, and 504 is said only if a try may have had an effect. A process that is cut off alone, since some peer is silent and none reaches the log, reports itself not ready, so that the platform sends its data centre's clients to others. A silent group counts as a silent log, which is noticed a second or two sooner than by reads that wait. TestJobThatWasNotHandedOnIsRefused (failed before with 504). A node that ends also ends its peer sessions, so that tests see a killed one.

--- a/cmd/wigeonstep/jobdemo.go
+++ b/cmd/wigeonstep/jobdemo.go
@@ -92,7 +92,7 @@
 }
 
 func startDemoNode(ctx context.Context, name string, store *wigeonstandin.Store, cloud *wigeonstandin.Cloud, logger *zap.Logger) (string, error) {
-	node, err := startLocal(ctx, name, store.Address(), cloud.Address(), logger)
+	node, err := startLocal(ctx, localVM{name: name, store: store.Address(), cloud: cloud.Address()}, logger)
 	if err != nil {
 		return "", err
 	}
--- a/cmd/wigeonstep/local.go
+++ b/cmd/wigeonstep/local.go
@@ -26,9 +26,16 @@
 	address string
 }
 
+// localVM is the VM of a local node and what it reaches.
+type localVM struct {
+	name, store, cloud string
+	// cores and linkMbps are the size of the VM; 0 means that it is not known.
+	cores, linkMbps float64
+}
+
 // startLocal runs a node in this process until ctx ends, on ports that the system chooses. It ends like a process that
 // is killed.
-func startLocal(ctx context.Context, name, store, cloud string, logger *zap.Logger) (localNode, error) {
+func startLocal(ctx context.Context, vm localVM, logger *zap.Logger) (localNode, error) {
 	var ports [4]int
 	var opened [4]net.Listener
 	for i := range ports {
@@ -40,11 +47,12 @@
 		opened[i], ports[i] = l, address.Port
 	}
 	var s platform.Settings
-	s.NodeName, s.IP = name, localHost
+	s.NodeName, s.IP = vm.name, localHost
 	s.InternalPorts = ports[2:]
 	s.Bounds.HoldMaxMS, s.Bounds.GraceS = 10_000, 6
-	s.Store.Address, s.Store.Parts, s.Store.TTLMinMS = store, localPartitions, 1000
-	s.Cloud.Address = cloud
+	s.Store.Address, s.Store.Parts, s.Store.TTLMinMS = vm.store, localPartitions, 1000
+	s.Cloud.Address = vm.cloud
+	s.Limits.Cores, s.Limits.LinkMbps = vm.cores, vm.linkMbps
 	set := metrics.NewSet()
 	config, err := nodeConfig(s, logger, set)
 	if err != nil {
--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -17,6 +17,7 @@
 
 	"github.com/wigeonstep/wigeonstep/platform"
 	"github.com/wigeonstep/wigeonstep/wigeondaemon"
+	"github.com/wigeonstep/wigeonstep/wigeongroup"
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeontelemetry"
@@ -128,6 +129,7 @@
 	if err != nil {
 		return wigeondaemon.Config{}, err
 	}
+	rate := wigeongroup.RateOf(settings.Limits.Cores, settings.Limits.LinkMbps)
 	c := wigeondaemon.Config{
 		Logger:     logger,
 		Jobs:       store.Jobs(),
@@ -140,7 +142,8 @@
 		Waves:      store,
 		Peers:      &wigeonpeer.Client{DialTimeout: 300 * time.Millisecond},
 		Metrics:    wigeondaemon.NewMetrics(set),
-		Member:     fmt.Sprintf("%s@%d", settings.NodeName, time.Now().UnixNano()),
+		Member:     wigeongroup.MemberName(settings.NodeName, time.Now().UnixNano(), rate),
+		Rate:       rate,
 		Partitions: settings.Store.Parts,
 		Retention:  retentionFactor * settings.Retention(),
 		MemberTTL:  max(memberTTL, settings.MinMemberTTL()),
@@ -184,7 +187,9 @@
 	failed := make(chan error, 4)
 	go func() { failed <- frontend.Serve(ctx, listeners.clients) }()
 	go func() { failed <- frontend.ServeReady(ctx, listeners.ready) }()
-	go func() { failed <- wigeonpeer.NewServer(listeners.peers, daemon, logger).Serve() }()
+	peers := wigeonpeer.NewServer(listeners.peers, daemon, logger)
+	go func() { failed <- peers.Serve() }()
+	context.AfterFunc(ctx, func() { _ = peers.Close() })
 	admin := &wigeontelemetry.Admin{Metrics: set, Ready: daemon.Ready}
 	go func() { failed <- admin.Serve(ctx, listeners.metrics) }()
 	return failed
--- a/cmd/wigeonstep/node_test.go
+++ b/cmd/wigeonstep/node_test.go
@@ -69,16 +69,17 @@
 // startNode runs a node. Its end is that of a process which is killed: it says goodbye to nobody.
 func (f *fleetStandIn) startNode(t *testing.T, name string) *testNode {
 	t.Helper()
-	return f.startNodeAt(t, name, f.store.Address())
+	return f.startNodeOn(t, localVM{name: name, store: f.store.Address()})
 }
 
-// startNodeAt runs a node that reaches the store at the address.
-func (f *fleetStandIn) startNodeAt(t *testing.T, name, store string) *testNode {
+// startNodeOn runs a node on the VM. The stand-in of the machines' service is filled in.
+func (f *fleetStandIn) startNodeOn(t *testing.T, vm localVM) *testNode {
 	t.Helper()
 	c := qt.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	local, err := startLocal(ctx, name, store, f.cloud.Address(), f.logger)
+	vm.cloud = f.cloud.Address()
+	local, err := startLocal(ctx, vm, f.logger)
 	c.Assert(err, qt.IsNil)
 	n := &testNode{address: local.address, daemon: local.daemon, kill: cancel}
 	waitFor(c, "the node is ready", n.daemon.Ready)
@@ -227,7 +228,7 @@
 	gate, err := f.store.NewGate(ctx)
 	c.Assert(err, qt.IsNil)
 	f.startNode(t, "b")
-	a := f.startNodeAt(t, "a", gate.Address())
+	a := f.startNodeOn(t, localVM{name: "a", store: gate.Address()})
 	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.Job("order"))
 	c.Assert(status, qt.Equals, http.StatusOK)
 	waitFor(c, "the owner is known", func() bool { return a.state(c, jobID(0)) == "completed" })
@@ -239,6 +240,67 @@
 	}
 }
 
+// Guards against owners on VMs that are too small for a busy pool: a small VM leaves the shards to a larger one, serves
+// clients all the same, and takes the shards over when the larger one is gone.
+func TestSmallVMLeavesShardsToLargerOnes(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 2)
+	small := f.startNodeOn(t, localVM{name: "small", store: f.store.Address(), cores: 0.192, linkMbps: 10})
+	large := f.startNodeOn(t, localVM{name: "large", store: f.store.Address(), cores: 0.8, linkMbps: 200})
+	waitFor(c, "only the large VM takes part", func() bool {
+		members := f.store.Members()
+		return len(members) == 1 && strings.HasPrefix(members[0], "large@")
+	})
+	status, _ := small.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.Job("order"))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	waitFor(c, "the job is completed", func() bool { return small.state(c, jobID(0)) == "completed" })
+	large.kill()
+	status, _ = small.request(c, http.MethodPost, "/new/"+jobID(1), wigeonstandin.Job("order"))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	waitFor(c, "the small VM completes a job", func() bool { return small.state(c, jobID(1)) == "completed" })
+}
+
+// Guards against "unknown" for a job that was certainly not handed on: a node without the log whose peers are silent knows
+// that the job never runs, also when the client leaves it no time to try, and the client may send it elsewhere. Such a node
+// reports itself not ready, and ready again once the log answers.
+func TestJobThatWasNotHandedOnIsRefused(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 2)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	gate, err := f.store.NewGate(ctx)
+	c.Assert(err, qt.IsNil)
+	b := f.startNode(t, "b")
+	a := f.startNodeOn(t, localVM{name: "a", store: gate.Address()})
+	status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.Job("order"))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	waitFor(c, "the owner is known", func() bool { return a.state(c, jobID(0)) == "completed" })
+	gate.Shut.Store(true)
+	b.kill()
+	waitFor(c, "the node is not ready", func() bool { return !a.daemon.Ready() })
+	for i, deadline := range []time.Duration{3 * time.Second, 200 * time.Millisecond, 40 * time.Millisecond} {
+		c.Assert(a.submitWithin(c, jobID(i+1), deadline), qt.Equals, http.StatusServiceUnavailable, qt.Commentf("deadline %s", deadline))
+	}
+	gate.Shut.Store(false)
+	waitFor(c, "the node is ready again", a.daemon.Ready)
+	waitFor(c, "jobs are accepted again", func() bool { return a.submitWithin(c, jobID(9), time.Second) == http.StatusOK })
+}
+
+// submitWithin hands a job in that has to be answered in time, and returns the status.
+func (n *testNode) submitWithin(c *qt.C, id string, deadline time.Duration) int {
+	c.Helper()
+	encoded, err := json.Marshal(wigeonstandin.Job("order"))
+	c.Assert(err, qt.IsNil)
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+n.address+"/new/"+id, bytes.NewReader(encoded))
+	c.Assert(err, qt.IsNil)
+	r.Host = nodeTestHost
+	r.Header.Set("X-Wigeonstep-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	response, err := http.DefaultClient.Do(r)
+	c.Assert(err, qt.IsNil)
+	c.Assert(response.Body.Close(), qt.IsNil)
+	return response.StatusCode
+}
+
 // lockedBuffer collects lines from many goroutines.
 type lockedBuffer struct {
 	mu    sync.Mutex
--- a/joblog.go
+++ b/joblog.go
@@ -74,5 +74,7 @@
 // the epoch of the partition protects it.
 type Group interface {
 	Join(ctx context.Context, m Membership) (Assignment, error)
+	// Holders returns the names of the members that hold partitions.
+	Holders(ctx context.Context) ([]string, error)
 	Leave(ctx context.Context, m Membership) error
 }
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -35,7 +35,7 @@
 }
 
 // Ready implements platform.Jobs.
-func (d *Daemon) Ready() bool { return d.ready.Load() }
+func (d *Daemon) Ready() bool { return d.ready.Load() && !d.reach.cutOff.Load() }
 
 var (
 	done     = wigeonstep.Response{Outcome: wigeonstep.OutcomeDone, Status: http.StatusOK}
@@ -168,6 +168,9 @@
 	if a := request.GetAppend(); a != nil {
 		return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Append{Append: d.appendFor(ctx, a)}}
 	}
+	if request.GetLog() != nil {
+		return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Log{Log: &wigeonwire.LogStatus{Reached: !d.logLost()}}}
+	}
 	query := request.GetJob()
 	if query == nil {
 		return &wigeonwire.PeerResponse{Error: "this process does not answer such a request"}
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeongroup"
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeontail"
@@ -29,6 +30,10 @@
 	readyPoll = 20 * time.Millisecond
 	// joinInterval is how often membership is renewed.
 	joinInterval = 400 * time.Millisecond
+	// standInterval is how often a process on a small VM looks whether larger ones hold the shards, and standDelay how long
+	// it lets them come first.
+	standInterval = 800 * time.Millisecond
+	standDelay    = 600 * time.Millisecond
 	// ownedGap is the pause between reads of a partition that this process owns; otherGap for the others, whose state
 	// only answers clients.
 	ownedGap = 20 * time.Millisecond
@@ -67,6 +72,8 @@
 	Metrics *Metrics
 	// Member names this life of the process in the group.
 	Member string
+	// Rate is what an owner in this process can carry; 0 when it is not known.
+	Rate wigeongroup.Rate
 	// Partitions is the number of partitions of the job log, at least 2.
 	Partitions int
 	// Retention is how long the state of an ended job is kept, default 10 min.
@@ -86,8 +93,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	ready  atomic.Bool
-	// logLost is set while reads of the job log fail here.
-	logLost atomic.Bool
+	// reach is the way to the job log.
+	reach reach
 	// splits holds the partitions of the services; nil while none is known.
 	splits atomic.Pointer[splits]
 	// routes is the configuration in force; nil while none is known.
@@ -344,6 +351,7 @@
 		}
 	}
 	d.dropEnded(now)
+	d.probeLog(now)
 	d.reportShards(now)
 	d.stepFleet(now)
 }
--- a/wigeondaemon/record.go
+++ b/wigeondaemon/record.go
@@ -36,7 +36,7 @@
 	deadline, _ := ctx.Deadline()
 	writers := d.writers(ctx, part, record)
 	if len(writers) == 0 {
-		return refusedByLog("the log does not answer here, and no other process is known", "job log")
+		return refusedByLog("the log does not answer here, and no other process that reaches it is known", "job log")
 	}
 	maybe := false
 	for try := 1; ; try++ {
@@ -49,7 +49,9 @@
 		certain := errors.Is(err, wigeonstep.ErrUnavailable) || errors.Is(err, wigeonstep.ErrRejected)
 		maybe = maybe || !certain
 		switch {
-		case !maybe && (try >= recordTries && try >= len(writers) || try >= len(writers) && d.logLost.Load() || errors.Is(err, wigeonstep.ErrRejected)):
+		case !maybe && (try >= recordTries && try >= len(writers) || try >= len(writers) && d.logLost() || errors.Is(err, wigeonstep.ErrRejected)):
+			return refusedByLog(err.Error(), w.peer)
+		case time.Until(deadline) < unknownMargin+recordDelay && !maybe:
 			return refusedByLog(err.Error(), w.peer)
 		case time.Until(deadline) < unknownMargin+recordDelay:
 			return wigeonstep.Unknown(true, err.Error(), "record", w.peer)
@@ -66,44 +68,36 @@
 
 // writeOnce tries one way, and leaves time for an answer to the client.
 func (d *Daemon) writeOnce(ctx context.Context, w writer, deadline time.Time) error {
-	ctx, cancel := context.WithTimeout(ctx, min(recordTimeout, time.Until(deadline)-unknownMargin))
+	left := time.Until(deadline)
+	ctx, cancel := context.WithTimeout(ctx, min(recordTimeout, max(left-unknownMargin, left/2)))
 	defer cancel()
 	return w.write(ctx)
 }
 
 // writers returns the ways to write a record, the best first.
 func (d *Daemon) writers(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord) []writer {
+	if d.logLost() {
+		// A try here, or through a peer that may be cut off too, would most likely end without an answer, and then nobody
+		// could say that the job never runs.
+		return d.throughPeers(d.peersWithLog(ctx), part, record)
+	}
 	own := writer{peer: "job log", write: func(ctx context.Context) error {
 		return d.appendShared(ctx, part, record)
 	}}
-	var peers []writer
-	for _, address := range d.peers(ctx) {
-		peers = append(peers, writer{peer: address, write: func(ctx context.Context) error {
+	peers, _ := ask(ctx, d, d.ownerAddresses)
+	return append([]writer{own}, d.throughPeers(peers, part, record)...)
+}
+
+// throughPeers returns the ways to write a record through each of the peers, in random order.
+func (d *Daemon) throughPeers(addresses []string, part wigeonstep.Partition, record wigeonstep.KeyedRecord) []writer {
+	var writers []writer
+	for _, address := range addresses {
+		writers = append(writers, writer{peer: address, write: func(ctx context.Context) error {
 			return d.appendThrough(ctx, address, part, record)
 		}})
 	}
-	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	if d.logLost.Load() {
-		// A try here would most likely end without an answer, and then nobody could say that the job never runs.
-		return peers
-	}
-	return append([]writer{own}, peers...)
-}
-
-// peers returns the addresses of other processes that have owned a shard.
-func (d *Daemon) peers(ctx context.Context) []string {
-	addresses, _ := ask(ctx, d, func() []string {
-		var addresses []string
-		known := map[string]bool{"": true, d.config.Shard.Address: true}
-		for _, sh := range d.order {
-			if address := sh.replica.Owner.Address; !known[address] {
-				known[address] = true
-				addresses = append(addresses, address)
-			}
-		}
-		return addresses
-	})
-	return addresses
+	rand.Shuffle(len(writers), func(i, j int) { writers[i], writers[j] = writers[j], writers[i] })
+	return writers
 }
 
 // appendThrough asks another process to write a record.
@@ -128,7 +122,7 @@
 // appendFor writes a record for another process.
 func (d *Daemon) appendFor(ctx context.Context, a *wigeonwire.AppendRequest) *wigeonwire.AppendResult {
 	kind, _, _ := wigeonjob.SplitKey(a.GetKey())
-	if d.logLost.Load() || kind != wigeonjob.KindJob && kind != wigeonjob.KindCancel {
+	if d.logLost() || kind != wigeonjob.KindJob && kind != wigeonjob.KindCancel {
 		return &wigeonwire.AppendResult{}
 	}
 	part := wigeonstep.Partition(a.GetPartition())
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -78,11 +78,11 @@
 		Log: d.config.Jobs, Part: sh.part, Wait: otherWait, Gap: gap, Kick: sh.kick,
 		Apply: func(b wigeontail.Batch) { d.post(func() { d.apply(sh, b) }) },
 		Lost: func(err error) {
-			d.logLost.Store(true)
+			d.reach.readsLost.Store(true)
 			d.logPeer(peer, err)
 		},
 		Regained: func() {
-			d.logLost.Store(false)
+			d.reach.readsLost.Store(false)
 			d.logPeer(peer, nil)
 		},
 	}
