--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -115,8 +115,10 @@
 	for _, record := range records {
 		if err := sh.replica.Apply(record); err != nil {
 			d.config.Logger.Warn("job_record_skipped", zap.String("key", record.Key), zap.Error(err))
-			continue
 		}
+	}
+	// A listing of all records has those that accepted the jobs before those of their progress.
+	for _, record := range records {
 		d.tellOwner(sh, record.Key)
 	}
 	if sh.part == fleetPartition {
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -11,7 +11,11 @@
 // Add takes a job over that the log holds, with the progress of earlier owners. It has no effect on a job that this
 // owner knows or has seen end: the progress that the caller read may be older than what this owner wrote.
 func (o *Owner) Add(now Now, accepted *wigeonjob.Job, progress wigeonjob.Progress, cancelled bool) {
-	if _, ended := o.ended[accepted.ID]; ended || o.jobs[accepted.ID] != nil || progress.State.Terminal() {
+	if _, ended := o.ended[accepted.ID]; ended || o.jobs[accepted.ID] != nil {
+		return
+	}
+	if progress.State.Terminal() {
+		o.ended[accepted.ID] = progress.State
 		return
 	}
 	j := &job{Job: accepted, state: progress.State, shown: progress.State, finished: slices.Clone(progress.Finished)}
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -149,6 +149,25 @@
 	c.Assert(state, qt.Equals, wigeonjob.StateCompleted)
 }
 
+// Guards against a second run of jobs that ended under an earlier owner: when the history of the log is gone, the owner's
+// process lists all records again, and those that accepted the jobs come before those of their progress.
+func TestJobThatEndedEarlierIsNotTakenOver(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 8, 2)
+	w.own()
+	job := testJob("earlier", testStep(2))
+	w.submit(job)
+	w.run(3 * time.Second)
+	c.Assert(w.log.Find("earlier").State(), qt.Equals, wigeonjob.StateCompleted)
+	next := w.own()
+	next.Add(w.time(), job, wigeonjob.Progress{}, false)
+	w.run(3 * time.Second)
+	c.Assert(w.faults, qt.HasLen, 0)
+	state, known := next.State("earlier")
+	c.Assert(known, qt.IsTrue)
+	c.Assert(state, qt.Equals, wigeonjob.StateCompleted)
+}
+
 // Guards against planned work that adds to a failure: while the worker of one task is silent, no other task of the step
 // is stopped for an upkeep.
 func TestNoTaskMovesWhileAnotherIsSilent(t *testing.T) {
