Remove the releases of workers that have gone

The owner of a shard removes a release two minutes after its worker has been neither listed nor the holder of a run; the reported ones are kept by partition and replaced with each report. TestReleasesOfGoneWorkersAreRemoved failed before (2 releases, 1 wanted).

--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -44,7 +44,7 @@
 	// reported as empty.
 	parts    map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand
 	demands  map[wigeonstep.PoolName]wigeonbalance.Demand
-	released map[wigeonstep.WorkerID]bool
+	released map[uint32]map[wigeonstep.WorkerID]bool
 	planned  time.Duration
 	// sized is when the sizes of the pools were last logged.
 	sized time.Duration
@@ -54,7 +54,7 @@
 	return fleet{
 		planner: &wigeonwave.Planner{}, balancer: &wigeonbalance.Planner{}, reported: map[int]bool{},
 		parts:   map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand{},
-		demands: map[wigeonstep.PoolName]wigeonbalance.Demand{}, released: map[wigeonstep.WorkerID]bool{},
+		demands: map[wigeonstep.PoolName]wigeonbalance.Demand{}, released: map[uint32]map[wigeonstep.WorkerID]bool{},
 	}
 }
 
@@ -179,8 +179,10 @@
 
 // released reports whether a shard has emptied the worker.
 func (d *Daemon) released(worker wigeonstep.WorkerID) bool {
-	if d.fleet.released[worker] {
-		return true
+	for _, workers := range d.fleet.released {
+		if workers[worker] {
+			return true
+		}
 	}
 	for _, sh := range d.order {
 		if _, ok := sh.replica.Releases[worker]; ok {
--- a/wigeondaemon/report.go
+++ b/wigeondaemon/report.go
@@ -159,9 +159,7 @@
 		}
 		d.fleet.demands[pool] = wigeonbalance.Sum(d.fleet.parts[pool], len(d.partitions(wigeonstep.ServiceName(pool))))
 	}
-	for _, worker := range r.GetReleased() {
-		d.fleet.released[wigeonstep.WorkerID(worker)] = true
-	}
+	d.fleet.released[r.GetPartition()] = workerSet(r.GetReleased())
 	orders := &wigeonwire.ShardOrders{Owner: true}
 	for vm, order := range sh.replica.Upkeep {
 		orders.Cordons = appendCordon(orders.Cordons, order.Worker, vm, order.Phase)
--- a/wigeonshard/empty.go
+++ b/wigeonshard/empty.go
@@ -1,6 +1,8 @@
 package wigeonshard
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
@@ -47,6 +49,35 @@
 	}
 }
 
+const (
+	// releaseLife is how long the release of a worker is kept after the worker has gone. Its VM goes down within seconds of
+	// the release.
+	releaseLife = 2 * time.Minute
+	// sweepInterval is the pause between two looks through the releases.
+	sweepInterval = 10 * time.Second
+)
+
+// sweepReleases removes from the log the releases of workers that have gone for good. Every move of a VM leaves one.
+func (o *Owner) sweepReleases(now Now) {
+	if now.Steady-o.swept < sweepInterval {
+		return
+	}
+	o.swept = now.Steady
+	for _, id := range slices.Sorted(maps.Keys(o.released)) {
+		since, gone := o.absent[id]
+		switch {
+		case o.workers[id] != nil:
+			delete(o.absent, id)
+		case !gone:
+			o.absent[id] = now.Steady
+		case now.Steady-since >= releaseLife:
+			delete(o.absent, id)
+			delete(o.released, id)
+			o.unreleases = append(o.unreleases, id)
+		}
+	}
+}
+
 // emptyDraining restarts long-running tasks elsewhere while their worker still runs.
 func (o *Owner) emptyDraining(w *worker) {
 	for _, r := range w.runs {
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -30,7 +30,7 @@
 	if o.flush != nil {
 		return
 	}
-	if len(o.dirty) == 0 && len(o.releases) == 0 && len(o.drops) == 0 && o.noted && !o.renote {
+	if len(o.dirty) == 0 && len(o.releases) == 0 && len(o.drops) == 0 && len(o.unreleases) == 0 && o.noted && !o.renote {
 		for _, w := range o.roster {
 			w.durable = w.seen
 		}
@@ -53,6 +53,10 @@
 		}
 	}
 	o.drops = nil
+	for _, id := range o.unreleases {
+		records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindRelease, id)})
+	}
+	o.unreleases = nil
 	size := 0
 	taken := 0
 	for _, j := range o.dirty {
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -43,6 +43,10 @@
 	roster []*worker
 	// released names the workers whose release the log holds.
 	released map[wigeonstep.WorkerID]bool
+	// absent is since when a released worker has been neither listed nor the holder of a run.
+	absent map[wigeonstep.WorkerID]time.Duration
+	// swept is when releases were last looked through.
+	swept time.Duration
 	arrivals map[wigeonstep.ServiceName]*arrivals
 
 	// placed is when the last round of placement was, changed is set when something has changed since.
@@ -51,6 +55,8 @@
 
 	dirty    []*job
 	releases []wigeonjob.Release
+	// unreleases names the workers whose releases leave the log.
+	unreleases []wigeonstep.WorkerID
 	// drops names ended jobs that are to be removed from the log.
 	drops []wigeonstep.JobID
 	// noted is set once a note of this owner is durable, renote while the newest one is out of date.
@@ -79,6 +85,7 @@
 		ended:     map[wigeonstep.JobID]wigeonjob.State{},
 		workers:   map[wigeonstep.WorkerID]*worker{},
 		released:  map[wigeonstep.WorkerID]bool{},
+		absent:    map[wigeonstep.WorkerID]time.Duration{},
 		arrivals:  map[wigeonstep.ServiceName]*arrivals{},
 	}
 }
@@ -237,6 +244,7 @@
 		o.raiseOccurrences(now)
 		o.expire(now)
 		o.empty(now)
+		o.sweepReleases(now)
 		o.place(now)
 		o.reorder(now)
 		o.hold(now)
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -345,3 +345,26 @@
 		c.Assert(w.log.Releases[id].Worker, qt.Equals, id)
 	}
 }
+
+// Guards against a log and a memory that grow with each move: the release of a worker that has gone is removed after some
+// time, also by a later owner; that of one that is still there stays.
+func TestReleasesOfGoneWorkersAreRemoved(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 4, 3)
+	o := w.own()
+	w.run(time.Second)
+	gone, there := w.listed[0].ID, w.listed[1].ID
+	w.cordons[gone], w.cordons[there] = "vm-gone", "vm-there"
+	o.SetCordons(w.cordons)
+	w.run(time.Second)
+	c.Assert(w.log.Releases, qt.HasLen, 2)
+	w.listed = w.listed[1:]
+	o.SetWorkers(w.time(), w.listed)
+	w.run(time.Minute)
+	c.Assert(w.log.Releases, qt.HasLen, 2)
+	w.own()
+	w.run(3 * time.Minute)
+	c.Assert(w.faults, qt.HasLen, 0)
+	c.Assert(w.log.Releases, qt.HasLen, 1)
+	c.Assert(w.log.Releases[there].Worker, qt.Equals, there)
+}
