Explain jobs of a node

`wigeonstep explain -peer NODE job ID` answered nothing on the users' platform: nodes knew no status query. Any node now says how far the steps of a job are and what the rest waits for; one that does not own the shard asks the owner, and says what the log holds when that does not answer. Kind, subject, state and what is waited for are one type of the root package, which the explanation of `entry` and `control` embeds. TestExplain, TestNodeExplainsJobs.

--- a/cmd/wigeonstep/inspect.go
+++ b/cmd/wigeonstep/inspect.go
@@ -56,9 +56,13 @@
 		ShortHelp:  "says what was decided about a VM, pool, service, job, request or wave, and why",
 		LongHelp: `KIND is one of ` + strings.Join(wigeonoperator.Kinds, ", ") + `. The id of a request is its idempotency key.
 
+A node on the users' platform explains jobs: how far their steps are and what they wait for. Ask any node at its peer
+address, the first of internal_ports in its settings.
+
 Examples:
   wigeonstep explain -platform 127.0.0.1:9000 vm budapest-r1-2
-  wigeonstep explain -peer 127.0.1.1:7002 service orders`,
+  wigeonstep explain -peer 127.0.1.1:7002 service orders
+  wigeonstep explain -peer 10.1.0.9:7060 job 3d8a88d1f7bc1deb`,
 		FlagSet: flags,
 		Exec: func(ctx context.Context, args []string) error {
 			if err := source.validate("explain"); err != nil {
--- a/cmd/wigeonstep/local.go
+++ b/cmd/wigeonstep/local.go
@@ -24,6 +24,8 @@
 	daemon *wigeondaemon.Daemon
 	// address is where it serves clients.
 	address string
+	// peer is where it serves other processes and operators.
+	peer string
 }
 
 // localVM is the VM of a local node and what it reaches.
@@ -62,5 +64,5 @@
 	listeners := nodeListeners{clients: opened[0], ready: opened[1], peers: opened[2], metrics: opened[3]}
 	serveNode(ctx, listeners, logger, daemon, &platform.Frontend{Jobs: daemon}, set)
 	go daemon.Run(ctx)
-	return localNode{daemon: daemon, address: opened[0].Addr().String()}, nil
+	return localNode{daemon: daemon, address: opened[0].Addr().String(), peer: s.PeerAddress()}, nil
 }
--- a/cmd/wigeonstep/node_test.go
+++ b/cmd/wigeonstep/node_test.go
@@ -62,6 +62,7 @@
 // testNode is one node in this process.
 type testNode struct {
 	address string
+	peer    string
 	daemon  *wigeondaemon.Daemon
 	kill    context.CancelFunc
 }
@@ -81,7 +82,7 @@
 	vm.cloud = f.cloud.Address()
 	local, err := startLocal(ctx, vm, f.logger)
 	c.Assert(err, qt.IsNil)
-	n := &testNode{address: local.address, daemon: local.daemon, kill: cancel}
+	n := &testNode{address: local.address, peer: local.peer, daemon: local.daemon, kill: cancel}
 	waitFor(c, "the node is ready", n.daemon.Ready)
 	return n
 }
@@ -286,6 +287,23 @@
 	waitFor(c, "jobs are accepted again", func() bool { return a.submitWithin(c, jobID(9), time.Second) == http.StatusOK })
 }
 
+// Guards wigeonstep explain on the users' platform: any node says how a job stands, also one that does not own its shard.
+func TestNodeExplainsJobs(t *testing.T) {
+	c := qt.New(t)
+	f := newFleetStandIn(t, 1)
+	nodes := []*testNode{f.startNode(t, "a"), f.startNode(t, "b")}
+	status, _ := nodes[0].request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.LongRunningJob(40))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	for _, n := range nodes {
+		waitFor(c, "the node says that room is missing", func() bool {
+			var out, errOut bytes.Buffer
+			err := newRoot(&out, &errOut).ParseAndRun(context.Background(), []string{"explain", "-peer", n.peer, "job", jobID(0)})
+			c.Assert(err, qt.IsNil, qt.Commentf("%s", errOut.String()))
+			return strings.Contains(out.String(), "room for") && strings.Contains(out.String(), "0 of 40 tasks done")
+		})
+	}
+}
+
 // submitWithin hands a job in that has to be answered in time, and returns the status.
 func (n *testNode) submitWithin(c *qt.C, id string, deadline time.Duration) int {
 	c.Helper()
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -168,6 +168,9 @@
 	if a := request.GetAppend(); a != nil {
 		return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Append{Append: d.appendFor(ctx, a)}}
 	}
+	if status := request.GetStatus(); status != nil {
+		return d.explain(ctx, status.GetView())
+	}
 	if request.GetLog() != nil {
 		return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Log{Log: &wigeonwire.LogStatus{Reached: !d.logLost()}}}
 	}
--- /dev/null
+++ b/wigeondaemon/explain.go
@@ -0,0 +1,77 @@
+package wigeondaemon
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+const (
+	// jobView asks any process about a job, ownedJobView only the owner of its shard.
+	jobView      = "job/"
+	ownedJobView = "owned-job/"
+)
+
+// explain answers an operator's question about a job. A process that does not own the job's shard asks the owner.
+func (d *Daemon) explain(ctx context.Context, view string) *wigeonwire.PeerResponse {
+	id, owned := strings.CutPrefix(view, ownedJobView)
+	if !owned {
+		var isJob bool
+		if id, isJob = strings.CutPrefix(view, jobView); !isJob {
+			return &wigeonwire.PeerResponse{Error: "a node explains jobs only; its other decisions are in its log"}
+		}
+	}
+	type answer struct {
+		standing wigeonstep.Standing
+		known    bool
+		owner    string
+	}
+	a, ok := ask(ctx, d, func() answer {
+		standing, known, owner := d.standing(wigeonstep.JobID(id))
+		return answer{standing, known, owner}
+	})
+	if !ok {
+		return nil
+	}
+	if !a.known && a.owner != "" && !owned {
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Status{Status: &wigeonwire.StatusQuery{View: ownedJobView + id}}}
+		if response, err := d.config.Peers.Call(ctx, a.owner, request); err == nil {
+			return response
+		}
+		d.config.Metrics.peerFailures.Inc()
+	}
+	encoded, err := json.Marshal(a.standing)
+	if err != nil {
+		return &wigeonwire.PeerResponse{Error: err.Error()}
+	}
+	return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Status{Status: &wigeonwire.StatusData{Json: encoded}}}
+}
+
+// standing returns what this process knows of a job; known is set when that comes from the owner of its shard, and owner
+// is the address of another process that owns it.
+func (d *Daemon) standing(id wigeonstep.JobID) (standing wigeonstep.Standing, known bool, owner string) {
+	standing = wigeonstep.Standing{Kind: "job", Subject: string(id)}
+	for _, sh := range d.order {
+		if sh.owner != nil {
+			if s, ok := sh.owner.Explain(d.config.Now(), id); ok {
+				return s, true, ""
+			}
+		}
+		if e := sh.replica.Find(id); e != nil {
+			standing.State = e.State().String() + ", as the log says"
+			standing.WaitsFor = ""
+			if !e.State().Terminal() {
+				standing.WaitsFor = "its owner, which did not answer"
+			}
+			if sh.replica.Owner.Address != d.config.Shard.Address {
+				owner = sh.replica.Owner.Address
+			}
+		}
+	}
+	return standing, false, owner
+}
--- a/wigeonoperator/explain.go
+++ b/wigeonoperator/explain.go
@@ -17,12 +17,7 @@
 
 // Explanation is what the explain command shows of one subject.
 type Explanation struct {
-	Kind    string `json:"kind"`
-	Subject string `json:"subject"`
-	// State says in one line how the subject stands now; empty when the fold does not know it.
-	State string `json:"state"`
-	// WaitsFor says what the subject waits for, empty when it waits for nothing.
-	WaitsFor  string     `json:"waits_for"`
+	wigeonstep.Standing
 	Decisions []Decision `json:"decisions"`
 }
 
@@ -41,7 +36,7 @@
 
 // Explain returns what the state knows of a subject.
 func Explain(state *wigeonstate.State, kind, subject string) Explanation {
-	explanation := Explanation{Kind: kind, Subject: subject}
+	explanation := Explanation{Standing: wigeonstep.Standing{Kind: kind, Subject: subject}}
 	for _, e := range state.Explain(kind, subject) {
 		verdict := "accepted"
 		if !e.Accepted {
--- /dev/null
+++ b/wigeonshard/explain.go
@@ -0,0 +1,73 @@
+package wigeonshard
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+// Explain says how a job stands and what it waits for. known is false for a job that this owner does not hold.
+func (o *Owner) Explain(now Now, id wigeonstep.JobID) (standing wigeonstep.Standing, known bool) {
+	state, known := o.State(id)
+	if !known {
+		return wigeonstep.Standing{}, false
+	}
+	standing = wigeonstep.Standing{Kind: "job", Subject: string(id), State: state.String()}
+	j := o.jobs[id]
+	if j == nil {
+		return standing, true
+	}
+	parts := []string{state.String(), "service " + string(j.Service), "accepted " + (now.Steady - j.due).Round(time.Millisecond).String() + " ago"}
+	var waits []string
+	for _, occ := range j.occurrences {
+		for _, s := range occ.steps {
+			parts = append(parts, fmt.Sprintf("step %d.%d: %d of %d tasks done, %d runs", occ.number, s.number, len(s.tasks)-s.left, len(s.tasks), s.live))
+			if cause := o.waitsFor(now, s); cause != "" {
+				waits = append(waits, fmt.Sprintf("step %d.%d: %s", occ.number, s.number, cause))
+			}
+		}
+	}
+	standing.State, standing.WaitsFor = strings.Join(parts, ", "), strings.Join(waits, "; ")
+	return standing, true
+}
+
+// waitsFor says what the tasks of a step that have no run wait for; empty when there are none.
+func (o *Owner) waitsFor(now Now, s *step) string {
+	waiting, retrying := 0, 0
+	for _, t := range s.tasks {
+		if t.waiting() {
+			waiting++
+			if now.Steady < t.retryAt {
+				retrying++
+			}
+		}
+	}
+	switch {
+	case s.left == 0 || waiting == 0:
+		return ""
+	case !s.ready():
+		return "the steps before it"
+	case retrying == waiting:
+		return "the pause after a failure"
+	}
+	room := s.Room()
+	usable, fitting := 0, 0
+	for _, w := range o.pool(now) {
+		if w.Service != s.job.Service {
+			continue
+		}
+		usable++
+		if w.free().Holds(room) {
+			fitting++
+		}
+	}
+	if fitting == 0 {
+		return fmt.Sprintf("room for %d tasks of %d millicores and %d MB: none of %d usable workers has any", waiting, room.CPU, room.Memory, usable)
+	}
+	if a := s.advice; s.job.Policy.Advice != nil && (a == nil || len(a.tickets) == 0) {
+		return "the advice service"
+	}
+	return fmt.Sprintf("a worker that suits %d tasks (labels, racks, tasks per worker, gang) or the next round of placement: %d of %d usable workers have room", waiting, fitting, usable)
+}
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -46,7 +46,7 @@
 	// absent is since when a released worker has been neither listed nor the holder of a run.
 	absent map[wigeonstep.WorkerID]time.Duration
 	// swept is when releases were last looked through.
-	swept time.Duration
+	swept    time.Duration
 	arrivals map[wigeonstep.ServiceName]*arrivals
 
 	// placed is when the last round of placement was, changed is set when something has changed since.
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -346,6 +346,35 @@
 	}
 }
 
+// Guards the answer to an operator who asks why a job does not go on.
+func TestExplain(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 4, 1)
+	o := w.own()
+	wide, after := testStep(2), testStep(1)
+	after.After = []int{0}
+	huge := testStep(1)
+	huge.Need.CPU = 1 << 20
+	chained := testJob("chain", wide, after)
+	chained.Accepted = w.time().Wall
+	w.submit(chained)
+	w.submit(testJob("huge", huge))
+	w.run(100 * time.Millisecond)
+	_, known := o.Explain(w.time(), "other")
+	c.Assert(known, qt.IsFalse)
+	chain, known := o.Explain(w.time(), "chain")
+	c.Assert(known, qt.IsTrue)
+	c.Assert(chain, qt.Equals, wigeonstep.Standing{
+		Kind: "job", Subject: "chain", WaitsFor: "step 0.1: the steps before it",
+		State: "running, service bake, accepted 100ms ago, step 0.0: 0 of 2 tasks done, 2 runs, step 0.1: 0 of 1 tasks done, 0 runs",
+	})
+	stuck, _ := o.Explain(w.time(), "huge")
+	c.Assert(stuck.WaitsFor, qt.Equals, "step 0.0: room for 1 tasks of 1048576 millicores and 1000 MB: none of 1 usable workers has any")
+	w.run(3 * time.Second)
+	chain, _ = o.Explain(w.time(), "chain")
+	c.Assert(chain.State, qt.Equals, "completed")
+}
+
 // Guards against a log and a memory that grow with each move: the release of a worker that has gone is removed after some
 // time, also by a later owner; that of one that is still there stays.
 func TestReleasesOfGoneWorkersAreRemoved(t *testing.T) {
