Keep VMs through the lulls of a queue's turn

Cause: the work that arrives was averaged over 0.35 s only. The larger of two averages, over 0.35 s and 1 s, counts now: the estimate rises as before and falls more slowly.

--- a/wigeonshard/demand.go
+++ b/wigeonshard/demand.go
@@ -7,23 +7,32 @@
 	"github.com/wigeonstep/wigeonstep"
 )
 
-// arrivalSpan is the time over which the work that arrives is averaged; the turns of the queues take seconds.
-const arrivalSpan = 350 * time.Millisecond
+const (
+	// fastSpan and slowSpan are the times over which the work that arrives is averaged. The turns of the queues take
+	// seconds, and a VM that leaves a pool in a lull of a turn is gone for as long as two moves take.
+	fastSpan = 350 * time.Millisecond
+	slowSpan = 1000 * time.Millisecond
+)
 
 // arrivals averages the work that arrives at a service.
 type arrivals struct {
-	// rate is in core-milliseconds a millisecond, which is cores.
-	rate float64
-	at   time.Duration
+	// fast and slow are in core-milliseconds a millisecond, which is cores.
+	fast, slow float64
+	at         time.Duration
 }
 
+// rate rises as fast as the demand, and falls more slowly.
+func (a *arrivals) rate() float64 { return max(a.fast, a.slow) }
+
 func (a *arrivals) add(now time.Duration, work float64) {
 	a.decay(now)
-	a.rate += work / float64(arrivalSpan.Milliseconds())
+	a.fast += work / float64(fastSpan.Milliseconds())
+	a.slow += work / float64(slowSpan.Milliseconds())
 }
 
 func (a *arrivals) decay(now time.Duration) {
-	a.rate *= math.Exp(-float64(now-a.at) / float64(arrivalSpan))
+	a.fast *= math.Exp(-float64(now-a.at) / float64(fastSpan))
+	a.slow *= math.Exp(-float64(now-a.at) / float64(slowSpan))
 	a.at = now
 }
 
@@ -60,7 +69,7 @@
 		index[name] = &demands[i]
 		if a := o.arrivals[name]; a != nil {
 			a.decay(now.Steady)
-			demands[i].Arrival = a.rate
+			demands[i].Arrival = a.rate()
 		}
 	}
 	for _, w := range o.roster {
