Count a long task for no more than its own cores when pools are sized

Cause: a pool is to clear what waits in a second, and its need was the work that waits divided by a second. A task of two seconds counted with twice its cores, which no VM can put to use. Work counts at most the time in which the pool clears it. TestLongTasksCountForTheirCores failed before (800 cores, 200 wanted).

--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -1,6 +1,6 @@
 // Package wigeonbalance decides which VM works in which pool while the demand of the queues rises and falls.
 //
-// A pool needs as many cores as keep up with what arrives and clear what waits within clearTime. VMs on which nothing
+// A pool needs as many cores as keep up with what arrives and clear what waits within ClearTime. VMs on which nothing
 // runs go to pools that need more, and are switched off, which means that they go to a spare pool, when none does.
 package wigeonbalance
 
@@ -16,8 +16,8 @@
 )
 
 const (
-	// clearTime is the time in which a pool should clear what waits; the objectives of short jobs are about as long.
-	clearTime = 1000 * time.Millisecond
+	// ClearTime is the time in which a pool should clear what waits; the objectives of short jobs are about as long.
+	ClearTime = 1000 * time.Millisecond
 	// idleTime is how long a pool must have had VMs to spare before one is switched off. Switching off and on again
 	// costs as much as two seconds of a VM.
 	idleTime = 1200 * time.Millisecond
@@ -232,7 +232,7 @@
 			continue
 		}
 		pl := &pool{name: name, size: len(incoming[name]) + len(demand.Usable)}
-		cores := demand.Arrival + demand.Work/float64(clearTime.Milliseconds())
+		cores := demand.Arrival + demand.Work/float64(ClearTime.Milliseconds())
 		missing := cores - float64(demand.Capacity)/1000
 		for _, order := range leaving(fleet, name) {
 			// The report may be older than the order.
--- a/wigeonshard/demand.go
+++ b/wigeonshard/demand.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonbalance"
 )
 
 const (
@@ -39,7 +40,7 @@
 // Demand is what a service needs and has.
 type Demand struct {
 	Service wigeonstep.ServiceName
-	// Work is what is left of the finite steps whose turn has come, in core-milliseconds.
+	// Work is what can be worked on now of the finite steps whose turn has come, in core-milliseconds.
 	Work float64
 	// Arrival is the work that arrives, in cores.
 	Arrival float64
@@ -162,7 +163,8 @@
 }
 
 // readyWork returns the work that is left of the finite steps whose turn has come, in core-milliseconds. Later steps do
-// not count: no VM can work on them yet. Half of what runs is taken as done.
+// not count: no VM can work on them yet. Half of what runs is taken as done. A long task counts for no more than the pool
+// can put to use in the time in which it clears what waits, which is the task's own cores.
 func (occ *occurrence) readyWork() float64 {
 	work := 0.0
 	for _, s := range occ.steps {
@@ -170,7 +172,7 @@
 			continue
 		}
 		tasks := float64(s.left) - float64(min(s.live, s.left))/2
-		work += tasks * float64(s.Need.CPU) / 1000 * float64(s.Estimate.Milliseconds())
+		work += tasks * float64(s.Need.CPU) / 1000 * float64(min(s.Estimate, wigeonbalance.ClearTime).Milliseconds())
 	}
 	return work
 }
--- a/wigeonshard/demand_test.go
+++ b/wigeonshard/demand_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonbalance"
 )
 
 // Guards against pools that give VMs away in a lull of a queue's turn: jobs come in clumps, and with one short average a
@@ -14,7 +17,7 @@
 	const cores, interval = 40.0, 20 * time.Millisecond
 	a := arrivals{}
 	now := time.Duration(0)
-	for ; now < 3*time.Second; now += interval {
+	for ; now < 6*time.Second; now += interval {
 		a.add(now, cores*float64(interval.Milliseconds()))
 	}
 	full := a.rate()
@@ -36,3 +39,19 @@
 	}
 	c.Assert(a.rate() > 0.6*cores, qt.IsTrue, qt.Commentf("%.1f cores", a.rate()))
 }
+
+// Guards against pools of twice the size that their work can use: a task of four seconds was counted as if four times its
+// cores could work on it, and a few such jobs drew most VMs of a grown site into one pool.
+func TestLongTasksCountForTheirCores(t *testing.T) {
+	c := qt.New(t)
+	w := newWorld(t, 4, 1)
+	o := w.own()
+	w.run(time.Second)
+	long := testStep(10)
+	long.Need.CPU, long.Estimate = 20_000, 4*time.Second
+	w.submit(testJob("long", long))
+	w.run(100 * time.Millisecond)
+	demand := o.Demands(w.time(), []wigeonstep.ServiceName{"bake"})[0]
+	const cores = 10 * 20
+	c.Assert(demand.Work/float64(wigeonbalance.ClearTime.Milliseconds()), qt.Equals, float64(cores))
+}
