--- a/wigeonsoak/client.go
+++ b/wigeonsoak/client.go
@@ -76,6 +76,8 @@
 		return
 	}
 	c.history.add(id, &call{lasting: lasting})
+	// A job whose earlier try had no answer may have been accepted by it; a later refusal says nothing of that try.
+	unanswered := false
 	for range tries {
 		status, answer := c.send(ctx, http.MethodPost, id, encoded)
 		switch status {
@@ -83,9 +85,12 @@
 			c.history.change(id, func(k *call) { k.accepted = time.Now() })
 			return
 		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-			c.history.change(id, func(k *call) { k.refused = time.Now() })
+			if !unanswered {
+				c.history.change(id, func(k *call) { k.refused = time.Now() })
+			}
 			return
 		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
+			unanswered = true
 		default:
 			c.history.breach("client: job %s got status %d %s", id, status, answer)
 			return
