Drop silent members after 1.1 s, and give each process of the soak its address

An owner that is killed or frozen leaves its queue without starts until the group drops it, 1.5 s after its last join. Joins count as a tenth of a call, so members now join every 0.25 s and are dropped after 1.1 s of silence (the store allows 1 s and more).

Soak of 50 seeds (1000 to 1049) before this commit: 48 passed, 2 (1015, 1046) did not start, as a port that had been free was taken by a connection of another process; their logs say "address already in use". Each process has its own loopback address now.

--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -36,7 +36,7 @@
 	// holdGap lets ends that come together be reported together.
 	holdGap = 20 * time.Millisecond
 	// memberTTL is after how long a silent process loses its shards.
-	memberTTL = 1500 * time.Millisecond
+	memberTTL = 1100 * time.Millisecond
 	// serveAfterTerm is the part of the grace period in which a stopping process still serves open connections; the
 	// load balancer needs two missed checks, a second apart, to send no new ones.
 	serveAfterTerm = 0.55
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -29,7 +29,7 @@
 	// readyPoll is how often a process that has not read its state looks whether it may join the group.
 	readyPoll = 20 * time.Millisecond
 	// joinInterval is how often membership is renewed.
-	joinInterval = 400 * time.Millisecond
+	joinInterval = 250 * time.Millisecond
 	// standInterval is how often a process on a small VM looks whether larger ones hold the shards, and standDelay how long
 	// it lets them come first.
 	standInterval = 800 * time.Millisecond
--- a/wigeonsoak/process.go
+++ b/wigeonsoak/process.go
@@ -41,13 +41,13 @@
 }
 
 // newProcess writes the settings of a process and returns it.
-func newProcess(binary, directory, name, store, cloud string, h *history) (*process, error) {
-	addresses, err := freeAddresses(4)
+func newProcess(binary, directory, name, ip, store, cloud string, h *history) (*process, error) {
+	addresses, err := freeAddresses(ip, 4)
 	if err != nil {
 		return nil, err
 	}
 	settings := map[string]any{
-		"node_name": name, "ip": "127.0.0.1", "zone": "a", "internal_ports": []int{port(addresses[2]), port(addresses[3])},
+		"node_name": name, "ip": ip, "zone": "a", "internal_ports": []int{port(addresses[2]), port(addresses[3])},
 		"listen_addrs": map[string]string{"frontend": addresses[0], "ready": addresses[1]},
 		"limits":       map[string]any{"memory_mb": 200, "cpu_share": 0.4, "link_mbps": 1000},
 		"bounds":       map[string]any{"hold_max_ms": 10_000, "grace_s": stopGrace.Seconds(), "status_s": 120, "visible_ms": 3000, "far_x": 1.5},
@@ -75,11 +75,18 @@
 	return &process{name: name, clients: addresses[0], command: command, history: h, ended: make(chan struct{})}, nil
 }
 
+// ownIP returns the loopback address of a process of a soak. On a shared one, the port of a process that is down could be
+// taken by a connection of another.
+func ownIP(seed uint64, process int) string {
+	const values = 250
+	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%values, 1+seed%values, 1+process)
+}
+
 // freeAddresses asks the system for free ports.
-func freeAddresses(n int) ([]string, error) {
+func freeAddresses(ip string, n int) ([]string, error) {
 	var addresses []string
 	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // it is closed at once
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0")) //nolint:noctx // it is closed at once
 		if err != nil {
 			return nil, fmt.Errorf("find a free port: %w", err)
 		}
--- a/wigeonsoak/soak.go
+++ b/wigeonsoak/soak.go
@@ -120,7 +120,7 @@
 		if err != nil {
 			return err
 		}
-		p, err := newProcess(s.settings.Binary, s.settings.Directory, fmt.Sprintf("n-%d", i), link.Address(), cloud.Address(), s.history)
+		p, err := newProcess(s.settings.Binary, s.settings.Directory, fmt.Sprintf("n-%d", i), ownIP(s.settings.Seed, i), link.Address(), cloud.Address(), s.history)
 		if err != nil {
 			return err
 		}
