Split the membership of a process by job

join did three things in one loop: it looked who holds partitions, renewed the membership and kept the state of both. Each has a function now, and the state is a type. No change of behaviour.

--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -30,10 +30,10 @@
 	readyPoll = 20 * time.Millisecond
 	// joinInterval is how often membership is renewed.
 	joinInterval = 250 * time.Millisecond
-	// standInterval is how often a process on a small VM looks whether larger ones hold the shards, and standDelay how long
-	// it lets them come first.
-	standInterval = 800 * time.Millisecond
-	standDelay    = 600 * time.Millisecond
+	// holdersInterval is how often a process on a small VM looks whether larger ones hold the shards, and holdersDelay how
+	// long it lets them come first.
+	holdersInterval = 800 * time.Millisecond
+	holdersDelay    = 600 * time.Millisecond
 	// ownedGap is the pause between reads of a partition that this process owns; otherGap for the others, whose state
 	// only answers clients.
 	ownedGap = 20 * time.Millisecond
--- a/wigeondaemon/group.go
+++ b/wigeondaemon/group.go
@@ -38,16 +38,25 @@
 	return joinState{leaving: d.leaving, loaded: d.loaded(), shards: len(d.order)}
 }
 
+// member is this process as a member of the group. It belongs to the goroutine of join.
+type member struct {
+	wigeonstep.Membership
+	// small is set on a VM that leaves the shards to larger ones; only such a process looks who holds them.
+	small bool
+	// belongs is set while the process takes part.
+	belongs  bool
+	nextLook time.Duration
+	// failing is set while the group does not answer.
+	failing bool
+}
+
 // join renews the membership in the group until ctx ends. A process on a small VM stays out of the group while larger
 // ones hold the shards.
 func (d *Daemon) join(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
-	m := d.membership()
-	looks := d.config.Rate < wigeongroup.Ample && d.config.Rate > 0
-	nextLook := d.config.Now().Steady + standDelay
-	belongs := !looks
-	failing := false
+	small := d.config.Rate > 0 && d.config.Rate < wigeongroup.Ample
+	m := member{Membership: d.membership(), small: small, belongs: !small, nextLook: d.config.Now().Steady + holdersDelay}
 	for ctx.Err() == nil {
 		state, ok := ask(ctx, d, d.joinState)
 		if !ok || state.leaving {
@@ -58,22 +67,11 @@
 			pause(ctx, readyPoll)
 			continue
 		}
-		sent := d.config.Now().Steady
-		if looks && sent >= nextLook {
-			nextLook = sent + standInterval
-			belongs = d.stand(ctx, belongs, state.shards)
+		if m.small && d.config.Now().Steady >= m.nextLook {
+			d.lookAtHolders(ctx, &m, state.shards)
 		}
-		if belongs {
-			assignment, err := d.config.Group.Join(ctx, m)
-			if (err != nil) != failing {
-				failing = err != nil
-				d.logPeer("group", err)
-			}
-			d.reach.groupLost.Store(err != nil && !errors.Is(err, wigeonstep.ErrUnavailable))
-			if err == nil {
-				m.Generation = assignment.Generation
-				d.post(func() { d.assign(sent, assignment) })
-			}
+		if m.belongs {
+			d.renew(ctx, &m)
 		}
 		select {
 		case <-ctx.Done():
@@ -82,29 +80,51 @@
 	}
 }
 
-// stand looks who holds partitions and returns whether this process belongs to the group now. What it held is given back
+// renew renews the membership once and takes the partitions over that the group gives this process.
+func (d *Daemon) renew(ctx context.Context, m *member) {
+	sent := d.config.Now().Steady
+	assignment, err := d.config.Group.Join(ctx, m.Membership)
+	d.groupAnswered(err)
+	if (err != nil) != m.failing {
+		m.failing = err != nil
+		d.logPeer("group", err)
+	}
+	if err == nil {
+		m.Generation = assignment.Generation
+		d.post(func() { d.assign(sent, assignment) })
+	}
+}
+
+// groupAnswered notes whether the store was silent; one that refuses is there.
+func (d *Daemon) groupAnswered(err error) {
+	d.reach.groupLost.Store(err != nil && !errors.Is(err, wigeonstep.ErrUnavailable))
+}
+
+// lookAtHolders decides by the members that hold partitions whether this process takes part. What it held is given back
 // when it does not.
-func (d *Daemon) stand(ctx context.Context, belonged bool, shards int) bool {
+func (d *Daemon) lookAtHolders(ctx context.Context, m *member, shards int) {
+	m.nextLook = d.config.Now().Steady + holdersInterval
 	holders, err := d.config.Group.Holders(ctx)
-	d.reach.groupLost.Store(err != nil && !errors.Is(err, wigeonstep.ErrUnavailable))
+	d.groupAnswered(err)
 	if err != nil {
-		return belonged
+		return
 	}
 	belongs := wigeongroup.Belongs(d.config.Rate, holders, shards)
-	if belongs == belonged {
-		return belongs
+	if belongs == m.belongs {
+		return
 	}
+	m.belongs = belongs
 	d.config.Logger.Info("group_choice", zap.Bool("belongs", belongs), zap.Int("rate", int(d.config.Rate)), zap.Int("shards", shards), zap.Int("holders", len(holders)))
-	if !belongs {
-		ask(ctx, d, func() bool {
-			d.giveBack("processes on larger VMs hold the shards")
-			return true
-		})
-		if err := d.config.Group.Leave(ctx, d.membership()); err != nil {
-			d.config.Logger.Warn("group_leave_failed", zap.Error(err))
-		}
+	if belongs {
+		return
+	}
+	ask(ctx, d, func() bool {
+		d.giveBack("processes on larger VMs hold the shards")
+		return true
+	})
+	if err := d.config.Group.Leave(ctx, m.Membership); err != nil {
+		d.config.Logger.Warn("group_leave_failed", zap.Error(err))
 	}
-	return belongs
 }
 
 // giveBack ends the ownership of all shards.
--- a/wigeongroup/group.go
+++ b/wigeongroup/group.go
@@ -5,7 +5,6 @@
 package wigeongroup
 
 import (
-	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -67,5 +66,5 @@
 		return true
 	}
 	shardsEach := (max(shards, 1) + len(stronger) - 1) / len(stronger)
-	return cmp.Less(slices.Min(stronger)/Rate(shardsEach), own)
+	return slices.Min(stronger)/Rate(shardsEach) < own
 }
