--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -55,7 +55,7 @@
 	SetWaveState(ctx context.Context, wave int, completed bool) error
 }
 
-// Config configures a Daemon. All fields are required but Advisor and Retention.
+// Config configures a Daemon. All fields are required but Advisor, Rate and Retention.
 type Config struct {
 	Logger   *zap.Logger
 	Jobs     wigeonstep.JobLog
