Keep the platform's words of the soak in platform/wigeonstandin

The soak wrote the settings file of a process and named the platform's variable and header itself; what knows the platform's words belongs into platform/. The stand-ins now write the settings file.

--- a/cmd/wigeonstep/node_test.go
+++ b/cmd/wigeonstep/node_test.go
@@ -312,7 +312,7 @@
 	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+n.address+"/new/"+id, bytes.NewReader(encoded))
 	c.Assert(err, qt.IsNil)
 	r.Host = nodeTestHost
-	r.Header.Set("X-Wigeonstep-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(wigeonstandin.DeadlineHeader, fmt.Sprint(deadline.Milliseconds()))
 	response, err := http.DefaultClient.Do(r)
 	c.Assert(err, qt.IsNil)
 	c.Assert(response.Body.Close(), qt.IsNil)
--- a/wigeonsoak/client.go
+++ b/wigeonsoak/client.go
@@ -50,7 +50,7 @@
 		return 0, nil
 	}
 	r.Host = host
-	r.Header.Set("X-Wigeonstep-Deadline-Ms", fmt.Sprint(requestDeadline.Milliseconds()))
+	r.Header.Set(wigeonstandin.DeadlineHeader, fmt.Sprint(requestDeadline.Milliseconds()))
 	response, err := c.http.Do(r)
 	if err != nil {
 		return 0, nil
--- a/wigeonsoak/process.go
+++ b/wigeonsoak/process.go
@@ -1,16 +1,19 @@
 package wigeonsoak
 
 import (
-	"encoding/json"
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/wigeonstep/wigeonstep/platform/wigeonstandin"
 )
 
 const (
@@ -46,21 +49,13 @@
 	if err != nil {
 		return nil, err
 	}
-	settings := map[string]any{
-		"node_name": name, "ip": ip, "zone": "a", "internal_ports": []int{port(addresses[2]), port(addresses[3])},
-		"listen_addrs": map[string]string{"frontend": addresses[0], "ready": addresses[1]},
-		"limits":       map[string]any{"memory_mb": 200, "cpu_share": 0.4, "link_mbps": 1000},
-		"bounds":       map[string]any{"hold_max_ms": 10_000, "grace_s": stopGrace.Seconds(), "status_s": 120, "visible_ms": 3000, "far_x": 1.5},
-		"platform":     map[string]any{"address": store, "parts": partitions, "record_bytes": 1 << 18, "ttl_min_ms": 1000},
-		"cloud":        map[string]any{"address": cloud},
+	settings := wigeonstandin.NodeSettings{
+		Name: name, IP: ip, Clients: addresses[0], Ready: addresses[1], Peers: addresses[2], Metrics: addresses[3],
+		Store: store, Cloud: cloud, Partitions: partitions, Grace: stopGrace,
 	}
-	encoded, err := json.Marshal(settings)
+	environment, err := settings.Write(filepath.Join(directory, name+".json"))
 	if err != nil {
-		return nil, fmt.Errorf("encode settings: %w", err)
-	}
-	path := filepath.Join(directory, name+".json")
-	if err := os.WriteFile(path, encoded, 0o600); err != nil {
-		return nil, fmt.Errorf("write settings: %w", err)
+		return nil, err
 	}
 	output, err := os.Create(filepath.Join(directory, name+".log")) //nolint:gosec // a directory of the soak
 	if err != nil {
@@ -68,7 +63,7 @@
 	}
 	command := func() *exec.Cmd {
 		c := exec.Command(binary, "node") //nolint:gosec,noctx // the soak ends its processes itself, with the signals of its plan
-		c.Env = append(os.Environ(), "WIGEONSTEP_NODE_FILE="+path)
+		c.Env = append(os.Environ(), environment)
 		c.Stdout, c.Stderr = output, output
 		return c
 	}
@@ -82,7 +77,7 @@
 	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%values, 1+seed%values, 1+process)
 }
 
-// freeAddresses asks the system for free ports.
+// freeAddresses asks the system for free ports, in rising order.
 func freeAddresses(ip string, n int) ([]string, error) {
 	var addresses []string
 	for range n {
@@ -93,20 +88,10 @@
 		defer func() { _ = l.Close() }()
 		addresses = append(addresses, l.Addr().String())
 	}
-	if port(addresses[n-2]) > port(addresses[n-1]) {
-		addresses[n-2], addresses[n-1] = addresses[n-1], addresses[n-2]
-	}
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) })
 	return addresses, nil
 }
 
-func port(address string) int {
-	a, err := net.ResolveTCPAddr("tcp", address)
-	if err != nil {
-		return 0
-	}
-	return a.Port
-}
-
 // keep runs the process and starts it again until stop.
 func (p *process) keep() {
 	defer close(p.ended)
