--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -32,6 +32,8 @@
 }
 
 func main() {
+	// The default action of SIGHUP would end a process that is still starting. Commands that reload install a handler.
+	signal.Ignore(syscall.SIGHUP)
 	wigeontelemetry.RedirectHertz(zap.NewNop())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -83,6 +83,7 @@
 
 // runNode runs the node until ctx ends and then drains it within the grace period.
 func runNode(ctx context.Context, settings platform.Settings, logger *zap.Logger) error {
+	// A SIGHUP that came before is ignored. The settings were read only shortly before.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
--- a/wigeoncaller/server.go
+++ b/wigeoncaller/server.go
@@ -55,6 +55,9 @@
 	ReadTimeout time.Duration
 	// IdleTimeout bounds the wait for a further request on a connection, default 60 s.
 	IdleTimeout time.Duration
+	// IdleDrainDelay is the time for which Drain still serves requests on connections that are idle when it begins, default
+	// 500 ms. A caller may have chosen such a connection already and send a request on it.
+	IdleDrainDelay time.Duration
 	// WriteTimeout bounds the writing of one response, default 10 s.
 	WriteTimeout time.Duration
 	// MaxDeadline is the longest deadline that a caller may set, default 24 h.
@@ -90,6 +93,7 @@
 	setDefault(&c.MaxHeader, 32<<10)
 	setDefault(&c.ReadTimeout, 10*time.Second)
 	setDefault(&c.IdleTimeout, time.Minute)
+	setDefault(&c.IdleDrainDelay, 500*time.Millisecond)
 	setDefault(&c.WriteTimeout, 10*time.Second)
 	setDefault(&c.MaxDeadline, 24*time.Hour)
 	if c.Now == nil {
@@ -132,14 +136,18 @@
 // InFlight returns the number of requests that have begun and whose response is not yet written.
 func (s *Server) InFlight() int { return int(s.inFlight.Load()) }
 
-// Drain closes idle connections and waits until no connection is left or ctx ends. The caller must have closed the listener
-// before.
+// Drain waits until no connection is left or ctx ends. It closes a connection after its next response, and those that are
+// still idle after IdleDrainDelay. The caller must have closed the listener before.
 func (s *Server) Drain(ctx context.Context) error {
 	s.DisableKeepAlives()
+	closeIdleAt := time.Now().Add(s.config.IdleDrainDelay)
 	tick := time.NewTicker(5 * time.Millisecond)
 	defer tick.Stop()
 	for {
-		if s.closeIdle() == 0 {
+		if time.Now().After(closeIdleAt) {
+			s.closeIdle()
+		}
+		if s.openConnections() == 0 {
 			return nil
 		}
 		select {
@@ -150,8 +158,8 @@
 	}
 }
 
-// closeIdle closes the connections on which no request has begun, and returns the number of connections left.
-func (s *Server) closeIdle() int {
+// closeIdle closes the connections on which no request has begun.
+func (s *Server) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -160,6 +168,12 @@
 			delete(s.conns, c)
 		}
 	}
+}
+
+// openConnections returns the number of connections that are not closed.
+func (s *Server) openConnections() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return len(s.conns)
 }
 
--- a/wigeoncaller/server_test.go
+++ b/wigeoncaller/server_test.go
@@ -250,3 +250,29 @@
 	f.c.Assert(<-drainErr, qt.IsNil)
 	f.c.Assert(f.server.InFlight(), qt.Equals, 0)
 }
+
+// TestDrainServesLateRequest guards against a stop that resets a connection on which a caller sends a request just after
+// the stop has begun.
+func TestDrainServesLateRequest(t *testing.T) {
+	f := startServer(t)
+	conn, reader := f.dial()
+	_, err := io.WriteString(conn, request("POST", "/echo", "early", teamHeaders()...))
+	f.c.Assert(err, qt.IsNil)
+	_, body := f.readResponse(reader, http.MethodPost)
+	f.c.Assert(body, qt.Equals, "early")
+	f.stop()
+	f.c.Assert(<-f.done, qt.IsNil)
+	drainErr := make(chan error, 1)
+	go func() { drainErr <- f.server.Drain(context.Background()) }()
+	select {
+	case err := <-drainErr:
+		f.c.Fatalf("the drain ended with an open connection: %v", err)
+	case <-time.After(100 * time.Millisecond):
+	}
+	_, err = io.WriteString(conn, request("POST", "/echo", "late", teamHeaders()...))
+	f.c.Assert(err, qt.IsNil)
+	response, body := f.readResponse(reader, http.MethodPost)
+	f.c.Assert(body, qt.Equals, "late")
+	f.c.Assert(response.Close, qt.IsTrue)
+	f.c.Assert(<-drainErr, qt.IsNil)
+}
