Keep fleet orders from going back, bound the machine calls, pace waves and give a pool one shard

VMs in maintenance then did not count as down, and confirmed calls were sent again (214 of 508 confirmations were repeats).

Calls to the machine service: 1,334 of 5,400 failed at once as more were open than the client has connections, reads of the VM list among them. wigeonlimit bounds the open calls and the calls per second to the platform's limit; maintenance goes first, then moves into pools, then VMs that are switched off. A confirmed call is not sent again while its record is written.

Waves cordoned their full width at once (137 VMs in 0.2 s of a burst). They cordon what their period requires, and their full width when they are behind. TestWaveKeepsItsLimit asserted that a wave reaches its limit; it does so now from a late start, with the limit asserted as strictly as before.

A service has one shard for each 400 VMs in place of 100: a task can use only the workers of its shard, and the hash gave one shard the long-running jobs and another the room.

--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -94,6 +94,9 @@
 	Spare map[wigeonstep.PoolName]bool
 	// Released reports whether the shard of a worker has drained it and starts nothing on it any more.
 	Released func(worker wigeonstep.WorkerID) bool
+	// MayCall reserves a call to the platform and reports whether there was one left; nil sets no bound. A call of the plan
+	// holds its reservation until RecordCallResult.
+	MayCall func() bool
 }
 
 // Plan is the output of a planner.
@@ -126,8 +129,9 @@
 	confirmedAt map[wigeonstep.VMID]time.Duration
 	// retryAt holds the earliest time for the next call after one that did not confirm the move.
 	retryAt map[wigeonstep.VMID]time.Duration
-	// callInFlight holds the VMs whose call to the platform has no result yet.
-	callInFlight map[wigeonstep.VMID]bool
+	// called holds the VMs with a call to the platform that has no result yet, or that confirmed the move while the log still
+	// holds the order as issued.
+	called map[wigeonstep.VMID]bool
 }
 
 // pool is the state of one pool in a plan.
@@ -163,19 +167,20 @@
 }
 
 func (p *Planner) init() {
-	if p.callInFlight != nil {
+	if p.called != nil {
 		return
 	}
 	p.surplusSince = map[wigeonstep.PoolName]time.Duration{}
 	p.confirmedAt = map[wigeonstep.VMID]time.Duration{}
 	p.retryAt = map[wigeonstep.VMID]time.Duration{}
-	p.callInFlight = map[wigeonstep.VMID]bool{}
+	p.called = map[wigeonstep.VMID]bool{}
 }
 
 // advanceOrders adds the next phase or call of each order to the plan. It returns the incoming VMs of each pool: those with an
 // open or recently confirmed move into it.
 func (p *Planner) advanceOrders(now time.Duration, fleet Fleet, plan *Plan) map[wigeonstep.PoolName][]wigeonstep.VMID {
 	incoming := map[wigeonstep.PoolName][]wigeonstep.VMID{}
+	var issued []wigeonjob.MoveOrder
 	for _, id := range slices.Sorted(maps.Keys(fleet.Moves)) {
 		order := fleet.Moves[id]
 		vm, present := fleet.VMs[id]
@@ -184,6 +189,7 @@
 		}
 		switch order.Phase {
 		case wigeonjob.OrderCordon:
+			delete(p.called, id)
 			incoming[order.Pool] = append(incoming[order.Pool], id)
 			switch {
 			case vm.Worker != order.Worker && vm.State == wigeonstep.VMUp:
@@ -197,16 +203,32 @@
 			}
 		case wigeonjob.OrderIssued:
 			incoming[order.Pool] = append(incoming[order.Pool], id)
-			p.requestMove(now, order, plan)
+			issued = append(issued, order)
 		case wigeonjob.OrderDone:
+			delete(p.called, id)
 			if p.isArriving(now, fleet, order, vm) {
 				incoming[order.Pool] = append(incoming[order.Pool], id)
 			}
 		}
 	}
+	// A pool that lacks VMs waits for its moves; switching VMs off can wait.
+	slices.SortStableFunc(issued, func(a, b wigeonjob.MoveOrder) int {
+		return switchOffRank(fleet, a) - switchOffRank(fleet, b)
+	})
+	for _, order := range issued {
+		p.requestMove(now, fleet, order, plan)
+	}
 	return incoming
 }
 
+// switchOffRank is 1 for a move that switches a VM off and 0 for any other.
+func switchOffRank(fleet Fleet, order wigeonjob.MoveOrder) int {
+	if fleet.Spare[order.Pool] {
+		return 1
+	}
+	return 0
+}
+
 // isArriving reports whether the move of the VM was confirmed to this planner at most arrivalTimeout ago, and the VM list or
 // the demand report does not show a usable new worker on it yet. A VM that moved to a spare pool never counts as arriving.
 func (p *Planner) isArriving(now time.Duration, fleet Fleet, order wigeonjob.MoveOrder, vm wigeonstep.PooledVM) bool {
@@ -218,12 +240,12 @@
 	return vm.State == wigeonstep.VMMoving || vm.Worker == order.Worker || !fleet.Demands[order.Pool].Usable[vm.Worker]
 }
 
-// requestMove adds a call to the platform to the plan, unless one is in flight or its retry is not due.
-func (p *Planner) requestMove(now time.Duration, order wigeonjob.MoveOrder, plan *Plan) {
-	if p.callInFlight[order.VM] || now < p.retryAt[order.VM] {
+// requestMove adds a call to the platform to the plan, unless one is in flight, its retry is not due, or no call is left.
+func (p *Planner) requestMove(now time.Duration, fleet Fleet, order wigeonjob.MoveOrder, plan *Plan) {
+	if p.called[order.VM] || now < p.retryAt[order.VM] || fleet.MayCall != nil && !fleet.MayCall() {
 		return
 	}
-	p.callInFlight[order.VM] = true
+	p.called[order.VM] = true
 	plan.Calls = append(plan.Calls, order)
 }
 
@@ -231,11 +253,11 @@
 // otherwise the call is due again after retryDelay.
 func (p *Planner) RecordCallResult(now time.Duration, vm wigeonstep.VMID, done bool) {
 	p.init()
-	delete(p.callInFlight, vm)
 	if done {
 		p.confirmedAt[vm] = now
 		return
 	}
+	delete(p.called, vm)
 	p.retryAt[vm] = now + retryDelay
 }
 
--- a/wigeonbalance/plan_test.go
+++ b/wigeonbalance/plan_test.go
@@ -239,3 +239,40 @@
 	})
 	c.Assert(plan.Orders, qt.HasLen, 0)
 }
+
+// issuedFleet returns a fleet with one issued move into pool0 and one issued move that switches a VM off, whose VM sorts first.
+func issuedFleet() Fleet {
+	m := newFleetModel(1, 2, 1)
+	m.moves["vm-0-0"] = wigeonjob.MoveOrder{VM: "vm-0-0", From: "pool0", Pool: sparePool, Worker: "w1", Phase: wigeonjob.OrderIssued}
+	m.moves["vm-s-0"] = wigeonjob.MoveOrder{VM: "vm-s-0", From: sparePool, Pool: "pool0", Worker: "w3", Phase: wigeonjob.OrderIssued}
+	return Fleet{
+		VMs: m.vms, Moves: m.moves, Spare: map[wigeonstep.PoolName]bool{sparePool: true},
+		Released:      func(wigeonstep.WorkerID) bool { return false },
+		InMaintenance: func(wigeonstep.VMID) bool { return false },
+	}
+}
+
+// Guards against a pool that waits for a VM while the calls that the platform accepts are spent on switching VMs off.
+func TestMovesIntoPoolsAreCalledFirst(t *testing.T) {
+	c := qt.New(t)
+	var p Planner
+	fleet := issuedFleet()
+	left := 1
+	fleet.MayCall = func() bool { left--; return left >= 0 }
+	plan := p.Plan(time.Hour, fleet)
+	c.Assert(plan.Calls, qt.HasLen, 1)
+	c.Assert(plan.Calls[0].VM, qt.Equals, wigeonstep.VMID("vm-s-0"))
+}
+
+// Guards against a call that is repeated after the platform has confirmed it, while the log still holds the order as issued.
+func TestConfirmedMoveIsNotCalledAgain(t *testing.T) {
+	c := qt.New(t)
+	var p Planner
+	fleet := issuedFleet()
+	c.Assert(p.Plan(time.Hour, fleet).Calls, qt.HasLen, 2)
+	p.RecordCallResult(time.Hour, "vm-s-0", true)
+	p.RecordCallResult(time.Hour, "vm-0-0", false)
+	calls := p.Plan(time.Hour+time.Second, fleet).Calls
+	c.Assert(calls, qt.HasLen, 1)
+	c.Assert(calls[0].VM, qt.Equals, wigeonstep.VMID("vm-0-0"))
+}
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -81,6 +81,8 @@
 	Member string
 	// Rate is the number of tasks a second that an owner in this process can start and track; 0 if it is unknown.
 	Rate wigeongroup.TaskRate
+	// MachineCallRate is the platform's limit on calls that change VMs, in calls per second; 0 if it is unknown.
+	MachineCallRate float64
 	// Partitions is the number of partitions of the job log, at least 2.
 	Partitions int
 	// Retention is the time for which the state of an ended job is kept, 10 min by default.
@@ -117,8 +119,10 @@
 	leaving bool
 	workers workerRegistry
 	waves   map[int]wigeonstep.Wave
-	appends appendBatcher
-	fleet   fleet
+	// waveReadAt holds the time at which each wave was first read.
+	waveReadAt map[int]time.Duration
+	appends    appendBatcher
+	fleet      fleet
 	// orderSlots holds a semaphore for each worker that limits the orders in flight to maxOrdersInFlight.
 	orderSlots map[wigeonstep.WorkerID]chan struct{}
 	// lastReport is the time of the last reports of the owned shards to the owner of the fleet partition.
@@ -145,8 +149,9 @@
 		shards:     map[wigeonstep.Partition]*shard{},
 		assigned:   map[wigeonstep.Partition]bool{},
 		waves:      map[int]wigeonstep.Wave{},
+		waveReadAt: map[int]time.Duration{},
 		orderSlots: map[wigeonstep.WorkerID]chan struct{}{},
-		fleet:      newFleet(),
+		fleet:      newFleet(c.MachineCallRate),
 	}
 }
 
@@ -289,6 +294,9 @@
 		}
 		if decoded.Wave != nil {
 			d.waves[decoded.Wave.Number] = *decoded.Wave
+			if _, known := d.waveReadAt[decoded.Wave.Number]; !known {
+				d.waveReadAt[decoded.Wave.Number] = d.config.Now().Steady
+			}
 			d.config.Logger.Info("wave_read", zap.Int("wave", decoded.Wave.Number), zap.Int("vms", len(decoded.Wave.VMs)), zap.Int("max_count", decoded.Wave.MaxDown), zap.Duration("period", decoded.Wave.Period))
 		}
 	}
--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -28,7 +28,7 @@
 		d.logDecision(decision)
 	}
 	if a.Append != nil {
-		d.appendFenced(sh, a.Append, func() { owner.AppendAcknowledged(d.config.Now()) })
+		d.appendFenced(sh, a.Append, func(wigeonstep.Offset) { owner.AppendAcknowledged(d.config.Now()) })
 	}
 	for _, h := range a.Heartbeats {
 		go func() {
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonbalance"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonlimit"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeonwave"
 )
@@ -23,6 +24,12 @@
 	idleListInterval = 1500 * time.Millisecond
 	// planInterval is the minimum time between two plans; a plan follows at once when orders have become durable.
 	planInterval = 50 * time.Millisecond
+	// maxMachineCalls bounds the open calls that change VMs. It is below the number of connections that the client opens, so
+	// that the VM list can be read at the same time.
+	maxMachineCalls = 32
+	// machineCallShare is the share of the platform's limit on calls that this process uses. The rest covers calls of an
+	// earlier owner that are still under way.
+	machineCallShare = 0.9
 	// sizeLogInterval is the minimum time between two logs of the pool sizes.
 	sizeLogInterval = time.Second
 )
@@ -31,6 +38,8 @@
 type fleet struct {
 	wavePlanner *wigeonwave.Planner
 	movePlanner *wigeonbalance.Planner
+	// calls bounds the calls that change VMs.
+	calls wigeonlimit.Limiter
 	// vms is the newest VM list, with the moves and maintenance that the platform has confirmed since; nil until the first
 	// list has been read.
 	vms map[wigeonstep.VMID]wigeonstep.PooledVM
@@ -56,8 +65,11 @@
 	lastSizeLog time.Duration
 }
 
-func newFleet() fleet {
+// newFleet returns the planning state of a new owner. callRate is the platform's limit on calls that change VMs, in calls
+// per second; 0 if it is unknown.
+func newFleet(callRate float64) fleet {
 	return fleet{
+		calls:       wigeonlimit.Limiter{MaxOpen: maxMachineCalls, Rate: machineCallShare * callRate},
 		wavePlanner: &wigeonwave.Planner{}, movePlanner: &wigeonbalance.Planner{}, reportedWaves: map[int]bool{},
 		shardDemands: map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand{},
 		demands:      map[wigeonstep.PoolName]wigeonbalance.Demand{}, released: map[uint32]map[wigeonstep.WorkerID]bool{},
@@ -107,12 +119,13 @@
 func (d *Daemon) planWaves(sh *shard, now wigeonshard.Timestamp) []wigeonstep.KeyedRecord {
 	f := &d.fleet
 	plan := f.wavePlanner.Plan(now.Steady, wigeonwave.Fleet{
-		Waves: d.sortedWaves(), VMs: f.vms, Orders: sh.replica.MaintenanceOrders, Released: d.isReleased, Spare: d.isSpare,
+		Waves: d.sortedWaves(), ReadAt: d.waveReadAt, VMs: f.vms, Orders: sh.replica.MaintenanceOrders, Released: d.isReleased, Spare: d.isSpare,
 		HasOpenMove: func(vm wigeonstep.VMID) bool {
 			order, ordered := sh.replica.MoveOrders[vm]
 			return ordered && order.Phase != wigeonjob.OrderDone
 		},
-		Idle: d.isIdle,
+		Idle:    d.isIdle,
+		MayCall: func() bool { return f.calls.Take(now.Steady) },
 	})
 	for _, order := range plan.Calls {
 		d.callMaintain(sh, order)
@@ -145,6 +158,7 @@
 			order, ordered := sh.replica.MaintenanceOrders[vm]
 			return ordered && order.Phase != wigeonjob.OrderDone
 		},
+		MayCall: func() bool { return f.calls.Take(now.Steady) },
 	})
 	for _, order := range plan.Calls {
 		d.callMove(sh, order)
@@ -257,14 +271,10 @@
 		return
 	}
 	d.fleet.writeInFlight = true
-	d.appendFenced(sh, records, func() {
+	d.appendFenced(sh, records, func(end wigeonstep.Offset) {
 		// The next step plans at once, because the durable orders may allow calls.
 		d.fleet.writeInFlight, d.fleet.lastPlan = false, 0
-		for _, record := range records {
-			if err := sh.replica.Apply(record); err != nil {
-				d.config.Logger.Error("fleet_record_failed", zap.String("key", record.Key), zap.Error(err))
-			}
-		}
+		d.applyWritten(sh, records, end)
 		d.pushCordons()
 		d.updatePartitions()
 	})
@@ -285,6 +295,7 @@
 func (d *Daemon) handleMoveResult(sh *shard, order wigeonjob.MoveOrder, err error) {
 	now := d.config.Now().Steady
 	f := &d.fleet
+	f.calls.Release()
 	f.movePlanner.RecordCallResult(now, order.VM, err == nil)
 	d.config.Logger.Info("move_called", zap.String("vm", string(order.VM)), zap.String("to", string(order.Pool)), zap.Error(err))
 	switch {
@@ -319,6 +330,7 @@
 func (d *Daemon) handleMaintenanceResult(sh *shard, order wigeonjob.MaintenanceOrder, err error) {
 	now := d.config.Now().Steady
 	f := &d.fleet
+	f.calls.Release()
 	f.wavePlanner.RecordCallResult(now, order.VM, err == nil)
 	d.config.Logger.Info("upkeep_called", zap.String("vm", string(order.VM)), zap.Int("wave", order.Wave), zap.Error(err))
 	switch {
--- a/wigeondaemon/partitions.go
+++ b/wigeondaemon/partitions.go
@@ -14,10 +14,9 @@
 )
 
 const (
-	// vmsPerShard is the target number of VMs of a pool for each shard. A task runs only on workers of its own shard,
-	// so a service with several shards needs spare capacity in each of them. Today's pools have up to 90 VMs and get
-	// one shard.
-	vmsPerShard = 100
+	// vmsPerShard is the target number of VMs of a pool for each shard. A task runs only on workers of its own shard, so a
+	// service with several shards needs spare capacity in each of them.
+	vmsPerShard = 400
 	// vmListWait is the time for which a new owner of the fleet partition waits for the platform's list of VMs. After
 	// it, pool sizes are estimated from the registered workers.
 	vmListWait = 2500 * time.Millisecond
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -36,6 +36,9 @@
 	// the replica may hold a listing that was made while records were written. A later Reset does not clear loaded.
 	loaded   bool
 	wakeTail chan struct{}
+	// written holds the fleet records of this process that the replica holds and the tail has not read yet, in the order of
+	// the log. Only the fleet partition has any.
+	written []writtenRecord
 
 	// owned is set while this process owns the shard.
 	owned bool
@@ -62,6 +65,32 @@
 	ctx    context.Context
 }
 
+// writtenRecord is a record that this process has written to the log at an offset.
+type writtenRecord struct {
+	wigeonstep.KeyedRecord
+	offset wigeonstep.Offset
+}
+
+// applyWritten applies records of this process, which end at the offset end of the partition, before the tail reads them.
+func (d *Daemon) applyWritten(sh *shard, records []wigeonstep.KeyedRecord, end wigeonstep.Offset) {
+	first := end - wigeonstep.Offset(len(records))
+	for i, record := range records {
+		sh.written = append(sh.written, writtenRecord{KeyedRecord: record, offset: first + wigeonstep.Offset(i)})
+	}
+	d.reapplyWritten(sh)
+}
+
+// reapplyWritten applies the records of this process that are newer than those that the tail has read. Without it an older
+// record of the same key, which the tail reads later, would put an order back to an earlier phase.
+func (d *Daemon) reapplyWritten(sh *shard) {
+	sh.written = slices.DeleteFunc(sh.written, func(w writtenRecord) bool { return w.offset < sh.nextOffset })
+	for _, w := range sh.written {
+		if err := sh.replica.Apply(w.KeyedRecord); err != nil {
+			d.config.Logger.Error("fleet_record_failed", zap.String("key", w.Key), zap.Error(err))
+		}
+	}
+}
+
 // followPartition starts a tail of the partition unless it is followed already.
 func (d *Daemon) followPartition(part wigeonstep.Partition) {
 	if d.shards[part] != nil {
@@ -128,6 +157,7 @@
 			d.config.Logger.Warn("job_record_skipped", zap.String("key", record.Key), zap.Error(err))
 		}
 	}
+	d.reapplyWritten(sh)
 	// In a listing of all records, a job's record precedes those of its progress. The owner is notified after all are
 	// applied, so that it gets the progress as well.
 	for _, record := range records {
@@ -245,7 +275,7 @@
 	sh.ctx, sh.cancel = context.WithCancel(d.ctx)
 	d.config.Logger.Info("shard_owned", zap.Int("partition", int(sh.part)), zap.Uint64("epoch", uint64(sh.fence)), zap.Uint64("offset", uint64(sh.nextOffset)), zap.Int("jobs", len(sh.replica.Jobs())))
 	if sh.part == fleetPartition {
-		d.fleet = newFleet()
+		d.fleet = newFleet(d.config.MachineCallRate)
 		d.publishOwnerAddress(sh)
 		return
 	}
@@ -278,7 +308,7 @@
 	}
 	// The appends with one fencing token keep their order in the log only if one is in flight at a time.
 	d.fleet.writeInFlight = true
-	d.appendFenced(sh, []wigeonstep.KeyedRecord{{Key: wigeonjob.OwnerKey, Value: value}}, func() { d.fleet.writeInFlight = false })
+	d.appendFenced(sh, []wigeonstep.KeyedRecord{{Key: wigeonjob.OwnerKey, Value: value}}, func(wigeonstep.Offset) { d.fleet.writeInFlight = false })
 }
 
 func acceptedAt(sh *shard, id wigeonstep.JobID) wigeonstep.UnixMillis {
@@ -301,20 +331,21 @@
 }
 
 // appendFenced appends records with the fencing token of the ownership and calls onWritten on the event loop when they are
-// written. It retries until then, until the log refuses the records, which drops the shard, or until the ownership ends.
-func (d *Daemon) appendFenced(sh *shard, records []wigeonstep.KeyedRecord, onWritten func()) {
+// written, with the end of the partition after them. It retries until then, until the log refuses the records, which drops
+// the shard, or until the ownership ends.
+func (d *Daemon) appendFenced(sh *shard, records []wigeonstep.KeyedRecord, onWritten func(end wigeonstep.Offset)) {
 	sh.sequence++
 	fence := wigeonstep.AppendFence{Epoch: sh.fence, Sequence: sh.sequence}
 	ctx := sh.ctx
 	go func() {
 		delay := minAppendDelay
 		for ctx.Err() == nil {
-			_, err := d.config.Jobs.Append(ctx, sh.part, records, &fence)
+			end, err := d.config.Jobs.Append(ctx, sh.part, records, &fence)
 			switch {
 			case err == nil:
 				d.post(func() {
 					if ctx.Err() == nil {
-						onWritten()
+						onWritten(end)
 					}
 				})
 				return
--- a/wigeonwave/plan.go
+++ b/wigeonwave/plan.go
@@ -4,6 +4,7 @@
 package wigeonwave
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -12,9 +13,13 @@
 )
 
 const (
-	// extraCordons is added to MaxDown: up to MaxDown+extraCordons VMs of a wave may be cordoned and not yet ordered down,
-	// in addition to those that are down, so that a drained VM is ready when another one is up again.
+	// extraCordons is added to MaxDown: at most MaxDown+extraCordons VMs of a wave are cordoned and not yet ordered down, in
+	// addition to those that are down, so that a drained VM is ready when another one is up again.
 	extraCordons = 1
+	// targetShare is the share of a wave's period in which its maintenance should begin for all VMs.
+	targetShare = 0.8
+	// drainTime is the expected time from the cordon of a VM with runs until it is drained.
+	drainTime = 2 * time.Second
 	// retryDelay is the pause before a call to the platform that did not confirm the maintenance is repeated.
 	retryDelay = 300 * time.Millisecond
 )
@@ -22,6 +27,8 @@
 // Fleet is the input of a plan.
 type Fleet struct {
 	Waves []wigeonstep.Wave
+	// ReadAt holds the time at which this process first read each wave. Absent waves count as read just now.
+	ReadAt map[int]time.Duration
 	// VMs is the newest VM list of the platform; nil until the first one has been read.
 	VMs map[wigeonstep.VMID]wigeonstep.PooledVM
 	// Orders holds the maintenance orders in the job log.
@@ -34,6 +41,9 @@
 	Released func(worker wigeonstep.WorkerID) bool
 	// Spare reports whether the VMs of a pool are off.
 	Spare func(pool wigeonstep.PoolName) bool
+	// MayCall reserves a call to the platform and reports whether there was one left; nil sets no bound. A call of the plan
+	// holds its reservation until RecordCallResult.
+	MayCall func() bool
 }
 
 // Plan is the output of a planner. An order is durable in the log before its VM is cordoned or the platform is called.
@@ -53,8 +63,9 @@
 type Planner struct {
 	// retryAt holds the earliest time for the next call after one that did not confirm the maintenance.
 	retryAt map[wigeonstep.VMID]time.Duration
-	// callInFlight holds the VMs whose call to the platform has no result yet.
-	callInFlight map[wigeonstep.VMID]bool
+	// called holds the VMs with a call to the platform that has no result yet, or that confirmed the maintenance while the
+	// log still holds the order as issued.
+	called map[wigeonstep.VMID]bool
 }
 
 // Plan returns the orders and calls that are due now. It compares with the orders in the log only, so the caller appends the
@@ -93,6 +104,7 @@
 		}
 		switch order.Phase {
 		case wigeonjob.OrderDone:
+			delete(p.called, id)
 			begun++
 			// The VM counts as down until its maintenance ends. A list from before the maintenance started still shows the
 			// VM with its old worker. A VM that has failed since then does not count.
@@ -104,12 +116,14 @@
 				continue
 			}
 			remaining++
+			begun++
 			down++
-			p.requestMaintenance(now, order, plan)
+			p.requestMaintenance(now, fleet, order, plan)
 		case wigeonjob.OrderCordon:
 			if !present {
 				continue
 			}
+			delete(p.called, id)
 			remaining++
 			cordoned++
 			switch {
@@ -128,11 +142,12 @@
 			break
 		}
 		down++
+		begun++
 		cordoned--
 		order.Phase = wigeonjob.OrderIssued
 		plan.Orders = append(plan.Orders, order)
 	}
-	p.cordon(fleet, wave, newOrders, cordoned, plan)
+	p.cordon(fleet, newOrders, cordonLimit(now, fleet, wave, begun)-cordoned, plan)
 	if remaining == 0 {
 		plan.Completed = append(plan.Completed, wave.Number)
 	} else {
@@ -140,19 +155,34 @@
 	}
 }
 
-// cordon adds orders to cordon further VMs of a wave to the plan: VMs that are off first, then VMs without runs, then the
-// others. cordoned is the number of VMs that are cordoned and not yet ordered down.
-func (p *Planner) cordon(fleet Fleet, wave wigeonstep.Wave, newOrders []wigeonjob.MaintenanceOrder, cordoned int, plan *Plan) {
+// cordonLimit returns the number of VMs of a wave that may be cordoned and not yet ordered down. begun is the number of VMs
+// whose maintenance has been ordered. A cordoned VM is lost to its pool while it drains, so no more are cordoned than the
+// period requires, unless the wave is behind.
+func cordonLimit(now time.Duration, fleet Fleet, wave wigeonstep.Wave, begun int) int {
+	widest := wave.MaxDown + extraCordons
+	target := targetShare * wave.Period.Seconds()
+	if target <= 0 {
+		return widest
+	}
+	perSecond := float64(len(wave.VMs)) / target
+	paced := int(math.Ceil(perSecond * drainTime.Seconds()))
+	elapsed := time.Duration(0)
+	if readAt, known := fleet.ReadAt[wave.Number]; known {
+		elapsed = now - readAt
+	}
+	if float64(begun+paced) < perSecond*elapsed.Seconds() {
+		return widest
+	}
+	return min(paced, widest)
+}
+
+// cordon adds orders to cordon at most limit further VMs to the plan: VMs that are off first, then VMs without runs, then
+// the others.
+func (p *Planner) cordon(fleet Fleet, newOrders []wigeonjob.MaintenanceOrder, limit int, plan *Plan) {
 	slices.SortStableFunc(newOrders, func(a, b wigeonjob.MaintenanceOrder) int {
 		return cordonRank(fleet, a) - cordonRank(fleet, b)
 	})
-	for _, order := range newOrders {
-		if cordoned >= wave.MaxDown+extraCordons {
-			return
-		}
-		cordoned++
-		plan.Orders = append(plan.Orders, order)
-	}
+	plan.Orders = append(plan.Orders, newOrders[:max(min(limit, len(newOrders)), 0)]...)
 }
 
 // cordonRank is 0 for a VM that is off, 1 for one without runs and 2 for any other.
@@ -166,24 +196,25 @@
 	return 2
 }
 
-// requestMaintenance adds a call to the platform to the plan, unless one is in flight or its retry is not due.
-func (p *Planner) requestMaintenance(now time.Duration, order wigeonjob.MaintenanceOrder, plan *Plan) {
-	if p.callInFlight[order.VM] || now < p.retryAt[order.VM] {
+// requestMaintenance adds a call to the platform to the plan, unless one is in flight, its retry is not due, or no call is
+// left.
+func (p *Planner) requestMaintenance(now time.Duration, fleet Fleet, order wigeonjob.MaintenanceOrder, plan *Plan) {
+	if p.called[order.VM] || now < p.retryAt[order.VM] || fleet.MayCall != nil && !fleet.MayCall() {
 		return
 	}
-	if p.callInFlight == nil {
-		p.callInFlight = map[wigeonstep.VMID]bool{}
+	if p.called == nil {
+		p.called = map[wigeonstep.VMID]bool{}
 		p.retryAt = map[wigeonstep.VMID]time.Duration{}
 	}
-	p.callInFlight[order.VM] = true
+	p.called[order.VM] = true
 	plan.Calls = append(plan.Calls, order)
 }
 
 // RecordCallResult records the result of a call to the platform. done is true when the platform confirmed the maintenance;
 // otherwise the call is due again after retryDelay.
 func (p *Planner) RecordCallResult(now time.Duration, vm wigeonstep.VMID, done bool) {
-	delete(p.callInFlight, vm)
 	if !done {
+		delete(p.called, vm)
 		p.retryAt[vm] = now + retryDelay
 	}
 }
--- a/wigeonwave/plan_test.go
+++ b/wigeonwave/plan_test.go
@@ -28,9 +28,10 @@
 	cordoned map[wigeonstep.WorkerID]time.Duration
 	// workerCount numbers the workers; a VM gets a new one after its maintenance.
 	workerCount int
-	// peakDown is the largest number of VMs that were in maintenance at once.
-	peakDown  int
-	completed bool
+	// peakDown is the largest number of VMs that were in maintenance at once, peakDraining that of VMs that were cordoned and
+	// not yet drained.
+	peakDown, peakDraining int
+	completed              bool
 	// answerLost reports whether the answer to a call for the VM is lost although its maintenance begins.
 	answerLost func(vm wigeonstep.VMID) bool
 }
@@ -54,6 +55,7 @@
 		m.startWorker(id, "bake")
 	}
 	m.fleet.Waves = []wigeonstep.Wave{m.wave}
+	m.fleet.ReadAt = map[int]time.Duration{m.wave.Number: m.now}
 	return m
 }
 
@@ -95,6 +97,13 @@
 		m.fleet.Orders[order.VM] = order
 	}
 	m.peakDown = max(m.peakDown, len(m.maintenanceEnd))
+	draining := 0
+	for _, at := range m.cordoned {
+		if m.now <= at+time.Second {
+			draining++
+		}
+	}
+	m.peakDraining = max(m.peakDraining, draining)
 	m.completed = m.completed || len(plan.Completed) > 0
 }
 
@@ -104,6 +113,8 @@
 		t.Run(fmt.Sprint(limit), func(t *testing.T) {
 			c := qt.New(t)
 			m := newWaveModel(20, limit)
+			// The wave is late from the start, so it has to use its whole limit.
+			m.fleet.ReadAt[m.wave.Number] -= m.wave.Period
 			for range 800 {
 				m.step()
 				if m.completed {
@@ -119,6 +130,63 @@
 	}
 }
 
+// Guards against a wave that cordons VMs at its full width as soon as it is read although its period allows for less, which
+// takes capacity from queues in a burst, and against one that such a pace makes late.
+func TestWaveIsPacedOverItsPeriod(t *testing.T) {
+	c := qt.New(t)
+	m := newWaveModel(300, 100)
+	m.wave.Period = 26 * time.Second
+	m.fleet.Waves = []wigeonstep.Wave{m.wave}
+	began := m.now
+	for !m.completed && m.now < began+m.wave.Period {
+		m.step()
+	}
+	c.Assert(m.completed, qt.IsTrue)
+	c.Assert(m.peakDown <= 100, qt.IsTrue, qt.Commentf("%d VMs down", m.peakDown))
+	c.Assert(m.peakDraining <= 40, qt.IsTrue, qt.Commentf("%d VMs draining", m.peakDraining))
+}
+
+// Guards against a wave that ends late because each VM takes longer to drain than the pace assumes.
+func TestSlowDrainsWidenTheWave(t *testing.T) {
+	c := qt.New(t)
+	m := newWaveModel(300, 100)
+	m.wave.Period = 26 * time.Second
+	m.fleet.Waves = []wigeonstep.Wave{m.wave}
+	m.fleet.Released = func(worker wigeonstep.WorkerID) bool {
+		at, ok := m.cordoned[worker]
+		return ok && m.now > at+4*time.Second
+	}
+	began := m.now
+	for !m.completed && m.now < began+m.wave.Period {
+		m.step()
+	}
+	c.Assert(m.completed, qt.IsTrue)
+}
+
+// Guards against a call that is repeated after the platform has confirmed it, while the log still holds the order as issued.
+func TestConfirmedMaintenanceIsNotCalledAgain(t *testing.T) {
+	c := qt.New(t)
+	var p Planner
+	fleet := newWaveModel(1, 1).fleet
+	fleet.Orders["vm00"] = wigeonjob.MaintenanceOrder{VM: "vm00", Wave: 7, Worker: "w1", Phase: wigeonjob.OrderIssued}
+	c.Assert(p.Plan(time.Hour, fleet).Calls, qt.HasLen, 1)
+	p.RecordCallResult(time.Hour, "vm00", true)
+	c.Assert(p.Plan(time.Hour+time.Second, fleet).Calls, qt.HasLen, 0)
+}
+
+// Guards against calls beyond those that the platform accepts.
+func TestMaintenanceCallsAreBounded(t *testing.T) {
+	c := qt.New(t)
+	var p Planner
+	fleet := newWaveModel(9, 9).fleet
+	for id, vm := range fleet.VMs {
+		fleet.Orders[id] = wigeonjob.MaintenanceOrder{VM: id, Wave: 7, Worker: vm.Worker, Phase: wigeonjob.OrderIssued}
+	}
+	left := 4
+	fleet.MayCall = func() bool { left--; return left >= 0 }
+	c.Assert(p.Plan(time.Hour, fleet).Calls, qt.HasLen, 4)
+}
+
 // Guards against a wave that exceeds its limit or stops after lost answers: a VM whose call was not confirmed counts as down,
 // and the call is repeated until the platform confirms it.
 func TestLostAnswersCountAsDown(t *testing.T) {
