Let processes on small VMs ask the owners in place of following every log

Cause: every process followed all partitions of the job log and the worker log, so the traffic of the store grew with the square of the fleet.

A process below wigeongroup.SufficientRate is now a standby while processes on larger VMs hold the shards: it follows no partition, reads the partitions of the services from a holder, and asks the holders for the states and counts of jobs. A job is absent only if a holder has read the log to its end (TestStandbyServesClients: accepts, looks up, counts, cancels, and takes over when the larger node is killed). Member names carry the peer address, so the list of holders is the directory.

Also: memberships are renewed every 100 ms, and a shard's owner that does not reach the fleet owner reads who the new one is at once; until then it reported to the old one for up to 0.7 s, and no move was planned (TestUnreachedFleetOwnerIsLookedUpAtOnce).

--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -147,7 +147,7 @@
 		Waves:           store,
 		Peers:           &wigeonpeer.Client{DialTimeout: 300 * time.Millisecond},
 		Metrics:         wigeondaemon.NewMetrics(set),
-		Member:          wigeongroup.MemberName(settings.NodeName, time.Now().UnixNano(), rate),
+		Member:          wigeongroup.MemberName(settings.NodeName, time.Now().UnixNano(), settings.PeerAddress(), rate),
 		Rate:            rate,
 		Partitions:      settings.Store.Partitions,
 		MachineCallRate: settings.MachineService.ChangesPerSecond,
--- a/joblog.go
+++ b/joblog.go
@@ -80,8 +80,7 @@
 type Group interface {
 	// Join joins the group or renews the membership, and returns the current assignment.
 	Join(ctx context.Context, m Membership) (Assignment, error)
-	// ListHolders returns the names of the members that have partitions assigned. A member with several partitions may
-	// occur several times.
-	ListHolders(ctx context.Context) ([]string, error)
+	// ListHolders returns the member to which each partition is assigned. Partitions without a member are absent.
+	ListHolders(ctx context.Context) (map[Partition]string, error)
 	Leave(ctx context.Context, m Membership) error
 }
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -42,6 +42,7 @@
 	responseDone         = wigeonstep.Response{Outcome: wigeonstep.OutcomeDone, Status: http.StatusOK}
 	responseAccepted     = wigeonstep.Response{Outcome: wigeonstep.OutcomeAccepted, Status: http.StatusOK}
 	responseNoPartitions = wigeonstep.NotRunResponse(http.StatusServiceUnavailable, "the service of the queue has no partitions yet", "look up", "job log", refusalRetryAfter)
+	responseNotCounted   = wigeonstep.NotRunResponse(http.StatusServiceUnavailable, "the jobs of the queue are not known yet", "count", "job log", refusalRetryAfter)
 	responseNoSuchJob    = wigeonstep.NotRunResponse(http.StatusGone, "no such job", "look up", "job log", 0)
 )
 
@@ -126,6 +127,9 @@
 	if !known {
 		return jobLookup{}, responseNoPartitions
 	}
+	if !d.following.Load() {
+		return d.lookUpAtHolders(ctx, part, id)
+	}
 	v, ok := d.lookUpLocal(ctx, part, id)
 	switch {
 	case !ok:
@@ -178,15 +182,34 @@
 	if request.GetLog() != nil {
 		return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Log{Log: &wigeonwire.LogStatus{Reached: !d.logUnreachable()}}}
 	}
+	if count := request.GetCount(); count != nil {
+		return d.answerCountQuery(ctx, count)
+	}
+	if request.GetDirectory() != nil {
+		return d.answerDirectoryQuery()
+	}
 	query := request.GetJob()
 	if query == nil {
 		return &wigeonwire.PeerResponse{Error: "this process does not answer such a request"}
 	}
-	v, ok := d.lookUpLocal(ctx, wigeonstep.Partition(query.GetPartition()), wigeonstep.JobID(query.GetJob()))
+	return d.answerJobQuery(ctx, query)
+}
+
+// answerJobQuery answers a peer's query for the state of a job from this process's owner or replica, and from the log if the
+// peer asks for that.
+func (d *Daemon) answerJobQuery(ctx context.Context, query *wigeonwire.JobQuery) *wigeonwire.PeerResponse {
+	part, id := wigeonstep.Partition(query.GetPartition()), wigeonstep.JobID(query.GetJob())
+	v, ok := d.lookUpLocal(ctx, part, id)
 	if !ok {
 		return nil
 	}
-	status := &wigeonwire.JobStatus{Owner: v.owned, Known: v.known, State: wigeonwire.ProgressState(v.state)}
+	absent := false
+	if !v.known && v.loaded && query.GetReadLog() {
+		var response wigeonstep.Response
+		v, response = d.lookUpAtLogEnd(ctx, part, id, v)
+		absent = response.Status == http.StatusGone
+	}
+	status := &wigeonwire.JobStatus{Owner: v.owned, Known: v.known, State: wigeonwire.ProgressState(v.state), Absent: absent}
 	return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Job{Job: status}}
 }
 
@@ -238,9 +261,12 @@
 // CountWaiting counts the accepted jobs of a queue of which no task has started.
 func (d *Daemon) CountWaiting(ctx context.Context, queue wigeonstep.Queue) (int, wigeonstep.Response) {
 	parts := d.partitions(queue.Service)
+	if !d.following.Load() {
+		return d.countAtHolders(ctx, parts, queue.Name)
+	}
 	n, ok := queryLoop(ctx, d, func() int { return d.countPendingJobs(parts, queue.Name) })
 	if !ok || n < 0 {
-		return 0, wigeonstep.NotRunResponse(http.StatusServiceUnavailable, "the jobs of the queue are not known yet", "count", "job log", refusalRetryAfter)
+		return 0, responseNotCounted
 	}
 	return n, responseDone
 }
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -32,12 +32,15 @@
 	// loadedPollInterval is the period at which a starting process checks whether its replicas are loaded, so that it
 	// may join the group.
 	loadedPollInterval = 20 * time.Millisecond
-	// joinInterval is the period at which the group membership is renewed.
-	joinInterval = 250 * time.Millisecond
+	// joinInterval is the period at which the group membership is renewed. A member learns of a new assignment, and gives up a
+	// shard that moves, with its next renewal; the shard has no owner in between.
+	joinInterval = 100 * time.Millisecond
 	// holdersCheckInterval is the period at which a process on a small VM checks whether processes on larger VMs hold
 	// the shards. firstHoldersCheckDelay postpones the first check, so that larger ones can join the group before it.
 	holdersCheckInterval   = 800 * time.Millisecond
 	firstHoldersCheckDelay = 600 * time.Millisecond
+	// directoryRetryDelay replaces holdersCheckInterval in a standby that does not know the partitions of the services yet.
+	directoryRetryDelay = 200 * time.Millisecond
 	// ownedReadPause is the pause between reads of a partition that this process owns or is claiming, otherReadPause
 	// between reads of the others. The state of a partition that this process does not own may be older: it serves
 	// client requests, the search for owners and, in the fleet partition, the partitions and cordons.
@@ -106,6 +109,11 @@
 	logAccess logAccess
 	// partitionTable holds the partitions of each service; nil until they are read.
 	partitionTable atomic.Pointer[partitionTable]
+	// following is set once this process follows the job log and the worker log. Until then it is a standby (standby.go).
+	following atomic.Bool
+	// holderAddresses holds the addresses of the processes that hold the partitions, as a standby last read them; nil until
+	// then.
+	holderAddresses atomic.Pointer[map[wigeonstep.Partition]string]
 	// routes is built from the configuration in force; nil until one is read.
 	routes atomic.Pointer[routeTable]
 
@@ -158,9 +166,11 @@
 // Run runs the event loop until ctx ends.
 func (d *Daemon) Run(ctx context.Context) {
 	defer d.cancel()
-	d.followPartition(fleetPartition)
+	d.addShard(fleetPartition)
+	if !d.small() {
+		d.follow()
+	}
 	go d.tailOperator(ctx)
-	go d.tailWorkers(ctx)
 	go d.maintainMembership(ctx)
 	timer := time.NewTimer(stepInterval)
 	defer timer.Stop()
@@ -249,9 +259,20 @@
 func (d *Daemon) tailOperator(ctx context.Context) {
 	tail := wigeontail.Tail{
 		Log: d.config.Operator, MaxWait: operatorPollTimeout,
-		Apply:      func(b wigeontail.Batch) { d.post(func() { d.applyOperatorBatch(b) }) },
-		OnOutage:   func(err error) { d.logPeerState("operator log", err) },
-		OnRecovery: func() { d.logPeerState("operator log", nil) },
+		Apply: func(b wigeontail.Batch) { d.post(func() { d.applyOperatorBatch(b) }) },
+		OnOutage: func(err error) {
+			if !d.following.Load() {
+				// A standby reads no job log, which is in the same store.
+				d.logAccess.readsFailing.Store(true)
+			}
+			d.logPeerState("operator log", err)
+		},
+		OnRecovery: func() {
+			if !d.following.Load() {
+				d.logAccess.readsFailing.Store(false)
+			}
+			d.logPeerState("operator log", nil)
+		},
 	}
 	tail.Run(ctx)
 }
@@ -333,7 +354,7 @@
 
 // allLoaded reports whether the replicas of all followed partitions are loaded.
 func (d *Daemon) allLoaded() bool {
-	return !slices.ContainsFunc(d.sortedShards, func(sh *shard) bool { return !sh.loaded })
+	return !d.following.Load() || !slices.ContainsFunc(d.sortedShards, func(sh *shard) bool { return !sh.loaded })
 }
 
 const (
--- a/wigeondaemon/explain.go
+++ b/wigeondaemon/explain.go
@@ -47,6 +47,9 @@
 		}
 		d.config.Metrics.peerFailures.Inc()
 	}
+	if !owned && !d.following.Load() {
+		return d.explainByHolder(ctx, view)
+	}
 	encoded, err := json.Marshal(a.status)
 	if err != nil {
 		return &wigeonwire.PeerResponse{Error: err.Error()}
@@ -54,6 +57,17 @@
 	return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Status{Status: &wigeonwire.StatusData{Json: encoded}}}
 }
 
+// explainByHolder forwards a query about a job to a process that follows the job log.
+func (d *Daemon) explainByHolder(ctx context.Context, view string) *wigeonwire.PeerResponse {
+	explanation := &wigeonwire.PeerResponse{Error: "no process that follows the job log answers"}
+	request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Status{Status: &wigeonwire.StatusQuery{View: view}}}
+	d.askHolders(ctx, fleetPartition, request, func(response *wigeonwire.PeerResponse) bool {
+		explanation = response
+		return true
+	})
+	return explanation
+}
+
 // jobStatus explains the state of a job; known is set if the explanation comes from the owner of its shard in this
 // process, and owner is the address of another process that owns the shard.
 func (d *Daemon) jobStatus(id wigeonstep.JobID) (status wigeonstep.ObjectStatus, known bool, owner string) {
--- a/wigeondaemon/group.go
+++ b/wigeondaemon/group.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -35,7 +37,25 @@
 }
 
 func (d *Daemon) joinState() joinState {
-	return joinState{leaving: d.leaving, loaded: d.allLoaded(), shards: len(d.sortedShards)}
+	return joinState{leaving: d.leaving, loaded: d.allLoaded(), shards: d.countShards()}
+}
+
+// countShards returns the number of partitions that services use, and one for the fleet partition.
+func (d *Daemon) countShards() int {
+	used := map[wigeonstep.Partition]bool{fleetPartition: true}
+	if table := d.partitionTable.Load(); table != nil {
+		for _, parts := range *table {
+			for _, part := range parts {
+				used[part] = true
+			}
+		}
+	}
+	return len(used)
+}
+
+// small reports whether the rate of this process is known and below wigeongroup.SufficientRate.
+func (d *Daemon) small() bool {
+	return d.config.Rate > 0 && d.config.Rate < wigeongroup.SufficientRate
 }
 
 // member is the membership of this process in the group. It belongs to the goroutine of maintainMembership.
@@ -56,8 +76,7 @@
 func (d *Daemon) maintainMembership(ctx context.Context) {
 	ticker := time.NewTicker(joinInterval)
 	defer ticker.Stop()
-	small := d.config.Rate > 0 && d.config.Rate < wigeongroup.SufficientRate
-	m := member{Membership: d.membership(), small: small, participates: !small, nextHoldersCheck: d.config.Now().Steady + firstHoldersCheckDelay}
+	m := member{Membership: d.membership(), small: d.small(), participates: !d.small(), nextHoldersCheck: d.config.Now().Steady + firstHoldersCheckDelay}
 	for ctx.Err() == nil {
 		state, ok := queryLoop(ctx, d, d.joinState)
 		if !ok || state.leaving {
@@ -68,8 +87,9 @@
 			sleep(ctx, loadedPollInterval)
 			continue
 		}
-		if m.small && d.config.Now().Steady >= m.nextHoldersCheck {
-			d.checkHolders(ctx, &m, state.shards)
+		if m.small && d.config.Now().Steady >= m.nextHoldersCheck && d.checkHolders(ctx, &m, state.shards) {
+			// A process that joins has to load its replicas first.
+			continue
 		}
 		if m.participates {
 			d.renewMembership(ctx, &m)
@@ -103,23 +123,31 @@
 	d.logAccess.groupUnreachable.Store(err != nil && !errors.Is(err, wigeonstep.ErrUnavailable))
 }
 
-// checkHolders decides from the members that hold partitions whether this process participates in the group. If it no
-// longer does, it drops its shards and leaves.
-func (d *Daemon) checkHolders(ctx context.Context, m *member, shards int) {
+// checkHolders decides from the members that hold partitions whether this process participates in the group, and reports
+// whether the decision has changed. If the process no longer participates, it drops its shards and leaves.
+func (d *Daemon) checkHolders(ctx context.Context, m *member, shards int) (changed bool) {
 	m.nextHoldersCheck = d.config.Now().Steady + holdersCheckInterval
 	holders, err := d.config.Group.ListHolders(ctx)
 	d.recordGroupResult(err)
 	if err != nil {
-		return
+		return false
+	}
+	d.storeHolders(holders)
+	participates := wigeongroup.ShouldJoin(d.config.Rate, slices.Collect(maps.Values(holders)), shards)
+	if !participates {
+		d.updateDirectory(ctx)
+		if d.partitionTable.Load() == nil {
+			m.nextHoldersCheck = d.config.Now().Steady + directoryRetryDelay
+		}
 	}
-	participates := wigeongroup.ShouldJoin(d.config.Rate, holders, shards)
 	if participates == m.participates {
-		return
+		return false
 	}
 	m.participates = participates
 	d.config.Logger.Info("group_choice", zap.Bool("belongs", participates), zap.Int("rate", int(d.config.Rate)), zap.Int("shards", shards), zap.Int("holders", len(holders)))
 	if participates {
-		return
+		d.post(d.follow)
+		return true
 	}
 	queryLoop(ctx, d, func() bool {
 		d.dropAllShards("processes on larger VMs hold the shards")
@@ -128,6 +156,7 @@
 	if err := d.config.Group.Leave(ctx, m.Membership); err != nil {
 		d.config.Logger.Warn("group_leave_failed", zap.Error(err))
 	}
+	return true
 }
 
 // dropAllShards ends the ownership of all shards.
--- a/wigeondaemon/logaccess.go
+++ b/wigeondaemon/logaccess.go
@@ -133,8 +133,12 @@
 	return nil
 }
 
-// ownerAddresses returns the addresses of the other processes that the replicas name as the newest owner of a shard.
+// ownerAddresses returns the addresses of the other processes that the replicas name as the newest owner of a shard. A
+// standby returns those of the holders.
 func (d *Daemon) ownerAddresses() []string {
+	if !d.following.Load() {
+		return d.standbyAddresses(fleetPartition)
+	}
 	var addresses []string
 	known := map[string]bool{"": true, d.config.Shard.Address: true}
 	for _, sh := range d.sortedShards {
--- a/wigeondaemon/partitions.go
+++ b/wigeondaemon/partitions.go
@@ -63,13 +63,22 @@
 		return
 	}
 	d.partitionTable.Store(&latest)
-	for _, service := range slices.Sorted(maps.Keys(latest)) {
-		for _, part := range latest[service] {
+	d.followServicePartitions()
+	d.pushWorkers()
+	d.updateReady()
+}
+
+// followServicePartitions follows the partitions of all services, unless this process is a standby.
+func (d *Daemon) followServicePartitions() {
+	table := d.partitionTable.Load()
+	if table == nil || !d.following.Load() {
+		return
+	}
+	for _, service := range slices.Sorted(maps.Keys(*table)) {
+		for _, part := range (*table)[service] {
 			d.followPartition(part)
 		}
 	}
-	d.pushWorkers()
-	d.updateReady()
 }
 
 // planPartitions assigns partitions to the configured services that have none and returns the records. Large pools get
--- a/wigeondaemon/report.go
+++ b/wigeondaemon/report.go
@@ -65,15 +65,19 @@
 
 func (d *Daemon) sendReports(address string, reports []*wigeonwire.ShardReport) {
 	cordons := map[wigeonstep.WorkerID]wigeonstep.VMID{}
+	reachedOwner := true
 	for _, r := range reports {
 		ctx, cancel := context.WithTimeout(d.ctx, peerTimeout)
 		answer, err := d.config.Peers.Call(ctx, address, &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Shard{Shard: r}})
 		cancel()
 		if err != nil {
 			d.config.Metrics.peerFailures.Inc()
+			reachedOwner = false
 			break
 		}
-		if orders := answer.GetShard(); orders.GetOwner() {
+		orders := answer.GetShard()
+		reachedOwner = reachedOwner && orders.GetOwner()
+		if orders.GetOwner() {
 			for _, c := range orders.GetCordons() {
 				cordons[wigeonstep.WorkerID(c.GetWorker())] = wigeonstep.VMID(c.GetVm())
 			}
@@ -81,6 +85,10 @@
 	}
 	d.post(func() {
 		d.reportInFlight = false
+		if !reachedOwner {
+			// The log names the new owner of the fleet partition, which plans no moves before all shards have reported to it.
+			d.shards[fleetPartition].wake()
+		}
 		if len(cordons) > 0 {
 			d.receivedCordons = cordons
 			d.pushCordons()
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -91,16 +91,31 @@
 	}
 }
 
-// followPartition starts a tail of the partition unless it is followed already.
-func (d *Daemon) followPartition(part wigeonstep.Partition) {
-	if d.shards[part] != nil {
-		return
-	}
+// addShard adds the state of a partition, without a tail, and returns it.
+func (d *Daemon) addShard(part wigeonstep.Partition) *shard {
 	sh := &shard{part: part, replica: &wigeonreplica.Replica{}, wakeTail: make(chan struct{}, 1)}
 	d.shards[part] = sh
 	d.sortedShards = append(d.sortedShards, sh)
 	slices.SortFunc(d.sortedShards, func(a, b *shard) int { return cmp.Compare(a.part, b.part) })
-	go d.tailPartition(sh)
+	return sh
+}
+
+// followPartition starts a tail of the partition unless it is followed already.
+func (d *Daemon) followPartition(part wigeonstep.Partition) {
+	if d.shards[part] == nil {
+		go d.tailPartition(d.addShard(part))
+	}
+}
+
+// follow makes a standby follow the job log and the worker log.
+func (d *Daemon) follow() {
+	if d.following.Swap(true) {
+		return
+	}
+	d.logAccess.readsFailing.Store(false)
+	go d.tailPartition(d.shards[fleetPartition])
+	go d.tailWorkers(d.ctx)
+	d.followServicePartitions()
 }
 
 // tailPartition reads the partition until the daemon stops, more often while this process owns or claims it.
--- a/wigeongroup/group.go
+++ b/wigeongroup/group.go
@@ -35,13 +35,26 @@
 	return min(byCPU, byLink)
 }
 
-// rateSeparator separates the instance of a process from its rate in a member name.
-const rateSeparator = "/"
+// rateSeparator and addressSeparator separate the rate and the address of a process from the rest of its member name.
+const (
+	rateSeparator    = "/"
+	addressSeparator = "|"
+)
 
-// MemberName returns the name under which one instance of a process joins the group. It contains the rate, which the other
-// members read from it.
-func MemberName(process string, instance int64, r TaskRate) string {
-	return fmt.Sprintf("%s@%d%s%d", process, instance, rateSeparator, r)
+// MemberName returns the name under which one instance of a process joins the group. It contains the address for its peers
+// and the rate, which other processes read from it.
+func MemberName(process string, instance int64, address string, r TaskRate) string {
+	return fmt.Sprintf("%s@%d%s%s%s%d", process, instance, addressSeparator, address, rateSeparator, r)
+}
+
+// AddressOf returns the address in the name of a member, or "" if the name contains none.
+func AddressOf(member string) string {
+	_, rest, _ := strings.Cut(member, addressSeparator)
+	address, _, found := strings.Cut(rest, rateSeparator)
+	if !found {
+		return ""
+	}
+	return address
 }
 
 // rateOfMember returns the rate in the name of a member, or 0 if the name contains no valid one.
@@ -55,7 +68,7 @@
 }
 
 // ShouldJoin reports whether a process with rate own should join the group. holders holds the name of the member that holds
-// each partition. A process with a rate of at least SufficientRate or of 0 always joins. Any other process stays out if the
+// each partition; a name may occur several times. A process with a rate of at least SufficientRate or of 0 always joins. Any other process stays out if the
 // holders with higher rates can own all shards and the slowest of them, with the shards shared out evenly, still has at
 // least the rate own for each of its shards.
 func ShouldJoin(own TaskRate, holders []string, shards int) bool {
