Start nothing after a pause in which the ownership may have ended

An owner that was paused for longer than ConfirmLimit between the answer and its handling started runs that a new owner may have given up and started elsewhere. The answer now confirms the time at which the attempt was sent, and a start is sent only while the ownership is confirmed (TestPausedOwnerStartsNothing, failed first).

--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -323,7 +323,7 @@
 	}
 	// The appends with one fencing token keep their order in the log only if one is in flight at a time.
 	d.fleet.writeInFlight = true
-	d.appendFenced(sh, []wigeonstep.KeyedRecord{{Key: wigeonjob.OwnerKey, Value: value}}, func(wigeonstep.Offset) { d.fleet.writeInFlight = false })
+	d.appendFenced(sh, []wigeonstep.KeyedRecord{{Key: wigeonjob.OwnerKey, Value: value}}, func(appendAnswer) { d.fleet.writeInFlight = false })
 }
 
 func acceptedAt(sh *shard, id wigeonstep.JobID) wigeonstep.UnixMillis {
@@ -345,22 +345,30 @@
 	d.config.Logger.Info("shard_dropped", zap.Int("partition", int(sh.part)), zap.Uint64("epoch", uint64(sh.fence)), zap.String("cause", cause))
 }
 
+// appendAnswer is the answer to a fenced append.
+type appendAnswer struct {
+	// end is the end of the partition after the records.
+	end wigeonstep.Offset
+	// sentAt is the time at which the attempt that was answered was sent.
+	sentAt time.Duration
+}
+
 // appendFenced appends records with the fencing token of the ownership and calls onWritten on the event loop when they are
-// written, with the end of the partition after them. It retries until then, until the log refuses the records, which drops
-// the shard, or until the ownership ends.
-func (d *Daemon) appendFenced(sh *shard, records []wigeonstep.KeyedRecord, onWritten func(end wigeonstep.Offset)) {
+// written. It retries until then, until the log refuses the records, which drops the shard, or until the ownership ends.
+func (d *Daemon) appendFenced(sh *shard, records []wigeonstep.KeyedRecord, onWritten func(appendAnswer)) {
 	sh.sequence++
 	fence := wigeonstep.AppendFence{Epoch: sh.fence, Sequence: sh.sequence}
 	ctx := sh.ctx
 	go func() {
 		delay := minAppendDelay
 		for ctx.Err() == nil {
+			sentAt := d.config.Now().Steady
 			end, err := d.config.Jobs.Append(ctx, sh.part, records, &fence)
 			switch {
 			case err == nil:
 				d.post(func() {
 					if ctx.Err() == nil {
-						onWritten(end)
+						onWritten(appendAnswer{end: end, sentAt: sentAt})
 					}
 				})
 				return
--- a/wigeonshard/bench_test.go
+++ b/wigeonshard/bench_test.go
@@ -26,7 +26,7 @@
 	for _, w := range o.sortedWorkers {
 		o.HeartbeatAnswered(now, w.ID, wigeonstep.HeartbeatResult{Clock: 5000}, nil)
 	}
-	o.AppendAcknowledged(now)
+	o.AppendAcknowledged(now, now.Steady)
 	perJob := 8
 	fill := workers * 17 / perJob
 	for i := range fill + waiting {
@@ -38,7 +38,7 @@
 		now.Steady += 50 * time.Millisecond
 		a := o.Step(now)
 		if a.Append != nil {
-			o.AppendAcknowledged(now)
+			o.AppendAcknowledged(now, now.Steady)
 		}
 		for _, s := range a.Starts {
 			o.StartAnswered(now, s.Worker.ID, s.Order.Run, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
@@ -68,7 +68,7 @@
 				}
 				a := o.Step(now)
 				if a.Append != nil {
-					o.AppendAcknowledged(now)
+					o.AppendAcknowledged(now, now.Steady)
 				}
 				for _, s := range o.Step(now).Starts {
 					o.StartAnswered(now, s.Worker.ID, s.Order.Run, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -258,7 +258,7 @@
 			m.schedule(100*time.Millisecond, func() { m.appendRecords(o, records) })
 			return
 		}
-		o.AppendAcknowledged(m.eventTime())
+		o.AppendAcknowledged(m.eventTime(), m.now)
 	})
 }
 
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
@@ -158,14 +159,15 @@
 }
 
 // AppendAcknowledged marks the state of the pending append as durable and sends the starts that depend on it. The caller
-// reports only acknowledged appends, and repeats an append without an answer.
-func (o *Owner) AppendAcknowledged(now Timestamp) {
+// reports only acknowledged appends, and repeats an append without an answer. sentAt is the time at which the acknowledged
+// attempt was sent: the log confirms the ownership of that time, and the answer may have waited in a paused process.
+func (o *Owner) AppendAcknowledged(now Timestamp, sentAt time.Duration) {
 	f := o.flush
 	if f == nil {
 		return
 	}
 	o.flush = nil
-	o.Confirm(now.Steady)
+	o.Confirm(sentAt)
 	if f.recordedLapses != nil {
 		o.ownerRecordDurable = true
 		for _, w := range o.sortedWorkers {
@@ -192,13 +194,13 @@
 	o.removeEndedJobs()
 }
 
-// startDurableRun sends the start of a run whose record is durable. It ends the run unsent when the run is to be stopped
-// or its worker does not answer.
+// startDurableRun sends the start of a run whose record is durable. It ends the run unsent when the run is to be stopped,
+// its worker does not answer, or the ownership is not confirmed: another owner may have given the run up by now.
 func (o *Owner) startDurableRun(now Timestamp, r *run) {
 	if r.phase != runWriting {
 		return
 	}
-	if r.stopping || !r.worker.answered || r.worker.failures > 0 {
+	if r.stopping || !r.worker.answered || r.worker.failures > 0 || !o.ownershipConfirmed(now) {
 		o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
 		return
 	}
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -400,3 +400,37 @@
 	c.Assert(m.log.Releases, qt.HasLen, 1)
 	c.Assert(m.log.Releases[listed].Worker, qt.Equals, listed)
 }
+
+// Guards against a start by an owner that was paused while the answer to its append waited: another owner may have given the
+// run up by then, after the worker did not answer it, and started the task elsewhere.
+func TestPausedOwnerStartsNothing(t *testing.T) {
+	c := qt.New(t)
+	now := Timestamp{Steady: time.Hour, Wall: 1_700_000_000_000}
+	o := NewOwner(testSettings, 1, now, wigeonjob.OwnerRecord{})
+	o.SetWorkers(now, []wigeonstep.ListedWorker{{ID: "w", Address: "w:1", Service: testService, Capacity: wigeonstep.Resources{CPU: 8000, Memory: 8192}}})
+	o.Step(now)
+	o.HeartbeatAnswered(now, "w", wigeonstep.HeartbeatResult{Clock: 5000}, nil)
+	o.AppendAcknowledged(now, now.Steady)
+	o.AddJob(now, testJob("job", testStep(1)), wigeonjob.Progress{}, false)
+	now.Steady += placeInterval
+	sentAt := now.Steady
+	c.Assert(len(o.Step(now).Append) > 0, qt.IsTrue)
+
+	now.Steady += testSettings.ConfirmLimit + time.Second
+	o.AppendAcknowledged(now, sentAt)
+	a := o.Step(now)
+	c.Assert(a.Starts, qt.HasLen, 0)
+
+	// Once the log confirms the ownership, the task starts.
+	var starts []Start
+	for range 20 {
+		if len(a.Append) > 0 {
+			o.AppendAcknowledged(now, now.Steady)
+		}
+		now.Steady += 50 * time.Millisecond
+		a = o.Step(now)
+		starts = append(starts, a.Starts...)
+	}
+	c.Assert(starts, qt.HasLen, 1)
+	c.Assert(starts[0].Order.Run.Number, qt.Equals, wigeonstep.RunNumber(2))
+}
--- a/wigeonshard/steps_test.go
+++ b/wigeonshard/steps_test.go
@@ -229,12 +229,12 @@
 	a := o.Step(now)
 	c.Assert(a.AdviceRequests, qt.HasLen, 1)
 	c.Assert(a.AdviceRequests[0].Job, qt.Equals, wigeonstep.JobID("advised2"))
-	o.AppendAcknowledged(now)
+	o.AppendAcknowledged(now, now.Steady)
 	permitted := o.sortedWorkers[2].ID
 	o.AdviceAnswered(now, a.AdviceRequests[0], wigeonstep.Advice{Tickets: map[wigeonstep.WorkerID]wigeonstep.Ticket{permitted: "t"}, TTL: 3 * time.Second}, nil)
 	now.Steady += 200 * time.Millisecond
 	o.Step(now)
-	o.AppendAcknowledged(now)
+	o.AppendAcknowledged(now, now.Steady)
 	now.Steady += 200 * time.Millisecond
 	starts := o.Step(now).Starts
 	c.Assert(starts, qt.HasLen, 2)
@@ -253,7 +253,7 @@
 	o.SetWorkers(now, []wigeonstep.ListedWorker{{ID: "w", Address: "10.0.0.1:80", Service: testService, Capacity: wigeonstep.Resources{CPU: 8000, Memory: 8192}}})
 	o.Step(now)
 	o.HeartbeatAnswered(now, "w", wigeonstep.HeartbeatResult{Clock: 5000}, nil)
-	o.AppendAcknowledged(now)
+	o.AppendAcknowledged(now, now.Steady)
 	serving, besteffort := testStep(1), testStep(1)
 	serving.LongRunning, serving.Target = true, 40*time.Millisecond
 	besteffort.LongRunning, besteffort.BestEffort = true, true
@@ -262,7 +262,7 @@
 	step := func(tail time.Duration) []Throttle {
 		now.Steady += time.Second
 		if o.Step(now).Append != nil {
-			o.AppendAcknowledged(now)
+			o.AppendAcknowledged(now, now.Steady)
 		}
 		for _, s := range o.Step(now).Starts {
 			o.StartAnswered(now, s.Worker.ID, s.Order.Run, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
