Renew the membership twice after a new generation

A member now applies an assignment, with the drop, before it renews, and renews at once after a new generation.

--- a/wigeondaemon/group.go
+++ b/wigeondaemon/group.go
@@ -103,18 +103,29 @@
 	}
 }
 
-// renewMembership renews the membership once and applies the assignment in the response.
+// renewMembership renews the membership and applies the assignment in the response. After a new generation it renews at once
+// a second time: the group gives a partition to its next member when the former one has joined with that generation, by when
+// it must have dropped the shard.
 func (d *Daemon) renewMembership(ctx context.Context, m *member) {
-	sent := d.config.Now().Steady
-	assignment, err := d.config.Group.Join(ctx, m.Membership)
-	d.recordGroupResult(err)
-	if (err != nil) != m.failing {
-		m.failing = err != nil
-		d.logPeerState("group", err)
-	}
-	if err == nil {
+	for range 2 {
+		sent := d.config.Now().Steady
+		assignment, err := d.config.Group.Join(ctx, m.Membership)
+		d.recordGroupResult(err)
+		if (err != nil) != m.failing {
+			m.failing = err != nil
+			d.logPeerState("group", err)
+		}
+		if err != nil {
+			return
+		}
+		_, applied := queryLoop(ctx, d, func() bool {
+			d.applyAssignment(sent, assignment)
+			return true
+		})
+		if !applied || assignment.Generation == m.Generation {
+			return
+		}
 		m.Generation = assignment.Generation
-		d.post(func() { d.applyAssignment(sent, assignment) })
 	}
 }
 
