Let a panic end one message and not the process; pause repeated listings and switch-offs after a stall

Tail: a log that dropped its history before each read was listed without a pause (TestRepeatedCompactionDelaysTheListing).

A surplus counts from the first plan after a gap now (TestNoSwitchOffJustAfterAStall, failed first).

--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -94,7 +94,7 @@
 		return err
 	}
 	daemon := wigeondaemon.New(config)
-	frontend := &platform.Frontend{Jobs: daemon}
+	frontend := &platform.Frontend{Jobs: daemon, Logger: logger}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	listeners, err := listenNode(ctx, settings)
--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -22,6 +22,9 @@
 	// switchOffDelay is the minimum duration of a pool's surplus before its idle VMs are switched off, since switching a
 	// VM off and on again costs as much as running it for two seconds.
 	switchOffDelay = 1200 * time.Millisecond
+	// maxPlanGap is the time between two plans above which a surplus counts as new. Plans stop while the log is slow, and the
+	// jobs that clients hand in meanwhile are not in the demand reports yet.
+	maxPlanGap = 300 * time.Millisecond
 	// arrivalTimeout bounds the time after a confirmed move in which the VM counts as incoming although its new worker
 	// is not usable yet.
 	arrivalTimeout = 6 * time.Second
@@ -125,6 +128,8 @@
 type Planner struct {
 	// surplusSince holds the time since which each pool has had a surplus and idle VMs; pools without both are absent.
 	surplusSince map[wigeonstep.PoolName]time.Duration
+	// lastPlan is the time of the last plan.
+	lastPlan time.Duration
 	// confirmedAt holds the time at which the platform confirmed the last move of a VM to this planner.
 	confirmedAt map[wigeonstep.VMID]time.Duration
 	// retryAt holds the earliest time for the next call after one that did not confirm the move.
@@ -157,6 +162,10 @@
 		return plan
 	}
 	p.init()
+	if now-p.lastPlan > maxPlanGap {
+		clear(p.surplusSince)
+	}
+	p.lastPlan = now
 	incoming := p.advanceOrders(now, fleet, &plan)
 	pools := p.rankPools(now, fleet, incoming)
 	for _, pl := range pools {
--- a/wigeonbalance/plan_test.go
+++ b/wigeonbalance/plan_test.go
@@ -276,3 +276,30 @@
 	c.Assert(calls, qt.HasLen, 1)
 	c.Assert(calls[0].VM, qt.Equals, wigeonstep.VMID("vm-0-0"))
 }
+
+// Guards against a pool's idle VMs that are switched off just after a stall of the log, in which no plan was made: the jobs
+// that clients handed in during the stall are not in the demand reports yet, and need the VMs a moment later.
+func TestNoSwitchOffJustAfterAStall(t *testing.T) {
+	c := qt.New(t)
+	m := newFleetModel(1, 6, 0)
+	var p Planner
+	fleet := Fleet{
+		VMs: m.vms, Moves: m.moves, Spare: map[wigeonstep.PoolName]bool{sparePool: true},
+		Released:      func(wigeonstep.WorkerID) bool { return false },
+		InMaintenance: func(wigeonstep.VMID) bool { return false },
+	}
+	plan := func(now time.Duration) Plan {
+		demand := Demand{ReceivedAt: now, Capacity: 6 * testCores * 1000, Usable: map[wigeonstep.WorkerID]bool{}, Idle: map[wigeonstep.WorkerID]bool{}}
+		for _, vm := range m.vms {
+			demand.Usable[vm.Worker], demand.Idle[vm.Worker] = true, true
+		}
+		fleet.Demands = map[wigeonstep.PoolName]Demand{"pool0": demand}
+		return p.Plan(now, fleet)
+	}
+	c.Assert(plan(time.Hour).Orders, qt.HasLen, 0)
+	resumed := time.Hour + 3*time.Second
+	for now := resumed; now < resumed+switchOffDelay; now += testStep {
+		c.Assert(plan(now).Orders, qt.HasLen, 0)
+	}
+	c.Assert(len(plan(resumed+switchOffDelay).Orders) > 0, qt.IsTrue)
+}
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -179,11 +179,11 @@
 		case <-ctx.Done():
 			return
 		case event := <-d.events:
-			event()
+			d.protect(event)
 			d.drainEvents()
 		case <-timer.C:
 		}
-		d.step()
+		d.protect(d.step)
 		timer.Reset(d.nextStepDelay())
 	}
 }
@@ -193,13 +193,26 @@
 	for {
 		select {
 		case event := <-d.events:
-			event()
+			d.protect(event)
 		default:
 			return
 		}
 	}
 }
 
+// protect runs work of the event loop. A panic ends the work and the ownership of all shards, whose state may be inconsistent
+// then; the next owners, of which this process may be one, build it from the log.
+func (d *Daemon) protect(work func()) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			d.config.Metrics.panics.Inc()
+			d.config.Logger.Error("panic", zap.Any("cause", cause), zap.Stack("stack"))
+			d.dropAllShards("a panic in the event loop")
+		}
+	}()
+	work()
+}
+
 // idleStepInterval is the period of the event loop without events while this process owns no shard.
 const idleStepInterval = 250 * time.Millisecond
 
--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -28,7 +28,7 @@
 		d.logDecision(decision)
 	}
 	if a.Append != nil {
-		d.appendFenced(sh, a.Append, func(a appendAnswer) { owner.AppendAcknowledged(d.config.Now(), a.sentAt) })
+		d.appendFenced(sh, a.Append, func(answer appendAnswer) { owner.AppendAcknowledged(d.config.Now(), answer.sentAt) })
 	}
 	for _, h := range a.Heartbeats {
 		go func() {
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -271,10 +271,10 @@
 		return
 	}
 	d.fleet.writeInFlight = true
-	d.appendFenced(sh, records, func(a appendAnswer) {
+	d.appendFenced(sh, records, func(answer appendAnswer) {
 		// The next step plans at once, because the durable orders may allow calls.
 		d.fleet.writeInFlight, d.fleet.lastPlan = false, 0
-		d.applyWritten(sh, records, a.end)
+		d.applyWritten(sh, records, answer.end)
 		d.pushCordons()
 		d.updatePartitions()
 	})
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -15,6 +15,7 @@
 	starts        *metrics.Counter
 	appendRetries *metrics.Counter
 	peerFailures  *metrics.Counter
+	panics        *metrics.Counter
 }
 
 // NewMetrics returns metrics that are registered in the set.
@@ -24,6 +25,7 @@
 		starts:        set.NewCounter("wigeonstep_task_starts_total"),
 		appendRetries: set.NewCounter("wigeonstep_log_append_retries_total"),
 		peerFailures:  set.NewCounter("wigeonstep_peer_failures_total"),
+		panics:        set.NewCounter("wigeonstep_panics_total"),
 	}
 }
 
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -168,7 +169,7 @@
 		sh.nextOffset = max(sh.nextOffset, b.Next)
 	}
 	for _, record := range records {
-		if err := sh.replica.Apply(record); err != nil {
+		if err := applyRecord(sh.replica, record); err != nil {
 			d.config.Logger.Warn("job_record_skipped", zap.String("key", record.Key), zap.Error(err))
 		}
 	}
@@ -191,6 +192,17 @@
 	d.startOwnershipIfCaughtUp(sh)
 }
 
+// applyRecord applies a record to the replica. A panic skips the record like an error, so that the rest of the batch, which
+// the tail does not read again, is applied.
+func applyRecord(replica *wigeonreplica.Replica, record wigeonstep.KeyedRecord) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("panic: %v", cause)
+		}
+	}()
+	return replica.Apply(record)
+}
+
 // notifyOwner passes a job or a cancellation that was read from the log to the shard's owner, if this process owns the shard.
 func (d *Daemon) notifyOwner(sh *shard, key string) {
 	if sh.owner == nil {
--- a/wigeonpeer/peer_test.go
+++ b/wigeonpeer/peer_test.go
@@ -219,6 +219,22 @@
 	}
 }
 
+// Guards against a panic in the handler of one call that ends the process or the calls of others.
+func TestPanicEndsOnlyItsCall(t *testing.T) {
+	server, logs := startServer(t, "127.0.0.1:0", func(ctx context.Context, request *wigeonwire.PeerRequest) *wigeonwire.PeerResponse {
+		if request.GetStatus().GetView() == "panic" {
+			panic("a defect")
+		}
+		return echoView(ctx, request)
+	})
+	client := newClient(t)
+	_, err := client.Call(t.Context(), server.Addr(), statusQuery("panic"))
+	qt.Assert(t, err, qt.ErrorIs, wigeonstep.ErrAnswerLost)
+	_, err = client.Call(t.Context(), server.Addr(), statusQuery("x"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, logs.FilterMessage("panic").Len(), qt.Equals, 1)
+}
+
 // sendOnStream sends bytes on a yamux stream and waits until the server closes the connection.
 func sendOnStream(t *testing.T, conn net.Conn, bytes string) {
 	t.Helper()
--- a/wigeonpeer/server.go
+++ b/wigeonpeer/server.go
@@ -169,6 +169,7 @@
 	sessionErr := s.acceptStreams(session, callSlots, func(stream *yamux.Stream) {
 		calls.Go(func() {
 			defer func() { <-callSlots }()
+			defer s.recoverPanic(peer)
 			if err := s.serveStream(ctx, stream); errors.Is(err, errBadFrame) {
 				protocolErr.CompareAndSwap(nil, &err)
 				_ = session.Close()
@@ -187,6 +188,14 @@
 	s.logSessionEnd(peer, sessionErr)
 }
 
+// recoverPanic logs a panic in the handler of one call, which ends only that call: its stream is closed without a response,
+// so the peer gets ErrAnswerLost.
+func (s *Server) recoverPanic(peer string) {
+	if cause := recover(); cause != nil {
+		s.logger.Error("panic", zap.String("peer", peer), zap.Any("cause", cause), zap.Stack("stack"))
+	}
+}
+
 // acceptStreams acquires a call slot for each incoming stream and then serves the stream. It returns the error that
 // ended the session.
 func (s *Server) acceptStreams(session *yamux.Session, callSlots chan<- struct{}, serve func(stream *yamux.Stream)) error {
--- a/wigeontail/tail.go
+++ b/wigeontail/tail.go
@@ -46,16 +46,22 @@
 }
 
 // Run follows the partition until ctx ends. It repeats failed reads with an exponential, jittered delay, and lists all keys
-// anew when compaction has removed the next offset.
+// anew when compaction has removed the next offset, after a delay if that happens again before a read succeeds.
 func (t *Tail) Run(ctx context.Context) {
 	delay := minRetryDelay
 	failing := false
+	// compactions counts the reads since the last successful one whose offset the log no longer held.
+	compactions := 0
 	next, loaded, complete := wigeonstep.Offset(0), false, false
 	for ctx.Err() == nil {
 		batch, err := t.readBatch(ctx, loaded, next, complete)
 		switch {
 		case errors.Is(err, wigeonstep.ErrCompacted):
 			loaded = false
+			if compactions++; compactions > 1 {
+				pause := min(minRetryDelay<<min(compactions, 8), maxRetryDelay)
+				sleep(ctx, pause/2+rand.N(pause), nil)
+			}
 			continue
 		case ctx.Err() != nil:
 			return
@@ -73,6 +79,9 @@
 		}
 		failing, delay = false, minRetryDelay
 		loaded, next, complete = true, batch.Next, batch.Complete
+		if !batch.Reset {
+			compactions = 0
+		}
 		t.Apply(batch)
 		if t.BatchPause != nil && batch.Complete {
 			sleep(ctx, t.BatchPause(), t.Wake)
--- a/wigeontail/tail_test.go
+++ b/wigeontail/tail_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,3 +171,27 @@
 	c.Assert(lost, qt.Equals, 1)
 	c.Assert(regained, qt.Equals, 1)
 }
+
+// compactingLog drops its history before every read, and counts the listings.
+type compactingLog struct{ listings atomic.Int64 }
+
+func (l *compactingLog) ReadKeyed(context.Context, wigeonstep.Partition, wigeonstep.Offset, time.Duration) (wigeonstep.KeyedRead, error) {
+	return wigeonstep.KeyedRead{}, wigeonstep.ErrCompacted
+}
+
+func (l *compactingLog) ListNewest(context.Context, wigeonstep.Partition, string) (wigeonstep.NewestPage, error) {
+	l.listings.Add(1)
+	return wigeonstep.NewestPage{}, nil
+}
+
+// Guards against a tail that lists all keys without a pause while the log drops its history again and again: each process
+// would add to the load of a store in trouble as fast as it can.
+func TestRepeatedCompactionDelaysTheListing(t *testing.T) {
+	log := &compactingLog{}
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	tail := Tail{Log: log, Apply: func(Batch) {}}
+	tail.Run(ctx)
+	// The delays of 60 ms and more are halved at most.
+	qt.Assert(t, log.listings.Load() >= 2 && log.listings.Load() <= 12, qt.IsTrue, qt.Commentf("%d listings", log.listings.Load()))
+}
