Let links lose packets in the soak

A proxy holds data as if it were retransmitted: 200 ms, doubled with each further loss. The faults come from a random stream of their own, so the plans of the kept seeds stay as they are.

--- a/wigeonsoak/plan.go
+++ b/wigeonsoak/plan.go
@@ -72,6 +72,9 @@
 	// seriesPercent is the share of faults that are repeated as a series of the same kind, seriesInterval apart.
 	seriesPercent  = 30
 	seriesInterval = 700 * time.Millisecond
+	// lossPeriod is the time in which one link loses packets on average, and maxLossRate the largest rate.
+	lossPeriod  = 2 * time.Second
+	maxLossRate = 0.3
 )
 
 // Plan returns the faults that a seed determines, sorted by start. They may overlap. The last one may start up to 1.5 s
@@ -100,6 +103,22 @@
 	return plan
 }
 
+// PlanLoss returns the loss of packets on links that a seed determines, sorted by start. It does not depend on the faults of
+// Plan, so that the plan of a seed stays the same without loss.
+func PlanLoss(seed uint64, period time.Duration, processes, workers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 2)) //nolint:gosec // the plan of a seed has to be repeatable
+	var plan []Fault
+	for offset := time.Duration(0); offset < period; offset += time.Duration(r.Int64N(int64(2 * lossPeriod))) {
+		f := Fault{Offset: offset, ActiveFor: time.Second + time.Duration(r.Int64N(int64(faultDurationRange))), Kind: KindStoreLink, Target: r.IntN(processes)}
+		if r.IntN(2) == 0 {
+			f.Kind, f.Target = KindWorkerLink, r.IntN(workers)
+		}
+		f.LinkFault.LossRate = maxLossRate * r.Float64()
+		plan = append(plan, f)
+	}
+	return plan
+}
+
 func randomLinkFault(r *rand.Rand) LinkFault {
 	switch r.IntN(4) {
 	case 0:
--- a/wigeonsoak/proxy.go
+++ b/wigeonsoak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -12,11 +13,30 @@
 type LinkFault struct {
 	// Delay is the time that each read is held before it is forwarded, in either direction.
 	Delay time.Duration
+	// LossRate is the share of the reads whose data is lost and arrives after a retransmission, in either direction. A
+	// retransmission may be lost as well. On a stream, loss of packets shows only as late data.
+	LossRate float64
 	// DropRequests discards the data from the caller to the target, DropAnswers the data from the target to the caller.
 	// The connections stay open.
 	DropRequests, DropAnswers bool
 }
 
+const (
+	// minRetransmissionDelay is the delay of the first retransmission of lost data, and about the least that TCP waits. It
+	// doubles with each further loss, up to maxRetransmissionDelay.
+	minRetransmissionDelay = 200 * time.Millisecond
+	maxRetransmissionDelay = 3 * time.Second
+)
+
+// retransmissionDelay returns a random time by which loss of packets delays data.
+func retransmissionDelay(lossRate float64) time.Duration {
+	total := time.Duration(0)
+	for delay := minRetransmissionDelay; total < maxRetransmissionDelay && rand.Float64() < lossRate; delay *= 2 { //nolint:gosec // a test fault
+		total += delay
+	}
+	return total
+}
+
 // Proxy is a TCP proxy on a loopback address that can apply faults to its connections.
 type Proxy struct {
 	listener net.Listener
@@ -111,7 +131,7 @@
 		n, err := from.Read(buffer)
 		fault := p.currentFault()
 		if n > 0 && !dropped(fault) {
-			time.Sleep(fault.Delay)
+			time.Sleep(fault.Delay + retransmissionDelay(fault.LossRate))
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/wigeonsoak/soak.go
+++ b/wigeonsoak/soak.go
@@ -4,8 +4,10 @@
 package wigeonsoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -38,6 +40,8 @@
 	Seed uint64
 	// FaultPeriod is the period over which faults are planned.
 	FaultPeriod time.Duration
+	// PacketLoss adds the faults of PlanLoss to those of Plan.
+	PacketLoss bool
 	// Processes and Workers are the numbers of processes and of workers, at least 2 each.
 	Processes, Workers int
 }
@@ -86,7 +90,7 @@
 	if err := s.start(); err != nil {
 		return Report{}, err
 	}
-	report := Report{Plan: Plan(settings.Seed, settings.FaultPeriod, settings.Processes, settings.Workers)}
+	report := Report{Plan: settings.plan()}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
 	for i := range clientCount {
@@ -101,6 +105,16 @@
 	return report, nil
 }
 
+// plan returns the faults of the soak, sorted by start.
+func (s Settings) plan() []Fault {
+	faults := Plan(s.Seed, s.FaultPeriod, s.Processes, s.Workers)
+	if s.PacketLoss {
+		faults = append(faults, PlanLoss(s.Seed, s.FaultPeriod, s.Processes, s.Workers)...)
+		slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Offset, b.Offset) })
+	}
+	return faults
+}
+
 func (s *system) start() error {
 	var err error
 	if s.store, err = wigeonstandin.NewStore(s.ctx, partitions); err != nil {
--- a/wigeonsoak/soak_test.go
+++ b/wigeonsoak/soak_test.go
@@ -18,6 +18,7 @@
 var (
 	seedCount     = flag.Int("soak.seeds", 0, "play this many seeds from -soak.first on instead of those of testdata/seeds.txt")
 	firstSeed     = flag.Uint64("soak.first", 1000, "the first seed to play")
+	packetLoss    = flag.Bool("soak.loss", false, "let links lose packets as well, for the seeds from -soak.first on")
 	keepDirectory = flag.String("soak.keep", "", "directory that keeps the settings and logs of the processes")
 )
 
@@ -30,10 +31,15 @@
 // repeatedly and all at once: an accepted job stays known and completes, a refused job never runs, no task runs twice, a
 // long-running job runs until it is cancelled, and a process exits only after a signal.
 func TestSoak(t *testing.T) {
-	runSeeds(t, selectedSeeds(t))
+	runSeeds(t, selectedSeeds(t), *packetLoss)
 }
 
-func runSeeds(t *testing.T, selected []uint64) {
+// Guards against the same violations while links lose packets besides, so that data stalls and arrives late.
+func TestSoakWithPacketLoss(t *testing.T) {
+	runSeeds(t, readSeeds(t, "loss_seeds.txt"), true)
+}
+
+func runSeeds(t *testing.T, selected []uint64, loss bool) {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "wigeonstep")
 	output, err := exec.Command("go", "build", "-o", binary, "../cmd/wigeonstep").CombinedOutput()
@@ -44,18 +50,18 @@
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			runSoak(t, binary, seed)
+			runSoak(t, binary, seed, loss)
 		})
 	}
 }
 
-func runSoak(t *testing.T, binary string, seed uint64) {
+func runSoak(t *testing.T, binary string, seed uint64, loss bool) {
 	directory := t.TempDir()
 	if *keepDirectory != "" {
 		directory = filepath.Join(*keepDirectory, fmt.Sprint(seed))
 		qt.Assert(t, os.MkdirAll(directory, 0o755), qt.IsNil)
 	}
-	report, err := Run(context.Background(), Settings{Binary: binary, Directory: directory, Seed: seed, FaultPeriod: soakFaultPeriod, Processes: 4, Workers: 5})
+	report, err := Run(context.Background(), Settings{Binary: binary, Directory: directory, Seed: seed, FaultPeriod: soakFaultPeriod, PacketLoss: loss, Processes: 4, Workers: 5})
 	qt.Assert(t, err, qt.IsNil)
 	t.Logf("seed=%d accepted=%d refused=%d unknown=%d faults=%d", seed, report.Accepted, report.Refused, report.Unknown, len(report.Plan))
 	if len(report.Violations) > 0 {
