--- a/wigeondaemon/standby.go
+++ b/wigeondaemon/standby.go
@@ -12,9 +12,10 @@
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
-// A standby is a process on a small VM while processes on larger VMs hold the shards. It serves clients, but follows neither
-// the job log nor the worker log, whose traffic would grow with the square of the fleet: it asks the holders of the
-// partitions instead. It follows the logs from the time on at which it joins the group.
+// This file holds what a standby does in place of following the logs. A standby is a process on a small VM while processes on
+// larger VMs hold the shards. It serves clients, but follows neither the job log nor the worker log, since the traffic of the
+// store would grow with the square of the fleet: it asks the holders of the partitions. It follows the logs from the time on
+// at which it joins the group.
 
 // maxHoldersAsked bounds the processes that a standby asks for one client's request.
 const maxHoldersAsked = 4
--- a/wigeonshard/emptyworkers.go
+++ b/wigeonshard/emptyworkers.go
@@ -37,12 +37,14 @@
 	}
 }
 
+// release decides that the worker gets no run any more. Its VM may go down once the release is durable.
 func (o *Owner) release(w *worker) {
 	w.released = true
 	o.pendingReleases = append(o.pendingReleases, wigeonjob.Release{Worker: w.ID, VM: w.cordoned, Epoch: o.fence})
 	o.recordWorkerDecision("worker_released", w, "it is cordoned and has no runs")
 }
 
+// emptyCordoned stops the runs on a cordoned worker that can go on elsewhere.
 func (o *Owner) emptyCordoned(now Timestamp, w *worker) {
 	for _, r := range w.runs {
 		if r.stopping || r.phase != runAccepted {
