Start nothing on a worker while the log holds a lapse of it

What callers could see: a task that runs twice at the same time, or starts again after its end was acknowledged (TWICE).

Cause: the owner record names the time at which the leases on a silent worker end, and a later owner that does not reach the worker takes its runs for ended then. The owner therefore renews no lease until a record without the lapse is durable. But a start grants a lease too, and starts did not wait: when one append held both a planned run and the lapse of its worker, and the worker answered again before the append did, the run started with a lease beyond the recorded time. A start that was repeated for want of an answer did the same. The slower the append, the further the lease exceeds the lapse.

Evidence: TestNoStartWhileTheLogHoldsALapse failed before with "unexpected length, len(got): int(1), want length: int(0)" at f.Assert(f.starts, qt.HasLen, 0), TestNoRepeatedStartWhileTheLogHoldsALapse with "len(got): int(2), want length: int(1)".

A run whose record is durable while the log may hold a lapse of its worker now ends unsent, as it does when the worker does not answer, and a start is not repeated in that time. Both go on once the record without the lapse is durable, which is the next append. Now lapseRecorded covers all that grants a lease: heartbeats, starts and repeated starts.

--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -198,12 +198,13 @@
 }
 
 // startDurableRun sends the start of a run whose record is durable. It ends the run unsent when the run is to be stopped,
-// its worker does not answer, or the ownership is not confirmed: another owner may have given the run up by now.
+// its worker does not answer, the log may hold a lapse of the worker, which the lease of the start would exceed, or the
+// ownership is not confirmed: another owner may have given the run up by now.
 func (o *Owner) startDurableRun(now Timestamp, r *run) {
 	if r.phase != runWriting {
 		return
 	}
-	if r.stopping || !r.worker.answered || r.worker.failures > 0 || !o.ownershipConfirmed(now) {
+	if r.stopping || !r.worker.answered || r.worker.failures > 0 || r.worker.lapseRecorded || !o.ownershipConfirmed(now) {
 		o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
 		return
 	}
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -185,7 +185,7 @@
 			case r.stopping && r.stopSentAt == 0 && now.Steady >= r.retryAt && (r.phase == runAccepted || r.phase == runUnknown):
 				r.stopSentAt = now.Steady
 				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id()})
-			case !r.stopping && r.phase == runUnknown && r.startTries > 0 && now.Steady >= r.retryAt && w.failures == 0 && o.ownershipConfirmed(now):
+			case !r.stopping && r.phase == runUnknown && r.startTries > 0 && now.Steady >= r.retryAt && w.failures == 0 && !w.lapseRecorded && o.ownershipConfirmed(now):
 				o.sendStart(now, r)
 			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && r.task.step.BestEffort:
 				r.sentSpeed = r.speed
