Show in the model of a cluster that a paused owner starts no task that has ended elsewhere

This is a sequence that does it there: an owner is paused between the append of a run and its answer, a new owner does not reach the worker, gives the run up and has the task done elsewhere, and the former owner then sends the start. Test only, no change of the logic.

--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -59,6 +59,9 @@
 	// unreachable holds the workers that get no calls of this owner.
 	unreachable    map[wigeonstep.WorkerID]bool
 	logUnreachable bool
+	// pauseAtAppend pauses the process when its next append is answered; resume then handles the answer.
+	pauseAtAppend bool
+	resume        func()
 }
 
 type event struct {
@@ -258,7 +261,17 @@
 			m.schedule(100*time.Millisecond, func() { m.appendRecords(o, records) })
 			return
 		}
-		o.AppendAcknowledged(m.eventTime(), m.now)
+		sentAt := m.now
+		if o.pauseAtAppend {
+			o.crashed, o.pauseAtAppend = true, false
+			o.resume = func() {
+				o.crashed = false
+				o.AppendAcknowledged(m.eventTime(), sentAt)
+				m.stepOwner(o)
+			}
+			return
+		}
+		o.AppendAcknowledged(m.eventTime(), sentAt)
 	})
 }
 
--- a/wigeonshard/pause_test.go
+++ b/wigeonshard/pause_test.go
@@ -44,6 +44,31 @@
 	c.Assert(starts[0].Order.Run.Number, qt.Equals, wigeonstep.RunNumber(2))
 }
 
+// Guards against a task that starts again after its end was acknowledged: the owner is paused between the append of a run and
+// its answer, a new owner that does not reach the worker gives the run up and the task ends elsewhere, and the former owner
+// then goes on with the start.
+func TestTaskThatEndedDuringAPauseStaysEnded(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 21, 2)
+	paused := m.addOwner()
+	m.advance(time.Second)
+	paused.pauseAtAppend = true
+	m.submitJob(testJob("job", testStep(1)))
+	for paused.resume == nil {
+		m.advance(time.Millisecond)
+	}
+	chosen := m.workers[paused.flush.runs[0].worker.ID]
+	chosen.down = true
+	m.addOwner()
+	for !m.acknowledged[wigeonstep.TaskID{Job: "job"}] {
+		m.advance(10 * time.Millisecond)
+	}
+	chosen.down = false
+	paused.resume()
+	m.advance(time.Second)
+	c.Assert(m.violations, qt.HasLen, 0)
+}
+
 // Guards against more attempts than the queue allows: the failure of a run that was given up while its worker was cut off did
 // not count when the worker reported it later, also to another owner.
 func TestLateFailureOfLostRunCounts(t *testing.T) {
