Let answers name the heartbeat or stop that they answer

Callers saw a run given up while it went on, so that its task ran twice: an answer was applied to the newest heartbeat or stop, whichever it was meant for. A worker that leaves the list and returns within the wait of its old heartbeat got the old answer as that to the new one, and a run that had started meanwhile wasn't in it. The answer to a stop from before a restart of the worker counted as proof that the restarted worker refuses a start that got no answer.

Heartbeats now have a number and stops their time, which the caller hands back with the answer; the owner ignores answers to all but the newest. wigeondaemon/execute.go passes the orders back, nothing else changes there.

--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -33,20 +33,20 @@
 	for _, h := range a.Heartbeats {
 		go func() {
 			result, err := d.config.Orders.Heartbeat(ctx, h.Worker, h.Request)
-			deliver(func(now wigeonshard.Timestamp) { owner.HeartbeatAnswered(now, h.Worker.ID, result, err) })
+			deliver(func(now wigeonshard.Timestamp) { owner.HeartbeatAnswered(now, h, result, err) })
 		}()
 	}
 	for _, s := range a.Stops {
 		d.sendOrder(ctx, s.Worker.ID, func() {
 			err := d.config.Orders.Stop(ctx, s.Worker, s.Run, fence)
-			deliver(func(now wigeonshard.Timestamp) { owner.StopAnswered(now, s.Worker.ID, s.Run, err) })
+			deliver(func(now wigeonshard.Timestamp) { owner.StopAnswered(now, s, err) })
 		})
 	}
 	for _, s := range a.Starts {
 		d.config.Metrics.starts.Inc()
 		d.sendOrder(ctx, s.Worker.ID, func() {
 			result := d.config.Orders.Start(ctx, s.Worker, s.Order)
-			deliver(func(now wigeonshard.Timestamp) { owner.StartAnswered(now, s.Worker.ID, s.Order.Run, result) })
+			deliver(func(now wigeonshard.Timestamp) { owner.StartAnswered(now, s, result) })
 		})
 	}
 	for _, t := range a.Throttles {
--- a/wigeonshard/action.go
+++ b/wigeonshard/action.go
@@ -6,22 +6,27 @@
 	"github.com/wigeonstep/wigeonstep"
 )
 
-// Start is an order to start a run. Step returns it only after the append with the record of the run is acknowledged.
+// Start is an order to start a run. Step returns it only after the append with the record of the run is acknowledged. The
+// caller reports the answer with StartAnswered.
 type Start struct {
 	Worker wigeonstep.WorkerRef
 	Order  wigeonstep.StartOrder
 }
 
-// Stop is an order to stop a run.
+// Stop is an order to stop a run. The caller reports the answer with StopAnswered.
 type Stop struct {
 	Worker wigeonstep.WorkerRef
 	Run    wigeonstep.RunID
+	// SentAt is the time of the Step that returned the order; answers to all but the newest stop of a run are ignored.
+	SentAt time.Duration
 }
 
 // Heartbeat is an order that asks a worker for its running and ended runs, and renews its lease when Request.LeaseEnd is
-// set.
+// set. The caller reports the answer with HeartbeatAnswered.
 type Heartbeat struct {
-	Worker  wigeonstep.WorkerRef
+	Worker wigeonstep.WorkerRef
+	// Number identifies the heartbeat among all of the owner; answers to all but the newest of a worker are ignored.
+	Number  uint64
 	Request wigeonstep.HeartbeatRequest
 }
 
--- /dev/null
+++ b/wigeonshard/answeredowner_test.go
@@ -0,0 +1,145 @@
+package wigeonshard
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+)
+
+// answeredOwner is an owner with one worker, whose answers the test gives itself, so that it chooses their order.
+type answeredOwner struct {
+	*Owner
+	c   *qt.C
+	now Timestamp
+	// logStalled is set while appends get no answer.
+	logStalled bool
+	appendOpen bool
+	// heartbeats, starts and stops hold the orders that are not answered yet, in the order in which they were sent.
+	heartbeats []Heartbeat
+	starts     []Start
+	stops      []Stop
+}
+
+const onlyWorker = wigeonstep.WorkerID("w")
+
+// newAnsweredOwner returns an owner whose worker has answered its first heartbeat with the given start time and clock.
+func newAnsweredOwner(t *testing.T, startedAt wigeonstep.UnixMillis, clock wigeonstep.WorkerMillis) *answeredOwner {
+	t.Helper()
+	now := Timestamp{Steady: time.Hour, Wall: 1_700_000_000_000}
+	o := &answeredOwner{Owner: NewOwner(testSettings, 1, now, wigeonjob.OwnerRecord{}), c: qt.New(t), now: now}
+	o.list("w:1", startedAt)
+	o.advance(20 * time.Millisecond)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: clock, StartedAt: startedAt})
+	return o
+}
+
+// list sets the entry of the worker.
+func (o *answeredOwner) list(address string, startedAt wigeonstep.UnixMillis) {
+	o.SetWorkers(o.now, []wigeonstep.ListedWorker{{
+		ID: onlyWorker, Address: address, Service: testService, StartedAt: startedAt, Capacity: wigeonstep.Resources{CPU: 8000, Memory: 8192},
+	}})
+}
+
+// submit adds a job of one step with the given number of tasks, and returns the ids of the runs that it starts.
+func (o *answeredOwner) submit(id wigeonstep.JobID, count int) []wigeonstep.RunID {
+	o.AddJob(o.now, testJob(id, testStep(count)), wigeonjob.Progress{}, false)
+	o.advance(50 * time.Millisecond)
+	var runs []wigeonstep.RunID
+	for _, s := range o.starts {
+		if s.Order.Run.Task.Job == id {
+			runs = append(runs, s.Order.Run)
+		}
+	}
+	o.c.Assert(runs, qt.HasLen, count)
+	return runs
+}
+
+// advance makes a step every 10 ms for d.
+func (o *answeredOwner) advance(d time.Duration) {
+	for range d / (10 * time.Millisecond) {
+		o.pass(10 * time.Millisecond)
+		o.step()
+	}
+}
+
+// pass lets time pass without a step, as in a paused process.
+func (o *answeredOwner) pass(d time.Duration) {
+	o.now.Steady += d
+	o.now.Wall += wigeonstep.UnixMillis(d.Milliseconds())
+}
+
+func (o *answeredOwner) step() {
+	if o.appendOpen && !o.logStalled {
+		o.appendOpen = false
+		o.AppendAcknowledged(o.now, o.now.Steady)
+	}
+	a := o.Step(o.now)
+	o.appendOpen = o.appendOpen || a.Append != nil
+	o.heartbeats = append(o.heartbeats, a.Heartbeats...)
+	o.starts = append(o.starts, a.Starts...)
+	o.stops = append(o.stops, a.Stops...)
+}
+
+// sentHeartbeat makes steps until a heartbeat is unanswered, and returns the oldest.
+func (o *answeredOwner) sentHeartbeat() Heartbeat {
+	for range 300 {
+		if len(o.heartbeats) > 0 {
+			return o.heartbeats[0]
+		}
+		o.advance(10 * time.Millisecond)
+	}
+	o.c.Fatal("no heartbeat was sent within 3 s")
+	return Heartbeat{}
+}
+
+// takeHeartbeat returns the oldest heartbeat without an answer, and leaves it without one.
+func (o *answeredOwner) takeHeartbeat() Heartbeat {
+	h := o.sentHeartbeat()
+	o.heartbeats = o.heartbeats[1:]
+	return h
+}
+
+// answerHeartbeat answers the oldest heartbeat without an answer.
+func (o *answeredOwner) answerHeartbeat(result wigeonstep.HeartbeatResult) {
+	o.HeartbeatAnswered(o.now, o.takeHeartbeat(), result, nil)
+}
+
+// answerStarts accepts all starts without an answer. The answers carry the clock.
+func (o *answeredOwner) answerStarts(clock wigeonstep.WorkerMillis) {
+	for _, s := range o.starts {
+		o.answerStart(s, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: clock})
+	}
+	o.starts = nil
+}
+
+func (o *answeredOwner) answerStart(s Start, result wigeonstep.StartResult) {
+	o.StartAnswered(o.now, s, result)
+}
+
+func (o *answeredOwner) answerStop(s Stop, err error) {
+	o.StopAnswered(o.now, s, err)
+}
+
+// assertRunning checks that the owner holds exactly these runs on the worker and has started no other.
+func (o *answeredOwner) assertRunning(want ...wigeonstep.RunID) {
+	o.c.Helper()
+	var held []wigeonstep.RunID
+	for _, r := range o.workers[onlyWorker].runs {
+		held = append(held, r.id())
+	}
+	o.c.Assert(held, qt.DeepEquals, want)
+	o.c.Assert(o.starts, qt.HasLen, 0)
+}
+
+// listRunning returns the entries of current runs.
+func listRunning(runs ...wigeonstep.RunID) []wigeonstep.RunningRun {
+	var running []wigeonstep.RunningRun
+	for _, id := range runs {
+		running = append(running, wigeonstep.RunningRun{Run: id, ProgressPercent: 50})
+	}
+	return running
+}
--- a/wigeonshard/bench_test.go
+++ b/wigeonshard/bench_test.go
@@ -22,9 +22,8 @@
 		})
 	}
 	o.SetWorkers(now, listed)
-	o.Step(now)
-	for _, w := range o.sortedWorkers {
-		o.HeartbeatAnswered(now, w.ID, wigeonstep.HeartbeatResult{Clock: 5000}, nil)
+	for _, h := range o.Step(now).Heartbeats {
+		o.HeartbeatAnswered(now, h, wigeonstep.HeartbeatResult{Clock: 5000}, nil)
 	}
 	o.AppendAcknowledged(now, now.Steady)
 	perJob := 8
@@ -41,7 +40,7 @@
 			o.AppendAcknowledged(now, now.Steady)
 		}
 		for _, s := range a.Starts {
-			o.StartAnswered(now, s.Worker.ID, s.Order.Run, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
+			o.StartAnswered(now, s, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
 		}
 	}
 	return o, now
@@ -60,18 +59,18 @@
 			for i := range b.N {
 				now.Steady += time.Millisecond
 				w := o.sortedWorkers[i%len(o.sortedWorkers)]
-				w.heartbeatPending = true
+				w.pendingHeartbeat = 1
 				if len(w.runs) > 0 {
 					r := w.runs[0]
 					ends[w.ID]++
-					o.HeartbeatAnswered(now, w.ID, wigeonstep.HeartbeatResult{Clock: 5000, Ended: []wigeonstep.EndedRun{{Number: ends[w.ID], Run: r.id(), Cause: wigeonstep.EndStopped}}, Running: runReports(w, r)}, nil)
+					o.HeartbeatAnswered(now, Heartbeat{Worker: w.ref(), Number: 1}, wigeonstep.HeartbeatResult{Clock: 5000, Ended: []wigeonstep.EndedRun{{Number: ends[w.ID], Run: r.id(), Cause: wigeonstep.EndStopped}}, Running: runReports(w, r)}, nil)
 				}
 				a := o.Step(now)
 				if a.Append != nil {
 					o.AppendAcknowledged(now, now.Steady)
 				}
 				for _, s := range o.Step(now).Starts {
-					o.StartAnswered(now, s.Worker.ID, s.Order.Run, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
+					o.StartAnswered(now, s, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
 				}
 			}
 			per := float64(b.Elapsed().Nanoseconds()) / float64(b.N)
--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -212,22 +212,22 @@
 			if !ok {
 				result = wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown}
 			}
-			o.StartAnswered(m.eventTime(), s.Worker.ID, s.Order.Run, result)
+			o.StartAnswered(m.eventTime(), s, result)
 		})
 	}
 	for _, s := range a.Stops {
 		m.callWorker(o, s.Worker.ID, func(f *fakeWorker) any { return f.stop(m, s.Run, o.epoch) }, func(answer any) {
 			err, _ := answer.(error)
-			o.StopAnswered(m.eventTime(), s.Worker.ID, s.Run, err)
+			o.StopAnswered(m.eventTime(), s, err)
 		})
 	}
 	for _, h := range a.Heartbeats {
 		m.callWorker(o, h.Worker.ID, func(f *fakeWorker) any { return f.heartbeat(m, h.Request) }, func(answer any) {
 			switch answer := answer.(type) {
 			case wigeonstep.HeartbeatResult:
-				o.HeartbeatAnswered(m.eventTime(), h.Worker.ID, answer, nil)
+				o.HeartbeatAnswered(m.eventTime(), h, answer, nil)
 			case error:
-				o.HeartbeatAnswered(m.eventTime(), h.Worker.ID, wigeonstep.HeartbeatResult{}, answer)
+				o.HeartbeatAnswered(m.eventTime(), h, wigeonstep.HeartbeatResult{}, answer)
 			}
 		})
 	}
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -15,7 +15,7 @@
 		return
 	}
 	for _, w := range o.sortedWorkers {
-		if w.heartbeatPending || now.Steady < w.nextHeartbeatAt || w.Address == "" {
+		if w.pendingHeartbeat != 0 || now.Steady < w.nextHeartbeatAt || w.Address == "" {
 			continue
 		}
 		// A heartbeat acknowledges durable ends only, so it waits until the reported ones are durable, at most maxRenewalPause.
@@ -39,23 +39,24 @@
 		if w.clock != 0 && w.failures == 0 && o.ownerRecordDurable && !w.lapseRecorded {
 			request.LeaseEnd = w.grantLease(now.Steady, o.settings.Lease)
 		}
-		w.heartbeatPending, w.heartbeatSentAt, w.renewedAt = true, now.Steady, now.Steady
-		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{Worker: w.ref(), Request: request})
+		o.heartbeatCount++
+		w.pendingHeartbeat, w.heartbeatSentAt, w.renewedAt = o.heartbeatCount, now.Steady, now.Steady
+		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{Worker: w.ref(), Number: o.heartbeatCount, Request: request})
 	}
 }
 
 // HeartbeatAnswered applies the answer to a heartbeat, or the error of the call: it records ended runs, reconciles the
-// running ones and schedules the next heartbeat.
-func (o *Owner) HeartbeatAnswered(now Timestamp, id wigeonstep.WorkerID, result wigeonstep.HeartbeatResult, err error) {
-	w := o.workers[id]
+// running ones and schedules the next heartbeat. It ignores answers to all but the newest heartbeat of a worker.
+func (o *Owner) HeartbeatAnswered(now Timestamp, sent Heartbeat, result wigeonstep.HeartbeatResult, err error) {
+	w := o.workers[sent.Worker.ID]
 	if errors.Is(err, wigeonstep.ErrFenced) {
 		o.deposed = true
 		return
 	}
-	if w == nil || !w.heartbeatPending {
+	if w == nil || w.pendingHeartbeat != sent.Number {
 		return
 	}
-	w.heartbeatPending = false
+	w.pendingHeartbeat = 0
 	switch {
 	case errors.Is(err, wigeonstep.ErrWorkerReplaced):
 		o.workerReplaced(now, w)
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -68,12 +68,12 @@
 }
 
 // StartAnswered applies the answer to a start.
-func (o *Owner) StartAnswered(now Timestamp, worker wigeonstep.WorkerID, id wigeonstep.RunID, result wigeonstep.StartResult) {
-	w := o.workers[worker]
+func (o *Owner) StartAnswered(now Timestamp, sent Start, result wigeonstep.StartResult) {
+	w := o.workers[sent.Worker.ID]
 	if w == nil {
 		return
 	}
-	r := w.findRun(id)
+	r := w.findRun(sent.Order.Run)
 	if result.Clock != 0 && result.Clock+clockRegress < w.clock {
 		o.workerRestarted(now, w, func(other *run) bool { return other == r })
 	}
@@ -144,10 +144,10 @@
 	w.nextHeartbeatAt = now.Steady + maxHeartbeatRetryDelay
 }
 
-// StopAnswered applies the answer to a stop, or the error of the call. An answered stop doesn't end the run; a later
+// StopAnswered applies the answer to the newest stop of a run, or the error of the call. An answered stop doesn't end the run; a later
 // heartbeat reports its end.
-func (o *Owner) StopAnswered(now Timestamp, worker wigeonstep.WorkerID, id wigeonstep.RunID, err error) {
-	w := o.workers[worker]
+func (o *Owner) StopAnswered(now Timestamp, sent Stop, err error) {
+	w := o.workers[sent.Worker.ID]
 	switch {
 	case errors.Is(err, wigeonstep.ErrFenced):
 		o.deposed = true
@@ -158,8 +158,8 @@
 		o.workerReplaced(now, w)
 		return
 	}
-	r := w.findRun(id)
-	if r == nil {
+	r := w.findRun(sent.Run)
+	if r == nil || r.stopSentAt != sent.SentAt {
 		return
 	}
 	if err == nil {
@@ -184,7 +184,7 @@
 			switch {
 			case r.stopping && r.stopSentAt == 0 && now.Steady >= r.retryAt && (r.phase == runAccepted || r.phase == runUnknown):
 				r.stopSentAt = now.Steady
-				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id()})
+				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
 			case !r.stopping && r.phase == runUnknown && r.startTries > 0 && now.Steady >= r.retryAt && w.failures == 0 && o.ownershipConfirmed(now):
 				o.sendStart(now, r)
 			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && r.task.step.BestEffort:
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -40,6 +40,8 @@
 	// jobOrder holds the jobs in the order in which they were added.
 	jobOrder []*job
 	workers  map[wigeonstep.WorkerID]*worker
+	// heartbeatCount is the number of the newest heartbeat of any worker.
+	heartbeatCount uint64
 	// sortedWorkers holds the workers sorted by id, so that decisions do not depend on the order of a map.
 	sortedWorkers []*worker
 	// released holds the workers whose release is in the log.
--- a/wigeonshard/pause_test.go
+++ b/wigeonshard/pause_test.go
@@ -17,8 +17,7 @@
 	now := Timestamp{Steady: time.Hour, Wall: 1_700_000_000_000}
 	o := NewOwner(testSettings, 1, now, wigeonjob.OwnerRecord{})
 	o.SetWorkers(now, []wigeonstep.ListedWorker{{ID: "w", Address: "w:1", Service: testService, Capacity: wigeonstep.Resources{CPU: 8000, Memory: 8192}}})
-	o.Step(now)
-	o.HeartbeatAnswered(now, "w", wigeonstep.HeartbeatResult{Clock: 5000}, nil)
+	o.HeartbeatAnswered(now, o.Step(now).Heartbeats[0], wigeonstep.HeartbeatResult{Clock: 5000}, nil)
 	o.AppendAcknowledged(now, now.Steady)
 	o.AddJob(now, testJob("job", testStep(1)), wigeonjob.Progress{}, false)
 	now.Steady += placeInterval
--- a/wigeonshard/steps_test.go
+++ b/wigeonshard/steps_test.go
@@ -251,8 +251,7 @@
 	now := Timestamp{Steady: time.Hour, Wall: 1_700_000_000_000}
 	o := NewOwner(testSettings, 1, now, wigeonjob.OwnerRecord{})
 	o.SetWorkers(now, []wigeonstep.ListedWorker{{ID: "w", Address: "10.0.0.1:80", Service: testService, Capacity: wigeonstep.Resources{CPU: 8000, Memory: 8192}}})
-	o.Step(now)
-	o.HeartbeatAnswered(now, "w", wigeonstep.HeartbeatResult{Clock: 5000}, nil)
+	o.HeartbeatAnswered(now, o.Step(now).Heartbeats[0], wigeonstep.HeartbeatResult{Clock: 5000}, nil)
 	o.AppendAcknowledged(now, now.Steady)
 	serving, besteffort := testStep(1), testStep(1)
 	serving.LongRunning, serving.Target = true, 40*time.Millisecond
@@ -265,10 +264,10 @@
 			o.AppendAcknowledged(now, now.Steady)
 		}
 		for _, s := range o.Step(now).Starts {
-			o.StartAnswered(now, s.Worker.ID, s.Order.Run, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
+			o.StartAnswered(now, s, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
 		}
 		w := o.workers["w"]
-		w.heartbeatPending = true
+		w.pendingHeartbeat = 1
 		var listed []wigeonstep.RunningRun
 		for _, r := range w.runs {
 			if r.phase == runAccepted {
@@ -279,7 +278,7 @@
 				listed = append(listed, entry)
 			}
 		}
-		o.HeartbeatAnswered(now, "w", wigeonstep.HeartbeatResult{Clock: 5000, Running: listed}, nil)
+		o.HeartbeatAnswered(now, Heartbeat{Worker: w.ref(), Number: 1}, wigeonstep.HeartbeatResult{Clock: 5000, Running: listed}, nil)
 		return o.Step(now).Throttles
 	}
 	for range 4 {
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -49,7 +49,8 @@
 	// of the last one whose effects are in the log.
 	lastEnd, flushingEnd, durableEnd uint64
 
-	heartbeatPending bool
+	// pendingHeartbeat is the number of the newest heartbeat while it has no answer; 0 otherwise.
+	pendingHeartbeat uint64
 	// heartbeatSentAt is the time at which the newest heartbeat was sent.
 	heartbeatSentAt time.Duration
 	// nextHeartbeatAt is the earliest time of the next heartbeat.
