Keep what is known of a worker process apart from the worker

Callers saw a task started again after its end had been acknowledged to the worker. After another worker had answered at the address of a worker (421), the owner kept the end numbers, the lease and the clock of the process that had answered there. The list entry then set the start time of the next process, so no restart was seen: ends 1 to 3 of the new process were skipped as known and acknowledged, the run was no longer listed, and it was given up and started again. A new address in the list without a 421 let starts, renewals and acknowledged ends of the earlier process reach the new one.

All that belongs to one process of a worker is in workerProcess, and is forgotten as a whole with a restart, a replacement or a new address. Only start times that the worker itself reports are compared, never that of the list entry, so a list entry that is older or newer hides no restart. A worker at a new address gets a heartbeat at once, that to the old one is no longer waited for, and runs start only when the process has answered. Unanswered runs of a forgotten process stay until their leases have ended.

--- a/wigeonshard/answeredowner_test.go
+++ b/wigeonshard/answeredowner_test.go
@@ -108,6 +108,11 @@
 	o.HeartbeatAnswered(o.now, o.takeHeartbeat(), result, nil)
 }
 
+// failHeartbeat reports an error of the oldest heartbeat without an answer.
+func (o *answeredOwner) failHeartbeat(err error) {
+	o.HeartbeatAnswered(o.now, o.takeHeartbeat(), wigeonstep.HeartbeatResult{}, err)
+}
+
 // answerStarts accepts all starts without an answer. The answers carry the clock.
 func (o *answeredOwner) answerStarts(clock wigeonstep.WorkerMillis) {
 	for _, s := range o.starts {
@@ -135,6 +140,15 @@
 	o.c.Assert(o.starts, qt.HasLen, 0)
 }
 
+// doneRuns returns the entries of runs that ended as done, numbered from first.
+func doneRuns(first uint64, runs ...wigeonstep.RunID) []wigeonstep.EndedRun {
+	var ended []wigeonstep.EndedRun
+	for i, id := range runs {
+		ended = append(ended, wigeonstep.EndedRun{Number: first + uint64(i), Run: id, Cause: wigeonstep.EndDone}) //nolint:gosec // a test has few runs
+	}
+	return ended
+}
+
 // listRunning returns the entries of current runs.
 func listRunning(runs ...wigeonstep.RunID) []wigeonstep.RunningRun {
 	var running []wigeonstep.RunningRun
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -79,10 +79,12 @@
 		w.nextHeartbeatAt = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHeartbeatRetryDelay)
 		return
 	}
-	if result.StartedAt != 0 && w.StartedAt != 0 && result.StartedAt != w.StartedAt {
+	if w.processStartedAt != 0 && result.StartedAt != 0 && result.StartedAt != w.processStartedAt {
 		o.workerRestarted(now, w, func(r *run) bool { return listsRun(result, r.id()) })
 	}
-	w.StartedAt = result.StartedAt
+	if result.StartedAt != 0 {
+		w.processStartedAt = result.StartedAt
+	}
 	if w.failures > 0 && w.answered {
 		o.recordWorkerDecision("worker_regained", w, "it answers again")
 	}
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -139,7 +139,7 @@
 // workerReplaced ends the runs of a worker after another process has answered at its address.
 func (o *Owner) workerReplaced(now Timestamp, w *worker) {
 	o.markRunsLost(now, w, "another life of the worker answered")
-	w.answered = false
+	w.forgetProcess(now.Steady)
 	w.failures++
 	w.nextHeartbeatAt = now.Steady + maxHeartbeatRetryDelay
 }
@@ -185,7 +185,7 @@
 			case r.stopping && r.stopSentAt == 0 && now.Steady >= r.retryAt && (r.phase == runAccepted || r.phase == runUnknown):
 				r.stopSentAt = now.Steady
 				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
-			case !r.stopping && r.phase == runUnknown && r.startTries > 0 && now.Steady >= r.retryAt && w.failures == 0 && o.ownershipConfirmed(now):
+			case !r.stopping && r.phase == runUnknown && r.startTries > 0 && now.Steady >= r.retryAt && w.answered && w.failures == 0 && o.ownershipConfirmed(now):
 				o.sendStart(now, r)
 			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && r.task.step.BestEffort:
 				r.sentSpeed = r.speed
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -147,13 +147,10 @@
 	}
 	for _, l := range listed {
 		w := o.ensureWorker(now, l.ID)
-		startedAt := w.StartedAt
-		w.ListedWorker = l
-		if w.answered {
-			// Restarts are detected by the value that the worker itself last reported; that of its list entry may be older
-			// or newer.
-			w.StartedAt = startedAt
+		if w.Address != "" && w.Address != l.Address {
+			o.addressChanged(now, w)
 		}
+		w.ListedWorker = l
 		w.listed = true
 	}
 	o.removeUnlistedWorkers()
@@ -228,29 +225,42 @@
 	return w
 }
 
-// workerRestarted handles a worker process that has restarted under its id: the runs of the old process have ended, and
-// the worker's clock and end numbers start again. listed reports the runs that the new process has. A start that was sent
-// to the old process and got no answer may still begin in the new one, so such a run is stopped there before its task is
-// placed again.
+// addressChanged handles a new address of a worker, at which a new process answers. Its heartbeats prove which runs of the
+// former process have ended.
+func (o *Owner) addressChanged(now Timestamp, w *worker) {
+	o.stopUnansweredStarts(w, func(*run) bool { return false })
+	w.forgetProcess(now.Steady)
+	w.backoff = workerBackoff{}
+	w.pendingHeartbeat, w.nextHeartbeatAt = 0, now.Steady
+}
+
+// workerRestarted handles a worker process that has restarted under its id: the runs of the old process have ended.
+// listed reports the runs that the new process has.
 func (o *Owner) workerRestarted(now Timestamp, w *worker, listed func(*run) bool) {
+	o.stopUnansweredStarts(w, listed)
 	for _, r := range slices.Clone(w.runs) {
-		switch {
-		case listed(r), r.phase == runPlanned, r.phase == runWriting, r.phase == runStarting && r.startTries == 0:
-		case r.phase == runStarting, r.phase == runUnknown:
-			r.phase, r.startKnownAt, r.stopping, r.stopSentAt = runUnknown, -1, true, 0
-		default:
+		if r.phase == runAccepted && !listed(r) {
 			o.recordRunDecision("run_lost", r, "the worker started again", now.Steady-r.reportedAt)
 			o.endRun(now, r, wigeonstep.EndLeaseExpired, r.task.checkpoint)
 		}
 	}
-	w.StartedAt = 0
-	w.clock, w.clockAt, w.leaseEnd = 0, 0, 0
-	w.lastEnd, w.flushingEnd, w.durableEnd = 0, 0, 0
-	w.answered = false
+	w.forgetProcess(now.Steady)
 	w.backoff = workerBackoff{}
 	o.recordWorkerDecision("worker_reborn", w, "it restarted under the same id")
 }
 
+// stopUnansweredStarts marks the runs to be stopped whose starts were sent to an earlier process of the worker and got no
+// answer. Such a start may still begin the run in the new process, so the run is stopped there before its task is placed
+// again. listed reports the runs that the new process has.
+func (o *Owner) stopUnansweredStarts(w *worker, listed func(*run) bool) {
+	for _, r := range w.runs {
+		unanswered := r.phase == runUnknown || r.phase == runStarting && r.startTries > 0
+		if unanswered && !listed(r) {
+			r.phase, r.startKnownAt, r.stopping, r.stopSentAt = runUnknown, -1, true, 0
+		}
+	}
+}
+
 // maxLostRuns bounds the lost runs that are kept for a task. It is above the usual number of attempts.
 const maxLostRuns = 8
 
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -19,16 +19,9 @@
 	wigeonstep.ListedWorker
 	// listed is set while the worker is in the list of SetWorkers.
 	listed bool
-	// answered is set once the current process of the worker has answered a heartbeat with this owner's fencing token;
-	// from then on it refuses orders of earlier owners.
-	answered bool
-	// clock is the newest reading of the worker's clock, which arrived at clockAt.
-	clock   wigeonstep.WorkerMillis
-	clockAt time.Duration
-	// leaseEnd is the latest end of any lease that this owner granted, or that an earlier owner may have granted, by the
-	// worker's clock.
-	leaseEnd wigeonstep.WorkerMillis
-	// inheritedRunsEnd is the time at which the runs of earlier owners count as ended if the worker has not answered.
+	workerProcess
+	// inheritedRunsEnd is the time at which the runs of earlier owners, and of earlier processes of the worker, count as
+	// ended if the current process has not answered.
 	inheritedRunsEnd time.Duration
 	// leasesEndWall is the wall-clock time by which all leases on the worker have ended, while it does not answer; 0
 	// otherwise.
@@ -45,10 +38,6 @@
 	// unexpected counts the runs in the worker's last answer that this owner does not expect there.
 	unexpected int
 
-	// lastEnd is the number of the last applied end, flushingEnd of the last one in the pending append, and durableEnd
-	// of the last one whose effects are in the log.
-	lastEnd, flushingEnd, durableEnd uint64
-
 	// pendingHeartbeat is the number of the newest heartbeat while it has no answer; 0 otherwise.
 	pendingHeartbeat uint64
 	// heartbeatSentAt is the time at which the newest heartbeat was sent.
@@ -69,6 +58,26 @@
 	backoff workerBackoff
 }
 
+// workerProcess is what the owner knows of the current process of a worker. Clock and end numbers start again with each
+// process, so they are never compared across processes. The zero value is a process that has not answered.
+type workerProcess struct {
+	// answered is set once the process has answered a heartbeat with this owner's fencing token; from then on it refuses
+	// orders of earlier owners.
+	answered bool
+	// processStartedAt is the start time in the answers of the process; 0 while unknown. The one in the worker's list entry
+	// may be older or newer.
+	processStartedAt wigeonstep.UnixMillis
+	// clock is the newest reading of the worker's clock, which arrived at clockAt.
+	clock   wigeonstep.WorkerMillis
+	clockAt time.Duration
+	// leaseEnd is the latest end of any lease that this owner granted, or that an earlier owner may have granted, by the
+	// worker's clock.
+	leaseEnd wigeonstep.WorkerMillis
+	// lastEnd is the number of the last applied end, flushingEnd of the last one in the pending append, and durableEnd
+	// of the last one whose effects are in the log.
+	lastEnd, flushingEnd, durableEnd uint64
+}
+
 func (w *worker) ref() wigeonstep.WorkerRef {
 	return wigeonstep.WorkerRef{ID: w.ID, Address: w.Address}
 }
@@ -101,13 +110,26 @@
 	return w.minClock(now) > w.leaseEnd+wigeonstep.WorkerMillis(lapseMargin.Milliseconds())
 }
 
+// leaseTimeLeft returns the time after which all leases that this owner or an earlier one granted have ended; negative
+// when they have.
+func (w *worker) leaseTimeLeft(now time.Duration) time.Duration {
+	if !w.answered {
+		return w.inheritedRunsEnd - now
+	}
+	return time.Duration(float64(w.leaseEnd-w.minClock(now))/clockRate)*time.Millisecond + lapseMargin
+}
+
 // leasesEndAt returns the wall-clock time by which all leases that this owner or an earlier one granted have ended.
 func (w *worker) leasesEndAt(now Timestamp) wigeonstep.UnixMillis {
-	left := w.inheritedRunsEnd - now.Steady
+	return now.Wall + wigeonstep.UnixMillis(max(w.leaseTimeLeft(now.Steady), 0).Milliseconds())
+}
+
+// forgetProcess makes the worker one whose current process has not answered.
+func (w *worker) forgetProcess(now time.Duration) {
 	if w.answered {
-		left = time.Duration(float64(w.leaseEnd-w.minClock(now.Steady))/clockRate)*time.Millisecond + lapseMargin
+		w.inheritedRunsEnd = now + w.leaseTimeLeft(now)
 	}
-	return now.Wall + wigeonstep.UnixMillis(max(left, 0).Milliseconds())
+	w.workerProcess = workerProcess{}
 }
 
 func (w *worker) hasLabel(label wigeonstep.Label) bool {
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -7,8 +7,75 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
 )
 
+// endThreeRuns lets three runs start and end on the worker, and waits until the owner acknowledges their ends.
+func (o *answeredOwner) endThreeRuns(startedAt wigeonstep.UnixMillis, clock wigeonstep.WorkerMillis) {
+	first := o.submit("first", 3)
+	o.answerStarts(clock)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: clock, StartedAt: startedAt, Running: listRunning(first...)})
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: clock + 100, StartedAt: startedAt, Ended: doneRuns(1, first...)})
+	o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(3))
+}
+
+// Guards against ends of a restarted worker that are taken for ends of its earlier process. After another worker had
+// answered at the address, the owner kept the number of the last end, so the first ends after the return of the worker
+// were acknowledged without being applied, and their tasks were started again.
+func TestEndsAfterReplacementAreApplied(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.endThreeRuns(1, 100_000)
+	o.failHeartbeat(wigeonstep.ErrWorkerReplaced)
+	o.list("w:2", 2)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 300, StartedAt: 2})
+	second := o.submit("second", 1)
+	o.answerStarts(500)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 600, StartedAt: 2, Running: listRunning(second...)})
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 900, StartedAt: 2, Ended: doneRuns(1, second...)})
+	o.advance(200 * time.Millisecond)
+	o.assertRunning()
+	state, _ := o.JobState("second")
+	o.c.Assert(state, qt.Equals, wigeonjob.StateCompleted)
+	o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(1))
+}
+
+// Guards against an acknowledgement of ends, a lease or a start that is meant for an earlier process of a worker and
+// reaches the process at its new address. A worker that forgets all ends up to the number would never list its own.
+func TestNewAddressIsAnotherProcess(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.endThreeRuns(1, 100_000)
+	o.submit("unanswered", 1)
+	unanswered := o.starts[0]
+	o.starts = nil
+	o.list("w:2", 2)
+	o.answerStart(unanswered, wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+	o.AddJob(o.now, testJob("second", testStep(1)), wigeonjob.Progress{}, false)
+	o.advance(200 * time.Millisecond)
+	o.c.Assert(o.starts, qt.HasLen, 0)
+	o.c.Assert(o.heartbeats, qt.HasLen, 2)
+	h := o.heartbeats[1]
+	o.c.Assert(h.Worker.Address, qt.Equals, "w:2")
+	o.c.Assert(h.Request, qt.Equals, wigeonstep.HeartbeatRequest{Fence: 1})
+}
+
+// Guards against a worker at a new address that gets no heartbeat until that to its former address has failed, and against
+// an answer of the former address that ends the runs at the new one.
+func TestNewAddressGetsHeartbeatAtOnce(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	former := o.takeHeartbeat()
+	o.list("w:2", 2)
+	o.advance(20 * time.Millisecond)
+	o.c.Assert(o.heartbeats, qt.HasLen, 1)
+	o.c.Assert(o.heartbeats[0].Worker.Address, qt.Equals, "w:2")
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 300, StartedAt: 2})
+	first := o.submit("first", 1)
+	o.answerStarts(400)
+	o.sentHeartbeat()
+	o.HeartbeatAnswered(o.now, former, wigeonstep.HeartbeatResult{}, wigeonstep.ErrWorkerReplaced)
+	o.advance(20 * time.Millisecond)
+	o.assertRunning(first...)
+}
+
 // Guards against an answer to an earlier heartbeat that is taken for that to the newest: a worker that was removed from the
 // list and added again got the answer to a heartbeat from before, which did not list a run that had started meanwhile.
 func TestOnlyTheNewestHeartbeatIsAnswered(t *testing.T) {
