Take restarts and clocks of workers only from answers to heartbeats

Callers saw two runs of a task at the same time. A start answer with a clock more than 1 s behind the newest one counted as proof of a restart, and all accepted runs of the worker were given up. Heartbeats wait up to 1.5 s at the worker, and a process that was paused or suspended reads their answers and older ones to starts at the same time, so such a start answer was just read late. In the same way a run was given up that the restarted worker had accepted after it listed its runs, because the answer to the start was read before the list.

Answers to starts and stops don't name the process that they come from. Only heartbeats, of which each worker has one at a time and whose answers name the start of the process, now prove a restart and give the clock. Which runs have ended with the old process follows from the rule that holds for every list: the heartbeat was sent after the outcome of the start was known, and does not list the run.

--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -29,9 +29,6 @@
 	// maxRenewalPause limits the time for which the next heartbeat waits until the reported ends are durable, so that
 	// the lease is renewed in time when the log is slow.
 	maxRenewalPause = 1200 * time.Millisecond
-	// clockRegress is the amount by which a worker's clock must have gone back to count as that of a restarted worker.
-	// Answers that arrive out of order differ by less.
-	clockRegress wigeonstep.WorkerMillis = 1000
 	// restoredSpeed is the speed of best-effort runs of an earlier owner until this owner adjusts it, in percent.
 	restoredSpeed = 50
 )
@@ -67,17 +64,14 @@
 	return ""
 }
 
-// StartAnswered applies the answer to a start.
+// StartAnswered applies the answer to a start. The worker's clock in it is not used: the answer may be older than that to
+// the newest heartbeat, or come from an earlier process of the worker, which it does not name.
 func (o *Owner) StartAnswered(now Timestamp, sent Start, result wigeonstep.StartResult) {
 	w := o.workers[sent.Worker.ID]
 	if w == nil {
 		return
 	}
 	r := w.findRun(sent.Order.Run)
-	if result.Clock != 0 && result.Clock+clockRegress < w.clock {
-		o.workerRestarted(now, w, func(other *run) bool { return other == r })
-	}
-	w.recordClock(result.Clock, now.Steady)
 	switch result.Verdict {
 	case wigeonstep.StartFenced:
 		o.deposed = true
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -234,16 +234,11 @@
 	w.pendingHeartbeat, w.nextHeartbeatAt = 0, now.Steady
 }
 
-// workerRestarted handles a worker process that has restarted under its id: the runs of the old process have ended.
-// listed reports the runs that the new process has.
+// workerRestarted handles a worker process that has restarted under its id. listed reports the runs that the new process
+// has. The heartbeat that shows the restart also proves which other runs have ended; those whose starts were answered since
+// it was sent may be in the new process.
 func (o *Owner) workerRestarted(now Timestamp, w *worker, listed func(*run) bool) {
 	o.stopUnansweredStarts(w, listed)
-	for _, r := range slices.Clone(w.runs) {
-		if r.phase == runAccepted && !listed(r) {
-			o.recordRunDecision("run_lost", r, "the worker started again", now.Steady-r.reportedAt)
-			o.endRun(now, r, wigeonstep.EndLeaseExpired, r.task.checkpoint)
-		}
-	}
 	w.forgetProcess(now.Steady)
 	w.backoff = workerBackoff{}
 	o.recordWorkerDecision("worker_reborn", w, "it restarted under the same id")
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -58,6 +58,33 @@
 	o.c.Assert(h.Request, qt.Equals, wigeonstep.HeartbeatRequest{Fence: 1})
 }
 
+// Guards against a run that is given up while it runs, because the answer to its start is read after that to a newer
+// heartbeat. The lower clock in it was taken for that of a restarted worker.
+func TestStartAnswerReadLateEndsNoRun(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	first := o.submit("first", 1)
+	o.answerStarts(100_000)
+	second := o.submit("second", 1)
+	o.sentHeartbeat()
+	o.pass(4 * time.Second)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 101_600, StartedAt: 1, Running: listRunning(first[0], second[0])})
+	o.answerStarts(100_100)
+	o.advance(20 * time.Millisecond)
+	o.assertRunning(first[0], second[0])
+}
+
+// Guards against a run that is given up while it runs on a restarted worker. The heartbeat that shows the restart was
+// answered before the run began, and its answer is read after that to the start.
+func TestRunStartedAfterRestartIsKept(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.sentHeartbeat()
+	first := o.submit("first", 1)
+	o.answerStarts(100_400)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_300, StartedAt: 2})
+	o.advance(20 * time.Millisecond)
+	o.assertRunning(first...)
+}
+
 // Guards against a worker at a new address that gets no heartbeat until that to its former address has failed, and against
 // an answer of the former address that ends the runs at the new one.
 func TestNewAddressGetsHeartbeatAtOnce(t *testing.T) {
