Count the longest lease after a restart of a worker

Callers saw two runs of a task at the same time when a worker became unreachable soon after a restart. Until the restart is known, starts and renewals carry times of the clock of the old process. The new one, whose clock began again, shortens them only to the longest lease that it grants (10 s), but the owner counted one of its own leases (3.2 s) from the first answer, and started the tasks elsewhere after that.

Settings.MaxLease is the longest lease that workers grant. After a restart the owner counts it from the first answer of the new process. The model's worker now shortens leases as well.

TestLeaseAfterRestartIsTheLongest failed before: the run was given up 5 s after the restart, while the worker held it for 10 s.

Not covered: a new owner that first meets the worker within 10 s of such a restart counts its own lease as before.

--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -155,6 +155,7 @@
 		MemberTTL:       max(defaultMemberTTL, settings.MinMemberTTL()),
 		Shard: wigeonshard.Settings{
 			Lease:          min(maxLease, settings.MaxLease()),
+			MaxLease:       settings.MaxLease(),
 			HeartbeatWait:  heartbeatWait,
 			HeartbeatPause: heartbeatPause,
 			ConfirmLimit:   confirmLimit,
--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -84,7 +84,7 @@
 
 const testService = wigeonstep.ServiceName("bake")
 
-var testSettings = Settings{Lease: 5 * time.Second, HeartbeatWait: 1500 * time.Millisecond, HeartbeatPause: 20 * time.Millisecond, ConfirmLimit: 6 * time.Second}
+var testSettings = Settings{Lease: 5 * time.Second, MaxLease: 10 * time.Second, HeartbeatWait: 1500 * time.Millisecond, HeartbeatPause: 20 * time.Millisecond, ConfirmLimit: 6 * time.Second}
 
 func newClusterModel(t *testing.T, seed uint64, workers int) *clusterModel {
 	t.Helper()
--- a/wigeonshard/fakeworker_test.go
+++ b/wigeonshard/fakeworker_test.go
@@ -36,6 +36,7 @@
 }
 
 func (f *fakeWorker) extendLease(m *clusterModel, until wigeonstep.WorkerMillis) {
+	until = min(until, f.clock(m)+wigeonstep.WorkerMillis(testSettings.MaxLease.Milliseconds()))
 	if until <= f.leaseEnd {
 		return
 	}
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -80,7 +80,7 @@
 		return
 	}
 	if w.processStartedAt != 0 && result.StartedAt != 0 && result.StartedAt != w.processStartedAt {
-		o.workerRestarted(now, w, func(r *run) bool { return listsRun(result, r.id()) })
+		o.workerRestarted(now, w, result)
 	}
 	if result.StartedAt != 0 {
 		w.processStartedAt = result.StartedAt
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -13,6 +13,8 @@
 type Settings struct {
 	// Lease is the time after which a worker ends its runs when its lease is not renewed.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants, at least Lease.
+	MaxLease time.Duration
 	// HeartbeatWait is the time for which a worker may delay its answer to a heartbeat until a run ends; well below Lease.
 	HeartbeatWait time.Duration
 	// HeartbeatPause is the time between the answer to a heartbeat and the next heartbeat of the same worker, so that
@@ -234,12 +236,14 @@
 	w.pendingHeartbeat, w.nextHeartbeatAt = 0, now.Steady
 }
 
-// workerRestarted handles a worker process that has restarted under its id. listed reports the runs that the new process
-// has. The heartbeat that shows the restart also proves which other runs have ended; those whose starts were answered since
-// it was sent may be in the new process.
-func (o *Owner) workerRestarted(now Timestamp, w *worker, listed func(*run) bool) {
-	o.stopUnansweredStarts(w, listed)
+// workerRestarted handles a worker process that has restarted under its id, which answered a heartbeat with result. The
+// heartbeat also proves which runs have ended with the old process; those whose starts were answered since it was sent may
+// be in the new one.
+func (o *Owner) workerRestarted(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
+	o.stopUnansweredStarts(w, func(r *run) bool { return listsRun(result, r.id()) })
 	w.forgetProcess(now.Steady)
+	// Orders with times of the old process's clock may have reached the new one, which then granted its longest lease.
+	w.leaseEnd = result.Clock + wigeonstep.WorkerMillis(o.settings.MaxLease.Milliseconds())
 	w.backoff = workerBackoff{}
 	o.recordWorkerDecision("worker_reborn", w, "it restarted under the same id")
 }
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -85,6 +85,24 @@
 	o.assertRunning(first...)
 }
 
+// Guards against a lease that counts as ended while runs go on. A start or renewal with a time of the clock of an earlier
+// process reaches the restarted worker, which shortens it only to the longest lease that it grants.
+func TestLeaseAfterRestartIsTheLongest(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	first := o.submit("first", 1)
+	o.answerStarts(300)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 200, StartedAt: 2})
+	o.failHeartbeat(wigeonstep.ErrAnswerLost)
+	until := o.now.Steady + testSettings.MaxLease - 100*time.Millisecond
+	for o.now.Steady < until {
+		o.advance(10 * time.Millisecond)
+		if len(o.heartbeats) > 0 {
+			o.failHeartbeat(wigeonstep.ErrAnswerLost)
+		}
+	}
+	o.assertRunning(first...)
+}
+
 // Guards against a worker at a new address that gets no heartbeat until that to its former address has failed, and against
 // an answer of the former address that ends the runs at the new one.
 func TestNewAddressGetsHeartbeatAtOnce(t *testing.T) {
