Acknowledge ends only to a worker process that was up a moment ago

Callers saw a task started again after its end had been acknowledged to the worker. Each heartbeat named the last durable end, also when the heartbeat before it was long ago: while the log was slow (up to 1.2 s), after a pause of the owner, or with an answer that was read late. A worker that had restarted since numbers its ends from 1, so the number of its earlier process made it forget ends that were never read, and, if it keeps the highest number, also those to come. The run was then listed neither as running nor as ended, and its task was started again.

A heartbeat now acknowledges only ends that are not acknowledged yet, and only if the process that numbered them was certainly up within 250 ms. The time follows from when the heartbeat was sent and from the worker's clock in the answer, so an answer that was read late counts as old. Otherwise a heartbeat that acknowledges nothing and isn't delayed at the worker asks for the start time of the process first. It costs one more call for the ends of a batch whose append took longer than that.

Both tests failed before with an acknowledged end of 1 instead of 0.

What remains: a process that restarts within 250 ms of its last sign.

--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -9,28 +9,23 @@
 )
 
 // sendHeartbeats sends a heartbeat to every worker whose next heartbeat is due. A heartbeat asks for the runs of the
-// worker and renews its lease where that is safe. None is sent while the ownership is unconfirmed.
+// worker, acknowledges its durable ends and renews its lease where that is safe. None is sent while the ownership is
+// unconfirmed.
 func (o *Owner) sendHeartbeats(now Timestamp) {
 	if !o.ownershipConfirmed(now) {
 		return
 	}
 	for _, w := range o.sortedWorkers {
-		if w.pendingHeartbeat != 0 || now.Steady < w.nextHeartbeatAt || w.Address == "" {
+		if w.pendingHeartbeat != 0 || now.Steady < w.nextHeartbeatAt || w.Address == "" || w.awaitsDurableEnds(now.Steady) {
 			continue
 		}
-		// A heartbeat acknowledges durable ends only, so it waits until the reported ones are durable, at most maxRenewalPause.
-		hasUndurableEnds := w.lastEnd > w.durableEnd
-		if hasUndurableEnds && now.Steady-w.renewedAt < maxRenewalPause {
-			continue
-		}
-		request := wigeonstep.HeartbeatRequest{Fence: o.fence, AckedEnd: w.durableEnd, Wait: o.heartbeatWaitFor(now, w)}
-		if hasUndurableEnds || !w.answered || w.failures > 0 {
-			request.Wait = 0
+		request := wigeonstep.HeartbeatRequest{Fence: o.fence}
+		if w.mayAcknowledge(now.Steady) {
+			request.AckedEnd = w.durableEnd
 		}
-		if w.failures > 0 {
-			// A restarted worker numbers its ends from the start again; the number of the earlier process would make
-			// it drop ends that were never read.
-			request.AckedEnd = 0
+		askOnly := w.durableEnd > w.ackedEnd && request.AckedEnd == 0
+		if w.lastEnd == w.durableEnd && w.answered && w.failures == 0 && !askOnly {
+			request.Wait = o.heartbeatWaitFor(now, w)
 		}
 		// The lease of a worker that does not answer is not renewed: the worker may receive the heartbeat although its
 		// answers are lost, and its lease has to end before its tasks can start elsewhere. The lease of a worker whose
@@ -45,6 +40,20 @@
 	}
 }
 
+// awaitsDurableEnds reports whether the next heartbeat should wait until the reported ends are durable, so that it can
+// acknowledge them. It waits at most maxRenewalPause, and not while earlier ends can be acknowledged.
+func (w *worker) awaitsDurableEnds(now time.Duration) bool {
+	return w.lastEnd > w.durableEnd && now-w.renewedAt < maxRenewalPause && !w.mayAcknowledge(now)
+}
+
+// mayAcknowledge reports whether there are durable ends to acknowledge, and the process that numbered them was up within
+// maxAckAge. One that has restarted since numbers its ends from the start again: the number would make it forget its own,
+// perhaps also those to come. A process that was last seen earlier is first asked for its start time, with a heartbeat that
+// acknowledges nothing; ends that it has forgotten before stay forgotten.
+func (w *worker) mayAcknowledge(now time.Duration) bool {
+	return w.durableEnd > w.ackedEnd && w.failures == 0 && now-w.seenAt < maxAckAge
+}
+
 // HeartbeatAnswered applies the answer to a heartbeat, or the error of the call: it records ended runs, reconciles the
 // running ones and schedules the next heartbeat. It ignores answers to all but the newest heartbeat of a worker.
 func (o *Owner) HeartbeatAnswered(now Timestamp, sent Heartbeat, result wigeonstep.HeartbeatResult, err error) {
@@ -79,6 +88,7 @@
 		w.nextHeartbeatAt = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHeartbeatRetryDelay)
 		return
 	}
+	w.ackedEnd = max(w.ackedEnd, sent.Request.AckedEnd)
 	if w.processStartedAt != 0 && result.StartedAt != 0 && result.StartedAt != w.processStartedAt {
 		o.workerRestarted(now, w, result)
 	}
@@ -91,7 +101,7 @@
 	w.failures = 0
 	w.leasesEndWall = 0
 	o.ownerRecordOutdated = o.ownerRecordOutdated || w.lapseRecorded
-	w.recordClock(result.Clock, now.Steady)
+	w.recordAnswer(result.Clock, w.heartbeatSentAt, now.Steady)
 	for _, row := range result.UndecodableRows {
 		o.recordWorkerDecision("row_skipped", w, row)
 	}
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -29,6 +29,9 @@
 	// maxRenewalPause limits the time for which the next heartbeat waits until the reported ends are durable, so that
 	// the lease is renewed in time when the log is slow.
 	maxRenewalPause = 1200 * time.Millisecond
+	// maxAckAge is the time since a worker process was last certainly up after which another process may answer. A process
+	// takes longer to start again.
+	maxAckAge = 250 * time.Millisecond
 	// restoredSpeed is the speed of best-effort runs of an earlier owner until this owner adjusts it, in percent.
 	restoredSpeed = 50
 )
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -70,24 +70,37 @@
 	// clock is the newest reading of the worker's clock, which arrived at clockAt.
 	clock   wigeonstep.WorkerMillis
 	clockAt time.Duration
+	// clockLead is an upper bound of the lead of the worker's clock over this process's steady clock: the lowest difference
+	// between a reading and the time at which its heartbeat was sent.
+	clockLead time.Duration
+	// seenAt is the latest time at which the process was certainly up.
+	seenAt time.Duration
 	// leaseEnd is the latest end of any lease that this owner granted, or that an earlier owner may have granted, by the
 	// worker's clock.
 	leaseEnd wigeonstep.WorkerMillis
-	// lastEnd is the number of the last applied end, flushingEnd of the last one in the pending append, and durableEnd
-	// of the last one whose effects are in the log.
-	lastEnd, flushingEnd, durableEnd uint64
+	// lastEnd is the number of the last applied end, flushingEnd of the last one in the pending append, durableEnd of the
+	// last one whose effects are in the log, and ackedEnd of the last one that the process has forgotten.
+	lastEnd, flushingEnd, durableEnd, ackedEnd uint64
 }
 
 func (w *worker) ref() wigeonstep.WorkerRef {
 	return wigeonstep.WorkerRef{ID: w.ID, Address: w.Address}
 }
 
-// recordClock stores a reading of the worker's clock; 0 means that the answer carried none.
-func (w *worker) recordClock(clock wigeonstep.WorkerMillis, at time.Duration) {
+// recordAnswer stores the reading of the worker's clock in the answer to a heartbeat that was sent at sentAt; 0 means that
+// the answer carried none. The answer may be read long after the worker gave it.
+func (w *worker) recordAnswer(clock wigeonstep.WorkerMillis, sentAt, now time.Duration) {
+	w.seenAt = sentAt
 	if clock == 0 {
 		return
 	}
-	w.clock, w.clockAt = clock, at
+	reading := time.Duration(clock) * time.Millisecond
+	if lead := reading - sentAt; w.clock == 0 || lead < w.clockLead {
+		w.clockLead = lead
+	}
+	// The clock is not fast, so it can't have shown this reading before.
+	w.seenAt = min(reading-w.clockLead, now)
+	w.clock, w.clockAt = clock, now
 }
 
 // minClock returns a time that the worker's clock has certainly reached.
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -58,6 +58,50 @@
 	o.c.Assert(h.Request, qt.Equals, wigeonstep.HeartbeatRequest{Fence: 1})
 }
 
+// Guards against an acknowledgement that reaches a restarted worker because the heartbeat before it was long ago. Such a
+// worker may have started, run and ended a task since, or forget the ends up to the number although they are still to come.
+func TestOldAnswerAcknowledgesNothing(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		delay func(*answeredOwner)
+	}{
+		{"paused owner", func(o *answeredOwner) { o.pass(time.Second) }},
+		{"slow log", func(o *answeredOwner) {
+			o.logStalled = true
+			o.advance(time.Second)
+			o.logStalled = false
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			o := newAnsweredOwner(t, 1, 100_000)
+			first := o.submit("first", 1)
+			o.answerStarts(100_000)
+			o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1, Running: listRunning(first...)})
+			o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_400, StartedAt: 1, Ended: doneRuns(1, first...)})
+			test.delay(o)
+			// The first heartbeat asks which process answers, the next one acknowledges at once.
+			h := o.sentHeartbeat()
+			o.c.Assert(h.Request.AckedEnd, qt.Equals, uint64(0))
+			o.c.Assert(h.Request.Wait, qt.Equals, time.Duration(0))
+			o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 101_500, StartedAt: 1, Ended: doneRuns(1, first...)})
+			o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(1))
+		})
+	}
+}
+
+// Guards against an acknowledgement that reaches a restarted worker because the answer before it was read late: the answer
+// waited in a paused process, and shows only that the worker was up when it answered.
+func TestAnswerReadLateAcknowledgesNothing(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	first := o.submit("first", 1)
+	o.answerStarts(100_000)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1, Running: listRunning(first...)})
+	o.sentHeartbeat()
+	o.pass(4 * time.Second)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_400, StartedAt: 1, Ended: doneRuns(1, first...)})
+	o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(0))
+}
+
 // Guards against a run that is given up while it runs, because the answer to its start is read after that to a newer
 // heartbeat. The lower clock in it was taken for that of a restarted worker.
 func TestStartAnswerReadLateEndsNoRun(t *testing.T) {
