--- a/wigeonshard/lapse_test.go
+++ b/wigeonshard/lapse_test.go
@@ -20,8 +20,8 @@
 	starts  []Start
 	// pending holds the records of an append that is not acknowledged.
 	pending []wigeonstep.KeyedRecord
-	// heartbeat is the newest request to the worker.
-	heartbeat wigeonstep.HeartbeatRequest
+	// heartbeat is the newest heartbeat to the worker.
+	heartbeat Heartbeat
 }
 
 // newLapseFixture returns an owner whose worker has answered and whose record is durable.
@@ -34,7 +34,7 @@
 	f.acknowledge()
 	f.answer()
 	f.advance(testSettings.HeartbeatPause)
-	f.Assert(f.heartbeat.LeaseEnd, qt.Not(qt.Equals), wigeonstep.WorkerMillis(0))
+	f.Assert(f.heartbeat.Request.LeaseEnd, qt.Not(qt.Equals), wigeonstep.WorkerMillis(0))
 	return f
 }
 
@@ -59,7 +59,7 @@
 		f.pending = a.Append
 	}
 	for _, h := range a.Heartbeats {
-		f.heartbeat = h.Request
+		f.heartbeat = h
 	}
 	f.starts = append(f.starts, a.Starts...)
 }
@@ -80,13 +80,13 @@
 // answer reports that the worker has answered the newest heartbeat.
 func (f *lapseFixture) answer() {
 	clock := wigeonstep.WorkerMillis(f.now.Steady.Milliseconds())
-	f.owner.HeartbeatAnswered(f.now, "w", wigeonstep.HeartbeatResult{Clock: clock}, nil)
+	f.owner.HeartbeatAnswered(f.now, f.heartbeat, wigeonstep.HeartbeatResult{Clock: clock}, nil)
 	f.step()
 }
 
 // lose reports that the newest heartbeat got no answer.
 func (f *lapseFixture) lose() {
-	f.owner.HeartbeatAnswered(f.now, "w", wigeonstep.HeartbeatResult{}, wigeonstep.ErrAnswerLost)
+	f.owner.HeartbeatAnswered(f.now, f.heartbeat, wigeonstep.HeartbeatResult{}, wigeonstep.ErrAnswerLost)
 	f.step()
 }
 
@@ -123,7 +123,7 @@
 		f.acknowledge()
 	}
 	f.Assert(f.starts, qt.HasLen, 1)
-	f.owner.StartAnswered(f.now, "w", f.starts[0].Order.Run, wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+	f.owner.StartAnswered(f.now, f.starts[0], wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
 	f.lose()
 	f.acknowledge()
 	f.Assert(f.replica.Owner.Lapses, qt.HasLen, 1)
@@ -148,7 +148,7 @@
 		f.acknowledge()
 	}
 	f.Assert(f.starts, qt.HasLen, 1)
-	leaseEnd := max(f.starts[0].Order.LeaseEnd, f.heartbeat.LeaseEnd)
+	leaseEnd := max(f.starts[0].Order.LeaseEnd, f.heartbeat.Request.LeaseEnd)
 	// The worker's clock is 2% slow.
 	leaseLeft := time.Duration(float64(leaseEnd-wigeonstep.WorkerMillis(f.now.Steady.Milliseconds()))/clockRate) * time.Millisecond
 	leasesEnd := f.now.Steady + leaseLeft
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -29,9 +29,9 @@
 	// maxRenewalPause limits the time for which the next heartbeat waits until the reported ends are durable, so that
 	// the lease is renewed in time when the log is slow.
 	maxRenewalPause = 1200 * time.Millisecond
-	// clockRegress is the amount by which a worker's clock must have gone back to count as that of a restarted worker.
-	// Answers that arrive out of order differ by less.
-	clockRegress wigeonstep.WorkerMillis = 1000
+	// maxAckAge is the time since a worker process was last certainly up after which another process may answer. A process
+	// takes longer to start again.
+	maxAckAge = 250 * time.Millisecond
 	// restoredSpeed is the speed of best-effort runs of an earlier owner until this owner adjusts it, in percent.
 	restoredSpeed = 50
 )
@@ -67,17 +67,14 @@
 	return ""
 }
 
-// StartAnswered applies the answer to a start.
-func (o *Owner) StartAnswered(now Timestamp, worker wigeonstep.WorkerID, id wigeonstep.RunID, result wigeonstep.StartResult) {
-	w := o.workers[worker]
+// StartAnswered applies the answer to a start. The worker's clock in it is not used: the answer may be older than that to
+// the newest heartbeat, or come from an earlier process of the worker, which it does not name.
+func (o *Owner) StartAnswered(now Timestamp, sent Start, result wigeonstep.StartResult) {
+	w := o.workers[sent.Worker.ID]
 	if w == nil {
 		return
 	}
-	r := w.findRun(id)
-	if result.Clock != 0 && result.Clock+clockRegress < w.clock {
-		o.workerRestarted(now, w, func(other *run) bool { return other == r })
-	}
-	w.recordClock(result.Clock, now.Steady)
+	r := w.findRun(sent.Order.Run)
 	switch result.Verdict {
 	case wigeonstep.StartFenced:
 		o.deposed = true
@@ -139,15 +136,15 @@
 // workerReplaced ends the runs of a worker after another process has answered at its address.
 func (o *Owner) workerReplaced(now Timestamp, w *worker) {
 	o.markRunsLost(now, w, "another life of the worker answered")
-	w.answered = false
+	w.forgetProcess(now.Steady)
 	w.failures++
 	w.nextHeartbeatAt = now.Steady + maxHeartbeatRetryDelay
 }
 
-// StopAnswered applies the answer to a stop, or the error of the call. An answered stop doesn't end the run; a later
+// StopAnswered applies the answer to the newest stop of a run, or the error of the call. An answered stop doesn't end the run; a later
 // heartbeat reports its end.
-func (o *Owner) StopAnswered(now Timestamp, worker wigeonstep.WorkerID, id wigeonstep.RunID, err error) {
-	w := o.workers[worker]
+func (o *Owner) StopAnswered(now Timestamp, sent Stop, err error) {
+	w := o.workers[sent.Worker.ID]
 	switch {
 	case errors.Is(err, wigeonstep.ErrFenced):
 		o.deposed = true
@@ -158,8 +155,8 @@
 		o.workerReplaced(now, w)
 		return
 	}
-	r := w.findRun(id)
-	if r == nil {
+	r := w.findRun(sent.Run)
+	if r == nil || r.stopSentAt != sent.SentAt {
 		return
 	}
 	if err == nil {
@@ -184,8 +181,8 @@
 			switch {
 			case r.stopping && r.stopSentAt == 0 && now.Steady >= r.retryAt && (r.phase == runAccepted || r.phase == runUnknown):
 				r.stopSentAt = now.Steady
-				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id()})
-			case !r.stopping && r.phase == runUnknown && r.startTries > 0 && now.Steady >= r.retryAt && w.failures == 0 && !w.lapseRecorded && o.ownershipConfirmed(now):
+				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
+			case !r.stopping && r.phase == runUnknown && r.startTries > 0 && now.Steady >= r.retryAt && w.answered && w.failures == 0 && !w.lapseRecorded && o.ownershipConfirmed(now):
 				o.sendStart(now, r)
 			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && r.task.step.BestEffort:
 				r.sentSpeed = r.speed
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -13,6 +13,8 @@
 type Settings struct {
 	// Lease is the time after which a worker ends its runs when its lease is not renewed.
 	Lease time.Duration
+	// MaxLease is the longest lease that a worker grants, at least Lease.
+	MaxLease time.Duration
 	// HeartbeatWait is the time for which a worker may delay its answer to a heartbeat until a run ends; well below Lease.
 	HeartbeatWait time.Duration
 	// HeartbeatPause is the time between the answer to a heartbeat and the next heartbeat of the same worker, so that
@@ -40,6 +42,8 @@
 	// jobOrder holds the jobs in the order in which they were added.
 	jobOrder []*job
 	workers  map[wigeonstep.WorkerID]*worker
+	// heartbeatCount is the number of the newest heartbeat of any worker.
+	heartbeatCount uint64
 	// sortedWorkers holds the workers sorted by id, so that decisions do not depend on the order of a map.
 	sortedWorkers []*worker
 	// released holds the workers whose release is in the log.
@@ -145,13 +149,10 @@
 	}
 	for _, l := range listed {
 		w := o.ensureWorker(now, l.ID)
-		startedAt := w.StartedAt
-		w.ListedWorker = l
-		if w.answered {
-			// Restarts are detected by the value that the worker itself last reported; that of its list entry may be older
-			// or newer.
-			w.StartedAt = startedAt
+		if w.Address != "" && w.Address != l.Address {
+			o.addressChanged(now, w)
 		}
+		w.ListedWorker = l
 		w.listed = true
 	}
 	o.removeUnlistedWorkers()
@@ -226,27 +227,37 @@
 	return w
 }
 
-// workerRestarted handles a worker process that has restarted under its id: the runs of the old process have ended, and
-// the worker's clock and end numbers start again. listed reports the runs that the new process has. A start that was sent
-// to the old process and got no answer may still begin in the new one, so such a run is stopped there before its task is
-// placed again.
-func (o *Owner) workerRestarted(now Timestamp, w *worker, listed func(*run) bool) {
-	for _, r := range slices.Clone(w.runs) {
-		switch {
-		case listed(r), r.phase == runPlanned, r.phase == runWriting, r.phase == runStarting && r.startTries == 0:
-		case r.phase == runStarting, r.phase == runUnknown:
+// addressChanged handles a new address of a worker, at which a new process answers. Its heartbeats prove which runs of the
+// former process have ended.
+func (o *Owner) addressChanged(now Timestamp, w *worker) {
+	o.stopUnansweredStarts(w, func(*run) bool { return false })
+	w.forgetProcess(now.Steady)
+	w.backoff = workerBackoff{}
+	w.pendingHeartbeat, w.nextHeartbeatAt = 0, now.Steady
+}
+
+// workerRestarted handles a worker process that has restarted under its id, which answered a heartbeat with result. The
+// heartbeat also proves which runs have ended with the old process; those whose starts were answered since it was sent may
+// be in the new one.
+func (o *Owner) workerRestarted(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
+	o.stopUnansweredStarts(w, func(r *run) bool { return listsRun(result, r.id()) })
+	w.forgetProcess(now.Steady)
+	// Orders with times of the old process's clock may have reached the new one, which then granted its longest lease.
+	w.leaseEnd = result.Clock + wigeonstep.WorkerMillis(o.settings.MaxLease.Milliseconds())
+	w.backoff = workerBackoff{}
+	o.recordWorkerDecision("worker_reborn", w, "it restarted under the same id")
+}
+
+// stopUnansweredStarts marks the runs to be stopped whose starts were sent to an earlier process of the worker and got no
+// answer. Such a start may still begin the run in the new process, so the run is stopped there before its task is placed
+// again. listed reports the runs that the new process has.
+func (o *Owner) stopUnansweredStarts(w *worker, listed func(*run) bool) {
+	for _, r := range w.runs {
+		unanswered := r.phase == runUnknown || r.phase == runStarting && r.startTries > 0
+		if unanswered && !listed(r) {
 			r.phase, r.startKnownAt, r.stopping, r.stopSentAt = runUnknown, -1, true, 0
-		default:
-			o.recordRunDecision("run_lost", r, "the worker started again", now.Steady-r.reportedAt)
-			o.endRun(now, r, wigeonstep.EndLeaseExpired, r.task.checkpoint)
 		}
 	}
-	w.StartedAt = 0
-	w.clock, w.clockAt, w.leaseEnd = 0, 0, 0
-	w.lastEnd, w.flushingEnd, w.durableEnd = 0, 0, 0
-	w.answered = false
-	w.backoff = workerBackoff{}
-	o.recordWorkerDecision("worker_reborn", w, "it restarted under the same id")
 }
 
 // maxLostRuns bounds the lost runs that are kept for a task. It is above the usual number of attempts.
