Let starts wait in the owner, so that a withdrawn one is not sent

Cause: the process kept at most two orders in flight to a worker and let the others wait on goroutines. It was sent when its turn came, whatever the owner had decided since: the copy of a task whose first run had ended meanwhile, the run of a cancelled or failed job, a run on a worker that had begun to drain. The owner took all of them for sent.

Evidence: TestWithdrawnStartIsNotSent failed before: 8 starts of a job that was cancelled after 2.

The owner counts the orders without an answer itself. A run whose record is durable waits in the phase runDurable, and each step decides anew: it sends the start, or ends the run unsent when it is to be stopped, its worker does not answer, is draining or cordoned, or the ownership is not confirmed. The process sends what a step returns at once.

--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -134,8 +134,6 @@
 	waveReadAt map[int]time.Duration
 	appends    appendBatcher
 	fleet      fleet
-	// orderSlots holds a semaphore for each worker that limits the orders in flight to maxOrdersInFlight.
-	orderSlots map[wigeonstep.WorkerID]chan struct{}
 	// lastReport is the time of the last reports of the owned shards to the owner of the fleet partition.
 	lastReport     time.Duration
 	reportInFlight bool
@@ -161,7 +159,6 @@
 		assigned:   map[wigeonstep.Partition]bool{},
 		waves:      map[int]wigeonstep.Wave{},
 		waveReadAt: map[int]time.Duration{},
-		orderSlots: map[wigeonstep.WorkerID]chan struct{}{},
 		fleet:      newFleet(c.MachineCallRate),
 	}
 }
--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -10,11 +10,8 @@
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 )
 
-// maxOrdersInFlight bounds the start, stop and throttle orders in flight to one worker. Heartbeats are not counted.
-const maxOrdersInFlight = 2
-
-// execute executes the actions that a shard's owner returned. Results are delivered to the owner on the event loop,
-// unless its ownership has ended by then.
+// execute executes the actions that a shard's owner returned, each at once: the owner bounds the orders in flight. Results are
+// delivered to the owner on the event loop, unless its ownership has ended by then.
 func (d *Daemon) execute(sh *shard, a wigeonshard.Actions) {
 	owner, ctx, fence := sh.owner, sh.ctx, sh.fence
 	deliver := func(event func(now wigeonshard.Timestamp)) {
@@ -37,23 +34,23 @@
 		}()
 	}
 	for _, s := range a.Stops {
-		d.sendOrder(ctx, s.Worker.ID, func() {
+		go func() {
 			err := d.config.Orders.Stop(ctx, s.Worker, s.Run, fence)
 			deliver(func(now wigeonshard.Timestamp) { owner.StopAnswered(now, s, err) })
-		})
+		}()
 	}
 	for _, s := range a.Starts {
 		d.config.Metrics.starts.Inc()
-		d.sendOrder(ctx, s.Worker.ID, func() {
+		go func() {
 			result := d.config.Orders.Start(ctx, s.Worker, s.Order)
 			deliver(func(now wigeonshard.Timestamp) { owner.StartAnswered(now, s, result) })
-		})
+		}()
 	}
 	for _, t := range a.Throttles {
-		d.sendOrder(ctx, t.Worker.ID, func() {
+		go func() {
 			err := d.config.Orders.Throttle(ctx, t.Worker, t.Run, t.Percent, fence)
-			deliver(func(wigeonshard.Timestamp) { owner.ThrottleAnswered(t.Worker.ID, t.Run, err) })
-		})
+			deliver(func(wigeonshard.Timestamp) { owner.ThrottleAnswered(t, err) })
+		}()
 	}
 	for _, request := range a.AdviceRequests {
 		go func() {
@@ -70,23 +67,6 @@
 	return d.config.Advisor.Advise(ctx, request.Job, request.Occurrence, request.Step, request.Workers)
 }
 
-// sendOrder runs order on a goroutine as soon as fewer than maxOrdersInFlight are in flight to the worker.
-func (d *Daemon) sendOrder(ctx context.Context, worker wigeonstep.WorkerID, order func()) {
-	limit := d.orderSlots[worker]
-	if limit == nil {
-		limit = make(chan struct{}, maxOrdersInFlight)
-		d.orderSlots[worker] = limit
-	}
-	go func() {
-		select {
-		case limit <- struct{}{}:
-			order()
-			<-limit
-		case <-ctx.Done():
-		}
-	}()
-}
-
 // logDecision logs a decision of an owner.
 func (d *Daemon) logDecision(decision wigeonshard.Decision) {
 	fields := []zap.Field{zap.String("worker", string(decision.Worker)), zap.String("cause", decision.Cause)}
--- /dev/null
+++ b/wigeondaemon/execute_test.go
@@ -0,0 +1,103 @@
+package wigeondaemon
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonreplica"
+	"github.com/wigeonstep/wigeonstep/wigeonshard"
+)
+
+// acceptingLog acknowledges every append.
+type acceptingLog struct{ wigeonstep.JobLog }
+
+func (acceptingLog) Append(context.Context, wigeonstep.Partition, []wigeonstep.KeyedRecord, *wigeonstep.AppendFence) (wigeonstep.Offset, error) {
+	return 1, nil
+}
+
+// slowWorkers answers starts only after answerStarts is closed, and all other orders at once.
+type slowWorkers struct {
+	wigeonstep.WorkerClient
+	answerStarts chan struct{}
+
+	mu      sync.Mutex
+	started []wigeonstep.RunID
+	ended   []wigeonstep.EndedRun
+}
+
+func (s *slowWorkers) Start(_ context.Context, _ wigeonstep.WorkerRef, order wigeonstep.StartOrder) wigeonstep.StartResult {
+	s.mu.Lock()
+	s.started = append(s.started, order.Run)
+	s.mu.Unlock()
+	<-s.answerStarts
+	return wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted}
+}
+
+func (s *slowWorkers) Stop(_ context.Context, _ wigeonstep.WorkerRef, run wigeonstep.RunID, _ wigeonstep.FencingToken) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ended = append(s.ended, wigeonstep.EndedRun{Number: uint64(len(s.ended) + 1), Run: run, Cause: wigeonstep.EndStopped})
+	return nil
+}
+
+func (s *slowWorkers) Heartbeat(context.Context, wigeonstep.WorkerRef, wigeonstep.HeartbeatRequest) (wigeonstep.HeartbeatResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	result := wigeonstep.HeartbeatResult{Clock: 5000, StartedAt: 1, Ended: slices.Clone(s.ended)}
+	for _, id := range s.started {
+		if !slices.ContainsFunc(s.ended, func(e wigeonstep.EndedRun) bool { return e.Run == id }) {
+			result.Running = append(result.Running, wigeonstep.RunningRun{Run: id})
+		}
+	}
+	return result, nil
+}
+
+func (s *slowWorkers) startCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.started)
+}
+
+// Guards against a start that is sent after the decision for it was withdrawn. Starts to a worker that answered slowly waited
+// for earlier ones, and were sent after their job was cancelled or their task had ended elsewhere.
+func TestWithdrawnStartIsNotSent(t *testing.T) {
+	c := qt.New(t)
+	var elapsed atomic.Int64
+	clock := func() wigeonshard.Timestamp {
+		return wigeonshard.Timestamp{Steady: time.Hour + time.Duration(elapsed.Load()), Wall: 1_700_000_000_000}
+	}
+	workers := &slowWorkers{answerStarts: make(chan struct{})}
+	d := New(Config{
+		Logger: zap.NewNop(), Metrics: NewMetrics(metrics.NewSet()), Jobs: acceptingLog{}, Orders: workers,
+		Now: clock,
+	})
+	settings := wigeonshard.Settings{Lease: time.Minute, MaxLease: time.Minute, ConfirmLimit: time.Hour}
+	sh := &shard{part: 1, replica: &wigeonreplica.Replica{}, owned: true, owner: wigeonshard.NewOwner(settings, 1, clock(), wigeonjob.OwnerRecord{})}
+	sh.ctx, sh.cancel = context.WithCancel(t.Context())
+	defer sh.cancel()
+	stepUntil := func(done func() bool) {
+		for !done() {
+			elapsed.Add(int64(10 * time.Millisecond))
+			d.execute(sh, sh.owner.Step(clock()))
+			(<-d.events)()
+		}
+	}
+	sh.owner.SetWorkers(clock(), []wigeonstep.ListedWorker{{ID: "w", Address: "w:1", Service: "s", StartedAt: 1, Capacity: wigeonstep.Resources{CPU: 8000, Memory: 8000}}})
+	job := &wigeonjob.Job{ID: "job", Queue: "q", Service: "s", Steps: []wigeonjob.Step{{Count: 8, Required: wigeonstep.Resources{CPU: 1000}, Estimate: time.Minute}}}
+	sh.owner.AddJob(clock(), job, wigeonjob.Progress{}, false)
+	stepUntil(func() bool { return workers.startCount() == 2 })
+	sh.owner.CancelJob(clock(), "job")
+	close(workers.answerStarts)
+	stepUntil(func() bool { return len(sh.owner.Demands(clock(), []wigeonstep.ServiceName{"s"})[0].Idle) == 1 })
+	c.Assert(workers.startCount(), qt.Equals, 2)
+}
--- a/wigeondaemon/registry.go
+++ b/wigeondaemon/registry.go
@@ -37,13 +37,13 @@
 		a.Draining == b.Draining && a.Capacity == b.Capacity
 }
 
-// expire deletes the workers whose entries were removed more than removalDelay ago and returns them.
-func (g *workerRegistry) expire(now time.Duration) []wigeonstep.WorkerID {
-	var expired []wigeonstep.WorkerID
+// expire deletes the workers whose entries were removed more than removalDelay ago and reports whether there were any.
+func (g *workerRegistry) expire(now time.Duration) bool {
+	expired := false
 	for id, w := range g.entries {
 		if w.removedAt != 0 && now-w.removedAt > removalDelay {
 			delete(g.entries, id)
-			expired = append(expired, id)
+			expired = true
 		}
 	}
 	return expired
@@ -103,14 +103,9 @@
 
 // expireWorkers deletes workers whose removal delay is over and passes the rest to the owners.
 func (d *Daemon) expireWorkers(now time.Duration) {
-	expired := d.workers.expire(now)
-	if len(expired) == 0 {
-		return
-	}
-	for _, id := range expired {
-		delete(d.orderSlots, id)
+	if d.workers.expire(now) {
+		d.pushWorkers()
 	}
-	d.pushWorkers()
 }
 
 // pushWorkers passes the workers and cordons to every owner of a shard in this process.
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -161,7 +161,7 @@
 	return p
 }
 
-// AppendAcknowledged marks the state of the pending append as durable and sends the starts that depend on it. The caller
+// AppendAcknowledged marks the state of the pending append as durable, so that the next Step sends the starts that depend on it. The caller
 // reports only acknowledged appends, and repeats an append without an answer. sentAt is the time at which the acknowledged
 // attempt was sent: the log confirms the ownership of that time, and the answer may have waited in a paused process.
 func (o *Owner) AppendAcknowledged(now Timestamp, sentAt time.Duration) {
@@ -192,30 +192,13 @@
 		fj.job.durableState = fj.state
 	}
 	for _, r := range f.runs {
-		o.startDurableRun(now, r)
+		if r.phase == runWriting {
+			r.phase = runDurable
+		}
 	}
 	o.removeEndedJobs()
 }
 
-// startDurableRun sends the start of a run whose record is durable. It ends the run unsent when the run is to be stopped,
-// its worker does not answer, the log may hold a lapse of the worker, which the lease of the start would exceed, or the
-// ownership is not confirmed: another owner may have given the run up by now.
-func (o *Owner) startDurableRun(now Timestamp, r *run) {
-	if r.phase != runWriting {
-		return
-	}
-	if r.stopping || !r.worker.answered || r.worker.failures > 0 || r.worker.lapseRecorded || !o.ownershipConfirmed(now) {
-		o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
-		return
-	}
-	r.startSentAt, r.progressedAt, r.reportedAt = now.Steady, now.Steady, now.Steady
-	if j := r.task.step.job; !j.startRecorded {
-		j.startRecorded = true
-		o.recordRunDecision("job_started", r, "its first task starts", now.Steady-j.acceptedAt)
-	}
-	o.sendStart(now, r)
-}
-
 // removeEndedJobs removes from memory the jobs whose final state is durable and that have no run left.
 func (o *Owner) removeEndedJobs() {
 	o.jobOrder = slices.DeleteFunc(o.jobOrder, func(j *job) bool {
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -214,14 +214,14 @@
 		r := w.findRun(entry.Run)
 		if r == nil {
 			w.unexpected++
-			o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: entry.Run})
+			o.stopUnexpected(w, entry.Run)
 			continue
 		}
 		listed[r] = true
 		o.applyRunReport(now, r, entry)
 	}
 	for _, r := range append([]*run(nil), w.runs...) {
-		if listed[r] || r.phase == runPlanned || r.phase == runWriting || r.phase == runStarting {
+		if listed[r] || r.unsent() || r.phase == runStarting {
 			continue
 		}
 		// Only a heartbeat that was sent after the outcome of the start was known proves that the run is not on the
@@ -293,16 +293,17 @@
 }
 
 // ThrottleAnswered applies the answer to a throttle; one that failed is sent again.
-func (o *Owner) ThrottleAnswered(worker wigeonstep.WorkerID, id wigeonstep.RunID, err error) {
-	if errors.Is(err, wigeonstep.ErrFenced) {
-		o.deposed = true
+func (o *Owner) ThrottleAnswered(sent Throttle, err error) {
+	w := o.workers[sent.Worker.ID]
+	if w == nil {
 		return
 	}
-	w := o.workers[worker]
-	if w == nil || err == nil {
+	w.ordersInFlight--
+	if errors.Is(err, wigeonstep.ErrFenced) {
+		o.deposed = true
 		return
 	}
-	if r := w.findRun(id); r != nil {
+	if r := w.findRun(sent.Run); r != nil && err != nil {
 		r.sentSpeed = -1
 	}
 }
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -181,10 +181,10 @@
 	}
 }
 
-// stopTask marks the runs of a task to be stopped, and ends planned runs at once because their starts were never sent.
+// stopTask marks the runs of a task to be stopped, and ends those whose starts were never sent.
 func (o *Owner) stopTask(now Timestamp, t *task) {
 	for _, r := range slices.Clone(t.runs) {
-		if r.phase == runPlanned {
+		if r.phase == runPlanned || r.phase == runDurable {
 			o.endRun(now, r, wigeonstep.EndStopped, t.checkpoint)
 			continue
 		}
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -95,10 +95,13 @@
 type runPhase int
 
 const (
-	// runPlanned is the phase before the record of the run is appended; no start was sent.
+	// runPlanned is the phase before the record of the run is appended.
 	runPlanned runPhase = iota
 	// runWriting is the phase while the append of the record is pending.
 	runWriting
+	// runDurable is the phase after the append is acknowledged, while the start waits for other orders to the worker. The run
+	// may still be ended without a start.
+	runDurable
 	// runStarting is the phase after a start was sent and before it is answered.
 	runStarting
 	// runAccepted is the phase after the worker acknowledged the run.
@@ -145,6 +148,11 @@
 	sentSpeed int
 }
 
+// unsent reports whether no start of the run has been sent.
+func (r *run) unsent() bool {
+	return r.phase == runPlanned || r.phase == runWriting || r.phase == runDurable
+}
+
 func (r *run) id() wigeonstep.RunID {
 	return wigeonstep.RunID{Task: r.task.id, Number: r.number}
 }
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -8,6 +8,8 @@
 )
 
 const (
+	// maxOrdersInFlight bounds the starts, stops and throttles without an answer to one worker. Heartbeats are not counted.
+	maxOrdersInFlight = 2
 	// startRetryDelay is the delay before a start without an answer is repeated on the same worker. It is also the base of
 	// the exponential delay between heartbeats without an answer.
 	startRetryDelay = 100 * time.Millisecond
@@ -51,6 +53,7 @@
 	if a := r.task.step.advice; a != nil {
 		order.Ticket = a.tickets[w.ID].ticket
 	}
+	w.ordersInFlight++
 	o.out.Starts = append(o.out.Starts, Start{Worker: w.ref(), Order: order})
 }
 
@@ -74,6 +77,7 @@
 	if w == nil {
 		return
 	}
+	w.ordersInFlight--
 	r := w.findRun(sent.Order.Run)
 	switch result.Verdict {
 	case wigeonstep.StartFenced:
@@ -141,16 +145,18 @@
 	w.nextHeartbeatAt = now.Steady + maxHeartbeatRetryDelay
 }
 
-// StopAnswered applies the answer to the newest stop of a run, or the error of the call. An answered stop doesn't end the run; a later
-// heartbeat reports its end.
+// StopAnswered applies the answer to the newest stop of a run, or the error of the call. An answered stop doesn't end the
+// run; a later heartbeat reports its end.
 func (o *Owner) StopAnswered(now Timestamp, sent Stop, err error) {
 	w := o.workers[sent.Worker.ID]
+	if w == nil {
+		return
+	}
+	w.ordersInFlight--
 	switch {
 	case errors.Is(err, wigeonstep.ErrFenced):
 		o.deposed = true
 		return
-	case w == nil:
-		return
 	case errors.Is(err, wigeonstep.ErrWorkerReplaced):
 		o.workerReplaced(now, w)
 		return
@@ -171,27 +177,70 @@
 	r.retryAt = now.Steady + min(stopRetryDelay<<min(r.stopTries, 4), maxStopRetryDelay)
 }
 
-// sendRunOrders sends the stops and throttles that are due, and repeats starts that got no answer.
+// sendRunOrders sends the starts, stops and throttles that are due, oldest run first, as long as the worker has fewer than
+// maxOrdersInFlight. The others are decided anew in the next Step, so that no order is sent that is no longer wanted. A member
+// of a gang is started on a worker that is leaving all the same, because the other members may have begun.
 func (o *Owner) sendRunOrders(now Timestamp) {
 	for _, w := range o.sortedWorkers {
 		if w.Address == "" {
 			continue
 		}
+		mayStart := o.mayStartOn(now, w)
+		var unwanted []*run
 		for _, r := range w.runs {
 			switch {
+			case r.phase == runDurable && (r.stopping || !mayStart || w.leaving() && !r.task.step.Gang):
+				unwanted = append(unwanted, r)
+			case w.ordersInFlight >= maxOrdersInFlight:
+			case r.phase == runDurable:
+				o.sendFirstStart(now, r)
+			case r.phase == runUnknown && !r.stopping && mayStart && r.startTries > 0 && now.Steady >= r.retryAt:
+				o.sendStart(now, r)
 			case r.stopping && r.stopSentAt == 0 && now.Steady >= r.retryAt && (r.phase == runAccepted || r.phase == runUnknown):
 				r.stopSentAt = now.Steady
-				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
-			case !r.stopping && r.phase == runUnknown && r.startTries > 0 && now.Steady >= r.retryAt && w.answered && w.failures == 0 && !w.lapseRecorded && o.ownershipConfirmed(now):
-				o.sendStart(now, r)
+				o.sendStop(w, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
 			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && r.task.step.BestEffort:
 				r.sentSpeed = r.speed
+				w.ordersInFlight++
 				o.out.Throttles = append(o.out.Throttles, Throttle{Worker: w.ref(), Run: r.id(), Percent: r.speed})
 			}
 		}
+		for _, r := range unwanted {
+			o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+		}
 	}
 }
 
+// mayStartOn reports whether starts may be sent to the worker. They may not when the worker does not answer, the log may hold
+// a lapse of the worker, which the lease of the start would exceed, or the ownership is not confirmed: another owner may have
+// given the run up by now.
+func (o *Owner) mayStartOn(now Timestamp, w *worker) bool {
+	return w.answered && w.failures == 0 && !w.lapseRecorded && o.ownershipConfirmed(now)
+}
+
+// sendFirstStart sends the start of a run whose record is durable.
+func (o *Owner) sendFirstStart(now Timestamp, r *run) {
+	r.startSentAt, r.progressedAt, r.reportedAt = now.Steady, now.Steady, now.Steady
+	if j := r.task.step.job; !j.startRecorded {
+		j.startRecorded = true
+		o.recordRunDecision("job_started", r, "its first task starts", now.Steady-j.acceptedAt)
+	}
+	o.sendStart(now, r)
+}
+
+// stopUnexpected stops a run that the worker lists and this owner does not expect. While too many orders are in flight it does
+// nothing, since the next answer to a heartbeat lists the run again.
+func (o *Owner) stopUnexpected(w *worker, id wigeonstep.RunID) {
+	if w.ordersInFlight < maxOrdersInFlight {
+		o.sendStop(w, Stop{Worker: w.ref(), Run: id})
+	}
+}
+
+func (o *Owner) sendStop(w *worker, stop Stop) {
+	w.ordersInFlight++
+	o.out.Stops = append(o.out.Stops, stop)
+}
+
 // ownershipConfirmed reports whether the log or the group confirmed the ownership recently enough to renew leases.
 func (o *Owner) ownershipConfirmed(now Timestamp) bool {
 	return now.Steady-o.confirmedAt < o.settings.ConfirmLimit
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -158,10 +158,11 @@
 	o.removeUnlistedWorkers()
 }
 
-// removeUnlistedWorkers removes the workers that are neither listed nor have a run, once the log holds no lapse of them.
+// removeUnlistedWorkers removes the workers that are neither listed nor have a run or an order without an answer, once the
+// log holds no lapse of them.
 func (o *Owner) removeUnlistedWorkers() {
 	o.sortedWorkers = slices.DeleteFunc(o.sortedWorkers, func(w *worker) bool {
-		removable := !w.listed && len(w.runs) == 0
+		removable := !w.listed && len(w.runs) == 0 && w.ordersInFlight == 0
 		if removable && w.lapseRecorded {
 			o.ownerRecordOutdated = true
 			return false
--- a/wigeonshard/steps_test.go
+++ b/wigeonshard/steps_test.go
@@ -279,7 +279,11 @@
 			}
 		}
 		o.HeartbeatAnswered(now, Heartbeat{Worker: w.ref(), Number: 1}, wigeonstep.HeartbeatResult{Clock: 5000, Running: listed}, nil)
-		return o.Step(now).Throttles
+		throttles := o.Step(now).Throttles
+		for _, throttle := range throttles {
+			o.ThrottleAnswered(throttle, nil)
+		}
+		return throttles
 	}
 	for range 4 {
 		step(10 * time.Millisecond)
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -38,6 +38,8 @@
 	// unexpected counts the runs in the worker's last answer that this owner does not expect there.
 	unexpected int
 
+	// ordersInFlight counts the starts, stops and throttles without an answer, at most maxOrdersInFlight.
+	ordersInFlight int
 	// pendingHeartbeat is the number of the newest heartbeat while it has no answer; 0 otherwise.
 	pendingHeartbeat uint64
 	// heartbeatSentAt is the time at which the newest heartbeat was sent.
@@ -153,9 +155,14 @@
 	return w.Capacity.Sub(w.used)
 }
 
+// leaving reports whether the worker is about to stop, or has to be emptied.
+func (w *worker) leaving() bool {
+	return w.Draining || w.cordoned != ""
+}
+
 // usable reports whether new runs may be placed on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.answered && !w.Draining && w.cordoned == "" && w.failures == 0 && w.unexpected == 0 && !w.lapseRecorded
+	return w.listed && w.answered && !w.leaving() && w.failures == 0 && w.unexpected == 0 && !w.lapseRecorded
 }
 
 func (w *worker) attach(r *run) {
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -10,13 +10,13 @@
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
 )
 
-// endThreeRuns lets three runs start and end on the worker, and waits until the owner acknowledges their ends.
-func (o *answeredOwner) endThreeRuns(startedAt wigeonstep.UnixMillis, clock wigeonstep.WorkerMillis) {
-	first := o.submit("first", 3)
+// endTwoRuns lets two runs start and end on the worker, and waits until the owner acknowledges their ends.
+func (o *answeredOwner) endTwoRuns(startedAt wigeonstep.UnixMillis, clock wigeonstep.WorkerMillis) {
+	first := o.submit("first", 2)
 	o.answerStarts(clock)
 	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: clock, StartedAt: startedAt, Running: listRunning(first...)})
 	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: clock + 100, StartedAt: startedAt, Ended: doneRuns(1, first...)})
-	o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(3))
+	o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(2))
 }
 
 // Guards against ends of a restarted worker that are taken for ends of its earlier process. After another worker had
@@ -24,7 +24,7 @@
 // were acknowledged without being applied, and their tasks were started again.
 func TestEndsAfterReplacementAreApplied(t *testing.T) {
 	o := newAnsweredOwner(t, 1, 100_000)
-	o.endThreeRuns(1, 100_000)
+	o.endTwoRuns(1, 100_000)
 	o.failHeartbeat(wigeonstep.ErrWorkerReplaced)
 	o.list("w:2", 2)
 	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 300, StartedAt: 2})
@@ -43,7 +43,7 @@
 // reaches the process at its new address. A worker that forgets all ends up to the number would never list its own.
 func TestNewAddressIsAnotherProcess(t *testing.T) {
 	o := newAnsweredOwner(t, 1, 100_000)
-	o.endThreeRuns(1, 100_000)
+	o.endTwoRuns(1, 100_000)
 	o.submit("unanswered", 1)
 	unanswered := o.starts[0]
 	o.starts = nil
