Pass jobs of a listing to the owner only when the state is consistent

What callers could see: a job that was completed long ago runs again (TWICE).

Cause: an owner whose log has dropped the offset that it reads next lists the newest records.

The owner has forgotten the job with the removal, and was notified of the jobs of a listing at once, so it took the job for a new one.

Evidence: TestRemovedJobInListingDoesNotRunAgain failed before at c.Assert(known, qt.IsFalse) with "got: bool(true)": the owner held the removed job. TestOwnerLearnsOfJobsInListing guards against the opposite, that jobs of a listing never reach the owner.

The owner now learns of the jobs of a listing with the next complete batch. All that was written during the listing, removals among it, is applied by then. The ownership itself may begin with an incomplete listing: the log refuses all appends of earlier owners from the claim on, so no progress changes while a listing is made that reaches the end of the log at the claim.

--- /dev/null
+++ b/wigeondaemon/listing_test.go
@@ -0,0 +1,87 @@
+package wigeondaemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+	"go.uber.org/zap"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonshard"
+	"github.com/wigeonstep/wigeonstep/wigeontail"
+)
+
+const (
+	listedPartition = fleetPartition + 1
+	listedJob       = wigeonstep.JobID("0000000000000001")
+)
+
+var listedQueue = wigeonstep.Queue{Name: "orders", Service: "orders"}
+
+// newListingDaemon returns a daemon that follows the log, with one service, and its only shard. Nothing runs its event loop.
+func newListingDaemon() (*Daemon, *shard) {
+	d := New(Config{
+		Logger: zap.NewNop(), Metrics: NewMetrics(metrics.NewSet()),
+		Now: func() wigeonshard.Timestamp { return wigeonshard.Timestamp{Steady: time.Hour, Wall: 1_700_000_000_000} },
+	})
+	d.addShard(fleetPartition)
+	d.following.Store(true)
+	d.partitionTable.Store(&partitionTable{listedQueue.Service: {listedPartition}})
+	return d, d.addShard(listedPartition)
+}
+
+func jobRecord(c *qt.C) wigeonstep.KeyedRecord {
+	value, err := wigeonjob.EncodeJob(&wigeonjob.Job{
+		ID: listedJob, Queue: listedQueue.Name, Service: listedQueue.Service, Accepted: 1_700_000_000_000,
+		Steps: []wigeonjob.Step{{Count: 1, Required: wigeonstep.Resources{CPU: 1000, Memory: 1000}, Estimate: time.Second}},
+	})
+	c.Assert(err, qt.IsNil)
+	return wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindJob, listedJob), Value: value}
+}
+
+func completedRecord(c *qt.C) wigeonstep.KeyedRecord {
+	value, err := wigeonjob.EncodeProgress(&wigeonjob.Progress{State: wigeonjob.StateCompleted, Ended: 1_700_000_000_000})
+	c.Assert(err, qt.IsNil)
+	return wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindProgress, listedJob), Value: value}
+}
+
+// Guards against a completed job that runs again. Its owner removes it from the log while the log is listed anew, and the
+// pages of a listing are no snapshot, so the listing holds the job without its progress.
+func TestRemovedJobInListingDoesNotRunAgain(t *testing.T) {
+	c := qt.New(t)
+	d, sh := newListingDaemon()
+	job, completed := jobRecord(c), completedRecord(c)
+	d.applyShardBatch(sh, wigeontail.Batch{Records: []wigeonstep.KeyedRecord{job, completed}, Next: 2, Complete: true})
+	sh.owned = true
+	d.startOwnership(sh)
+	state, known := sh.owner.JobState(listedJob)
+	c.Assert(known, qt.IsTrue)
+	c.Assert(state, qt.Equals, wigeonjob.StateCompleted)
+
+	sh.owner.DropEndedJobs([]wigeonstep.JobID{listedJob})
+	d.applyShardBatch(sh, wigeontail.Batch{Reset: true, Records: []wigeonstep.KeyedRecord{job}, Next: 2})
+	removal := []wigeonstep.KeyedRecord{{Key: job.Key}, {Key: completed.Key}}
+	d.applyShardBatch(sh, wigeontail.Batch{Records: removal, From: 2, Next: 4, Complete: true})
+	_, known = sh.owner.JobState(listedJob)
+	c.Assert(known, qt.IsFalse)
+	for _, record := range sh.owner.Step(d.config.Now()).Append {
+		c.Assert(record.Key == completed.Key && len(record.Value) > 0, qt.IsFalse, qt.Commentf("the owner writes new progress"))
+	}
+}
+
+// Guards against an owner that never learns of the jobs in a listing.
+func TestOwnerLearnsOfJobsInListing(t *testing.T) {
+	c := qt.New(t)
+	d, sh := newListingDaemon()
+	d.applyShardBatch(sh, wigeontail.Batch{Complete: true})
+	sh.owned = true
+	d.startOwnership(sh)
+	d.applyShardBatch(sh, wigeontail.Batch{Reset: true, Records: []wigeonstep.KeyedRecord{jobRecord(c)}, Next: 1})
+	d.applyShardBatch(sh, wigeontail.Batch{From: 1, Next: 1, Complete: true})
+	state, known := sh.owner.JobState(listedJob)
+	c.Assert(known, qt.IsTrue)
+	c.Assert(state, qt.Equals, wigeonjob.StatePending)
+}
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -35,7 +36,10 @@
 	nextOffset wigeonstep.Offset
 	// loaded is set by the first complete batch, with which the replica holds the state of the log at nextOffset. Before,
 	// the replica may hold a listing that was made while records were written. A later Reset does not clear loaded.
-	loaded   bool
+	loaded bool
+	// listing is set from a Reset to the next complete batch. In between the owner is not notified of jobs, because the
+	// replica may hold a job without the progress that was removed together with it.
+	listing  bool
 	wakeTail chan struct{}
 	// written holds the fleet records of this process that the replica holds and the tail has not read yet, in the order of
 	// the log. Only the fleet partition has any.
@@ -160,6 +164,7 @@
 	case b.Reset:
 		sh.replica = &wigeonreplica.Replica{}
 		sh.nextOffset = b.Next
+		sh.listing = true
 	case b.Next <= sh.nextOffset && len(records) > 0:
 		return
 	case b.From > sh.nextOffset:
@@ -174,10 +179,16 @@
 		}
 	}
 	d.reapplyWritten(sh)
-	// In a listing of all records, a job's record precedes those of its progress. The owner is notified after all are
-	// applied, so that it gets the progress as well.
-	for _, record := range records {
-		d.notifyOwner(sh, record.Key)
+	switch {
+	case sh.listing && b.Complete:
+		sh.listing = false
+		for _, id := range sortedJobs(sh) {
+			d.notifyOwnerOfJob(sh, id)
+		}
+	case !sh.listing:
+		for _, record := range records {
+			d.notifyOwner(sh, record.Key)
+		}
 	}
 	if sh.part == fleetPartition {
 		d.updatePartitions()
@@ -203,16 +214,19 @@
 	return replica.Apply(record)
 }
 
-// notifyOwner passes a job or a cancellation that was read from the log to the shard's owner, if this process owns the shard.
+// notifyOwner passes the job of a record to the shard's owner if the record is a job or a cancellation.
 func (d *Daemon) notifyOwner(sh *shard, key string) {
-	if sh.owner == nil {
-		return
-	}
 	kind, id, _ := wigeonjob.SplitKey(key)
-	if kind != wigeonjob.KindJob && kind != wigeonjob.KindCancel {
+	if kind == wigeonjob.KindJob || kind == wigeonjob.KindCancel {
+		d.notifyOwnerOfJob(sh, wigeonstep.JobID(id))
+	}
+}
+
+// notifyOwnerOfJob passes a job and its cancellation to the shard's owner, if this process owns the shard.
+func (d *Daemon) notifyOwnerOfJob(sh *shard, job wigeonstep.JobID) {
+	if sh.owner == nil {
 		return
 	}
-	job := wigeonstep.JobID(id)
 	e := sh.replica.Find(job)
 	if e == nil {
 		return
@@ -310,14 +324,7 @@
 	for _, r := range sh.replica.Releases {
 		sh.owner.AddRelease(r)
 	}
-	ids := make([]wigeonstep.JobID, 0, len(sh.replica.Jobs()))
-	for id := range sh.replica.Jobs() {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, func(a, b wigeonstep.JobID) int {
-		return cmp.Or(cmp.Compare(acceptedAt(sh, a), acceptedAt(sh, b)), cmp.Compare(a, b))
-	})
-	for _, id := range ids {
+	for _, id := range sortedJobs(sh) {
 		if e := sh.replica.Find(id); e != nil {
 			sh.owner.AddJob(now, e.Job, e.Progress, e.Cancelled)
 		}
@@ -338,6 +345,15 @@
 	d.appendFenced(sh, []wigeonstep.KeyedRecord{{Key: wigeonjob.OwnerKey, Value: value}}, func(appendAnswer) { d.fleet.writeInFlight = false })
 }
 
+// sortedJobs returns the jobs of the replica in the order in which they were accepted.
+func sortedJobs(sh *shard) []wigeonstep.JobID {
+	ids := slices.Collect(maps.Keys(sh.replica.Jobs()))
+	slices.SortFunc(ids, func(a, b wigeonstep.JobID) int {
+		return cmp.Or(cmp.Compare(acceptedAt(sh, a), acceptedAt(sh, b)), cmp.Compare(a, b))
+	})
+	return ids
+}
+
 func acceptedAt(sh *shard, id wigeonstep.JobID) wigeonstep.UnixMillis {
 	if e := sh.replica.Find(id); e != nil {
 		return e.Job.Accepted
