Answer 410 only after the records that were read are applied

Cause: a look-up of an unknown job reads the partition from the end of the replica to the end of the log, hands the records to the event loop and answers 410 if the job is still unknown. When the tail lists the log anew at that time, the listing puts the replica back to the end that the log had at its first page. The records of the look-up then begin after the end of the replica and are left out, and the job, which is among them, was taken for absent.

Evidence: TestLookUpDuringListingFindsTheJob failed before with "got: int(410), want: int(200)".

A job now counts as absent only if the replica has reached the end of the records that were read.

--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -232,7 +232,8 @@
 			return v, wigeonstep.UnknownResponse(true, "the process is busy", "look up", "process")
 		case fresh.known:
 			return fresh, responseDone
-		case batch.Complete:
+		case batch.Complete && fresh.nextOffset >= batch.Next:
+			// A listing of the log that ended in the meantime may have put the replica back, without the batch.
 			return fresh, responseNoSuchJob
 		}
 		v = fresh
--- a/wigeondaemon/listing_test.go
+++ b/wigeondaemon/listing_test.go
@@ -1,6 +1,8 @@
 package wigeondaemon
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -21,10 +23,20 @@
 
 var listedQueue = wigeonstep.Queue{Name: "orders", Service: "orders"}
 
+// jobLogStub is a job log whose reads the test answers.
+type jobLogStub struct {
+	wigeonstep.JobLog
+	read func(from wigeonstep.Offset) wigeonstep.KeyedRead
+}
+
+func (l *jobLogStub) ReadKeyed(_ context.Context, _ wigeonstep.Partition, from wigeonstep.Offset, _ time.Duration) (wigeonstep.KeyedRead, error) {
+	return l.read(from), nil
+}
+
 // newListingDaemon returns a daemon that follows the log, with one service, and its only shard. Nothing runs its event loop.
-func newListingDaemon() (*Daemon, *shard) {
+func newListingDaemon(log wigeonstep.JobLog) (*Daemon, *shard) {
 	d := New(Config{
-		Logger: zap.NewNop(), Metrics: NewMetrics(metrics.NewSet()),
+		Logger: zap.NewNop(), Metrics: NewMetrics(metrics.NewSet()), Jobs: log,
 		Now: func() wigeonshard.Timestamp { return wigeonshard.Timestamp{Steady: time.Hour, Wall: 1_700_000_000_000} },
 	})
 	d.addShard(fleetPartition)
@@ -52,7 +64,7 @@
 // pages of a listing are no snapshot, so the listing holds the job without its progress.
 func TestRemovedJobInListingDoesNotRunAgain(t *testing.T) {
 	c := qt.New(t)
-	d, sh := newListingDaemon()
+	d, sh := newListingDaemon(nil)
 	job, completed := jobRecord(c), completedRecord(c)
 	d.applyShardBatch(sh, wigeontail.Batch{Records: []wigeonstep.KeyedRecord{job, completed}, Next: 2, Complete: true})
 	sh.owned = true
@@ -75,7 +87,7 @@
 // Guards against an owner that never learns of the jobs in a listing.
 func TestOwnerLearnsOfJobsInListing(t *testing.T) {
 	c := qt.New(t)
-	d, sh := newListingDaemon()
+	d, sh := newListingDaemon(nil)
 	d.applyShardBatch(sh, wigeontail.Batch{Complete: true})
 	sh.owned = true
 	d.startOwnership(sh)
@@ -85,3 +97,37 @@
 	c.Assert(known, qt.IsTrue)
 	c.Assert(state, qt.Equals, wigeonjob.StatePending)
 }
+
+// Guards against 410 for an accepted job: the records that a look-up reads are not applied when the log is listed anew at the
+// same time, because the listing began before them.
+func TestLookUpDuringListingFindsTheJob(t *testing.T) {
+	c := qt.New(t)
+	log := &jobLogStub{}
+	d, sh := newListingDaemon(log)
+	d.applyShardBatch(sh, wigeontail.Batch{Next: 10, Complete: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() {
+		for {
+			select {
+			case event := <-d.events:
+				event()
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	job := jobRecord(c)
+	records := []wigeonstep.KeyedRecord{{Key: "c/other", Value: []byte{1}}, job}
+	reads := 0
+	log.read = func(from wigeonstep.Offset) wigeonstep.KeyedRead {
+		if reads++; reads == 1 {
+			// The first page of the listing is older than the records at offsets 9 and 10.
+			d.post(func() { d.applyShardBatch(sh, wigeontail.Batch{Reset: true, Next: 9}) })
+		}
+		return wigeonstep.KeyedRead{Records: records[from-9:], Next: 11, End: 11}
+	}
+	state, response := d.Status(ctx, listedJob, listedQueue)
+	c.Assert(response.Status, qt.Equals, http.StatusOK)
+	c.Assert(state, qt.Equals, wigeonjob.StatePending)
+}
