Begin the sequence of each claim at a random number

What callers could see: jobs that run although their record was never written, so tasks that run twice (TWICE), and ended jobs that start again, if two processes ever own a shard with one fencing token. By the store's description that does not happen: the token is 1,000 times the generation of the group, which grows with each change. But nothing told such owners apart if the group erred, and the design says that the log and not the group protects.

Cause: each claim began at sequence 0. The store answers a repeat of one of the last five appends of a token with its first response, so it took the second owner's first appends for repeats of the first one's and acknowledged them unwritten.

Evidence: TestOwnersWithOneFenceAreToldApart failed before: both owners' appends acknowledged ("len(got): int(2), want length: int(1)") with one record in the log.

With random first numbers the sequences of two such owners do not meet, and the store refuses the one that does not follow, which drops the shard and claims it again with a higher token.

--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -26,6 +26,9 @@
 	// minAppendDelay and maxAppendDelay bound the backoff between attempts of an owner's append.
 	minAppendDelay = 20 * time.Millisecond
 	maxAppendDelay = 300 * time.Millisecond
+	// maxFirstSequence bounds the random sequence number of a claim. If two processes claimed a shard with the same fencing
+	// token, the log would take appends of one for repeats of the other's with equal numbers, and acknowledge them unwritten.
+	maxFirstSequence = 1 << 30
 )
 
 // shard is the state of one followed partition of the job log, and of its ownership.
@@ -52,7 +55,7 @@
 	// fence is the fencing token of the newest claim or ownership in this process. The log calls it an epoch; the log, the
 	// workers and the machine service reject lower ones.
 	fence wigeonstep.FencingToken
-	// sequence is the number of the last append with fence.
+	// sequence is the number of the last append with fence. It begins at random with each claim.
 	sequence uint64
 	// ownedSince is the time at which the ownership began.
 	ownedSince time.Duration
@@ -268,11 +271,11 @@
 func (d *Daemon) claim(sh *shard) {
 	sh.claiming = true
 	sh.fence = max(wigeonstep.FencingToken(d.generation*fencesPerGeneration), sh.replica.Owner.Epoch+1, sh.fence+1)
-	sh.sequence = 0
-	fence := sh.fence
+	sh.sequence = rand.Uint64N(maxFirstSequence)
+	fence := wigeonstep.AppendFence{Epoch: sh.fence, Sequence: sh.sequence}
 	go func() {
-		end, err := d.config.Jobs.Append(d.ctx, sh.part, nil, &wigeonstep.AppendFence{Epoch: fence})
-		d.post(func() { d.handleClaimResult(sh, fence, end, err) })
+		end, err := d.config.Jobs.Append(d.ctx, sh.part, nil, &fence)
+		d.post(func() { d.handleClaimResult(sh, fence.Epoch, end, err) })
 	}()
 }
 
