Let only the newest heartbeat say that a worker was replaced

Callers saw two runs of a task at the same time. An answer of another worker (421) to a start, a stop or a heartbeat ended all runs of the worker, whichever address and process the order was meant for. A stop or start that was sent to the former address ended the runs of the process at the new one; an answer to a heartbeat also ended runs that had started since it was sent, and starts without an answer, which nothing proved.

Such an answer to a start now only refuses that start, and one to a stop leaves the run for the next heartbeat. For the newest heartbeat, which is always for the current address, the rule for lists holds: a run is ended if the outcome of its start was known before the heartbeat was sent. The others stay until their leases have ended.

--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -220,7 +220,13 @@
 		listed[r] = true
 		o.applyRunReport(now, r, entry)
 	}
-	for _, r := range append([]*run(nil), w.runs...) {
+	o.endUnlistedRuns(now, w, listed, "the worker does not list it")
+}
+
+// endUnlistedRuns ends the runs that certainly aren't on the worker when the answer to its newest heartbeat lists only
+// those in listed.
+func (o *Owner) endUnlistedRuns(now Timestamp, w *worker, listed map[*run]bool, cause string) {
+	for _, r := range slices.Clone(w.runs) {
 		if listed[r] || r.phase == runPlanned || r.phase == runWriting || r.phase == runStarting {
 			continue
 		}
@@ -228,7 +234,7 @@
 		// worker. For a run of an earlier owner that is the first heartbeat with this fencing token, because the worker
 		// then refuses older orders.
 		if r.startKnownAt >= 0 && w.heartbeatSentAt > r.startKnownAt {
-			o.recordRunDecision("run_lost", r, "the worker does not list it", now.Steady-r.startSentAt)
+			o.recordRunDecision("run_lost", r, cause, now.Steady-r.startSentAt)
 			o.endRun(now, r, wigeonstep.EndLeaseExpired, r.task.checkpoint)
 		}
 	}
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -75,13 +75,9 @@
 		return
 	}
 	r := w.findRun(sent.Order.Run)
-	switch result.Verdict {
-	case wigeonstep.StartFenced:
+	if result.Verdict == wigeonstep.StartFenced {
 		o.deposed = true
 		return
-	case wigeonstep.StartWorkerReplaced:
-		o.workerReplaced(now, w)
-		return
 	}
 	if r == nil || r.phase != runStarting {
 		return
@@ -113,6 +109,10 @@
 	case wigeonstep.StartUnavailable:
 		w.backoff.until = max(w.backoff.until, now.Steady+unavailablePause)
 		o.recordRunDecision("start_refused", r, "the worker is unhealthy", 0)
+	case wigeonstep.StartWorkerReplaced:
+		// The next heartbeat shows which process answers at the worker's address now.
+		w.backoff.until = max(w.backoff.until, now.Steady+unavailablePause)
+		o.recordRunDecision("start_refused", r, "another worker answers at the address", 0)
 	case wigeonstep.StartTicketInvalid:
 		if a := r.task.step.advice; a != nil {
 			delete(a.tickets, w.ID)
@@ -133,9 +133,11 @@
 	o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
 }
 
-// workerReplaced ends the runs of a worker after another process has answered at its address.
+// workerReplaced handles the answer of another worker to the newest heartbeat: the process that had the address has ended
+// with its runs. Runs whose starts were not answered before the heartbeat was sent stay until their leases have ended.
 func (o *Owner) workerReplaced(now Timestamp, w *worker) {
-	o.markRunsLost(now, w, "another life of the worker answered")
+	o.endUnlistedRuns(now, w, nil, "another worker answers at the address")
+	o.stopUnansweredStarts(w, func(*run) bool { return false })
 	w.forgetProcess(now.Steady)
 	w.failures++
 	w.nextHeartbeatAt = now.Steady + maxHeartbeatRetryDelay
@@ -151,9 +153,6 @@
 		return
 	case w == nil:
 		return
-	case errors.Is(err, wigeonstep.ErrWorkerReplaced):
-		o.workerReplaced(now, w)
-		return
 	}
 	r := w.findRun(sent.Run)
 	if r == nil || r.stopSentAt != sent.SentAt {
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -147,6 +147,58 @@
 	o.assertRunning(first...)
 }
 
+// Guards against the answer of another worker to a heartbeat that ends runs of which it proves nothing: their starts were
+// answered after the heartbeat was sent, or not at all.
+func TestReplacementEndsOnlyProvenRuns(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	before := o.submit("before", 1)
+	o.answerStarts(100_000)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_000, StartedAt: 1, Running: listRunning(before...)})
+	heartbeat := o.takeHeartbeat()
+	after := o.submit("after", 1)
+	o.answerStarts(100_100)
+	unanswered := o.submit("unanswered", 1)
+	o.answerStart(o.starts[0], wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+	o.starts = nil
+	o.HeartbeatAnswered(o.now, heartbeat, wigeonstep.HeartbeatResult{}, wigeonstep.ErrWorkerReplaced)
+	o.assertRunning(after[0], unanswered[0])
+	o.failHeartbeat(wigeonstep.ErrWorkerReplaced)
+	o.assertRunning(unanswered...)
+	until := o.now.Steady + testSettings.Lease + time.Second
+	for o.now.Steady < until {
+		o.failHeartbeat(wigeonstep.ErrWorkerReplaced)
+	}
+	o.assertRunning()
+}
+
+// Guards against answers from the former address of a worker that end the runs of its process at the new one.
+func TestAnswersFromFormerAddressEndNoRun(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	former := o.submit("former", 1)
+	o.answerStarts(100_000)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_000, StartedAt: 1, Running: listRunning(former...)})
+	o.CancelJob(o.now, "former")
+	o.submit("late", 1)
+	lateStart := o.starts[0]
+	o.starts = nil
+	o.c.Assert(o.stops, qt.HasLen, 1)
+	lateStop := o.stops[0]
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1, Running: listRunning(former...)})
+	o.list("w:2", 2)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 300, StartedAt: 2})
+	second := o.submit("second", 1)
+	o.answerStarts(400)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 500, StartedAt: 2, Running: listRunning(second...)})
+
+	o.answerStop(lateStop, wigeonstep.ErrWorkerReplaced)
+	o.answerStart(lateStart, wigeonstep.StartResult{Verdict: wigeonstep.StartWorkerReplaced})
+	var held []wigeonstep.RunID
+	for _, r := range o.workers[onlyWorker].runs {
+		held = append(held, r.id())
+	}
+	o.c.Assert(held, qt.DeepEquals, second)
+}
+
 // Guards against a worker at a new address that gets no heartbeat until that to its former address has failed, and against
 // an answer of the former address that ends the runs at the new one.
 func TestNewAddressGetsHeartbeatAtOnce(t *testing.T) {
