--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -106,7 +106,7 @@
 		o.recordWorkerDecision("row_skipped", w, row)
 	}
 	o.applyEnds(now, w, result.Ended)
-	o.reconcileRuns(now, w, result.Running)
+	o.reconcileRuns(now, w, result)
 	if !w.answered {
 		w.answered = true
 		o.placementDue = true
@@ -207,10 +207,10 @@
 
 // reconcileRuns compares the runs that the worker lists with those that this owner expects there. It stops unexpected runs
 // and ends the expected ones that the worker certainly doesn't have.
-func (o *Owner) reconcileRuns(now Timestamp, w *worker, running []wigeonstep.RunningRun) {
-	listed := make(map[*run]bool, len(running))
+func (o *Owner) reconcileRuns(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
+	listed := make(map[*run]bool, len(result.Running))
 	w.unexpected = 0
-	for _, entry := range running {
+	for _, entry := range result.Running {
 		r := w.findRun(entry.Run)
 		if r == nil {
 			w.unexpected++
@@ -220,7 +220,9 @@
 		listed[r] = true
 		o.applyRunReport(now, r, entry)
 	}
-	o.endUnlistedRuns(now, w, listed, "the worker does not list it")
+	if !result.MoreEnded {
+		o.endUnlistedRuns(now, w, listed, "the worker does not list it")
+	}
 }
 
 // endUnlistedRuns ends the runs that certainly aren't on the worker when the answer to its newest heartbeat lists only
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -257,3 +257,20 @@
 	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 700, StartedAt: 2})
 	o.assertRunning()
 }
+
+// Guards against a run that is given up although its end is reported later, because a worker with more ended runs than it
+// lists at a time lists the run neither as running nor as ended.
+func TestIncompleteListOfEndsProvesNothing(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	first := o.submit("first", 1)
+	o.answerStarts(100_000)
+	other := wigeonstep.RunID{Task: wigeonstep.TaskID{Job: "other"}, Number: 1}
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_000, StartedAt: 1, Running: listRunning(first...)})
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1, Ended: doneRuns(1, other), MoreEnded: true})
+	o.advance(50 * time.Millisecond)
+	o.assertRunning(first...)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_200, StartedAt: 1, Ended: doneRuns(2, first...)})
+	o.advance(50 * time.Millisecond)
+	state, _ := o.JobState("first")
+	o.c.Assert(state, qt.Equals, wigeonjob.StateCompleted)
+}
--- a/worker.go
+++ b/worker.go
@@ -175,6 +175,9 @@
 	StartedAt UnixMillis
 	Running   []RunningRun
 	Ended     []EndedRun
+	// MoreEnded is set when the worker may have more ended runs than Ended holds. A run that is in neither list may be one
+	// of them.
+	MoreEnded bool
 	// UndecodableRows describes the rows of the answer that could not be decoded.
 	UndecodableRows []string
 }
