--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -1,6 +1,7 @@
 package wigeonshard
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -147,6 +148,68 @@
 	o.assertRunning(first...)
 }
 
+// Guards against the answer of another worker to a heartbeat that ends runs of which it proves nothing: their starts were
+// answered after the heartbeat was sent, or not at all.
+func TestReplacementEndsOnlyProvenRuns(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	before := o.submit("before", 1)
+	o.answerStarts(100_000)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_000, StartedAt: 1, Running: listRunning(before...)})
+	heartbeat := o.takeHeartbeat()
+	after := o.submit("after", 1)
+	o.answerStarts(100_100)
+	unanswered := o.submit("unanswered", 1)
+	o.answerStart(o.starts[0], wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+	o.starts = nil
+	o.HeartbeatAnswered(o.now, heartbeat, wigeonstep.HeartbeatResult{}, wigeonstep.ErrWorkerReplaced)
+	o.assertRunning(after[0], unanswered[0])
+	o.failHeartbeat(wigeonstep.ErrWorkerReplaced)
+	o.assertRunning(unanswered...)
+	until := o.now.Steady + testSettings.Lease + time.Second
+	for o.now.Steady < until {
+		o.failHeartbeat(wigeonstep.ErrWorkerReplaced)
+	}
+	o.assertRunning()
+}
+
+// Guards against answers from the former address of a worker that end the runs of its process at the new one. Either the answer
+// to a stop or that to a start arrives when a run has begun there.
+func TestAnswersFromFormerAddressEndNoRun(t *testing.T) {
+	for _, stopIsLate := range []bool{true, false} {
+		o := newAnsweredOwner(t, 1, 100_000)
+		former := o.submit("former", 1)
+		o.answerStarts(100_000)
+		o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_000, StartedAt: 1, Running: listRunning(former...)})
+		o.CancelJob(o.now, "former")
+		o.submit("late", 1)
+		start := o.starts[0]
+		o.starts = nil
+		o.c.Assert(o.stops, qt.HasLen, 1)
+		answers := []func(){
+			func() { o.answerStart(start, wigeonstep.StartResult{Verdict: wigeonstep.StartWorkerReplaced}) },
+			func() { o.answerStop(o.stops[0], wigeonstep.ErrWorkerReplaced) },
+		}
+		if !stopIsLate {
+			slices.Reverse(answers)
+		}
+		o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1, Running: listRunning(former...)})
+		o.list("w:2", 2)
+		o.CancelJob(o.now, "late")
+		answers[0]()
+		o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 300, StartedAt: 2})
+		second := o.submit("second", 1)
+		o.answerStarts(400)
+		o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 500, StartedAt: 2, Running: listRunning(second...)})
+
+		answers[1]()
+		var held []wigeonstep.RunID
+		for _, r := range o.workers[onlyWorker].runs {
+			held = append(held, r.id())
+		}
+		o.c.Assert(held, qt.DeepEquals, second)
+	}
+}
+
 // Guards against a worker at a new address that gets no heartbeat until that to its former address has failed, and against
 // an answer of the former address that ends the runs at the new one.
 func TestNewAddressGetsHeartbeatAtOnce(t *testing.T) {
@@ -205,3 +268,20 @@
 	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 700, StartedAt: 2})
 	o.assertRunning()
 }
+
+// Guards against a run that is given up although its end is reported later, because a worker with more ended runs than it
+// lists at a time lists the run neither as running nor as ended.
+func TestIncompleteListOfEndsProvesNothing(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	first := o.submit("first", 1)
+	o.answerStarts(100_000)
+	other := wigeonstep.RunID{Task: wigeonstep.TaskID{Job: "other"}, Number: 1}
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_000, StartedAt: 1, Running: listRunning(first...)})
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1, Ended: doneRuns(1, other), MoreEnded: true})
+	o.advance(50 * time.Millisecond)
+	o.assertRunning(first...)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_200, StartedAt: 1, Ended: doneRuns(2, first...)})
+	o.advance(50 * time.Millisecond)
+	state, _ := o.JobState("first")
+	o.c.Assert(state, qt.Equals, wigeonjob.StateCompleted)
+}
