Report why a long-running task waits for a worker

A long-running task that was stopped on a cordoned worker, or failed, waited 10 s and more, and no line said whether other workers lacked room, were cordoned, suspect or held enough tasks of its step. The owner now logs task_waiting after a second without a run, with the workers of the service counted by the first reason why they can't run the task.

Most workers of the pool were cordoned for a wave and could not be emptied, because the few others were full.

--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -88,7 +88,7 @@
 		s := &step{Step: &j.Steps[n], job: j, occurrence: occ, number: n, tasksLeft: j.Steps[n].Count}
 		s.tasks = make([]*task, s.Count)
 		for i := range s.tasks {
-			s.tasks[i] = &task{id: wigeonstep.TaskID{Job: j.ID, Occurrence: number, Step: n, Index: i}, step: s}
+			s.tasks[i] = &task{id: wigeonstep.TaskID{Job: j.ID, Occurrence: number, Step: n, Index: i}, step: s, waitingSince: now.Steady}
 		}
 		occ.steps = append(occ.steps, s)
 	}
@@ -199,6 +199,7 @@
 	j := s.job
 	o.detach(r)
 	r.phase = runEnded
+	t.waitingSince = now.Steady
 	if checkpoint != "" {
 		t.checkpoint = checkpoint
 	}
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -82,6 +82,11 @@
 	avoidWorker wigeonstep.WorkerID
 	// retryAt is the earliest time at which the task may be placed again after a failure or refusal.
 	retryAt time.Duration
+	// waitingSince is the time from which the task has had no run: the time at which it was created, or the end of its last
+	// run. It has no meaning while the task has a run.
+	waitingSince time.Duration
+	// nextWaitReportAt is the earliest time of the next report that the task waits.
+	nextWaitReportAt time.Duration
 	// needsCopy is set when a second run of a speculative task should start on another worker.
 	needsCopy bool
 }
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -53,6 +53,7 @@
 		return
 	}
 	slices.SortStableFunc(candidates, compareCandidates)
+	defer o.reportLongWaits(now, candidates)
 	r := round{pool: o.pool(now)}
 	planned := 0
 	for _, c := range candidates {
