Keep room for long-running tasks that move or wait

Cause: a run was stopped as soon as any other worker had room for it at that moment. The same room was counted for every run that was stopped in the round and was kept for none, so finite tasks took it while the runs were stopping. Afterwards the task waited for a piece of room of its size, and smaller finite tasks took each smaller piece first.

Now room on a worker is kept for a task (roomHold) before its run is stopped; free() no longer offers it to others. A long-running task that fits nowhere keeps the room that finite runs are expected to leave first, and so does a run that has to move, within MaxUnavailable of its step and without being stopped until the room is free. A waiting task goes before runs that still run, and both go before finite work. The new run is still planned only after the end of the old one, so no task has two runs.

--- a/wigeonshard/chooseworker.go
+++ b/wigeonshard/chooseworker.go
@@ -34,7 +34,7 @@
 		if !w.free().Covers(reserved) || w.Service != s.job.Service || t.runsOn(w) {
 			continue
 		}
-		if s.MaxPerWorker > 0 && w.countRuns(s) >= s.MaxPerWorker {
+		if s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
 			continue
 		}
 		candidate := s.score(t, w, reserved)
--- a/wigeonshard/demand.go
+++ b/wigeonshard/demand.go
@@ -82,7 +82,7 @@
 			continue
 		}
 		d.Usable = append(d.Usable, w.ID)
-		if len(w.runs) == 0 {
+		if len(w.runs) == 0 && len(w.held.holds) == 0 {
 			d.Idle = append(d.Idle, w.ID)
 		} else if remaining, ends := w.remaining(now.Steady); ends {
 			d.Emptying = append(d.Emptying, Emptying{Worker: w.ID, Remaining: remaining})
@@ -112,18 +112,17 @@
 }
 
 // remaining returns the time until the runs of the worker should have ended by their estimates; ends is false when one
-// of them is long-running.
+// of them is long-running, or room is kept on the worker.
 func (w *worker) remaining(now time.Duration) (longest time.Duration, ends bool) {
+	if len(w.held.holds) > 0 {
+		return 0, false
+	}
 	for _, r := range w.runs {
 		s := r.task.step
 		if s.LongRunning {
 			return 0, false
 		}
-		left := s.Estimate
-		if r.phase == runAccepted {
-			left = max(s.Estimate-(now-r.startSentAt), 0)
-		}
-		longest = max(longest, left)
+		longest = max(longest, r.remaining(now))
 	}
 	return longest, true
 }
@@ -152,13 +151,14 @@
 func (o *Owner) countUnplaceable(s *step) int {
 	n := 0
 	for _, t := range s.tasks {
-		if len(t.runs) == 0 && !o.workerAvailable(s, nil) {
-			n++
+		if len(t.runs) == 0 {
+			if (t.hold == nil || !t.hold.granted) && !o.workerAvailable(s, nil) {
+				n++
+			}
 			continue
 		}
 		for _, r := range t.runs {
-			leaving := r.worker.cordoned != "" || r.worker.Draining
-			if leaving && !r.stopping && !o.otherWorkerAvailable(r) {
+			if r.worker.leaving() && !r.stopping && !o.otherWorkerAvailable(r) {
 				n++
 			}
 		}
--- a/wigeonshard/emptyworkers.go
+++ b/wigeonshard/emptyworkers.go
@@ -16,23 +16,29 @@
 // runs with all workers.
 const emptyInterval = 40 * time.Millisecond
 
-// emptyWorkers releases the cordoned workers that have become idle, and moves runs off draining and cordoned workers.
-func (o *Owner) emptyWorkers(now Timestamp) {
+// releaseWorkers releases the cordoned workers that have become idle.
+func (o *Owner) releaseWorkers() {
 	for _, w := range o.sortedWorkers {
 		if w.cordoned != "" && len(w.runs) == 0 && w.unexpected == 0 && w.answered && !w.released {
 			o.release(w)
 		}
 	}
+}
+
+// moveRuns moves runs off draining and cordoned workers, to workers of the pool.
+func (o *Owner) moveRuns(now Timestamp, pool []*worker) {
 	if now.Steady-o.lastEmptying < emptyInterval {
 		return
 	}
 	o.lastEmptying = now.Steady
 	for _, w := range o.sortedWorkers {
-		switch {
-		case w.cordoned != "":
-			o.emptyCordoned(now, w)
-		case w.Draining:
-			o.emptyDraining(w)
+		if !w.leaving() {
+			continue
+		}
+		for _, r := range w.runs {
+			if !r.stopping && r.phase == runAccepted {
+				o.moveRun(now, r, pool)
+			}
 		}
 	}
 }
@@ -44,24 +50,56 @@
 	o.recordWorkerDecision("worker_released", w, "it is cordoned and has no runs")
 }
 
-// emptyCordoned stops the runs on a cordoned worker that can go on elsewhere.
-func (o *Owner) emptyCordoned(now Timestamp, w *worker) {
-	for _, r := range w.runs {
-		if r.stopping || r.phase != runAccepted {
-			continue
-		}
-		s := r.task.step
-		switch {
-		case s.LongRunning:
-			if s.mayStop(r) && o.otherWorkerAvailable(r) {
-				o.recordRunDecision("run_moved", r, "its worker is cordoned", 0)
-				r.stopping = true
-			}
-		case s.SavesProgress && now.Steady-r.startSentAt > minRunTimeBeforeMove && r.task.checkpoint != "":
-			o.recordRunDecision("run_moved", r, "its worker is cordoned and its progress is saved", 0)
+// moveRun stops a run on a draining or cordoned worker that can go on elsewhere. A long-running run is stopped only when room
+// on another worker is free, which is kept for its task from then on.
+func (o *Owner) moveRun(now Timestamp, r *run, pool []*worker) {
+	cause := "its worker is draining"
+	if r.worker.cordoned != "" {
+		cause = "its worker is cordoned"
+	}
+	s := r.task.step
+	switch {
+	case s.LongRunning:
+		if s.mayStop(r) && o.findRoom(now, r.task, pool) {
+			o.recordRunDecision("run_moved", r, cause+"; room is kept on "+string(r.task.hold.worker.ID), 0)
 			r.stopping = true
 		}
+	case r.worker.cordoned != "" && s.SavesProgress && now.Steady-r.startSentAt > minRunTimeBeforeMove && r.task.checkpoint != "":
+		o.recordRunDecision("run_moved", r, cause+" and its progress is saved", 0)
+		r.stopping = true
+	}
+}
+
+// findRoom keeps room for a task that has to leave its worker, and reports whether the room is free. When no worker has
+// enough, the room is kept where finite runs are expected to leave it first.
+func (o *Owner) findRoom(now Timestamp, t *task, pool []*worker) bool {
+	if t.hold != nil && t.hold.roomFree() {
+		t.hold.granted = true
+		return true
+	}
+	s := t.step
+	pool = o.eligibleWorkers(now, s, pool)
+	if w := s.chooseWorker(t, pool, s.Reserved()); w != nil {
+		o.holdRoom(t, w, true)
+		return true
+	}
+	if t.hold == nil && s.pendingMoves() < max(s.MaxUnavailable, 1) {
+		if w := s.soonestWorker(now.Steady, t, pool); w != nil {
+			o.holdRoom(t, w, false)
+		}
+	}
+	return false
+}
+
+// pendingMoves counts the tasks of the step for which room is kept although they still run.
+func (s *step) pendingMoves() int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.hold != nil && t.hold.movesLater() {
+			n++
+		}
 	}
+	return n
 }
 
 const (
@@ -94,17 +132,6 @@
 	}
 }
 
-// emptyDraining stops long-running tasks that can run on another worker, while the draining worker is still up.
-func (o *Owner) emptyDraining(w *worker) {
-	for _, r := range w.runs {
-		s := r.task.step
-		if s.LongRunning && !r.stopping && r.phase == runAccepted && s.mayStop(r) && o.otherWorkerAvailable(r) {
-			o.recordRunDecision("run_moved", r, "its worker is draining", 0)
-			r.stopping = true
-		}
-	}
-}
-
 // mayStop reports whether the run can be stopped without exceeding the MaxUnavailable of its step, which counts as 1 when
 // it is 0.
 func (s *step) mayStop(stopped *run) bool {
@@ -139,7 +166,7 @@
 		if s.RequiredLabel != "" && !w.hasLabel(s.RequiredLabel) {
 			continue
 		}
-		if s.MaxPerWorker == 0 || w.countRuns(s) < s.MaxPerWorker {
+		if s.MaxPerWorker == 0 || w.countTasks(s) < s.MaxPerWorker {
 			return true
 		}
 	}
--- /dev/null
+++ b/wigeonshard/holdroom.go
@@ -0,0 +1,217 @@
+package wigeonshard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+// roomHold is room on a worker that is kept for one task, so that no other task takes it. A long-running task has one while
+// it waits for smaller finite runs to end there, and any task that is moved has one while its old run is being stopped.
+type roomHold struct {
+	task   *task
+	worker *worker
+	// granted is set once the room is free. The granted holds and the runs on a worker never exceed its capacity together;
+	// other holds may, until finite runs have ended.
+	granted bool
+}
+
+// heldRoom holds the room that is kept on a worker. The zero value keeps none.
+type heldRoom struct {
+	holds []*roomHold
+	// total is the sum of the room of all holds.
+	total wigeonstep.Resources
+}
+
+func (h *heldRoom) add(hold *roomHold) {
+	h.holds = append(h.holds, hold)
+	h.total = h.total.Add(hold.task.step.Reserved())
+}
+
+func (h *heldRoom) remove(hold *roomHold) {
+	i := slices.Index(h.holds, hold)
+	h.holds = slices.Delete(h.holds, i, i+1)
+	h.total = h.total.Sub(hold.task.step.Reserved())
+}
+
+// count returns the number of holds for tasks of the step.
+func (h *heldRoom) count(s *step) int {
+	n := 0
+	for _, hold := range h.holds {
+		if hold.task.step == s {
+			n++
+		}
+	}
+	return n
+}
+
+// holdRoom keeps room on the worker for the task, in place of an earlier hold of the task.
+func (o *Owner) holdRoom(t *task, w *worker, granted bool) {
+	dropHold(t)
+	t.hold = &roomHold{task: t, worker: w, granted: granted}
+	w.held.add(t.hold)
+}
+
+// dropHold gives up the room that is kept for the task, if any.
+func dropHold(t *task) {
+	if t.hold == nil {
+		return
+	}
+	t.hold.worker.held.remove(t.hold)
+	t.hold = nil
+}
+
+// roomFree reports whether the room of the hold is free, besides the room that was granted to other tasks.
+func (h *roomHold) roomFree() bool {
+	free := h.worker.Capacity.Sub(h.worker.used)
+	for _, other := range h.worker.held.holds {
+		if other != h && other.granted {
+			free = free.Sub(other.task.step.Reserved())
+		}
+	}
+	return free.Covers(h.task.step.Reserved())
+}
+
+// needed reports whether the task still waits or has to leave its worker, and the worker of the hold accepts new runs.
+func (h *roomHold) needed() bool {
+	if !h.worker.usable() || h.task.done || h.task.step.job.state.Terminal() {
+		return false
+	}
+	return !slices.ContainsFunc(h.task.runs, func(r *run) bool { return !r.stopping && !r.worker.leaving() })
+}
+
+// movesLater reports whether the hold is for a run that has not been stopped yet.
+func (h *roomHold) movesLater() bool {
+	return !h.granted && len(h.task.runs) > 0
+}
+
+// dropUnneededHolds gives up the holds that are not needed any more. A long-running task that waits goes before those that
+// still run: it gets the room that is kept in its service for runs that are not stopped yet.
+func (o *Owner) dropUnneededHolds(waiting map[wigeonstep.ServiceName]bool) {
+	for _, w := range o.sortedWorkers {
+		for _, h := range slices.Clone(w.held.holds) {
+			if !h.needed() || h.movesLater() && waiting[w.Service] {
+				dropHold(h.task)
+			}
+		}
+	}
+}
+
+// servicesWithWaitingTasks returns the services with a long-running task that has neither a run nor room kept for it.
+func servicesWithWaitingTasks(now Timestamp, longRunning []candidate) map[wigeonstep.ServiceName]bool {
+	services := map[wigeonstep.ServiceName]bool{}
+	for _, c := range longRunning {
+		if c.step.hasTaskWithoutRoom(now.Steady) {
+			services[c.step.job.Service] = true
+		}
+	}
+	return services
+}
+
+func (s *step) hasTaskWithoutRoom(now time.Duration) bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.needsRoom(now) })
+}
+
+// needsRoom reports whether the task can be placed now and no room is kept for it.
+func (t *task) needsRoom(now time.Duration) bool {
+	return !t.done && len(t.runs) == 0 && t.hold == nil && now >= t.retryAt
+}
+
+// placeHeldTasks plans runs for the waiting tasks of a step whose kept room is free, and returns their number.
+func (o *Owner) placeHeldTasks(now Timestamp, s *step, pool []*worker) int {
+	planned := 0
+	for _, t := range s.tasks {
+		if t.hold == nil || !t.needsRun() || now.Steady < t.retryAt {
+			continue
+		}
+		if w := t.hold.worker; slices.Contains(pool, w) && t.hold.roomFree() {
+			o.planRun(t, w, t.lastRun+1)
+			planned++
+		}
+	}
+	return planned
+}
+
+// holdForWaitingTasks keeps room for the long-running tasks that fit on no worker now, each on the worker where finite runs
+// are expected to leave enough room first. Without it smaller finite tasks take each piece of room that becomes free.
+func (o *Owner) holdForWaitingTasks(now Timestamp, longRunning []candidate, pool []*worker) {
+	for _, c := range longRunning {
+		s := c.step
+		if s.Gang || !s.hasTaskWithoutRoom(now.Steady) {
+			continue
+		}
+		eligible := o.eligibleWorkers(now, s, pool)
+		for _, t := range s.tasks {
+			if !t.needsRoom(now.Steady) {
+				continue
+			}
+			w := s.soonestWorker(now.Steady, t, eligible)
+			if w == nil {
+				break
+			}
+			o.holdRoom(t, w, false)
+		}
+	}
+}
+
+// soonestWorker returns the worker of the pool on which finite runs are expected to leave room for the task first, or nil
+// when the long-running runs and the kept room leave too little on each.
+func (s *step) soonestWorker(now time.Duration, t *task, pool []*worker) *worker {
+	var best *worker
+	var bestWait time.Duration
+	for _, w := range pool {
+		if w.Service != s.job.Service || t.runsOn(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
+			continue
+		}
+		wait, ok := w.timeUntilRoom(now, s.Reserved())
+		if ok && (best == nil || wait < bestWait) {
+			best, bestWait = w, wait
+		}
+	}
+	return best
+}
+
+// timeUntilRoom returns the expected time until enough finite runs have ended for a request; ok is false when the room
+// would not suffice even then.
+func (w *worker) timeUntilRoom(now time.Duration, request wigeonstep.Resources) (wait time.Duration, ok bool) {
+	free := w.free()
+	if free.Covers(request) {
+		return 0, true
+	}
+	var finite []*run
+	atMost := free
+	for _, r := range w.runs {
+		if !r.task.step.LongRunning || r.stopping {
+			atMost = atMost.Add(r.task.step.Reserved())
+		}
+	}
+	if !atMost.Covers(request) {
+		return 0, false
+	}
+	for _, r := range w.runs {
+		if !r.task.step.LongRunning || r.stopping {
+			finite = append(finite, r)
+		}
+	}
+	slices.SortStableFunc(finite, func(a, b *run) int { return cmp.Compare(a.remaining(now), b.remaining(now)) })
+	for _, r := range finite {
+		free = free.Add(r.task.step.Reserved())
+		if free.Covers(request) {
+			return r.remaining(now), true
+		}
+	}
+	return 0, false
+}
+
+// remaining returns the time until the end of a finite or stopping run by its estimate.
+func (r *run) remaining(now time.Duration) time.Duration {
+	switch {
+	case r.stopping:
+		return 0
+	case r.phase == runAccepted:
+		return max(r.task.step.Estimate-(now-r.startSentAt), 0)
+	}
+	return r.task.step.Estimate
+}
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -75,6 +75,8 @@
 	checkpoint wigeonstep.Checkpoint
 	// runs holds the planned runs and those whose end is not known.
 	runs []*run
+	// hold is the room that is kept for the task; nil when there is none, and while the task has a run that stays.
+	hold *roomHold
 	// lostRuns holds the newest runs that were given up without a known end, at most maxLostRuns.
 	lostRuns []wigeonstep.RunNumber
 	// avoidWorker is the worker on which the task last failed, stalled or was slow; it is chosen only when no other worker
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -269,7 +269,7 @@
 	if !o.deposed {
 		o.createAllDueOccurrences(now)
 		o.expireLeases(now)
-		o.emptyWorkers(now)
+		o.releaseWorkers()
 		o.removeOldReleases(now)
 		o.placeTasks(now)
 		o.sendRunOrders(now)
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -49,19 +49,29 @@
 	}
 	o.lastPlacement, o.placementDue = now.Steady, false
 	candidates := o.candidates(now)
-	if len(candidates) == 0 {
-		return
-	}
 	slices.SortStableFunc(candidates, compareCandidates)
-	defer o.reportLongWaits(now, candidates)
+	first := slices.IndexFunc(candidates, func(c candidate) bool { return c.urgency != urgencyLongRunning })
+	if first < 0 {
+		first = len(candidates)
+	}
+	longRunning, finite := candidates[:first], candidates[first:]
+	o.dropUnneededHolds(servicesWithWaitingTasks(now, longRunning))
 	r := round{pool: o.pool(now)}
-	planned := 0
+	o.placeSteps(now, longRunning, &r)
+	o.holdForWaitingTasks(now, longRunning, r.pool)
+	o.moveRuns(now, r.pool)
+	o.placeSteps(now, finite, &r)
+	o.reportLongWaits(now, longRunning)
+}
+
+// placeSteps plans runs for the waiting tasks of the candidates, in their order.
+func (o *Owner) placeSteps(now Timestamp, candidates []candidate, r *round) {
 	for _, c := range candidates {
-		if planned >= maxPlannedPerRound || len(r.pool) == 0 {
+		if r.planned >= maxPlannedPerRound || len(r.pool) == 0 {
 			o.placementDue = true
 			return
 		}
-		planned += o.placeStep(now, c.step, &r)
+		r.planned += o.placeStep(now, c.step, r)
 	}
 }
 
@@ -76,6 +86,8 @@
 type round struct {
 	// pool holds the workers that accept new runs.
 	pool []*worker
+	// planned counts the runs that were planned in the round.
+	planned int
 	// unplaceable holds requests for which no worker of a service has room; requests for as much or more are not tried.
 	unplaceable []unplaceableRequest
 }
@@ -212,8 +224,9 @@
 // placeStep plans runs for the waiting tasks of a step and returns their number.
 func (o *Owner) placeStep(now Timestamp, s *step, r *round) int {
 	reserved := s.Reserved()
+	held := o.placeHeldTasks(now, s, r.pool)
 	if r.cannotFit(s.job.Service, reserved) {
-		return 0
+		return held
 	}
 	pool := o.eligibleWorkers(now, s, r.pool)
 	if s.SameRack && s.liveRuns == 0 {
@@ -222,7 +235,7 @@
 	if s.Gang {
 		return o.placeGang(s, pool)
 	}
-	planned := 0
+	planned := held
 	for _, t := range s.tasks {
 		if !t.needsRun() || now.Steady < t.retryAt {
 			continue
@@ -277,6 +290,7 @@
 
 // reserveRun adds a run that occupies room on the worker; detach releases the room again.
 func (o *Owner) reserveRun(t *task, w *worker, number wigeonstep.RunNumber) *run {
+	dropHold(t)
 	r := &run{task: t, number: number, worker: w, startKnownAt: -1, speed: fullSpeed, sentSpeed: fullSpeed}
 	o.attach(r)
 	return r
--- a/wigeonshard/waiting.go
+++ b/wigeonshard/waiting.go
@@ -14,12 +14,9 @@
 	longWaitReportInterval = 3 * time.Second
 )
 
-// reportLongWaits records why the long-running tasks of the candidates have no run, once they have waited for longWait.
-func (o *Owner) reportLongWaits(now Timestamp, candidates []candidate) {
-	for _, c := range candidates {
-		if !c.step.LongRunning {
-			continue
-		}
+// reportLongWaits records why the tasks of long-running candidates have no run, once they have waited for longWait.
+func (o *Owner) reportLongWaits(now Timestamp, longRunning []candidate) {
+	for _, c := range longRunning {
 		for _, t := range c.step.tasks {
 			if len(t.runs) == 0 && now.Steady-t.waitingSince >= longWait && now.Steady >= t.nextWaitReportAt {
 				o.reportLongWait(now, t)
@@ -58,7 +55,7 @@
 			p.unlabelled++
 		case !w.free().Covers(s.Reserved()):
 			p.full++
-		case s.MaxPerWorker > 0 && w.countRuns(s) >= s.MaxPerWorker:
+		case s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker:
 			p.saturated++
 		case w.backoff.active(now.Steady):
 			p.suspect++
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -38,6 +38,7 @@
 
 	runs []*run
 	used wigeonstep.Resources
+	held heldRoom
 	// bestEffort counts the best-effort runs.
 	bestEffort int
 	// speedChangedAt is the time at which the speed of the best-effort runs last changed.
@@ -113,8 +114,14 @@
 	return slices.Contains(w.Labels, label)
 }
 
+// free returns the capacity that is neither used by runs nor kept for tasks.
 func (w *worker) free() wigeonstep.Resources {
-	return w.Capacity.Sub(w.used)
+	return w.Capacity.Sub(w.used).Sub(w.held.total)
+}
+
+// leaving reports whether the worker has to be emptied.
+func (w *worker) leaving() bool {
+	return w.cordoned != "" || w.Draining
 }
 
 // usable reports whether new runs may be placed on the worker.
@@ -152,6 +159,11 @@
 	return nil
 }
 
+// countTasks returns the number of runs on the worker, and of holds, for tasks of the step of one occurrence.
+func (w *worker) countTasks(s *step) int {
+	return w.countRuns(s) + w.held.count(s)
+}
+
 // countRuns returns the number of runs on the worker that belong to the step of one occurrence.
 func (w *worker) countRuns(s *step) int {
 	n := 0
