--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -75,6 +75,8 @@
 	checkpoint wigeonstep.Checkpoint
 	// runs holds the planned runs and those whose end is not known.
 	runs []*run
+	// hold is the room that is kept for the task; nil when there is none, and while the task has a run that stays.
+	hold *roomHold
 	// lostRuns holds the newest runs that were given up without a known end, at most maxLostRuns.
 	lostRuns []wigeonstep.RunNumber
 	// avoidWorker is the worker on which the task last failed, stalled or was slow; it is chosen only when no other worker
@@ -82,6 +84,11 @@
 	avoidWorker wigeonstep.WorkerID
 	// retryAt is the earliest time at which the task may be placed again after a failure or refusal.
 	retryAt time.Duration
+	// waitingSince is the time from which the task has had no run: the time at which it was created, or the end of its last
+	// run. It has no meaning while the task has a run.
+	waitingSince time.Duration
+	// nextWaitReportAt is the earliest time of the next report that the task waits.
+	nextWaitReportAt time.Duration
 	// needsCopy is set when a second run of a speculative task should start on another worker.
 	needsCopy bool
 }
