Remember for each VM which waves are done

Cause: the log holds one maintenance order for each VM.

Evidence: TestWavesWithSharedVMsAreCompleted failed before (neither wave was completed).

An order now names the other waves that are done for its VM (new field 4 of UpkeepRecord, which older processes ignore). Besides, no order is made for a VM that the list shows with the worker from before another wave's maintenance: that worker is released, so the VM would go down without draining the new one (TestNextWaveWaitsForTheNewWorker failed before).

--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -1,6 +1,10 @@
 package wigeonjob
 
-import "github.com/wigeonstep/wigeonstep"
+import (
+	"slices"
+
+	"github.com/wigeonstep/wigeonstep"
+)
 
 // State is the state of a job. wigeonreplica.JobEntry.State adds cancellations that the owner has not recorded yet.
 //
@@ -94,6 +98,13 @@
 	// Worker is the worker on the VM, which has to be drained first; empty when the VM is off.
 	Worker wigeonstep.WorkerID
 	Phase  OrderPhase
+	// DoneWaves lists the other waves whose maintenance of the VM was confirmed. The log holds one order for each VM.
+	DoneWaves []int
+}
+
+// DoneFor reports whether the maintenance of the VM for a wave was confirmed.
+func (o MaintenanceOrder) DoneFor(wave int) bool {
+	return o.Wave == wave && o.Phase == OrderDone || slices.Contains(o.DoneWaves, wave)
 }
 
 // MoveOrder is an order of the fleet shard's owner to move a VM from the pool From to the pool Pool.
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -206,7 +206,11 @@
 
 // EncodeMaintenance returns the record of a maintenance order.
 func EncodeMaintenance(o MaintenanceOrder) ([]byte, error) {
-	return encode(&wigeonwire.UpkeepRecord{Wave: uint32(o.Wave), Worker: string(o.Worker), Phase: wigeonwire.UpkeepRecord_Phase(o.Phase)})
+	r := &wigeonwire.UpkeepRecord{Wave: uint32(o.Wave), Worker: string(o.Worker), Phase: wigeonwire.UpkeepRecord_Phase(o.Phase)}
+	for _, wave := range o.DoneWaves {
+		r.DoneWaves = append(r.DoneWaves, uint32(wave))
+	}
+	return encode(r)
 }
 
 // DecodeMaintenance decodes the record of the maintenance order for a VM.
@@ -215,7 +219,11 @@
 	if err := proto.Unmarshal(value, &r); err != nil {
 		return MaintenanceOrder{}, fmt.Errorf("decode record of the maintenance order for VM %s: %w", vm, err)
 	}
-	return MaintenanceOrder{VM: vm, Wave: int(r.GetWave()), Worker: wigeonstep.WorkerID(r.GetWorker()), Phase: OrderPhase(r.GetPhase())}, nil
+	o := MaintenanceOrder{VM: vm, Wave: int(r.GetWave()), Worker: wigeonstep.WorkerID(r.GetWorker()), Phase: OrderPhase(r.GetPhase())}
+	for _, wave := range r.GetDoneWaves() {
+		o.DoneWaves = append(o.DoneWaves, int(wave))
+	}
+	return o, nil
 }
 
 // EncodeMove returns the record of a move order.
--- a/wigeonwave/plan.go
+++ b/wigeonwave/plan.go
@@ -87,9 +87,8 @@
 	for _, id := range wave.VMs {
 		vm, present := fleet.VMs[id]
 		order, ordered := fleet.Orders[id]
-		if ordered && order.Wave != wave.Number && order.Phase != wigeonjob.OrderDone {
-			// The order of another wave for the same VM has to be done first.
-			remaining++
+		if order.Wave != wave.Number && order.DoneFor(wave.Number) {
+			begun++
 			continue
 		}
 		if !ordered || order.Wave != wave.Number {
@@ -97,8 +96,8 @@
 				continue
 			}
 			remaining++
-			if vm.State == wigeonstep.VMUp && !fleet.HasOpenMove(id) {
-				newOrders = append(newOrders, wigeonjob.MaintenanceOrder{VM: id, Wave: wave.Number, Worker: vm.Worker})
+			if order.Phase == wigeonjob.OrderDone || !ordered {
+				newOrders = appendNewOrder(newOrders, fleet, wave, vm)
 			}
 			continue
 		}
@@ -155,6 +154,24 @@
 	}
 }
 
+// appendNewOrder appends an order of the wave for a VM that has no order, or whose order is done for another wave. It appends
+// none while the VM is not up, has an open move, or is still listed with the worker from before the other wave's maintenance:
+// that worker is drained, but the new one is not.
+func appendNewOrder(orders []wigeonjob.MaintenanceOrder, fleet Fleet, wave wigeonstep.Wave, vm wigeonstep.PooledVM) []wigeonjob.MaintenanceOrder {
+	previous, ordered := fleet.Orders[vm.ID]
+	outdated := ordered && vm.Worker == previous.Worker && vm.Worker != ""
+	if vm.State != wigeonstep.VMUp || fleet.HasOpenMove(vm.ID) || outdated {
+		return orders
+	}
+	order := wigeonjob.MaintenanceOrder{VM: vm.ID, Wave: wave.Number, Worker: vm.Worker}
+	for _, other := range fleet.Waves {
+		if other.Number != wave.Number && previous.DoneFor(other.Number) {
+			order.DoneWaves = append(order.DoneWaves, other.Number)
+		}
+	}
+	return append(orders, order)
+}
+
 // cordonLimit returns the number of VMs of a wave that may be cordoned and not yet ordered down. begun is the number of VMs
 // whose maintenance has been ordered. A cordoned VM is lost to its pool while it drains, so no more are cordoned than the
 // period requires, unless the wave is behind.
--- a/wigeonwave/plan_test.go
+++ b/wigeonwave/plan_test.go
@@ -32,6 +32,8 @@
 	// not yet drained.
 	peakDown, peakDraining int
 	completed              bool
+	// maintenances counts the times that maintenance began on any VM.
+	maintenances int
 	// answerLost reports whether the answer to a call for the VM is lost although its maintenance begins.
 	answerLost func(vm wigeonstep.VMID) bool
 }
@@ -87,6 +89,7 @@
 			vm.State = wigeonstep.VMMaintenance
 			m.fleet.VMs[order.VM] = vm
 			m.maintenanceEnd[order.VM] = m.now + testMaintenance
+			m.maintenances++
 		}
 		if m.answerLost(order.VM) {
 			m.planner.RecordCallResult(m.now, order.VM, false)
@@ -104,7 +107,7 @@
 		}
 	}
 	m.peakDraining = max(m.peakDraining, draining)
-	m.completed = m.completed || len(plan.Completed) > 0
+	m.completed = m.completed || len(plan.Completed) == len(m.fleet.Waves)
 }
 
 // Guards against a wave that takes down more VMs at once than its limit, or is reported as completed too early.
@@ -163,6 +166,35 @@
 	c.Assert(m.completed, qt.IsTrue)
 }
 
+// Guards against two waves with the same VMs that are never completed, and that keep all workers cordoned: the order of each
+// wave replaced the record that the other one was done.
+func TestWavesWithSharedVMsAreCompleted(t *testing.T) {
+	c := qt.New(t)
+	m := newWaveModel(10, 3)
+	second := m.wave
+	second.Number = 3
+	m.fleet.Waves = append(m.fleet.Waves, second)
+	for range 800 {
+		m.step()
+	}
+	c.Assert(m.completed, qt.IsTrue)
+	c.Assert(m.maintenances, qt.Equals, 2*len(m.wave.VMs))
+	c.Assert(m.peakDown <= 2*m.wave.MaxDown, qt.IsTrue)
+}
+
+// Guards against maintenance that ends tasks: after the maintenance of one wave the VM list may still show the former worker,
+// which is drained, so that the next wave would take the VM down without draining the new one.
+func TestNextWaveWaitsForTheNewWorker(t *testing.T) {
+	c := qt.New(t)
+	var p Planner
+	fleet := newWaveModel(1, 1).fleet
+	fleet.Released = func(wigeonstep.WorkerID) bool { return true }
+	fleet.Orders["vm00"] = wigeonjob.MaintenanceOrder{VM: "vm00", Wave: 3, Worker: "w1", Phase: wigeonjob.OrderDone}
+	c.Assert(p.Plan(time.Hour, fleet).Orders, qt.HasLen, 0)
+	fleet.VMs["vm00"] = wigeonstep.PooledVM{ID: "vm00", Pool: "bake", State: wigeonstep.VMUp, Worker: "w2"}
+	c.Assert(p.Plan(time.Hour, fleet).Orders, qt.HasLen, 1)
+}
+
 // Guards against a call that is repeated after the platform has confirmed it, while the log still holds the order as issued.
 func TestConfirmedMaintenanceIsNotCalledAgain(t *testing.T) {
 	c := qt.New(t)
