--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -87,7 +87,7 @@
 
 const testService = wigeonstep.ServiceName("bake")
 
-var testSettings = Settings{Lease: 5 * time.Second, HeartbeatWait: 1500 * time.Millisecond, HeartbeatPause: 20 * time.Millisecond, ConfirmLimit: 6 * time.Second}
+var testSettings = Settings{Lease: 5 * time.Second, MaxLease: 10 * time.Second, HeartbeatWait: 1500 * time.Millisecond, HeartbeatPause: 20 * time.Millisecond, ConfirmLimit: 6 * time.Second}
 
 func newClusterModel(t *testing.T, seed uint64, workers int) *clusterModel {
 	t.Helper()
@@ -215,22 +215,22 @@
 			if !ok {
 				result = wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown}
 			}
-			o.StartAnswered(m.eventTime(), s.Worker.ID, s.Order.Run, result)
+			o.StartAnswered(m.eventTime(), s, result)
 		})
 	}
 	for _, s := range a.Stops {
 		m.callWorker(o, s.Worker.ID, func(f *fakeWorker) any { return f.stop(m, s.Run, o.epoch) }, func(answer any) {
 			err, _ := answer.(error)
-			o.StopAnswered(m.eventTime(), s.Worker.ID, s.Run, err)
+			o.StopAnswered(m.eventTime(), s, err)
 		})
 	}
 	for _, h := range a.Heartbeats {
 		m.callWorker(o, h.Worker.ID, func(f *fakeWorker) any { return f.heartbeat(m, h.Request) }, func(answer any) {
 			switch answer := answer.(type) {
 			case wigeonstep.HeartbeatResult:
-				o.HeartbeatAnswered(m.eventTime(), h.Worker.ID, answer, nil)
+				o.HeartbeatAnswered(m.eventTime(), h, answer, nil)
 			case error:
-				o.HeartbeatAnswered(m.eventTime(), h.Worker.ID, wigeonstep.HeartbeatResult{}, answer)
+				o.HeartbeatAnswered(m.eventTime(), h, wigeonstep.HeartbeatResult{}, answer)
 			}
 		})
 	}
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -9,28 +9,23 @@
 )
 
 // sendHeartbeats sends a heartbeat to every worker whose next heartbeat is due. A heartbeat asks for the runs of the
-// worker and renews its lease where that is safe. None is sent while the ownership is unconfirmed.
+// worker, acknowledges its durable ends and renews its lease where that is safe. None is sent while the ownership is
+// unconfirmed.
 func (o *Owner) sendHeartbeats(now Timestamp) {
 	if !o.ownershipConfirmed(now) {
 		return
 	}
 	for _, w := range o.sortedWorkers {
-		if w.heartbeatPending || now.Steady < w.nextHeartbeatAt || w.Address == "" {
+		if w.pendingHeartbeat != 0 || now.Steady < w.nextHeartbeatAt || w.Address == "" || w.awaitsDurableEnds(now.Steady) {
 			continue
 		}
-		// A heartbeat acknowledges durable ends only, so it waits until the reported ones are durable, at most maxRenewalPause.
-		hasUndurableEnds := w.lastEnd > w.durableEnd
-		if hasUndurableEnds && now.Steady-w.renewedAt < maxRenewalPause {
-			continue
-		}
-		request := wigeonstep.HeartbeatRequest{Fence: o.fence, AckedEnd: w.durableEnd, Wait: o.heartbeatWaitFor(now, w)}
-		if hasUndurableEnds || !w.answered || w.failures > 0 {
-			request.Wait = 0
+		request := wigeonstep.HeartbeatRequest{Fence: o.fence}
+		if w.mayAcknowledge(now.Steady) {
+			request.AckedEnd = w.durableEnd
 		}
-		if w.failures > 0 {
-			// A restarted worker numbers its ends from the start again; the number of the earlier process would make
-			// it drop ends that were never read.
-			request.AckedEnd = 0
+		askOnly := w.durableEnd > w.ackedEnd && request.AckedEnd == 0
+		if w.lastEnd == w.durableEnd && w.answered && w.failures == 0 && !askOnly {
+			request.Wait = o.heartbeatWaitFor(now, w)
 		}
 		// The lease of a worker that does not answer is not renewed: the worker may receive the heartbeat although its
 		// answers are lost, and its lease has to end before its tasks can start elsewhere. The lease of a worker whose
@@ -39,23 +34,38 @@
 		if w.clock != 0 && w.failures == 0 && o.ownerRecordDurable && !w.lapseRecorded {
 			request.LeaseEnd = w.grantLease(now.Steady, o.settings.Lease)
 		}
-		w.heartbeatPending, w.heartbeatSentAt, w.renewedAt = true, now.Steady, now.Steady
-		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{Worker: w.ref(), Request: request})
+		o.heartbeatCount++
+		w.pendingHeartbeat, w.heartbeatSentAt, w.renewedAt = o.heartbeatCount, now.Steady, now.Steady
+		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{Worker: w.ref(), Number: o.heartbeatCount, Request: request})
 	}
 }
 
+// awaitsDurableEnds reports whether the next heartbeat should wait until the reported ends are durable, so that it can
+// acknowledge them. It waits at most maxRenewalPause, and not while earlier ends can be acknowledged.
+func (w *worker) awaitsDurableEnds(now time.Duration) bool {
+	return w.lastEnd > w.durableEnd && now-w.renewedAt < maxRenewalPause && !w.mayAcknowledge(now)
+}
+
+// mayAcknowledge reports whether there are durable ends to acknowledge, and the process that numbered them was up within
+// maxAckAge. One that has restarted since numbers its ends from the start again: the number would make it forget its own,
+// perhaps also those to come. A process that was last seen earlier is first asked for its start time, with a heartbeat that
+// acknowledges nothing; ends that it has forgotten before stay forgotten.
+func (w *worker) mayAcknowledge(now time.Duration) bool {
+	return w.durableEnd > w.ackedEnd && w.failures == 0 && now-w.seenAt < maxAckAge
+}
+
 // HeartbeatAnswered applies the answer to a heartbeat, or the error of the call: it records ended runs, reconciles the
-// running ones and schedules the next heartbeat.
-func (o *Owner) HeartbeatAnswered(now Timestamp, id wigeonstep.WorkerID, result wigeonstep.HeartbeatResult, err error) {
-	w := o.workers[id]
+// running ones and schedules the next heartbeat. It ignores answers to all but the newest heartbeat of a worker.
+func (o *Owner) HeartbeatAnswered(now Timestamp, sent Heartbeat, result wigeonstep.HeartbeatResult, err error) {
+	w := o.workers[sent.Worker.ID]
 	if errors.Is(err, wigeonstep.ErrFenced) {
 		o.deposed = true
 		return
 	}
-	if w == nil || !w.heartbeatPending {
+	if w == nil || w.pendingHeartbeat != sent.Number {
 		return
 	}
-	w.heartbeatPending = false
+	w.pendingHeartbeat = 0
 	switch {
 	case errors.Is(err, wigeonstep.ErrWorkerReplaced):
 		o.workerReplaced(now, w)
@@ -78,17 +88,20 @@
 		w.nextHeartbeatAt = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHeartbeatRetryDelay)
 		return
 	}
-	if result.StartedAt != 0 && w.StartedAt != 0 && result.StartedAt != w.StartedAt {
-		o.workerRestarted(now, w, func(r *run) bool { return listsRun(result, r.id()) })
+	w.ackedEnd = max(w.ackedEnd, sent.Request.AckedEnd)
+	if w.processStartedAt != 0 && result.StartedAt != 0 && result.StartedAt != w.processStartedAt {
+		o.workerRestarted(now, w, result)
+	}
+	if result.StartedAt != 0 {
+		w.processStartedAt = result.StartedAt
 	}
-	w.StartedAt = result.StartedAt
 	if w.failures > 0 && w.answered {
 		o.recordWorkerDecision("worker_regained", w, "it answers again")
 	}
 	w.failures = 0
 	w.leasesEndWall = 0
 	o.ownerRecordOutdated = o.ownerRecordOutdated || w.lapseRecorded
-	w.recordClock(result.Clock, now.Steady)
+	w.recordAnswer(result.Clock, w.heartbeatSentAt, now.Steady)
 	for _, row := range result.UndecodableRows {
 		o.recordWorkerDecision("row_skipped", w, row)
 	}
@@ -201,14 +214,14 @@
 		r := w.findRun(entry.Run)
 		if r == nil {
 			w.unexpected++
-			o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: entry.Run})
+			o.stopUnexpected(w, entry.Run)
 			continue
 		}
 		listed[r] = true
 		o.applyRunReport(now, r, entry)
 	}
 	for _, r := range append([]*run(nil), w.runs...) {
-		if listed[r] || r.phase == runPlanned || r.phase == runWriting || r.phase == runStarting {
+		if listed[r] || r.unsent() || r.phase == runStarting {
 			continue
 		}
 		// Only a heartbeat that was sent after the outcome of the start was known proves that the run is not on the
@@ -280,16 +293,17 @@
 }
 
 // ThrottleAnswered applies the answer to a throttle; one that failed is sent again.
-func (o *Owner) ThrottleAnswered(worker wigeonstep.WorkerID, id wigeonstep.RunID, err error) {
-	if errors.Is(err, wigeonstep.ErrFenced) {
-		o.deposed = true
+func (o *Owner) ThrottleAnswered(sent Throttle, err error) {
+	w := o.workers[sent.Worker.ID]
+	if w == nil {
 		return
 	}
-	w := o.workers[worker]
-	if w == nil || err == nil {
+	w.ordersInFlight--
+	if errors.Is(err, wigeonstep.ErrFenced) {
+		o.deposed = true
 		return
 	}
-	if r := w.findRun(id); r != nil {
+	if r := w.findRun(sent.Run); r != nil && err != nil {
 		r.sentSpeed = -1
 	}
 }
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -19,16 +19,9 @@
 	wigeonstep.ListedWorker
 	// listed is set while the worker is in the list of SetWorkers.
 	listed bool
-	// answered is set once the current process of the worker has answered a heartbeat with this owner's fencing token;
-	// from then on it refuses orders of earlier owners.
-	answered bool
-	// clock is the newest reading of the worker's clock, which arrived at clockAt.
-	clock   wigeonstep.WorkerMillis
-	clockAt time.Duration
-	// leaseEnd is the latest end of any lease that this owner granted, or that an earlier owner may have granted, by the
-	// worker's clock.
-	leaseEnd wigeonstep.WorkerMillis
-	// inheritedRunsEnd is the time at which the runs of earlier owners count as ended if the worker has not answered.
+	workerProcess
+	// inheritedRunsEnd is the time at which the runs of earlier owners, and of earlier processes of the worker, count as
+	// ended if the current process has not answered.
 	inheritedRunsEnd time.Duration
 	// leasesEndWall is the wall-clock time by which all leases on the worker have ended, while it does not answer; 0
 	// otherwise.
@@ -45,11 +38,10 @@
 	// unexpected counts the runs in the worker's last answer that this owner does not expect there.
 	unexpected int
 
-	// lastEnd is the number of the last applied end, flushingEnd of the last one in the pending append, and durableEnd
-	// of the last one whose effects are in the log.
-	lastEnd, flushingEnd, durableEnd uint64
-
-	heartbeatPending bool
+	// ordersInFlight counts the starts, stops and throttles without an answer, at most maxOrdersInFlight.
+	ordersInFlight int
+	// pendingHeartbeat is the number of the newest heartbeat while it has no answer; 0 otherwise.
+	pendingHeartbeat uint64
 	// heartbeatSentAt is the time at which the newest heartbeat was sent.
 	heartbeatSentAt time.Duration
 	// nextHeartbeatAt is the earliest time of the next heartbeat.
@@ -68,16 +60,49 @@
 	backoff workerBackoff
 }
 
+// workerProcess is what the owner knows of the current process of a worker. Clock and end numbers start again with each
+// process, so they are never compared across processes. The zero value is a process that has not answered.
+type workerProcess struct {
+	// answered is set once the process has answered a heartbeat with this owner's fencing token; from then on it refuses
+	// orders of earlier owners.
+	answered bool
+	// processStartedAt is the start time in the answers of the process; 0 while unknown. The one in the worker's list entry
+	// may be older or newer.
+	processStartedAt wigeonstep.UnixMillis
+	// clock is the newest reading of the worker's clock, which arrived at clockAt.
+	clock   wigeonstep.WorkerMillis
+	clockAt time.Duration
+	// clockLead is an upper bound of the lead of the worker's clock over this process's steady clock: the lowest difference
+	// between a reading and the time at which its heartbeat was sent.
+	clockLead time.Duration
+	// seenAt is the latest time at which the process was certainly up.
+	seenAt time.Duration
+	// leaseEnd is the latest end of any lease that this owner granted, or that an earlier owner may have granted, by the
+	// worker's clock.
+	leaseEnd wigeonstep.WorkerMillis
+	// lastEnd is the number of the last applied end, flushingEnd of the last one in the pending append, durableEnd of the
+	// last one whose effects are in the log, and ackedEnd of the last one that the process has forgotten.
+	lastEnd, flushingEnd, durableEnd, ackedEnd uint64
+}
+
 func (w *worker) ref() wigeonstep.WorkerRef {
 	return wigeonstep.WorkerRef{ID: w.ID, Address: w.Address}
 }
 
-// recordClock stores a reading of the worker's clock; 0 means that the answer carried none.
-func (w *worker) recordClock(clock wigeonstep.WorkerMillis, at time.Duration) {
+// recordAnswer stores the reading of the worker's clock in the answer to a heartbeat that was sent at sentAt; 0 means that
+// the answer carried none. The answer may be read long after the worker gave it.
+func (w *worker) recordAnswer(clock wigeonstep.WorkerMillis, sentAt, now time.Duration) {
+	w.seenAt = sentAt
 	if clock == 0 {
 		return
 	}
-	w.clock, w.clockAt = clock, at
+	reading := time.Duration(clock) * time.Millisecond
+	if lead := reading - sentAt; w.clock == 0 || lead < w.clockLead {
+		w.clockLead = lead
+	}
+	// The clock is not fast, so it can't have shown this reading before.
+	w.seenAt = min(reading-w.clockLead, now)
+	w.clock, w.clockAt = clock, now
 }
 
 // minClock returns a time that the worker's clock has certainly reached.
@@ -100,13 +125,26 @@
 	return w.minClock(now) > w.leaseEnd+wigeonstep.WorkerMillis(lapseMargin.Milliseconds())
 }
 
+// leaseTimeLeft returns the time after which all leases that this owner or an earlier one granted have ended; negative
+// when they have.
+func (w *worker) leaseTimeLeft(now time.Duration) time.Duration {
+	if !w.answered {
+		return w.inheritedRunsEnd - now
+	}
+	return time.Duration(float64(w.leaseEnd-w.minClock(now))/clockRate)*time.Millisecond + lapseMargin
+}
+
 // leasesEndAt returns the wall-clock time by which all leases that this owner or an earlier one granted have ended.
 func (w *worker) leasesEndAt(now Timestamp) wigeonstep.UnixMillis {
-	left := w.inheritedRunsEnd - now.Steady
+	return now.Wall + wigeonstep.UnixMillis(max(w.leaseTimeLeft(now.Steady), 0).Milliseconds())
+}
+
+// forgetProcess makes the worker one whose current process has not answered.
+func (w *worker) forgetProcess(now time.Duration) {
 	if w.answered {
-		left = time.Duration(float64(w.leaseEnd-w.minClock(now.Steady))/clockRate)*time.Millisecond + lapseMargin
+		w.inheritedRunsEnd = now + w.leaseTimeLeft(now)
 	}
-	return now.Wall + wigeonstep.UnixMillis(max(left, 0).Milliseconds())
+	w.workerProcess = workerProcess{}
 }
 
 func (w *worker) hasLabel(label wigeonstep.Label) bool {
@@ -117,9 +155,14 @@
 	return w.Capacity.Sub(w.used)
 }
 
+// leaving reports whether the worker is about to stop, or has to be emptied.
+func (w *worker) leaving() bool {
+	return w.Draining || w.cordoned != ""
+}
+
 // usable reports whether new runs may be placed on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.answered && !w.Draining && w.cordoned == "" && w.failures == 0 && w.unexpected == 0 && !w.lapseRecorded
+	return w.listed && w.answered && !w.leaving() && w.failures == 0 && w.unexpected == 0 && !w.lapseRecorded
 }
 
 func (w *worker) attach(r *run) {
--- /dev/null
+++ b/wigeonshard/workerrestart_test.go
@@ -0,0 +1,207 @@
+package wigeonshard
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+)
+
+// endTwoRuns lets two runs start and end on the worker, and waits until the owner acknowledges their ends.
+func (o *answeredOwner) endTwoRuns(startedAt wigeonstep.UnixMillis, clock wigeonstep.WorkerMillis) {
+	first := o.submit("first", 2)
+	o.answerStarts(clock)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: clock, StartedAt: startedAt, Running: listRunning(first...)})
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: clock + 100, StartedAt: startedAt, Ended: doneRuns(1, first...)})
+	o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(2))
+}
+
+// Guards against ends of a restarted worker that are taken for ends of its earlier process. After another worker had
+// answered at the address, the owner kept the number of the last end, so the first ends after the return of the worker
+// were acknowledged without being applied, and their tasks were started again.
+func TestEndsAfterReplacementAreApplied(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.endTwoRuns(1, 100_000)
+	o.failHeartbeat(wigeonstep.ErrWorkerReplaced)
+	o.list("w:2", 2)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 300, StartedAt: 2})
+	second := o.submit("second", 1)
+	o.answerStarts(500)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 600, StartedAt: 2, Running: listRunning(second...)})
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 900, StartedAt: 2, Ended: doneRuns(1, second...)})
+	o.advance(200 * time.Millisecond)
+	o.assertRunning()
+	state, _ := o.JobState("second")
+	o.c.Assert(state, qt.Equals, wigeonjob.StateCompleted)
+	o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(1))
+}
+
+// Guards against an acknowledgement of ends, a lease or a start that is meant for an earlier process of a worker and
+// reaches the process at its new address. A worker that forgets all ends up to the number would never list its own.
+func TestNewAddressIsAnotherProcess(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.endTwoRuns(1, 100_000)
+	o.submit("unanswered", 1)
+	unanswered := o.starts[0]
+	o.starts = nil
+	o.list("w:2", 2)
+	o.answerStart(unanswered, wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+	o.AddJob(o.now, testJob("second", testStep(1)), wigeonjob.Progress{}, false)
+	o.advance(200 * time.Millisecond)
+	o.c.Assert(o.starts, qt.HasLen, 0)
+	o.c.Assert(o.heartbeats, qt.HasLen, 2)
+	h := o.heartbeats[1]
+	o.c.Assert(h.Worker.Address, qt.Equals, "w:2")
+	o.c.Assert(h.Request, qt.Equals, wigeonstep.HeartbeatRequest{Fence: 1})
+}
+
+// Guards against an acknowledgement that reaches a restarted worker because the heartbeat before it was long ago. Such a
+// worker may have started, run and ended a task since, or forget the ends up to the number although they are still to come.
+func TestOldAnswerAcknowledgesNothing(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		delay func(*answeredOwner)
+	}{
+		{"paused owner", func(o *answeredOwner) { o.pass(time.Second) }},
+		{"slow log", func(o *answeredOwner) {
+			o.logStalled = true
+			o.advance(time.Second)
+			o.logStalled = false
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			o := newAnsweredOwner(t, 1, 100_000)
+			first := o.submit("first", 1)
+			o.answerStarts(100_000)
+			o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1, Running: listRunning(first...)})
+			o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_400, StartedAt: 1, Ended: doneRuns(1, first...)})
+			test.delay(o)
+			// The first heartbeat asks which process answers, the next one acknowledges at once.
+			h := o.sentHeartbeat()
+			o.c.Assert(h.Request.AckedEnd, qt.Equals, uint64(0))
+			o.c.Assert(h.Request.Wait, qt.Equals, time.Duration(0))
+			o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 101_500, StartedAt: 1, Ended: doneRuns(1, first...)})
+			o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(1))
+		})
+	}
+}
+
+// Guards against an acknowledgement that reaches a restarted worker because the answer before it was read late: the answer
+// waited in a paused process, and shows only that the worker was up when it answered.
+func TestAnswerReadLateAcknowledgesNothing(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	first := o.submit("first", 1)
+	o.answerStarts(100_000)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1, Running: listRunning(first...)})
+	o.sentHeartbeat()
+	o.pass(4 * time.Second)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_400, StartedAt: 1, Ended: doneRuns(1, first...)})
+	o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(0))
+}
+
+// Guards against a run that is given up while it runs, because the answer to its start is read after that to a newer
+// heartbeat. The lower clock in it was taken for that of a restarted worker.
+func TestStartAnswerReadLateEndsNoRun(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	first := o.submit("first", 1)
+	o.answerStarts(100_000)
+	second := o.submit("second", 1)
+	o.sentHeartbeat()
+	o.pass(4 * time.Second)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 101_600, StartedAt: 1, Running: listRunning(first[0], second[0])})
+	o.answerStarts(100_100)
+	o.advance(20 * time.Millisecond)
+	o.assertRunning(first[0], second[0])
+}
+
+// Guards against a run that is given up while it runs on a restarted worker. The heartbeat that shows the restart was
+// answered before the run began, and its answer is read after that to the start.
+func TestRunStartedAfterRestartIsKept(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.sentHeartbeat()
+	first := o.submit("first", 1)
+	o.answerStarts(100_400)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_300, StartedAt: 2})
+	o.advance(20 * time.Millisecond)
+	o.assertRunning(first...)
+}
+
+// Guards against a lease that counts as ended while runs go on. A start or renewal with a time of the clock of an earlier
+// process reaches the restarted worker, which shortens it only to the longest lease that it grants.
+func TestLeaseAfterRestartIsTheLongest(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	first := o.submit("first", 1)
+	o.answerStarts(300)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 200, StartedAt: 2})
+	o.failHeartbeat(wigeonstep.ErrAnswerLost)
+	until := o.now.Steady + testSettings.MaxLease - 100*time.Millisecond
+	for o.now.Steady < until {
+		o.advance(10 * time.Millisecond)
+		if len(o.heartbeats) > 0 {
+			o.failHeartbeat(wigeonstep.ErrAnswerLost)
+		}
+	}
+	o.assertRunning(first...)
+}
+
+// Guards against a worker at a new address that gets no heartbeat until that to its former address has failed, and against
+// an answer of the former address that ends the runs at the new one.
+func TestNewAddressGetsHeartbeatAtOnce(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	former := o.takeHeartbeat()
+	o.list("w:2", 2)
+	o.advance(20 * time.Millisecond)
+	o.c.Assert(o.heartbeats, qt.HasLen, 1)
+	o.c.Assert(o.heartbeats[0].Worker.Address, qt.Equals, "w:2")
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 300, StartedAt: 2})
+	first := o.submit("first", 1)
+	o.answerStarts(400)
+	o.sentHeartbeat()
+	o.HeartbeatAnswered(o.now, former, wigeonstep.HeartbeatResult{}, wigeonstep.ErrWorkerReplaced)
+	o.advance(20 * time.Millisecond)
+	o.assertRunning(first...)
+}
+
+// Guards against an answer to an earlier heartbeat that is taken for that to the newest: a worker that was removed from the
+// list and added again got the answer to a heartbeat from before, which did not list a run that had started meanwhile.
+func TestOnlyTheNewestHeartbeatIsAnswered(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	old := o.takeHeartbeat()
+	o.SetWorkers(o.now, nil)
+	o.advance(20 * time.Millisecond)
+	o.list("w:1", 1)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1})
+	first := o.submit("first", 1)
+	o.answerStarts(100_200)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_300, StartedAt: 1, Running: listRunning(first...)})
+	o.sentHeartbeat()
+	o.HeartbeatAnswered(o.now, old, wigeonstep.HeartbeatResult{Clock: 100_050, StartedAt: 1}, nil)
+	o.advance(20 * time.Millisecond)
+	o.assertRunning(first...)
+}
+
+// Guards against an answer to an earlier stop that is taken for that to the newest: it does not show that the worker, which
+// has restarted since, refuses a start that got no answer.
+func TestOnlyTheNewestStopIsAnswered(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	first := o.submit("first", 1)
+	o.answerStart(o.starts[0], wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+	o.starts = nil
+	o.CancelJob(o.now, "first")
+	o.advance(150 * time.Millisecond)
+	o.c.Assert(o.stops, qt.HasLen, 1)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 300, StartedAt: 2})
+	o.advance(20 * time.Millisecond)
+	o.c.Assert(o.stops, qt.HasLen, 2)
+	o.answerStop(o.stops[0], nil)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 400, StartedAt: 2})
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 500, StartedAt: 2})
+	o.assertRunning(first...)
+	o.answerStop(o.stops[1], nil)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 600, StartedAt: 2})
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 700, StartedAt: 2})
+	o.assertRunning()
+}
