Find jobs whose queue has got another service since

What callers could see: 410 for an accepted job (LOST), and a job that can't be cancelled, after the configuration gave its queue another service, or from a process in which another version is in force.

Cause: the shard of a job follows from the service that its queue had when the job was accepted. A submission looks into all shards for that reason, but look-ups and cancellations looked only into the shard of the service that the queue has now.

A look-up that does not find the job in the shard of its queue's service now looks into the replicas of all shards, and goes on in the shard that holds the job; so does the answer to a standby. A standby asks for the partition of a job that it cancels, that of the queue's service first, which is one more call. A job that was accepted in another shard within the last second may still be missed, since the replicas of shards that a process does not own are up to 0.7 s old.

Open: a submission that is repeated at a standby, or within that second at any process, after the queue has got another service is written to a second shard and runs in both.

--- a/cmd/wigeonstep/standby_test.go
+++ b/cmd/wigeonstep/standby_test.go
@@ -59,3 +59,29 @@
 	c.Assert(status, qt.Equals, http.StatusOK)
 	waitFor(c, "the cancelled job is stopped", func() bool { return f.workers[0].RunningCount()+f.workers[1].RunningCount() == 0 })
 }
+
+// Guards against a job that a standby does not find, or whose cancellation it writes where no owner reads it, after the queue
+// of the job got another service.
+func TestStandbyFindsJobOfFormerService(t *testing.T) {
+	c := qt.New(t)
+	f := newPlatformStandIn(t, 2)
+	large := f.startNodeOn(t, localVM{name: "large", store: f.store.Address(), cores: 0.8, linkMbps: 200})
+	small := f.startNodeOn(t, localVM{name: "small", store: f.store.Address(), cores: 0.19, linkMbps: 10})
+	status, _ := small.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.LongRunningJob(1))
+	c.Assert(status, qt.Equals, http.StatusOK)
+	running := func() int { return f.workers[0].RunningCount() + f.workers[1].RunningCount() }
+	waitFor(c, "the long-running job runs", func() bool { return running() == 1 })
+
+	c.Assert(f.store.PutQueue(2, "returns", nodeTestHost, "/new/"), qt.IsNil)
+	for _, n := range []*testNode{large, small} {
+		waitFor(c, "the nodes know the partition of the new service", func() bool {
+			status, _ := n.request(c, http.MethodPost, "/new/"+jobID(1), wigeonstandin.Job("order"))
+			return status == http.StatusOK
+		})
+	}
+	waitFor(c, "the owner of the new partition answers", func() bool { return small.jobState(c, jobID(99)) == "410" })
+	c.Assert(small.jobState(c, jobID(0)), qt.Equals, "running")
+	status, _ = small.request(c, http.MethodDelete, "/new/"+jobID(0), nil)
+	c.Assert(status, qt.Equals, http.StatusOK)
+	waitFor(c, "the cancelled job is stopped", func() bool { return running() == 0 })
+}
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -48,6 +48,8 @@
 
 // jobLookup is the state of a job as this process knows it, and the state of the job's shard.
 type jobLookup struct {
+	// part is the partition in which the job was looked up.
+	part  wigeonstep.Partition
 	state wigeonjob.State
 	known bool
 	// owned is set if this process owns the shard, so that the state is authoritative.
@@ -63,9 +65,9 @@
 	return queryLoop(ctx, d, func() jobLookup {
 		sh := d.shards[part]
 		if sh == nil {
-			return jobLookup{}
+			return jobLookup{part: part}
 		}
-		v := jobLookup{loaded: sh.loaded, nextOffset: sh.nextOffset, ownerAddress: sh.replica.Owner.Address}
+		v := jobLookup{part: part, loaded: sh.loaded, nextOffset: sh.nextOffset, ownerAddress: sh.replica.Owner.Address}
 		if e := sh.replica.Find(id); e != nil {
 			v.state, v.known = e.State(), true
 		}
@@ -79,13 +81,32 @@
 	})
 }
 
-// inAnyShard reports whether any replica holds the job. A queue may change its service between two requests with the
-// same id, and the job is then in a shard of the former service.
-func (d *Daemon) inAnyShard(ctx context.Context, id wigeonstep.JobID) bool {
-	known, _ := queryLoop(ctx, d, func() bool {
-		return slices.ContainsFunc(d.sortedShards, func(sh *shard) bool { return sh.replica.Find(id) != nil })
+// findPartition returns the partition of the replica that holds the job; the second result is false if none does. A queue
+// may change its service between two requests with the same id, and the job is then in a shard of the former service.
+func (d *Daemon) findPartition(ctx context.Context, id wigeonstep.JobID) (wigeonstep.Partition, bool) {
+	found, _ := queryLoop(ctx, d, func() *shard {
+		i := slices.IndexFunc(d.sortedShards, func(sh *shard) bool { return sh.replica.Find(id) != nil })
+		if i < 0 {
+			return nil
+		}
+		return d.sortedShards[i]
 	})
-	return known
+	if found == nil {
+		return 0, false
+	}
+	return found.part, true
+}
+
+// lookUpAnywhere looks a job up in the shard of the partition and, if it is not known there, in the shard that holds it.
+func (d *Daemon) lookUpAnywhere(ctx context.Context, part wigeonstep.Partition, id wigeonstep.JobID) (jobLookup, bool) {
+	v, ok := d.lookUpLocal(ctx, part, id)
+	if !ok || v.known {
+		return v, ok
+	}
+	if other, found := d.findPartition(ctx, id); found {
+		return d.lookUpLocal(ctx, other, id)
+	}
+	return v, true
 }
 
 // Submit writes a job to the job log. A job that a replica in this process already holds is accepted without a second record.
@@ -93,7 +114,7 @@
 	began := time.Now()
 	job.Queue, job.Service, job.Policy = queue.Name, queue.Service, queue.Policy
 	job.Accepted = d.config.Now().Wall
-	if d.inAnyShard(ctx, job.ID) {
+	if _, held := d.findPartition(ctx, job.ID); held {
 		return responseAccepted
 	}
 	value, err := wigeonjob.EncodeJob(job)
@@ -130,7 +151,7 @@
 	if !d.following.Load() {
 		return d.lookUpAtHolders(ctx, part, id)
 	}
-	v, ok := d.lookUpLocal(ctx, part, id)
+	v, ok := d.lookUpAnywhere(ctx, part, id)
 	switch {
 	case !ok:
 		return v, wigeonstep.UnknownResponse(true, "the process is busy", "look up", "process")
@@ -138,7 +159,7 @@
 		return v, responseDone
 	}
 	if !v.owned && v.ownerAddress != "" {
-		if state, known := d.queryOwner(ctx, v.ownerAddress, part, id); known {
+		if state, known := d.queryOwner(ctx, v.ownerAddress, v.part, id); known {
 			v.state, v.known = state, true
 			return v, responseDone
 		}
@@ -146,7 +167,7 @@
 	if v.known {
 		return v, responseDone
 	}
-	return d.lookUpAtLogEnd(ctx, part, id, v)
+	return d.lookUpAtLogEnd(ctx, id, v)
 }
 
 // queryOwner asks the shard's owner at address for the state of a job. The second result is false if the peer fails, is
@@ -195,26 +216,32 @@
 	return d.answerJobQuery(ctx, query)
 }
 
-// answerJobQuery answers a peer's query for the state of a job from this process's owner or replica, and from the log if the
-// peer asks for that.
+// answerJobQuery answers a peer's query for the state of a job from this process's owner or replica of the partition. If the
+// peer asks for that, it also looks in the other shards and reads the log.
 func (d *Daemon) answerJobQuery(ctx context.Context, query *wigeonwire.JobQuery) *wigeonwire.PeerResponse {
 	part, id := wigeonstep.Partition(query.GetPartition()), wigeonstep.JobID(query.GetJob())
-	v, ok := d.lookUpLocal(ctx, part, id)
+	lookUp := d.lookUpLocal
+	if query.GetReadLog() {
+		lookUp = d.lookUpAnywhere
+	}
+	v, ok := lookUp(ctx, part, id)
 	if !ok {
 		return nil
 	}
 	absent := false
 	if !v.known && v.loaded && query.GetReadLog() {
 		var response wigeonstep.Response
-		v, response = d.lookUpAtLogEnd(ctx, part, id, v)
+		v, response = d.lookUpAtLogEnd(ctx, id, v)
 		absent = response.Status == http.StatusGone
 	}
 	status := &wigeonwire.JobStatus{Owner: v.owned, Known: v.known, State: wigeonwire.ProgressState(v.state), Absent: absent}
 	return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Job{Job: status}}
 }
 
-// lookUpAtLogEnd reads the log to its end while looking for the job. A job that is not found by then does not exist.
-func (d *Daemon) lookUpAtLogEnd(ctx context.Context, part wigeonstep.Partition, id wigeonstep.JobID, v jobLookup) (jobLookup, wigeonstep.Response) {
+// lookUpAtLogEnd reads the partition of v to its end while looking for the job. A job that is not found by then does not
+// exist.
+func (d *Daemon) lookUpAtLogEnd(ctx context.Context, id wigeonstep.JobID, v jobLookup) (jobLookup, wigeonstep.Response) {
+	part := v.part
 	const maxReads = 8
 	for range maxReads {
 		if !v.loaded {
@@ -253,8 +280,10 @@
 	if err != nil {
 		return wigeonstep.UnknownResponse(false, err.Error(), "encode", "process")
 	}
-	part, _ := d.jobPartition(queue.Service, id)
-	response = d.writeRecord(ctx, part, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindCancel, id), Value: value})
+	if !d.following.Load() {
+		v.part = d.partitionAtHolders(ctx, v.part, id)
+	}
+	response = d.writeRecord(ctx, v.part, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindCancel, id), Value: value})
 	d.logRequest("cancel", id, queue, response, time.Since(began))
 	return response
 }
--- a/wigeondaemon/listing_test.go
+++ b/wigeondaemon/listing_test.go
@@ -27,12 +27,34 @@
 type jobLogStub struct {
 	wigeonstep.JobLog
 	read func(from wigeonstep.Offset) wigeonstep.KeyedRead
+	// append is called for each append, which succeeds.
+	append func(part wigeonstep.Partition)
 }
 
 func (l *jobLogStub) ReadKeyed(_ context.Context, _ wigeonstep.Partition, from wigeonstep.Offset, _ time.Duration) (wigeonstep.KeyedRead, error) {
 	return l.read(from), nil
 }
 
+func (l *jobLogStub) Append(_ context.Context, part wigeonstep.Partition, _ []wigeonstep.KeyedRecord, _ *wigeonstep.AppendFence) (wigeonstep.Offset, error) {
+	l.append(part)
+	return 0, nil
+}
+
+// runEvents handles the events of a daemon until the test ends.
+func runEvents(t *testing.T, d *Daemon) {
+	t.Helper()
+	go func() {
+		for {
+			select {
+			case event := <-d.events:
+				event()
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+}
+
 // newListingDaemon returns a daemon that follows the log, with one service, and its only shard. Nothing runs its event loop.
 func newListingDaemon(log wigeonstep.JobLog) (*Daemon, *shard) {
 	d := New(Config{
@@ -105,18 +127,7 @@
 	log := &jobLogStub{}
 	d, sh := newListingDaemon(log)
 	d.applyShardBatch(sh, wigeontail.Batch{Next: 10, Complete: true})
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go func() {
-		for {
-			select {
-			case event := <-d.events:
-				event()
-			case <-ctx.Done():
-				return
-			}
-		}
-	}()
+	runEvents(t, d)
 	job := jobRecord(c)
 	records := []wigeonstep.KeyedRecord{{Key: "c/other", Value: []byte{1}}, job}
 	reads := 0
@@ -127,7 +138,7 @@
 		}
 		return wigeonstep.KeyedRead{Records: records[from-9:], Next: 11, End: 11}
 	}
-	state, response := d.Status(ctx, listedJob, listedQueue)
+	state, response := d.Status(t.Context(), listedJob, listedQueue)
 	c.Assert(response.Status, qt.Equals, http.StatusOK)
 	c.Assert(state, qt.Equals, wigeonjob.StatePending)
 }
--- a/wigeondaemon/partitions.go
+++ b/wigeondaemon/partitions.go
@@ -30,6 +30,21 @@
 	return d.hashPartition(service, string(id))
 }
 
+// jobPartitions returns the partitions that the services have for a job, each once, with the given one first.
+func (d *Daemon) jobPartitions(first wigeonstep.Partition, id wigeonstep.JobID) []wigeonstep.Partition {
+	all := []wigeonstep.Partition{first}
+	table := d.partitionTable.Load()
+	if table == nil {
+		return all
+	}
+	for _, service := range slices.Sorted(maps.Keys(*table)) {
+		if part, known := d.jobPartition(service, id); known && !slices.Contains(all, part) {
+			all = append(all, part)
+		}
+	}
+	return all
+}
+
 // workerPartition returns the partition that owns a worker of a service.
 func (d *Daemon) workerPartition(service wigeonstep.ServiceName, id wigeonstep.WorkerID) (wigeonstep.Partition, bool) {
 	return d.hashPartition(service, string(id))
--- a/wigeondaemon/standby.go
+++ b/wigeondaemon/standby.go
@@ -88,7 +88,23 @@
 	case status.GetAbsent():
 		return jobLookup{}, responseNoSuchJob
 	}
-	return jobLookup{state: wigeonjob.State(status.GetState()), known: true}, responseDone
+	return jobLookup{part: part, state: wigeonjob.State(status.GetState()), known: true}, responseDone
+}
+
+// partitionAtHolders returns the partition in which the holders know a job. They are asked for that of its queue's service
+// first, and then for those of the other services, which the queue may have had before. The first is also the result if no
+// holder names a partition.
+func (d *Daemon) partitionAtHolders(ctx context.Context, first wigeonstep.Partition, id wigeonstep.JobID) wigeonstep.Partition {
+	for _, part := range d.jobPartitions(first, id) {
+		query := &wigeonwire.JobQuery{Partition: uint32(part), Job: string(id)}
+		known := d.askHolders(ctx, part, &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Job{Job: query}}, func(response *wigeonwire.PeerResponse) bool {
+			return response.GetJob().GetKnown()
+		})
+		if known {
+			return part
+		}
+	}
+	return first
 }
 
 // countAtHolders returns the number of waiting jobs of a queue as a holder knows it.
