Count the workers that long-running tasks lack over all steps

Callers saw long-running tasks that waited, and cordoned workers that could not be emptied, in a pool that got no VM for them, while other pools got VMs for each task that had to wait for the end of a finite run.

Cause: the count of missing workers took the maximum over the steps, so tasks of different steps counted on the same room, and it compared with the room that was free at that moment, which finite runs use and leave all the time.

--- a/wigeonshard/demand.go
+++ b/wigeonshard/demand.go
@@ -49,7 +49,7 @@
 	// Capacity is the CPU of the usable workers less the CPU of the long-running tasks on them.
 	Capacity wigeonstep.MilliCPU
 	// MissingWorkers is the number of additional workers needed for long-running tasks that wait, or whose worker drains or is
-	// cordoned.
+	// cordoned, and that would not fit on the usable workers even if no finite work ran there.
 	MissingWorkers int
 	// Usable lists the workers that accept new runs, Idle those of them without any run.
 	Usable []wigeonstep.WorkerID
@@ -127,45 +127,6 @@
 	return longest, true
 }
 
-// missingWorkers returns the number of additional workers that the long-running tasks of each service need. One worker
-// can run tasks of many steps, so the result is the maximum over the steps and not their sum.
-func (o *Owner) missingWorkers() map[wigeonstep.ServiceName]int {
-	missing := map[wigeonstep.ServiceName]int{}
-	for _, j := range o.jobOrder {
-		if j.state.Terminal() {
-			continue
-		}
-		for _, occ := range j.occurrences {
-			for _, s := range occ.steps {
-				if s.LongRunning && s.ready() {
-					missing[j.Service] = max(missing[j.Service], o.countUnplaceable(s))
-				}
-			}
-		}
-	}
-	return missing
-}
-
-// countUnplaceable counts the tasks of a long-running step that have no run, or have to leave their worker, while no
-// usable worker has room for them.
-func (o *Owner) countUnplaceable(s *step) int {
-	n := 0
-	for _, t := range s.tasks {
-		if len(t.runs) == 0 {
-			if (t.hold == nil || !t.hold.granted) && !o.workerAvailable(s, nil) {
-				n++
-			}
-			continue
-		}
-		for _, r := range t.runs {
-			if r.worker.leaving() && !r.stopping && !o.otherWorkerAvailable(r) {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // readyWork returns the remaining work of the finite steps whose dependencies are done, in core-milliseconds. Steps with
 // open dependencies do not count, because no VM can work on them yet. Running tasks count as half done. The estimate of
 // a task is limited to wigeonbalance.BacklogClearTime, the time in which a pool should clear its waiting work: a
