Give pools the VMs that their long-running tasks lack first

Callers saw long-running tasks wait for 10 s and longer, and machines of a wave late, in a pool in which most workers were cordoned and none could be emptied.

Cause: VMs go to the pool with the largest need, and cores and missing VMs for long-running tasks are one sum. A pool with a burst of finite work needs hundreds of VMs, so it got every VM that became available, while a pool of 7 with 16 cordoned workers got none for 10 s, another of 3 with 6 none for 30 s. A surplus of cores in a pool could also cancel its missing VMs, although the cores were in pieces too small for the task.

Now the VMs that long-running tasks lack are ordered first, for all pools, and where no pool has a surplus and no VM is off, from the largest pool that lacks none for such tasks. Finite work only waits longer on fewer VMs; a long-running task may not fit at all. pool_size says how many VMs are missing.

--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -118,8 +118,9 @@
 	// VMs is the number of usable VMs, plus those with an open or recently confirmed move into the pool, less those ordered
 	// to move out. Idle is the number of VMs that run nothing and have no open order.
 	VMs, Idle int
-	// Need is the number of VMs that the pool lacks; negative for a surplus.
-	Need int
+	// Need is the number of VMs that the pool lacks; negative for a surplus. Missing is the part of it for long-running tasks
+	// that no VM of the pool can take.
+	Need, Missing int
 	// Age is the age of the demand report.
 	Age time.Duration
 }
@@ -144,6 +145,8 @@
 	name wigeonstep.PoolName
 	// need is the number of VMs that the pool lacks; negative for a surplus.
 	need int
+	// missing is the part of need for long-running tasks that no VM of the pool can take.
+	missing int
 	// idle holds the VMs without runs and without an open order.
 	idle []wigeonstep.PooledVM
 	// emptying holds the VMs without an open order whose runs end within maxDrainTime. The VM that is expected to become
@@ -169,7 +172,7 @@
 	incoming := p.advanceOrders(now, fleet, &plan)
 	pools := p.rankPools(now, fleet, incoming)
 	for _, pl := range pools {
-		plan.PoolSizes = append(plan.PoolSizes, PoolSize{Pool: pl.name, VMs: pl.size, Idle: len(pl.idle), Need: pl.need, Age: now - fleet.Demands[pl.name].ReceivedAt})
+		plan.PoolSizes = append(plan.PoolSizes, PoolSize{Pool: pl.name, VMs: pl.size, Idle: len(pl.idle), Need: pl.need, Missing: pl.missing, Age: now - fleet.Demands[pl.name].ReceivedAt})
 	}
 	p.orderMoves(now, fleet, pools, &plan)
 	return plan
@@ -291,7 +294,12 @@
 		for _, id := range incoming[name] {
 			missing -= float64(fleet.VMs[id].Capacity.CPU) / 1000
 		}
-		pl.need = p.vmsForCores(fleet, missing) + max(demand.MissingWorkers-len(incoming[name]), 0)
+		pl.missing = max(demand.MissingWorkers-len(incoming[name]), 0)
+		pl.need = p.vmsForCores(fleet, missing)
+		if pl.missing > 0 {
+			// Cores that finite work would leave unused don't help tasks that fit on none of the VMs.
+			pl.need = max(pl.need, 0) + pl.missing
+		}
 		for _, id := range slices.Sorted(maps.Keys(fleet.VMs)) {
 			vm := fleet.VMs[id]
 			if vm.Pool != name || vm.State != wigeonstep.VMUp || !p.hasNoOpenOrder(fleet, id) {
@@ -343,28 +351,30 @@
 	return (!ordered || order.Phase == wigeonjob.OrderDone) && !fleet.InMaintenance(vm)
 }
 
-// orderMoves orders VMs into the pools that lack some, largest need first: idle VMs of pools with a surplus, then VMs of
-// spare pools, then VMs of pools with a surplus that are about to become idle. Then it switches idle surplus VMs off.
+// orderMoves orders VMs into the pools that lack some: first those that long-running tasks lack, then the others, largest
+// need first. Then it switches idle surplus VMs off.
 func (p *Planner) orderMoves(now time.Duration, fleet Fleet, pools []*pool, plan *Plan) {
 	spare := p.spareVMs(fleet)
 	for _, to := range pools {
-		for ; to.need > 0; to.need-- {
-			vm, ok := takeIdle(pools, to)
-			if !ok && len(spare) > 0 {
-				vm, spare, ok = spare[0], spare[1:], true
-			}
+		for ; to.missing > 0; to.missing-- {
+			vm, ok := takeAvailable(pools, &spare, to)
 			if !ok {
-				vm, ok = takeEmptying(pools, to)
+				vm, ok = takeFromLargest(pools, to)
 			}
 			if !ok {
 				break
 			}
-			order := wigeonjob.MoveOrder{VM: vm.ID, From: vm.Pool, Pool: to.name, Worker: vm.Worker}
-			if fleet.Spare[vm.Pool] {
-				// A VM of a spare pool is off, so there is nothing to drain.
-				order.Phase = wigeonjob.OrderIssued
+			to.need--
+			plan.Orders = append(plan.Orders, moveInto(fleet, vm, to))
+		}
+	}
+	for _, to := range pools {
+		for ; to.need > 0; to.need-- {
+			vm, ok := takeAvailable(pools, &spare, to)
+			if !ok {
+				break
 			}
-			plan.Orders = append(plan.Orders, order)
+			plan.Orders = append(plan.Orders, moveInto(fleet, vm, to))
 		}
 	}
 	for _, from := range pools {
@@ -372,6 +382,60 @@
 	}
 }
 
+// moveInto returns the order that moves the VM into the pool.
+func moveInto(fleet Fleet, vm wigeonstep.PooledVM, to *pool) wigeonjob.MoveOrder {
+	order := wigeonjob.MoveOrder{VM: vm.ID, From: vm.Pool, Pool: to.name, Worker: vm.Worker}
+	if fleet.Spare[vm.Pool] {
+		// A VM of a spare pool is off, so there is nothing to drain.
+		order.Phase = wigeonjob.OrderIssued
+	}
+	return order
+}
+
+// takeAvailable removes a VM from its pool for another one: an idle VM of a pool with a surplus, else a VM of a spare pool,
+// else a VM of a pool with a surplus that is about to become idle.
+func takeAvailable(pools []*pool, spare *[]wigeonstep.PooledVM, to *pool) (wigeonstep.PooledVM, bool) {
+	if vm, ok := takeIdle(pools, to); ok {
+		return vm, true
+	}
+	if len(*spare) > 0 {
+		vm := (*spare)[0]
+		*spare = (*spare)[1:]
+		return vm, true
+	}
+	return takeEmptying(pools, to)
+}
+
+// takeFromLargest removes an idle VM, or one that is about to become idle, from the largest pool that has one and no
+// long-running tasks without a VM, whether or not that pool has a surplus. Finite work waits for its turn on fewer VMs, but a
+// long-running task may not find room on its pool's VMs at all.
+func takeFromLargest(pools []*pool, to *pool) (wigeonstep.PooledVM, bool) {
+	var from *pool
+	for _, pl := range pools {
+		mayGive := pl != to && pl.missing == 0 && pl.size > minPoolVMs && len(pl.idle)+len(pl.emptying) > 0
+		if mayGive && (from == nil || pl.size > from.size) {
+			from = pl
+		}
+	}
+	if from == nil {
+		return wigeonstep.PooledVM{}, false
+	}
+	list := &from.idle
+	if len(*list) == 0 {
+		list = &from.emptying
+	}
+	return from.take(list), true
+}
+
+// take removes the last VM of one of the pool's lists from the pool.
+func (pl *pool) take(list *[]wigeonstep.PooledVM) wigeonstep.PooledVM {
+	vm := (*list)[len(*list)-1]
+	*list = (*list)[:len(*list)-1]
+	pl.need++
+	pl.size--
+	return vm
+}
+
 // spareVMs returns the VMs of spare pools that are up in the platform's list and have no open order.
 func (p *Planner) spareVMs(fleet Fleet) []wigeonstep.PooledVM {
 	var spare []wigeonstep.PooledVM
@@ -403,11 +467,7 @@
 		if from == to || from.need >= 0 || len(*vms) <= reserve || from.size <= minPoolVMs {
 			continue
 		}
-		vm := (*vms)[len(*vms)-1]
-		*vms = (*vms)[:len(*vms)-1]
-		from.need++
-		from.size--
-		return vm, true
+		return from.take(vms), true
 	}
 	return wigeonstep.PooledVM{}, false
 }
--- a/wigeonbalance/plan_test.go
+++ b/wigeonbalance/plan_test.go
@@ -303,3 +303,73 @@
 	}
 	c.Assert(len(plan(resumed+switchOffDelay).Orders) > 0, qt.IsTrue)
 }
+
+// starvedFleet returns the model of a small pool0 and a large pool1 that has far more work than its VMs can do, and its
+// demands. The VMs of pool1 are about to become idle, and long-running tasks of pool0 lack missing VMs.
+func starvedFleet(missing int) (*fleetModel, map[wigeonstep.PoolName]Demand) {
+	m := newFleetModel(2, 2, 0)
+	for i := range 8 {
+		m.startWorker(wigeonstep.VMID(fmt.Sprintf("vm-1-%d", i+2)), "pool1")
+	}
+	m.backlog["pool1"] = 10_000
+	demands := m.demands()
+	for pool, d := range demands {
+		d.Idle = map[wigeonstep.WorkerID]bool{}
+		if pool == "pool0" {
+			d.MissingWorkers = missing
+		} else {
+			d.Emptying = map[wigeonstep.WorkerID]time.Duration{}
+			for worker := range d.Usable {
+				d.Emptying[worker] = 500 * time.Millisecond
+			}
+		}
+		demands[pool] = d
+	}
+	return m, demands
+}
+
+func (m *fleetModel) ordersInto(pool wigeonstep.PoolName, demands map[wigeonstep.PoolName]Demand) int {
+	plan := m.planner.Plan(m.now, Fleet{
+		VMs: m.vms, Moves: m.moves, Demands: demands, Spare: map[wigeonstep.PoolName]bool{sparePool: true},
+		InMaintenance: func(wigeonstep.VMID) bool { return false }, Released: func(wigeonstep.WorkerID) bool { return false },
+	})
+	m.applyPlan(plan)
+	n := 0
+	for _, order := range plan.Orders {
+		if order.Pool == pool {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a pool whose long-running tasks find no VM for as long as other pools have a larger backlog of finite work.
+func TestLongRunningTasksGetVMsBeforeFiniteBacklog(t *testing.T) {
+	c := qt.New(t)
+	m, demands := starvedFleet(3)
+	c.Assert(m.ordersInto("pool0", demands), qt.Equals, 3)
+	c.Assert(m.ordersInto("pool0", demands), qt.Equals, 0)
+}
+
+// Guards against a pool that gets no VM for its long-running tasks because its cores would suffice in total, although none of
+// its VMs has room for one of them.
+func TestSurplusOfCoresDoesNotReplaceAMissingVM(t *testing.T) {
+	c := qt.New(t)
+	m, demands := starvedFleet(1)
+	d := demands["pool0"]
+	d.Backlog, d.ArrivalRate = 0, 0
+	demands["pool0"] = d
+	m.startWorker("vm-s-0", sparePool)
+	c.Assert(m.ordersInto("pool0", demands), qt.Equals, 1)
+}
+
+// Guards against pools that take VMs from each other in turn, each for long-running tasks that lack one.
+func TestPoolsThatLackVMsKeepTheirs(t *testing.T) {
+	c := qt.New(t)
+	m, demands := starvedFleet(2)
+	d := demands["pool1"]
+	d.MissingWorkers = 1
+	demands["pool1"] = d
+	c.Assert(m.ordersInto("pool0", demands), qt.Equals, 0)
+	c.Assert(m.ordersInto("pool1", demands), qt.Equals, 0)
+}
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -166,7 +166,7 @@
 	if now.Steady-f.lastSizeLog > sizeLogInterval {
 		f.lastSizeLog = now.Steady
 		for _, size := range plan.PoolSizes {
-			d.config.Logger.Info("pool_size", zap.String("pool", string(size.Pool)), zap.Int("vms", size.VMs), zap.Int("idle", size.Idle), zap.Int("need", size.Need), zap.Duration("age", size.Age))
+			d.config.Logger.Info("pool_size", zap.String("pool", string(size.Pool)), zap.Int("vms", size.VMs), zap.Int("idle", size.Idle), zap.Int("need", size.Need), zap.Int("missing", size.Missing), zap.Duration("age", size.Age))
 		}
 	}
 	var records []wigeonstep.KeyedRecord
