Keep the free addresses of the soak free while other processes start

The fault is in the soak: between fork and exec a child holds copies of all descriptors, so a child that is forked while freeAddresses has its listeners open keeps the ports in use after they were closed, until it executes its program. The process for which the addresses were found may start earlier.

The check of the soak stays as it was.

--- a/wigeonsoak/process.go
+++ b/wigeonsoak/process.go
@@ -83,8 +83,15 @@
 	return fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%values, 1+seed%values, 1+process)
 }
 
+// startMutex is held for reading while a process starts and for writing while free addresses are searched for. A child that
+// is forked meanwhile would hold the listeners until it executes its program, so that a port is still in use when the
+// process for which it was found listens on it.
+var startMutex sync.RWMutex
+
 // freeAddresses returns n addresses of ip with ports that were free, sorted by port. The ports are not reserved.
 func freeAddresses(ip string, n int) ([]string, error) {
+	startMutex.Lock()
+	defer startMutex.Unlock()
 	var addresses []string
 	for range n {
 		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0")) //nolint:noctx // it is closed on return
@@ -98,6 +105,13 @@
 	return addresses, nil
 }
 
+// startCommand starts a command while no free addresses are searched for.
+func startCommand(c *exec.Cmd) error {
+	startMutex.RLock()
+	defer startMutex.RUnlock()
+	return c.Start()
+}
+
 // supervise starts the process and restarts it after each exit until stop. It returns early, with a violation, if the
 // process does not start.
 func (p *process) supervise() {
@@ -109,7 +123,7 @@
 			p.mu.Unlock()
 			return
 		}
-		err := c.Start()
+		err := startCommand(c)
 		if err == nil {
 			p.running, p.paused, p.exitExpected, p.exitGraceful = c, false, false, false
 		}
