Let workers of the soak live several times, overlap signals, and keep clients on their connections

What the soak lacked: its clients left a stopping process with the first answer that asked for it, and a request that was cut off counted for nothing; signals overlapped on one process only by chance, and a second SIGTERM ended the check of the exit; a worker that crashed never came back under its id; no call was executed after its caller had given up.

- -soak.lives (PlanLives, a random stream of its own): workers restart under their id with end numbers from 1 on, at their address or at another one while a worker with another id answers at theirs; calls reach a worker 0.7 to 4.7 s late; SIGTERM, SIGHUP, SIGKILL and configurations come in series on one process.
- -soak.stops (PlanStops): planned work alone.
A request that was sent whole and is cut off later than 200 ms after that, with no disruption in the 3 s before it and until its end, is a violation.
- One client for each process uses its connection until the process closes it.
Every process has to exit with status 0 and in time after SIGTERM, also if further signals follow.
- A run after its job was reported as completed, and a job that is reported as completed before its tasks are, are violations.
Runs are told apart by the life of their worker.
- -soak.processes, -soak.workers and -soak.period for runs by hand. events.log has faults, runs and cut requests.

--- a/wigeonsoak/client.go
+++ b/wigeonsoak/client.go
@@ -23,37 +23,55 @@
 	submitAttempts = 5
 	cancelAttempts = 20
 	retryDelay     = 200 * time.Millisecond
-	// longRunningPercent is the share of long-running jobs; each has longRunningTasks tasks.
+	// stateQueryPercent and longRunningPercent are the shares of a client without a connection of its own.
+	stateQueryPercent  = 40
 	longRunningPercent = 8
 	longRunningTasks   = 2
+	// ordinaryTasks is the number of tasks of other jobs.
+	ordinaryTasks = 5
 )
 
 // client submits, queries and cancels jobs. Each request goes to a random process, over a kept-alive connection if one is
-// open.
+// open, unless the client has a connection of its own.
 type client struct {
 	http      *http.Client
 	addresses []string
 	history   *history
 	random    *rand.Rand
+	// connection, if set, carries the first attempt of each request. A further attempt goes to a random process.
+	connection *connection
+	// stateQueryPercent is the share of requests that query the state of a job submitted before, longRunningPercent that of
+	// long-running jobs; each has longRunningTasks tasks.
+	stateQueryPercent, longRunningPercent int
 }
 
 func newClient(addresses []string, h *history, seed uint64) *client {
 	return &client{
 		http: &http.Client{Timeout: requestDeadline}, addresses: addresses, history: h,
+		stateQueryPercent: stateQueryPercent, longRunningPercent: longRunningPercent,
 		random: rand.New(rand.NewPCG(seed, 2)), //nolint:gosec // the load of a seed has to be repeatable
 	}
 }
 
+// sendFirst sends the first attempt of a request, on the connection of the client if it has one.
+func (c *client) sendFirst(ctx context.Context, method, id string, body []byte) (status int, answer []byte) {
+	if c.connection == nil {
+		return c.send(ctx, method, id, body)
+	}
+	r, err := newRequest(ctx, c.connection.address, method, id, body)
+	if err != nil {
+		return 0, nil
+	}
+	return c.connection.roundTrip(r)
+}
+
 // send sends one request about the job with the given ID to a random process. The status is 0 if no complete response
 // arrived.
 func (c *client) send(ctx context.Context, method, id string, body []byte) (status int, answer []byte) {
-	address := c.addresses[c.random.IntN(len(c.addresses))]
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+jobPathPrefix+id, bytes.NewReader(body))
+	r, err := newRequest(ctx, c.addresses[c.random.IntN(len(c.addresses))], method, id, body)
 	if err != nil {
 		return 0, nil
 	}
-	r.Host = jobHost
-	r.Header.Set(wigeonstandin.DeadlineHeader, fmt.Sprint(requestDeadline.Milliseconds()))
 	response, err := c.http.Do(r)
 	if err != nil {
 		return 0, nil
@@ -66,10 +84,20 @@
 	return response.StatusCode, answer
 }
 
+func newRequest(ctx context.Context, address, method, id string, body []byte) (*http.Request, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+jobPathPrefix+id, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	r.Host = jobHost
+	r.Header.Set(wigeonstandin.DeadlineHeader, fmt.Sprint(requestDeadline.Milliseconds()))
+	return r, nil
+}
+
 // submit sends at most submitAttempts requests to submit a job, until one of them is accepted or refused. If the outcome stays
 // unknown, neither acceptedAt nor refusedAt of the job is set.
 func (c *client) submit(ctx context.Context, id string) {
-	longRunning := c.random.IntN(100) < longRunningPercent
+	longRunning := c.random.IntN(100) < c.longRunningPercent
 	job := wigeonstandin.Job("order")
 	if longRunning {
 		job = wigeonstandin.LongRunningJob(longRunningTasks)
@@ -83,8 +111,10 @@
 	// An attempt whose outcome is unknown may have been accepted, so the refusal of a later attempt does not mean that the
 	// job was refused.
 	outcomeUnknown := false
+	send := c.sendFirst
 	for range submitAttempts {
-		status, answer := c.send(ctx, http.MethodPost, id, encoded)
+		status, answer := send(ctx, http.MethodPost, id, encoded)
+		send = c.send
 		switch status {
 		case http.StatusOK:
 			c.history.update(id, func(j *clientJob) { j.acceptedAt = time.Now() })
@@ -109,7 +139,7 @@
 // the recorded state unchanged.
 func (c *client) queryState(ctx context.Context, id string) {
 	acceptedAt := c.history.jobByID(id).acceptedAt
-	status, answer := c.send(ctx, http.MethodGet, id, nil)
+	status, answer := c.sendFirst(ctx, http.MethodGet, id, nil)
 	switch {
 	case status == http.StatusGone && !acceptedAt.IsZero():
 		c.history.recordViolation("lost: job %s was accepted but is reported not to exist", id)
@@ -121,7 +151,7 @@
 			c.history.recordViolation("client: decode state of job %s: %v", id, err)
 			return
 		}
-		c.history.update(id, func(j *clientJob) { j.reportedState = body.State })
+		c.history.recordState(id, body.State)
 	}
 }
 
--- a/wigeonsoak/history.go
+++ b/wigeonsoak/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"maps"
 	"slices"
 	"strings"
@@ -11,6 +12,12 @@
 	"github.com/wigeonstep/wigeonstep/platform/wigeonstandin"
 )
 
+// States of jobs as processes report them.
+const (
+	stateCompleted = "completed"
+	stateRunning   = "running"
+)
+
 // clientJob is one submitted job as its client knows it.
 type clientJob struct {
 	// acceptedAt is the time of the acknowledgement, and refusedAt the time of a refusal that no attempt with an unknown
@@ -21,11 +28,40 @@
 	longRunning bool
 	// reportedState is the state that the latest successful query returned; it is empty before one.
 	reportedState string
+	// completedAt is the time at which the job was first reported as completed; zero before.
+	completedAt time.Time
+}
+
+// workerLife is one life of a worker, which may restart under its ID.
+type workerLife struct {
+	id        string
+	startedAt time.Time
+}
+
+// cutRequest is a request that was sent whole on a connection that ended without a complete answer.
+type cutRequest struct {
+	description     string
+	sentAt, endedAt time.Time
 }
 
+// disruption is the time of a fault that is not planned work.
+type disruption struct {
+	startedAt, endedAt time.Time
+}
+
+const (
+	// calmBefore is the time without a disruption before a request that has to be answered.
+	calmBefore = 3 * time.Second
+	// cutSlack is the time after a request was sent within which its connection may end without an answer: the process may
+	// have closed it before it read the request.
+	cutSlack = 200 * time.Millisecond
+	// timeFormat is the format of times in violations and in the event log, that of the logs of the processes.
+	timeFormat = "15:04:05.000"
+)
+
 // taskRun is one run of a task as its worker observed it.
 type taskRun struct {
-	worker    string
+	worker    workerLife
 	number    uint32
 	startedAt time.Time
 	// endedAt is zero while the task runs.
@@ -44,13 +80,38 @@
 	jobs map[string]*clientJob
 	// runs is keyed by task ID, which is the job ID followed by ".OCCURRENCE.STEP.INDEX".
 	runs map[string][]*taskRun
-	// leaseExpiredAt holds the time at which the lease of a worker last expired, by worker ID.
-	leaseExpiredAt map[string]time.Time
+	// leaseExpiredAt holds the time at which the lease of a worker last expired.
+	leaseExpiredAt map[workerLife]time.Time
+	cutRequests    []cutRequest
+	disruptions    []disruption
 	violations     []string
+	// log receives a line for each event, so that a violation can be traced; it may be nil.
+	log io.Writer
 }
 
 func newHistory() *history {
-	return &history{jobs: map[string]*clientJob{}, runs: map[string][]*taskRun{}, leaseExpiredAt: map[string]time.Time{}}
+	return &history{jobs: map[string]*clientJob{}, runs: map[string][]*taskRun{}, leaseExpiredAt: map[workerLife]time.Time{}}
+}
+
+// logEvent writes a line to the event log.
+func (h *history) logEvent(format string, args ...any) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.writeLog(time.Now(), format, args...)
+}
+
+// stopLog ends the event log, because workers may report events until the process ends.
+func (h *history) stopLog() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.log = nil
+}
+
+// writeLog writes a line to the event log. The caller holds h.mu.
+func (h *history) writeLog(at time.Time, format string, args ...any) {
+	if h.log != nil {
+		fmt.Fprintf(h.log, "%s %s\n", at.UTC().Format(timeFormat), fmt.Sprintf(format, args...))
+	}
 }
 
 // recordViolation records a violated guarantee, or a failed operation of the soak itself, while the soak runs. The text begins
@@ -59,24 +120,75 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.violations = append(h.violations, fmt.Sprintf(format, args...))
+	h.writeLog(time.Now(), format, args...)
+}
+
+// recordCut records a request whose connection ended without a complete answer.
+func (h *history) recordCut(r cutRequest) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.cutRequests = append(h.cutRequests, r)
+	h.writeLog(r.endedAt, "cut: %s, sent at %s", r.description, r.sentAt.UTC().Format(timeFormat))
+}
+
+// recordDisruption records a fault that is not planned work. The two times may be equal.
+func (h *history) recordDisruption(startedAt, endedAt time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.disruptions = append(h.disruptions, disruption{startedAt, endedAt})
+}
+
+// recordState records the state of a job that a process reported.
+func (h *history) recordState(id, state string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	j := h.jobs[id]
+	j.reportedState = state
+	if state != stateCompleted || !j.completedAt.IsZero() {
+		return
+	}
+	j.completedAt = time.Now()
+	h.writeLog(j.completedAt, "job %s is reported as completed", id)
+	if done := h.completedTasks(id); !j.longRunning && done < ordinaryTasks {
+		h.violations = append(h.violations, fmt.Sprintf("early: job %s is reported as completed with %d of %d tasks done", id, done, ordinaryTasks))
+	}
+}
+
+// completedTasks returns the number of tasks of a job with a run that has completed. The caller holds h.mu.
+func (h *history) completedTasks(id string) int {
+	n := 0
+	for task, runs := range h.runs {
+		if strings.HasPrefix(task, id+".") && slices.ContainsFunc(runs, func(r *taskRun) bool { return r.endReason == wigeonstandin.CauseDone }) {
+			n++
+		}
+	}
+	return n
+}
+
+// eventNames are the names of the kinds of events in the event log.
+var eventNames = map[wigeonstandin.EventKind]string{
+	wigeonstandin.RunStarted: "started", wigeonstandin.RunEnded: "ended", wigeonstandin.EndAcknowledged: "end_acknowledged",
+	wigeonstandin.LeaseExpired: "lease_expired",
 }
 
 // observe records an event of a worker.
 func (h *history) observe(o wigeonstandin.Event) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.writeLog(o.At, "worker=%s task=%s run=%d %s %s", o.Worker, o.Task, o.Run, eventNames[o.Kind], o.Cause)
+	life := workerLife{o.Worker, o.WorkerStartedAt}
 	switch o.Kind {
 	case wigeonstandin.RunStarted:
-		h.runs[o.Task] = append(h.runs[o.Task], &taskRun{worker: o.Worker, number: o.Run, startedAt: o.At})
+		h.runs[o.Task] = append(h.runs[o.Task], &taskRun{worker: life, number: o.Run, startedAt: o.At})
 	case wigeonstandin.LeaseExpired:
-		h.leaseExpiredAt[o.Worker] = o.At
+		h.leaseExpiredAt[life] = o.At
 	default:
 		for _, r := range h.runs[o.Task] {
-			if r.worker != o.Worker || r.number != o.Run {
+			if r.worker != life || r.number != o.Run {
 				continue
 			}
 			if o.Kind == wigeonstandin.EndAcknowledged {
-				r.endAcknowledged = r.endAcknowledged || !h.leaseExpiredAt[o.Worker].After(r.endedAt)
+				r.endAcknowledged = r.endAcknowledged || !h.leaseExpiredAt[life].After(r.endedAt)
 				continue
 			}
 			r.endedAt, r.endReason = o.At, o.Cause
@@ -86,7 +198,8 @@
 
 // check returns the recorded violations and those that the history shows. A violation begins with its category: "twice" is
 // a task that ran more than once, "lost" an accepted job that did not reach its expected state, "refused" a refused job
-// that ran, "unrequested" a run that no client asked for; "client", "process" and "soak" name where an operation failed.
+// that ran, "unrequested" a run that no client asked for, "early" a job that was reported as completed before its tasks
+// were, "cut" a request whose connection ended without an answer although there was no disruption; "client", "process" and "soak" name where an operation failed.
 func (h *history) check() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -101,22 +214,58 @@
 			found = append(found, fmt.Sprintf("refused: task %s started although its job was refused", task))
 		}
 		found = append(found, duplicateRuns(task, h.runs[task])...)
+		if j != nil {
+			found = append(found, lateStarts(task, h.runs[task], j.completedAt)...)
+		}
+	}
+	for _, r := range h.cutRequests {
+		if r.endedAt.Sub(r.sentAt) > cutSlack && h.calm(r.sentAt.Add(-calmBefore), r.endedAt) {
+			found = append(found, fmt.Sprintf("cut: %s was sent at %s, and its connection ended at %s without an answer", r.description,
+				r.sentAt.UTC().Format(timeFormat), r.endedAt.UTC().Format(timeFormat)))
+		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
 		j := h.jobs[id]
 		if j.acceptedAt.IsZero() || j.cancelled {
 			continue
 		}
-		if !j.longRunning && j.reportedState != "completed" {
+		if !j.longRunning && j.reportedState != stateCompleted {
 			found = append(found, fmt.Sprintf("lost: accepted job %s is reported as %q", id, j.reportedState))
 		}
-		if j.longRunning && j.reportedState != "running" {
+		if j.longRunning && j.reportedState != stateRunning {
 			found = append(found, fmt.Sprintf("lost: accepted long-running job %s is reported as %q", id, j.reportedState))
 		}
 	}
 	return found
 }
 
+// calm reports whether no disruption was active between two times. The caller holds h.mu.
+func (h *history) calm(from, to time.Time) bool {
+	return !slices.ContainsFunc(h.disruptions, func(d disruption) bool {
+		return d.startedAt.Before(to) && !d.endedAt.Before(from)
+	})
+}
+
+// lateStarts returns a violation for each run of a task that started after its job had been reported as completed.
+func lateStarts(task string, runs []*taskRun, completedAt time.Time) []string {
+	var found []string
+	for _, r := range runs {
+		if !completedAt.IsZero() && r.startedAt.After(completedAt) {
+			found = append(found, fmt.Sprintf("twice: task %s %s started after its job had been reported as completed", task, r))
+		}
+	}
+	return found
+}
+
+// String returns the run with its worker and the times of its start and end.
+func (r *taskRun) String() string {
+	end := "still running"
+	if !r.endedAt.IsZero() {
+		end = r.endedAt.UTC().Format(timeFormat) + " " + r.endReason
+	}
+	return fmt.Sprintf("run %d on %s (%s to %s)", r.number, r.worker.id, r.startedAt.UTC().Format(timeFormat), end)
+}
+
 // duplicateRuns returns a violation for each pair of runs of a task that overlap, or of which the later one started
 // although the earlier one had completed and its end was acknowledged. A task may run again after a run that did not
 // complete or whose end was not acknowledged.
@@ -128,9 +277,9 @@
 				a, b = b, a
 			}
 			if a.endedAt.IsZero() || b.startedAt.Before(a.endedAt) {
-				found = append(found, fmt.Sprintf("twice: task %s run %d on %s overlaps run %d on %s", task, a.number, a.worker, b.number, b.worker))
+				found = append(found, fmt.Sprintf("twice: task %s %s overlaps %s", task, a, b))
 			} else if a.endReason == wigeonstandin.CauseDone && a.endAcknowledged {
-				found = append(found, fmt.Sprintf("twice: task %s run %d on %s started after run %d on %s had completed", task, b.number, b.worker, a.number, a.worker))
+				found = append(found, fmt.Sprintf("twice: task %s %s started after %s had completed and its end was acknowledged", task, b, a))
 			}
 		}
 	}
--- a/wigeonsoak/history_test.go
+++ b/wigeonsoak/history_test.go
@@ -1,6 +1,7 @@
 package wigeonsoak
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -25,6 +26,10 @@
 	endAcknowledged := func(ms int, worker string, run uint32) wigeonstandin.Event {
 		return event(ms, worker, wigeonstandin.EndAcknowledged, run, "")
 	}
+	inLife := func(life int, e wigeonstandin.Event) wigeonstandin.Event {
+		e.WorkerStartedAt = start.Add(time.Duration(life) * time.Hour)
+		return e
+	}
 	completeRun := []wigeonstandin.Event{started(0, "a", 1), completed(5, "a", 1), endAcknowledged(6, "a", 1)}
 	accepted := clientJob{acceptedAt: start, reportedState: "completed"}
 	for _, test := range []struct {
@@ -46,6 +51,17 @@
 		{"run of a job without an answer", &clientJob{}, completeRun, ""},
 		{"accepted job that is not reported as completed", &clientJob{acceptedAt: start, reportedState: "running"}, completeRun, "lost"},
 		{"cancelled long-running job", &clientJob{acceptedAt: start, longRunning: true, cancelled: true, reportedState: "cancelled"}, nil, ""},
+		{"second run under the same number in another life of the worker, after a crash", &accepted, []wigeonstandin.Event{
+			started(0, "a", 1), event(2, "a", wigeonstandin.RunEnded, 1, "crashed"),
+			inLife(2, started(3, "a", 1)), inLife(2, completed(5, "a", 1)), inLife(2, endAcknowledged(6, "a", 1)),
+		}, ""},
+		{"acknowledged end in another life of the worker than that of the lease that expired", &accepted, []wigeonstandin.Event{
+			inLife(2, started(0, "a", 1)), inLife(2, completed(5, "a", 1)), event(6, "a", wigeonstandin.LeaseExpired, 0, ""),
+			inLife(2, endAcknowledged(7, "a", 1)), started(8, "b", 2),
+		}, "twice"},
+		{"run after the job was reported as completed", &clientJob{acceptedAt: start, reportedState: "completed", completedAt: start.Add(3 * time.Millisecond)}, []wigeonstandin.Event{
+			started(4, "a", 1),
+		}, "twice"},
 		{"long-running job that ended without a cancellation", &clientJob{acceptedAt: start, longRunning: true, reportedState: "completed"}, nil, "lost"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -67,20 +83,44 @@
 	}
 }
 
-// Guards against a failed seed that cannot be repeated: a seed always gives the same plan, and another seed another plan.
-// A long plan contains every kind of fault.
-func TestPlanIsRepeatable(t *testing.T) {
-	c := qt.New(t)
-	a, b := Plan(7, time.Minute, 4, 5), Plan(7, time.Minute, 4, 5)
-	c.Assert(a, qt.DeepEquals, b)
-	c.Assert(Plan(8, time.Minute, 4, 5), qt.Not(qt.DeepEquals), a)
-	seen := map[Kind]bool{}
-	for i, f := range a {
-		seen[f.Kind] = true
-		c.Assert(f.Target < 5, qt.IsTrue)
-		c.Assert(i == 0 || a[i-1].Offset <= f.Offset, qt.IsTrue)
+// Guards against a check that misses a job that is reported as completed before all its tasks have completed.
+func TestHistoryReportsEarlyCompletion(t *testing.T) {
+	h := newHistory()
+	h.add("j", &clientJob{acceptedAt: time.Now()})
+	for i := range ordinaryTasks {
+		task := fmt.Sprintf("j.0.0.%d", i)
+		h.observe(wigeonstandin.Event{Worker: "a", Kind: wigeonstandin.RunStarted, Task: task, Run: 1})
+		if i > 0 {
+			h.observe(wigeonstandin.Event{Worker: "a", Kind: wigeonstandin.RunEnded, Task: task, Run: 1, Cause: wigeonstandin.CauseDone})
+		}
 	}
-	for _, kind := range weightedKinds {
-		c.Assert(seen[kind], qt.IsTrue, qt.Commentf("%s", kind))
+	h.recordState("j", stateRunning)
+	qt.Assert(t, h.violations, qt.HasLen, 0)
+	h.recordState("j", stateCompleted)
+	qt.Assert(t, h.violations, qt.HasLen, 1)
+	qt.Assert(t, strings.HasPrefix(h.violations[0], "early:"), qt.IsTrue)
+}
+
+// Guards against a check that misses a request that is cut off around planned work, or counts one near a disruption or one
+// that the process did not read.
+func TestHistoryReportsCutRequests(t *testing.T) {
+	sentAt := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	for _, test := range []struct {
+		name string
+		// took is the time from the request to its cut, disruptedBefore that from a disruption to the request.
+		took, disruptedBefore time.Duration
+		want                  int
+	}{
+		{"cut late, no disruption near", time.Second, calmBefore + time.Second, 1},
+		{"cut at once", cutSlack, calmBefore + time.Second, 0},
+		{"cut late, disruption before", time.Second, calmBefore - time.Second, 0},
+		{"cut late, disruption meanwhile", time.Second, -time.Second / 2, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHistory()
+			h.recordDisruption(sentAt.Add(-test.disruptedBefore), sentAt.Add(-test.disruptedBefore))
+			h.recordCut(cutRequest{"GET", sentAt, sentAt.Add(test.took)})
+			qt.Assert(t, h.check(), qt.HasLen, test.want)
+		})
 	}
 }
--- a/wigeonsoak/plan.go
+++ b/wigeonsoak/plan.go
@@ -1,6 +1,7 @@
 package wigeonsoak
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -39,8 +40,16 @@
 	KindWorkerCrash Kind = "worker_crash"
 	// KindConfigure stores a new version of the configuration.
 	KindConfigure Kind = "configure"
+	// KindWorkerRestart crashes a worker with all its task runs. It restarts under its ID and at its address.
+	KindWorkerRestart Kind = "worker_restart"
+	// KindWorkerMove crashes a worker with all its task runs. A worker with a new ID takes over its address at once, and it
+	// restarts under its ID at another address.
+	KindWorkerMove Kind = "worker_move"
 )
 
+// planned reports whether a fault of the kind is planned work, during which every request has to be answered.
+func (k Kind) planned() bool { return k == KindTerm || k == KindReload || k == KindConfigure }
+
 // weightedKinds lists the kinds of faults for a random choice; a kind that is listed twice is twice as likely.
 var weightedKinds = []Kind{
 	KindKill, KindKill, KindTerm, KindTerm, KindPause, KindPause, KindReload, KindPowerLoss, KindStoreLink, KindStoreLink,
@@ -51,7 +60,7 @@
 // Fault is one injected fault.
 type Fault struct {
 	// Offset is the time from the start of the plan to the start of the fault. ActiveFor is the length of a pause, of a
-	// link fault or of an outage of the store; other kinds ignore it.
+	// link fault, of an outage of the store or of the time until a crashed worker restarts; other kinds ignore it.
 	Offset, ActiveFor time.Duration
 	Kind              Kind
 	// Target is the index of a worker for the kinds that concern a worker, and of a process otherwise.
@@ -75,6 +84,17 @@
 	// lossPeriod is the time in which one link loses packets on average, and maxLossRate the largest rate.
 	lossPeriod  = 2 * time.Second
 	maxLossRate = 0.3
+	// livesPeriod and stopsPeriod are the average times between two entries of PlanLives and of PlanStops.
+	livesPeriod = 900 * time.Millisecond
+	stopsPeriod = 1200 * time.Millisecond
+	// maxWorkerDowntime bounds the time until a crashed worker restarts under its ID.
+	maxWorkerDowntime = 2500 * time.Millisecond
+	// minLateness exceeds the time limit of an order to a worker, so that its caller has given up when the worker executes it.
+	minLateness   = 700 * time.Millisecond
+	latenessRange = 4 * time.Second
+	// maxSeriesGap is below the time for which a stopping process serves, so that most series overlap with a drain.
+	maxSeriesGap       = 1500 * time.Millisecond
+	otherTargetPercent = 30
 )
 
 // Plan returns the faults that a seed determines, sorted by start. They may overlap. The last one may start up to 1.5 s
@@ -119,6 +139,68 @@
 	return plan
 }
 
+// PlanLives returns faults of workers and processes that live several times, sorted by start: workers that restart under
+// their ID at the same or another address, calls that a worker executes late, and series of signals and changes of the
+// configuration that overlap on one process. It does not depend on the faults of Plan.
+func PlanLives(seed uint64, period time.Duration, processes, workers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 3)) //nolint:gosec // the plan of a seed has to be repeatable
+	var plan []Fault
+	for offset := randomDuration(r, 2*livesPeriod); offset < period; offset += randomDuration(r, 2*livesPeriod) {
+		f := Fault{Offset: offset, Target: r.IntN(workers)}
+		switch r.IntN(4) {
+		case 0:
+			f.Kind, f.ActiveFor = KindWorkerRestart, randomDuration(r, maxWorkerDowntime)
+		case 1:
+			f.Kind, f.ActiveFor = KindWorkerMove, randomDuration(r, maxWorkerDowntime)
+		case 2:
+			f.Kind, f.ActiveFor = KindWorkerLink, randomDuration(r, faultDurationRange)
+			f.LinkFault.RequestDelay = minLateness + randomDuration(r, latenessRange)
+		default:
+			plan = append(plan, planSeries(r, offset, processes, []Kind{KindTerm, KindTerm, KindReload, KindKill, KindConfigure})...)
+			continue
+		}
+		plan = append(plan, f)
+	}
+	return sortPlan(plan)
+}
+
+// PlanStops returns planned work only, sorted by start: overlapping series of SIGTERM, SIGHUP and changes of the
+// configuration.
+func PlanStops(seed uint64, period time.Duration, processes int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 4)) //nolint:gosec // the plan of a seed has to be repeatable
+	var plan []Fault
+	for offset := randomDuration(r, 2*stopsPeriod); offset < period; offset += randomDuration(r, 2*stopsPeriod) {
+		plan = append(plan, planSeries(r, offset, processes, []Kind{KindTerm, KindTerm, KindReload, KindConfigure})...)
+	}
+	return sortPlan(plan)
+}
+
+// planSeries returns two to four faults of the given kinds. Each starts at most maxSeriesGap after the one before, and most
+// of them have the same target, so that they come while a process drains or restarts.
+func planSeries(r *rand.Rand, offset time.Duration, processes int, kinds []Kind) []Fault {
+	target := r.IntN(processes)
+	series := []Fault{{Offset: offset, Kind: kinds[r.IntN(len(kinds))], Target: target}}
+	for range 1 + r.IntN(3) {
+		offset += randomDuration(r, maxSeriesGap)
+		f := Fault{Offset: offset, Kind: kinds[r.IntN(len(kinds))], Target: target}
+		if r.IntN(100) < otherTargetPercent {
+			f.Target = r.IntN(processes)
+		}
+		series = append(series, f)
+	}
+	return series
+}
+
+func sortPlan(plan []Fault) []Fault {
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.Offset, b.Offset) })
+	return plan
+}
+
+// randomDuration returns a random duration below the limit.
+func randomDuration(r *rand.Rand, limit time.Duration) time.Duration {
+	return time.Duration(r.Int64N(int64(limit)))
+}
+
 func randomLinkFault(r *rand.Rand) LinkFault {
 	switch r.IntN(4) {
 	case 0:
--- a/wigeonsoak/process.go
+++ b/wigeonsoak/process.go
@@ -38,8 +38,9 @@
 	running *exec.Cmd
 	// paused is set between SIGSTOP and SIGCONT.
 	paused bool
-	// exitExpected is set once SIGTERM or SIGKILL was sent. exitGraceful is set while one SIGTERM, sent to a process that
-	// was not paused, is the only reason for the exit; the process then has to exit without an error and in time.
+	// exitExpected is set once SIGTERM or SIGKILL was sent. exitGraceful is set while SIGTERM, first sent to a process that
+	// was not paused, is the only reason for the exit; the process then has to exit without an error and in time, also if
+	// further signals come while it stops.
 	exitExpected, exitGraceful bool
 	termSentAt                 time.Time
 	// stopped is set by stop and prevents restarts.
@@ -168,9 +169,8 @@
 	case syscall.SIGKILL:
 		p.exitExpected, p.exitGraceful = true, false
 	case syscall.SIGTERM:
-		p.exitGraceful = !p.exitExpected && !p.paused
 		if !p.exitExpected {
-			p.termSentAt = time.Now()
+			p.exitGraceful, p.termSentAt = !p.paused, time.Now()
 		}
 		p.exitExpected = true
 	case syscall.SIGSTOP:
--- a/wigeonsoak/proxy.go
+++ b/wigeonsoak/proxy.go
@@ -13,6 +13,9 @@
 type LinkFault struct {
 	// Delay is the time that each read is held before it is forwarded, in either direction.
 	Delay time.Duration
+	// RequestDelay is the further time that each read from the caller is held. The data reaches the target even if the caller
+	// closes the connection meanwhile, so a request with a shorter time limit is executed late.
+	RequestDelay time.Duration
 	// LossRate is the share of the reads whose data is lost and arrives after a retransmission, in either direction. A
 	// retransmission may be lost as well. On a stream, loss of packets shows only as late data.
 	LossRate float64
@@ -40,11 +43,12 @@
 // Proxy is a TCP proxy on a loopback address that can apply faults to its connections.
 type Proxy struct {
 	listener net.Listener
-	target   string
 
-	mu    sync.Mutex
-	fault LinkFault
-	conns map[net.Conn]struct{}
+	mu sync.Mutex
+	// target is the address to which new connections are forwarded.
+	target string
+	fault  LinkFault
+	conns  map[net.Conn]struct{}
 }
 
 // NewProxy starts a proxy on a free port of ip that forwards connections to the target address until ctx ends.
@@ -72,6 +76,13 @@
 	p.fault = lf
 }
 
+// SetTarget replaces the target of new connections. Data of connections that are open still goes to the former target.
+func (p *Proxy) SetTarget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = address
+}
+
 // Reset closes all connections with a TCP reset to both sides.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -103,7 +114,10 @@
 
 // forwardConnection connects to the target and forwards data between it and the caller until either side closes.
 func (p *Proxy) forwardConnection(ctx context.Context, caller net.Conn) {
-	target, err := (&net.Dialer{}).DialContext(ctx, "tcp", p.target)
+	p.mu.Lock()
+	address := p.target
+	p.mu.Unlock()
+	target, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		_ = caller.Close()
 		return
@@ -111,13 +125,13 @@
 	p.mu.Lock()
 	p.conns[caller], p.conns[target] = struct{}{}, struct{}{}
 	p.mu.Unlock()
-	go p.forward(target, caller, func(lf LinkFault) bool { return lf.DropRequests })
-	p.forward(caller, target, func(lf LinkFault) bool { return lf.DropAnswers })
+	go p.forward(target, caller, func(lf LinkFault) (bool, time.Duration) { return lf.DropRequests, lf.Delay + lf.RequestDelay })
+	p.forward(caller, target, func(lf LinkFault) (bool, time.Duration) { return lf.DropAnswers, lf.Delay })
 }
 
-// forward copies data in one direction until either side closes, and then closes both. dropped reports whether a fault
-// discards data in this direction.
-func (p *Proxy) forward(to, from net.Conn, dropped func(LinkFault) bool) {
+// forward copies data in one direction until either side closes, and then closes both. effect returns whether a fault
+// discards data in this direction, and for how long it holds data.
+func (p *Proxy) forward(to, from net.Conn, effect func(LinkFault) (dropped bool, delay time.Duration)) {
 	defer func() {
 		_ = to.Close()
 		_ = from.Close()
@@ -130,8 +144,8 @@
 	for {
 		n, err := from.Read(buffer)
 		fault := p.currentFault()
-		if n > 0 && !dropped(fault) {
-			time.Sleep(fault.Delay + retransmissionDelay(fault.LossRate))
+		if dropped, delay := effect(fault); n > 0 && !dropped {
+			time.Sleep(delay + retransmissionDelay(fault.LossRate))
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
--- a/wigeonsoak/soak.go
+++ b/wigeonsoak/soak.go
@@ -4,10 +4,11 @@
 package wigeonsoak
 
 import (
-	"cmp"
+	"bufio"
 	"context"
 	"fmt"
-	"slices"
+	"os"
+	"path/filepath"
 	"sync"
 	"syscall"
 	"time"
@@ -26,8 +27,16 @@
 	// clientCount clients send requests concurrently. Each waits clientInterval after a request.
 	clientCount    = 3
 	clientInterval = 150 * time.Millisecond
-	// stateQueryPercent is the share of requests that query the state of a job submitted before.
-	stateQueryPercent = 40
+	// Besides, each process has a client that keeps one connection open. connectedInterval is the time between two requests
+	// of all of these clients together; connectedQueryPercent is their share of state queries.
+	connectedInterval     = 40 * time.Millisecond
+	connectedQueryPercent = 75
+	// startupTimePerProcess lengthens startupTimeout, because many processes start on one machine.
+	startupTimePerProcess = 300 * time.Millisecond
+	// entryTTL is the time after which the store removes the entry of a worker that does not renew it.
+	entryTTL = 1500 * time.Millisecond
+	// addedPathPrefix selects a queue that exists in every other version of the configuration.
+	addedPathPrefix = "/added/"
 )
 
 // Settings configures one soak.
@@ -42,6 +51,10 @@
 	FaultPeriod time.Duration
 	// PacketLoss adds the faults of PlanLoss to those of Plan.
 	PacketLoss bool
+	// Lives adds the faults of PlanLives to those of Plan.
+	Lives bool
+	// StopsOnly replaces all faults by the planned work of PlanStops.
+	StopsOnly bool
 	// Processes and Workers are the numbers of processes and of workers, at least 2 each.
 	Processes, Workers int
 }
@@ -53,6 +66,8 @@
 	Violations []string
 	// Accepted, Refused and Unknown count the submitted jobs by the outcome that their client knows.
 	Accepted, Refused, Unknown int
+	// Cut counts the requests whose connection ended without an answer, allowed ones included.
+	Cut int
 }
 
 // system holds the processes, workers and stand-ins of one soak.
@@ -71,6 +86,8 @@
 	workers []*wigeonstandin.Worker
 	// workerLinks holds the proxy in front of each worker, by the index of the worker.
 	workerLinks []*Proxy
+	// restarting is set for the workers that are down until they restart under their ID, by the index of the worker.
+	restarting []bool
 	// startedWorkers counts the workers started so far; it makes worker IDs unique.
 	startedWorkers int
 	// configurationVersion is the version of the configuration that was stored last.
@@ -82,6 +99,17 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &system{settings: settings, ctx: ctx, history: newHistory()}
+	eventLog, err := os.Create(filepath.Join(settings.Directory, "events.log"))
+	if err != nil {
+		return Report{}, fmt.Errorf("create the event log: %w", err)
+	}
+	buffered := bufio.NewWriter(eventLog)
+	s.history.log = buffered
+	defer func() {
+		s.history.stopLog()
+		_ = buffered.Flush()
+		_ = eventLog.Close()
+	}()
 	defer func() {
 		for _, p := range s.processes {
 			p.stop()
@@ -94,7 +122,18 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
 	for i := range clientCount {
-		load.Go(func() { s.sendLoad(loadCtx, i) })
+		load.Go(func() {
+			s.sendLoad(loadCtx, i, newClient(s.clientAddresses, s.history, settings.Seed+uint64(i)), clientInterval)
+		}) //nolint:gosec // i is small
+	}
+	for i, address := range s.clientAddresses {
+		c := newClient(s.clientAddresses, s.history, settings.Seed+uint64(clientCount+i)) //nolint:gosec // i is small
+		c.connection = &connection{address: address, history: s.history}
+		c.stateQueryPercent, c.longRunningPercent = connectedQueryPercent, 0
+		load.Go(func() {
+			defer c.connection.close()
+			s.sendLoad(loadCtx, clientCount+i, c, connectedInterval*time.Duration(len(s.clientAddresses)))
+		})
 	}
 	s.injectFaults(report.Plan)
 	stopLoad()
@@ -107,12 +146,17 @@
 
 // plan returns the faults of the soak, sorted by start.
 func (s Settings) plan() []Fault {
+	if s.StopsOnly {
+		return PlanStops(s.Seed, s.FaultPeriod, s.Processes)
+	}
 	faults := Plan(s.Seed, s.FaultPeriod, s.Processes, s.Workers)
 	if s.PacketLoss {
 		faults = append(faults, PlanLoss(s.Seed, s.FaultPeriod, s.Processes, s.Workers)...)
-		slices.SortStableFunc(faults, func(a, b Fault) int { return cmp.Compare(a.Offset, b.Offset) })
 	}
-	return faults
+	if s.Lives {
+		faults = append(faults, PlanLives(s.Seed, s.FaultPeriod, s.Processes, s.Workers)...)
+	}
+	return sortPlan(faults)
 }
 
 func (s *system) start() error {
@@ -121,7 +165,7 @@
 		return err
 	}
 	s.workers = make([]*wigeonstandin.Worker, s.settings.Workers)
-	s.workerLinks = make([]*Proxy, s.settings.Workers)
+	s.workerLinks, s.restarting = make([]*Proxy, s.settings.Workers), make([]bool, s.settings.Workers)
 	var machines []*wigeonstandin.Machine
 	for i := range s.settings.Workers {
 		if err := s.startWorker(i); err != nil {
@@ -153,36 +197,52 @@
 
 // startWorker starts a worker with a new ID behind a new proxy and stores both at index i.
 func (s *system) startWorker(i int) error {
+	link, err := NewProxy(s.ctx, loopbackIP(s.settings.Seed, i), "")
+	if err != nil {
+		return err
+	}
+	w, err := s.startLife(i, s.newWorkerID(i), link)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers[i], s.workerLinks[i] = w, link
+	return nil
+}
+
+func (s *system) newWorkerID(i int) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startedWorkers++
-	var link *Proxy
-	w, err := wigeonstandin.StartWorker(s.ctx, s.store, wigeonstandin.WorkerSettings{
-		ID: fmt.Sprintf("i-%d-%d", i, s.startedWorkers), Service: service, Rack: fmt.Sprintf("r%d", i), OnEvent: s.history.observe,
+	return fmt.Sprintf("i-%d-%d", i, s.startedWorkers)
+}
+
+// startLife starts a worker with the given ID that registers the address of the link. From then on, the link forwards new
+// connections to it.
+func (s *system) startLife(i int, id string, link *Proxy) (*wigeonstandin.Worker, error) {
+	return wigeonstandin.StartWorker(s.ctx, s.store, wigeonstandin.WorkerSettings{
+		ID: id, Service: service, Rack: fmt.Sprintf("r%d", i), OnEvent: s.history.observe,
 		RegisteredAddress: func(address string) (string, error) {
-			var err error
-			if link, err = NewProxy(s.ctx, loopbackIP(s.settings.Seed, i), address); err != nil {
-				return "", err
-			}
+			link.SetTarget(address)
 			return link.Address(), nil
 		},
 	})
-	if err != nil {
-		return err
-	}
-	s.workers[i], s.workerLinks[i] = w, link
-	return nil
 }
 
-// storeConfiguration stores the next version of the configuration. Only its version differs from the one before.
+// storeConfiguration stores the next version of the configuration. Versions with an odd number have one more queue.
 func (s *system) storeConfiguration() error {
 	s.configurationVersion++
-	return s.store.PutQueue(s.configurationVersion, service, jobHost, jobPathPrefix)
+	if s.configurationVersion%2 == 0 {
+		return s.store.PutQueue(s.configurationVersion, service, jobHost, jobPathPrefix)
+	}
+	return s.store.PutQueue(s.configurationVersion, service, jobHost, jobPathPrefix, addedPathPrefix)
 }
 
 // awaitService waits until every process serves requests, that is, answers a query for an unknown job with status 410.
 func (s *system) awaitService() error {
-	deadline := time.Now().Add(startupTimeout)
+	timeout := startupTimeout + time.Duration(len(s.processes))*startupTimePerProcess
+	deadline := time.Now().Add(timeout)
 	for _, address := range s.clientAddresses {
 		c := newClient([]string{address}, s.history, s.settings.Seed)
 		for {
@@ -190,7 +250,7 @@
 				break
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("process at %s did not serve requests within %s of the start; see its log", address, startupTimeout)
+				return fmt.Errorf("process at %s did not serve requests within %s of the start; see its log", address, timeout)
 			}
 			time.Sleep(pollInterval)
 		}
@@ -198,19 +258,18 @@
 	return nil
 }
 
-// sendLoad submits jobs and queries their states until ctx ends. n is the index of the client.
-func (s *system) sendLoad(ctx context.Context, n int) {
-	c := newClient(s.clientAddresses, s.history, s.settings.Seed+uint64(n)) //nolint:gosec // n is small
+// sendLoad submits jobs and queries their states until ctx ends, with a pause after each. n is the index of the client.
+func (s *system) sendLoad(ctx context.Context, n int, c *client, pause time.Duration) {
 	var submitted []string
 	for i := 1; ctx.Err() == nil; i++ {
-		if len(submitted) > 0 && c.random.IntN(100) < stateQueryPercent {
+		if len(submitted) > 0 && c.random.IntN(100) < c.stateQueryPercent {
 			c.queryState(s.ctx, submitted[c.random.IntN(len(submitted))])
 		} else {
 			id := fmt.Sprintf("%04x%012x", n+1, i)
 			c.submit(s.ctx, id)
 			submitted = append(submitted, id)
 		}
-		time.Sleep(clientInterval)
+		time.Sleep(pause)
 	}
 }
 
@@ -221,7 +280,14 @@
 	var active sync.WaitGroup
 	for _, f := range plan {
 		time.Sleep(time.Until(startTime.Add(f.Offset)))
-		active.Go(func() { s.injectFault(f) })
+		active.Go(func() {
+			s.history.logEvent("fault: %s", f)
+			faultStart := time.Now()
+			s.injectFault(f)
+			if !f.Kind.planned() {
+				s.history.recordDisruption(faultStart, time.Now())
+			}
+		})
 	}
 	active.Wait()
 	for _, p := range s.processes {
@@ -270,6 +336,10 @@
 		s.store.Compact()
 	case KindWorkerCrash:
 		s.crashWorker(f.Target)
+	case KindWorkerRestart:
+		s.restartWorker(f.Target, f.ActiveFor, false)
+	case KindWorkerMove:
+		s.restartWorker(f.Target, f.ActiveFor, true)
 	case KindConfigure:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -299,21 +369,60 @@
 // crashWorker crashes worker i and starts another one in its place.
 func (s *system) crashWorker(i int) {
 	s.mu.Lock()
-	w := s.workers[i]
+	w, restarting := s.workers[i], s.restarting[i]
 	s.mu.Unlock()
+	if restarting {
+		return
+	}
 	w.Crash()
 	if err := s.startWorker(i); err != nil {
 		s.history.recordViolation("soak: start worker: %v", err)
 	}
 }
 
+// restartWorker crashes worker i and restarts it under its ID after the downtime. If it moves, it restarts behind a new proxy,
+// and a worker with a new ID takes over its former address at once. Overlapping restarts of one worker are left out.
+func (s *system) restartWorker(i int, downtime time.Duration, moves bool) {
+	s.mu.Lock()
+	old, link := s.workers[i], s.workerLinks[i]
+	if s.restarting[i] {
+		s.mu.Unlock()
+		return
+	}
+	s.restarting[i] = true
+	s.mu.Unlock()
+	old.Crash()
+	next, err := link, error(nil)
+	if moves {
+		if _, err = s.startLife(i, s.newWorkerID(i), link); err == nil {
+			next, err = NewProxy(s.ctx, loopbackIP(s.settings.Seed, i), "")
+		}
+	}
+	time.Sleep(min(downtime, entryTTL))
+	if downtime > entryTTL {
+		old.Expire()
+		time.Sleep(downtime - entryTTL)
+	}
+	var w *wigeonstandin.Worker
+	if err == nil {
+		w, err = s.startLife(i, old.ID, next)
+	}
+	if err != nil {
+		s.history.recordViolation("soak: restart worker: %v", err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers[i], s.workerLinks[i], s.restarting[i] = w, next, false
+}
+
 // awaitExpectedStates queries accepted jobs until every ordinary job is reported as completed and every long-running job
 // as running, for at most completionTimeout. It then cancels the long-running jobs.
 func (s *system) awaitExpectedStates() {
 	c := newClient(s.clientAddresses, s.history, s.settings.Seed)
 	completionDeadline := time.Now().Add(completionTimeout)
 	pending := func(j clientJob) bool {
-		return !j.cancelled && (j.longRunning && j.reportedState != "running" || !j.longRunning && j.reportedState != "completed")
+		return !j.cancelled && (j.longRunning && j.reportedState != stateRunning || !j.longRunning && j.reportedState != stateCompleted)
 	}
 	for time.Now().Before(completionDeadline) {
 		ids := s.history.acceptedJobs(pending)
@@ -353,6 +462,7 @@
 func (s *system) countJobs(r *Report) {
 	s.history.mu.Lock()
 	defer s.history.mu.Unlock()
+	r.Cut = len(s.history.cutRequests)
 	for _, j := range s.history.jobs {
 		switch {
 		case !j.acceptedAt.IsZero():
--- a/wigeonsoak/soak_test.go
+++ b/wigeonsoak/soak_test.go
@@ -19,56 +19,83 @@
 	seedCount     = flag.Int("soak.seeds", 0, "play this many seeds from -soak.first on instead of those of testdata/seeds.txt")
 	firstSeed     = flag.Uint64("soak.first", 1000, "the first seed to play")
 	packetLoss    = flag.Bool("soak.loss", false, "let links lose packets as well, for the seeds from -soak.first on")
+	lives         = flag.Bool("soak.lives", false, "add the faults of PlanLives, for the seeds from -soak.first on")
+	stopsOnly     = flag.Bool("soak.stops", false, "play only the planned work of PlanStops, for the seeds from -soak.first on")
+	processCount  = flag.Int("soak.processes", 4, "number of processes")
+	workerCount   = flag.Int("soak.workers", 5, "number of workers")
+	faultPeriod   = flag.Duration("soak.period", 8*time.Second, "period over which faults are planned")
 	keepDirectory = flag.String("soak.keep", "", "directory that keeps the settings and logs of the processes")
 )
 
 const (
-	soakFaultPeriod = 8 * time.Second
-	parallelSoaks   = 4
+	// parallelSoaks bounds the soaks at the same time, and parallelProcesses the processes of all of them.
+	parallelSoaks     = 4
+	parallelProcesses = 160
 )
 
 // Guards against violated guarantees to clients while processes are killed, terminated, paused and disconnected, also
 // repeatedly and all at once: an accepted job stays known and completes, a refused job never runs, no task runs twice, a
 // long-running job runs until it is cancelled, and a process exits only after a signal.
 func TestSoak(t *testing.T) {
-	runSeeds(t, selectedSeeds(t), *packetLoss)
+	runSeeds(t, selectedSeeds(t), Settings{PacketLoss: *packetLoss, Lives: *lives, StopsOnly: *stopsOnly})
 }
 
 // Guards against the same violations while links lose packets besides, so that data stalls and arrives late.
 func TestSoakWithPacketLoss(t *testing.T) {
-	runSeeds(t, readSeeds(t, "loss_seeds.txt"), true)
+	runSeeds(t, readSeeds(t, "loss_seeds.txt"), Settings{PacketLoss: true})
+}
+
+// Guards against the same violations while workers restart under their ID, also at another address, and execute calls late,
+// and while signals and changes of the configuration come in overlapping series.
+func TestSoakWithLives(t *testing.T) {
+	runSeeds(t, readSeeds(t, "lives_seeds.txt"), Settings{Lives: true})
+}
+
+// Guards against a task that runs twice because ends of a worker's new life are taken for ends of the life before, after
+// another worker had answered at its address.
+func TestSoakWithMovedWorker(t *testing.T) {
+	runSeeds(t, readSeeds(t, "lives_red_seeds.txt"), Settings{Lives: true})
+}
+
+// Guards against a request that is cut off, and the other violations, around planned work alone: series of SIGTERM, SIGHUP
+// and changes of the configuration, while clients keep their connections until the process is gone.
+func TestSoakWithStopsOnly(t *testing.T) {
+	runSeeds(t, readSeeds(t, "stops_seeds.txt"), Settings{StopsOnly: true})
 }
 
 // Guards against a process that exits because SIGHUP arrives just after its start.
 func TestSoakReloadDuringStart(t *testing.T) {
-	runSeeds(t, readSeeds(t, "red_seeds.txt"), false)
+	runSeeds(t, readSeeds(t, "red_seeds.txt"), Settings{})
 }
 
-func runSeeds(t *testing.T, selected []uint64, loss bool) {
+// runSeeds plays the seeds with the given faults.
+func runSeeds(t *testing.T, selected []uint64, faults Settings) {
 	t.Helper()
 	binary := filepath.Join(t.TempDir(), "wigeonstep")
 	output, err := exec.Command("go", "build", "-o", binary, "../cmd/wigeonstep").CombinedOutput()
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", output))
-	slots := make(chan struct{}, parallelSoaks)
+	slots := make(chan struct{}, max(1, min(parallelSoaks, parallelProcesses / *processCount)))
 	for _, seed := range selected {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
 			defer func() { <-slots }()
-			runSoak(t, binary, seed, loss)
+			runSoak(t, binary, seed, faults)
 		})
 	}
 }
 
-func runSoak(t *testing.T, binary string, seed uint64, loss bool) {
+func runSoak(t *testing.T, binary string, seed uint64, settings Settings) {
 	directory := t.TempDir()
 	if *keepDirectory != "" {
 		directory = filepath.Join(*keepDirectory, fmt.Sprint(seed))
 		qt.Assert(t, os.MkdirAll(directory, 0o755), qt.IsNil)
 	}
-	report, err := Run(context.Background(), Settings{Binary: binary, Directory: directory, Seed: seed, FaultPeriod: soakFaultPeriod, PacketLoss: loss, Processes: 4, Workers: 5})
+	settings.Binary, settings.Directory, settings.Seed, settings.FaultPeriod = binary, directory, seed, *faultPeriod
+	settings.Processes, settings.Workers = *processCount, *workerCount
+	report, err := Run(context.Background(), settings)
 	qt.Assert(t, err, qt.IsNil)
-	t.Logf("seed=%d accepted=%d refused=%d unknown=%d faults=%d", seed, report.Accepted, report.Refused, report.Unknown, len(report.Plan))
+	t.Logf("seed=%d accepted=%d refused=%d unknown=%d cut=%d faults=%d", seed, report.Accepted, report.Refused, report.Unknown, report.Cut, len(report.Plan))
 	if len(report.Violations) > 0 {
 		var plan []string
 		for _, f := range report.Plan {
