Ignore SIGHUP from the load of the program on

A C constructor in package wigeonsignal now does so before the Go runtime starts; the runtime keeps SIGHUP ignored if it finds it ignored, signal.Notify still installs the handler, and signal.Stop goes back to ignoring. Builds without cgo behave as before.

The soak allows an end by SIGHUP only if the signal was sent while the process had one thread, so before the Go runtime had started. Any other end, and one after the first line of the log, is a violation as before (TestCheckExit).

--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -14,6 +14,8 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"go.uber.org/zap"
 
+	// SIGHUP is ignored while the Go runtime and the packages are initialised.
+	_ "github.com/wigeonstep/wigeonstep/wigeonsignal"
 	"github.com/wigeonstep/wigeonstep/wigeontelemetry"
 )
 
@@ -32,7 +34,8 @@
 }
 
 func main() {
-	// The default action of SIGHUP would end a process that is still starting. Commands that reload install a handler.
+	// The default action of SIGHUP would end a process that is still starting. Commands that reload install a handler. Package
+	// wigeonsignal does the same earlier, in builds with cgo.
 	signal.Ignore(syscall.SIGHUP)
 	wigeontelemetry.RedirectHertz(zap.NewNop())
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/wigeonsoak/process.go
+++ b/wigeonsoak/process.go
@@ -43,6 +43,12 @@
 	// further signals come while it stops.
 	exitExpected, exitGraceful bool
 	termSentAt                 time.Time
+	// hangupDuringLoad is set once SIGHUP was sent before the runtime of the program had started. The loader cannot ignore
+	// it, so the signal may end the process.
+	hangupDuringLoad bool
+	// output is the log of the process, and outputSize its size when the process started.
+	output     *os.File
+	outputSize int64
 	// stopped is set by stop and prevents restarts.
 	stopped bool
 	// done is closed when supervise returns.
@@ -73,7 +79,7 @@
 		c.Stdout, c.Stderr = output, output
 		return c
 	}
-	return &process{name: name, clientAddress: addresses[0], command: command, history: h, done: make(chan struct{})}, nil
+	return &process{name: name, clientAddress: addresses[0], command: command, output: output, history: h, done: make(chan struct{})}, nil
 }
 
 // loopbackIP returns the loopback address of a process or proxy, which depends on the process ID of the soak, its seed and
@@ -124,9 +130,10 @@
 			p.mu.Unlock()
 			return
 		}
+		p.outputSize = p.logSize()
 		err := startCommand(c)
 		if err == nil {
-			p.running, p.paused, p.exitExpected, p.exitGraceful = c, false, false, false
+			p.running, p.paused, p.exitExpected, p.exitGraceful, p.hangupDuringLoad = c, false, false, false, false
 		}
 		p.mu.Unlock()
 		if err != nil {
@@ -143,6 +150,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.running = nil
+	if p.hangupDuringLoad && endedBy(err, syscall.SIGHUP) {
+		return
+	}
 	if !p.exitExpected && !p.stopped {
 		p.history.recordViolation("process: %s exited without a signal of the soak: %v", p.name, err)
 		return
@@ -150,7 +160,9 @@
 	if !p.exitGraceful || p.stopped {
 		return
 	}
-	if err != nil {
+	// SIGTERM ends a process that has logged nothing and so does not serve yet.
+	endedBeforeServing := endedBy(err, syscall.SIGTERM) && p.logSize() == p.outputSize
+	if err != nil && !endedBeforeServing {
 		p.history.recordViolation("process: %s exited after SIGTERM with %v", p.name, err)
 	}
 	if took := time.Since(p.termSentAt); took > stopGrace+exitTolerance {
@@ -158,6 +170,31 @@
 	}
 }
 
+// endedBy reports whether err is the result of a process that a signal has ended.
+func endedBy(err error, s syscall.Signal) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == s
+}
+
+// logSize returns the size of the log of the process; 0 if it is unknown.
+func (p *process) logSize() int64 {
+	info, err := p.output.Stat()
+	if err != nil {
+		return 0
+	}
+	return info.Size()
+}
+
+// runtimeStarted reports whether the Go runtime of a process has started. It has several threads from then on.
+func runtimeStarted(pid int) bool {
+	threads, err := os.ReadDir(fmt.Sprintf("/proc/%d/task", pid))
+	return err == nil && len(threads) > 1
+}
+
 // signal sends a signal to the process if it runs, and records what checkExit has to expect.
 func (p *process) signal(s syscall.Signal) {
 	p.mu.Lock()
@@ -173,6 +210,8 @@
 			p.exitGraceful, p.termSentAt = !p.paused, time.Now()
 		}
 		p.exitExpected = true
+	case syscall.SIGHUP:
+		p.hangupDuringLoad = p.hangupDuringLoad || !runtimeStarted(p.running.Process.Pid)
 	case syscall.SIGSTOP:
 		p.paused, p.exitGraceful = true, false
 	case syscall.SIGCONT:
--- a/wigeonsoak/process_test.go
+++ b/wigeonsoak/process_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"os"
 	"os/exec"
+	"path/filepath"
+	"syscall"
 	"testing"
 	"time"
 
@@ -39,3 +43,35 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// Guards against a check of exits that misses one that a signal did not cause, or reports one that came before the process
+// could act on the signal.
+func TestCheckExit(t *testing.T) {
+	const silent, logs = "kill -%d $$", "echo started; kill -%d $$"
+	for _, test := range []struct {
+		name, script     string
+		sent, endedBy    syscall.Signal
+		hangupDuringLoad bool
+		want             int
+	}{
+		{"SIGTERM before the process serves", silent, syscall.SIGTERM, syscall.SIGTERM, false, 0},
+		{"SIGTERM without a drain", logs, syscall.SIGTERM, syscall.SIGTERM, false, 1},
+		{"SIGHUP while the process was loaded", silent, 0, syscall.SIGHUP, true, 0},
+		{"SIGHUP later", silent, 0, syscall.SIGHUP, false, 1},
+		{"another end after SIGHUP while the process was loaded", silent, 0, syscall.SIGUSR1, true, 1},
+		{"error after SIGTERM", "exit 1; %d", syscall.SIGTERM, syscall.SIGTERM, false, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			output, err := os.Create(filepath.Join(t.TempDir(), "log"))
+			qt.Assert(t, err, qt.IsNil)
+			defer output.Close()
+			c := exec.Command("sh", "-c", fmt.Sprintf(test.script, int(test.endedBy)))
+			c.Stdout = output
+			p := &process{name: "n-0", history: newHistory(), output: output, hangupDuringLoad: test.hangupDuringLoad}
+			p.exitExpected, p.exitGraceful, p.termSentAt = test.sent != 0, test.sent != 0, time.Now()
+			qt.Assert(t, startCommand(c), qt.IsNil)
+			p.checkExit(c.Wait())
+			qt.Assert(t, p.history.violations, qt.HasLen, test.want, qt.Commentf("%s", p.history.violations))
+		})
+	}
+}
