Start runs only in worker processes that were up a moment ago

An owner whose append had been accepted was paused, or had decided on the start and was paused before the next step. A newer owner read the record, found the run missing in the worker, gave it up and finished the task.

Starts are now decided on in the step that sends them. Otherwise the worker is asked first, with a heartbeat that it answers at once and that replaces one that waits there. A run that waits for its append when the worker restarts never starts. Start.SendBefore and Heartbeat.AckBefore carry the limit to the caller, as orders to a worker queue; wigeondaemon/execute.go drops a later start and the acknowledgement in a later heartbeat.

--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -32,6 +32,9 @@
 	}
 	for _, h := range a.Heartbeats {
 		go func() {
+			if d.config.Now().Steady >= h.AckBefore {
+				h.Request.AckedEnd = 0
+			}
 			result, err := d.config.Orders.Heartbeat(ctx, h.Worker, h.Request)
 			deliver(func(now wigeonshard.Timestamp) { owner.HeartbeatAnswered(now, h, result, err) })
 		}()
@@ -45,7 +48,10 @@
 	for _, s := range a.Starts {
 		d.config.Metrics.starts.Inc()
 		d.sendOrder(ctx, s.Worker.ID, func() {
-			result := d.config.Orders.Start(ctx, s.Worker, s.Order)
+			result := wigeonstep.StartResult{Verdict: wigeonstep.StartUnavailable}
+			if d.config.Now().Steady < s.SendBefore {
+				result = d.config.Orders.Start(ctx, s.Worker, s.Order)
+			}
 			deliver(func(now wigeonshard.Timestamp) { owner.StartAnswered(now, s, result) })
 		})
 	}
--- a/wigeonshard/action.go
+++ b/wigeonshard/action.go
@@ -10,7 +10,9 @@
 // caller reports the answer with StartAnswered.
 type Start struct {
 	Worker wigeonstep.WorkerRef
-	Order  wigeonstep.StartOrder
+	// SendBefore is the time after which the order must not be sent; the caller reports StartUnavailable instead.
+	SendBefore time.Duration
+	Order      wigeonstep.StartOrder
 }
 
 // Stop is an order to stop a run. The caller reports the answer with StopAnswered.
@@ -26,8 +28,10 @@
 type Heartbeat struct {
 	Worker wigeonstep.WorkerRef
 	// Number identifies the heartbeat among all of the owner; answers to all but the newest of a worker are ignored.
-	Number  uint64
-	Request wigeonstep.HeartbeatRequest
+	Number uint64
+	// AckBefore is the time after which the heartbeat is sent, and reported as sent, with an AckedEnd of 0.
+	AckBefore time.Duration
+	Request   wigeonstep.HeartbeatRequest
 }
 
 // Throttle is an order that limits a best-effort run to a percentage of its full speed.
--- a/wigeonshard/answeredowner_test.go
+++ b/wigeonshard/answeredowner_test.go
@@ -17,7 +17,8 @@
 	now Timestamp
 	// logStalled is set while appends get no answer.
 	logStalled bool
-	appendOpen bool
+	// appendSentAt is the time at which the append without an answer was sent; 0 without one.
+	appendSentAt time.Duration
 	// heartbeats, starts and stops hold the orders that are not answered yet, in the order in which they were sent.
 	heartbeats []Heartbeat
 	starts     []Start
@@ -73,12 +74,15 @@
 }
 
 func (o *answeredOwner) step() {
-	if o.appendOpen && !o.logStalled {
-		o.appendOpen = false
-		o.AppendAcknowledged(o.now, o.now.Steady)
+	if o.appendSentAt != 0 && !o.logStalled {
+		sentAt := o.appendSentAt
+		o.appendSentAt = 0
+		o.AppendAcknowledged(o.now, sentAt)
 	}
 	a := o.Step(o.now)
-	o.appendOpen = o.appendOpen || a.Append != nil
+	if a.Append != nil {
+		o.appendSentAt = o.now.Steady
+	}
 	o.heartbeats = append(o.heartbeats, a.Heartbeats...)
 	o.starts = append(o.starts, a.Starts...)
 	o.stops = append(o.stops, a.Stops...)
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -161,7 +161,7 @@
 	return p
 }
 
-// AppendAcknowledged marks the state of the pending append as durable and sends the starts that depend on it. The caller
+// AppendAcknowledged marks the state of the pending append as durable; the next Step sends the starts that depend on it. The caller
 // reports only acknowledged appends, and repeats an append without an answer. sentAt is the time at which the acknowledged
 // attempt was sent: the log confirms the ownership of that time, and the answer may have waited in a paused process.
 func (o *Owner) AppendAcknowledged(now Timestamp, sentAt time.Duration) {
@@ -171,6 +171,7 @@
 	}
 	o.flush = nil
 	o.Confirm(sentAt)
+	o.logConfirmedAt = max(o.logConfirmedAt, sentAt)
 	if f.recordedLapses != nil {
 		o.ownerRecordDurable = true
 		for _, w := range o.sortedWorkers {
@@ -191,21 +192,29 @@
 		}
 		fj.job.durableState = fj.state
 	}
-	for _, r := range f.runs {
-		o.startDurableRun(now, r)
-	}
+	o.durableRuns = append(o.durableRuns, f.runs...)
 	o.removeEndedJobs()
 }
 
-// startDurableRun sends the start of a run whose record is durable. It ends the run unsent when the run is to be stopped,
-// its worker does not answer, or the ownership is not confirmed: another owner may have given the run up by now.
-func (o *Owner) startDurableRun(now Timestamp, r *run) {
+// startDurableRuns sends the starts of the runs whose records are durable.
+func (o *Owner) startDurableRuns(now Timestamp) {
+	o.durableRuns = slices.DeleteFunc(o.durableRuns, func(r *run) bool { return o.startDurableRun(now, r) })
+}
+
+// startDurableRun sends the start of a run whose record is durable, and reports whether the run is no longer waiting for
+// that. It ends the run unsent when the run is to be stopped, its worker does not answer, or the ownership is not confirmed:
+// another owner may have given the run up by now.
+func (o *Owner) startDurableRun(now Timestamp, r *run) bool {
 	if r.phase != runWriting {
-		return
+		return true
 	}
 	if r.stopping || !r.worker.answered || r.worker.failures > 0 || !o.ownershipConfirmed(now) {
 		o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
-		return
+		return true
+	}
+	if now.Steady >= o.startsSafeUntil(r.worker) {
+		r.worker.askAtOnce = true
+		return false
 	}
 	r.startSentAt, r.progressedAt, r.reportedAt = now.Steady, now.Steady, now.Steady
 	if j := r.task.step.job; !j.startRecorded {
@@ -213,6 +222,15 @@
 		o.recordRunDecision("job_started", r, "its first task starts", now.Steady-j.acceptedAt)
 	}
 	o.sendStart(now, r)
+	return true
+}
+
+// startsSafeUntil returns the time until which a start can be sent to a worker that has restarted unseen. A newer owner
+// may have found the run missing in the earlier process, and the restarted one has not seen that owner's fencing token. This
+// owner was the newest when the log last accepted an append, and no newer one had asked the process when it last answered;
+// a restart after that takes maxAckAge.
+func (o *Owner) startsSafeUntil(w *worker) time.Duration {
+	return max(o.logConfirmedAt, w.seenAt) + maxAckAge
 }
 
 // removeEndedJobs removes from memory the jobs whose final state is durable and that have no run left.
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -16,7 +16,7 @@
 		return
 	}
 	for _, w := range o.sortedWorkers {
-		if w.pendingHeartbeat != 0 || now.Steady < w.nextHeartbeatAt || w.Address == "" || w.awaitsDurableEnds(now.Steady) {
+		if !w.heartbeatDue(now.Steady) {
 			continue
 		}
 		request := wigeonstep.HeartbeatRequest{Fence: o.fence}
@@ -24,7 +24,7 @@
 			request.AckedEnd = w.durableEnd
 		}
 		askOnly := w.durableEnd > w.ackedEnd && request.AckedEnd == 0
-		if w.lastEnd == w.durableEnd && w.answered && w.failures == 0 && !askOnly {
+		if w.lastEnd == w.durableEnd && w.answered && w.failures == 0 && !askOnly && !w.askAtOnce {
 			request.Wait = o.heartbeatWaitFor(now, w)
 		}
 		// The lease of a worker that does not answer is not renewed: the worker may receive the heartbeat although its
@@ -36,10 +36,24 @@
 		}
 		o.heartbeatCount++
 		w.pendingHeartbeat, w.heartbeatSentAt, w.renewedAt = o.heartbeatCount, now.Steady, now.Steady
-		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{Worker: w.ref(), Number: o.heartbeatCount, Request: request})
+		w.askAtOnce, w.pendingMayWait = false, request.Wait > 0
+		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{
+			Worker: w.ref(), Number: o.heartbeatCount, Request: request, AckBefore: w.seenAt + maxAckAge,
+		})
 	}
 }
 
+// heartbeatDue reports whether the next heartbeat of the worker should be sent.
+func (w *worker) heartbeatDue(now time.Duration) bool {
+	switch {
+	case w.Address == "", w.pendingHeartbeat != 0 && !w.pendingMayWait:
+		return false
+	case w.askAtOnce && w.failures == 0:
+		return true
+	}
+	return w.pendingHeartbeat == 0 && now >= w.nextHeartbeatAt && !w.awaitsDurableEnds(now)
+}
+
 // awaitsDurableEnds reports whether the next heartbeat should wait until the reported ends are durable, so that it can
 // acknowledge them. It waits at most maxRenewalPause, and not while earlier ends can be acknowledged.
 func (w *worker) awaitsDurableEnds(now time.Duration) bool {
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -51,7 +51,7 @@
 	if a := r.task.step.advice; a != nil {
 		order.Ticket = a.tickets[w.ID].ticket
 	}
-	o.out.Starts = append(o.out.Starts, Start{Worker: w.ref(), Order: order})
+	o.out.Starts = append(o.out.Starts, Start{Worker: w.ref(), SendBefore: o.startsSafeUntil(w), Order: order})
 }
 
 // startCheckpoint returns the checkpoint that a start carries; all members of a gang carry the same one.
@@ -182,6 +182,10 @@
 				r.stopSentAt = now.Steady
 				o.out.Stops = append(o.out.Stops, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
 			case !r.stopping && r.phase == runUnknown && r.startTries > 0 && now.Steady >= r.retryAt && w.answered && w.failures == 0 && o.ownershipConfirmed(now):
+				if now.Steady >= o.startsSafeUntil(w) {
+					w.askAtOnce = true
+					continue
+				}
 				o.sendStart(now, r)
 			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && r.task.step.BestEffort:
 				r.sentSpeed = r.speed
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -34,7 +34,9 @@
 	// ownedSince is the start of the ownership; confirmedAt is the time at which the log or the group last confirmed it.
 	ownedSince  time.Duration
 	confirmedAt time.Duration
-	deposed     bool
+	// logConfirmedAt is the time at which the newest acknowledged append was sent.
+	logConfirmedAt time.Duration
+	deposed        bool
 
 	jobs map[wigeonstep.JobID]*job
 	// ended holds the durable final states of jobs that are no longer in jobs.
@@ -76,6 +78,8 @@
 	ownerRecordOutdated bool
 	// inheritedLapses holds the lapses in the record of the previous owner.
 	inheritedLapses map[wigeonstep.WorkerID]wigeonstep.UnixMillis
+	// durableRuns holds the runs whose records are durable and whose starts are to be sent, in phase runWriting.
+	durableRuns []*run
 	// flush is the state in the pending append; nil when none is pending.
 	flush *flush
 	// out collects the actions that the next Step returns.
@@ -250,13 +254,15 @@
 
 // stopUnansweredStarts marks the runs to be stopped whose starts were sent to an earlier process of the worker and got no
 // answer. Such a start may still begin the run in the new process, so the run is stopped there before its task is placed
-// again. listed reports the runs that the new process has.
+// again. listed reports the runs that the new process has. A run that waits for its append never starts: a newer owner may
+// have read its record and found it missing in the earlier process.
 func (o *Owner) stopUnansweredStarts(w *worker, listed func(*run) bool) {
 	for _, r := range w.runs {
 		unanswered := r.phase == runUnknown || r.phase == runStarting && r.startTries > 0
 		if unanswered && !listed(r) {
 			r.phase, r.startKnownAt, r.stopping, r.stopSentAt = runUnknown, -1, true, 0
 		}
+		r.stopping = r.stopping || r.phase == runWriting
 	}
 }
 
@@ -283,6 +289,7 @@
 		o.emptyWorkers(now)
 		o.removeOldReleases(now)
 		o.placeTasks(now)
+		o.startDurableRuns(now)
 		o.sendRunOrders(now)
 		o.sendHeartbeats(now)
 		o.startFlush(now)
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -38,6 +38,10 @@
 	// unexpected counts the runs in the worker's last answer that this owner does not expect there.
 	unexpected int
 
+	// askAtOnce is set when a heartbeat is due at once, also in place of one that waits at the worker.
+	askAtOnce bool
+	// pendingMayWait is set while the pending heartbeat may wait at the worker.
+	pendingMayWait bool
 	// pendingHeartbeat is the number of the newest heartbeat while it has no answer; 0 otherwise.
 	pendingHeartbeat uint64
 	// heartbeatSentAt is the time at which the newest heartbeat was sent.
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -1,6 +1,7 @@
 package wigeonshard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -147,6 +148,70 @@
 	o.assertRunning(first...)
 }
 
+// Guards against a start by a replaced owner that a restarted worker accepts. The append with the run's record was answered
+// late, or the process was paused before it sent the start; a newer owner had found the run missing in the earlier process of
+// the worker by then, and the restarted one has not seen its fencing token.
+func TestLateStartGoesOnlyToKnownProcess(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		delay func(*answeredOwner)
+	}{
+		{"paused before the answer of the log", func(o *answeredOwner) {
+			o.pass(time.Second)
+			o.logStalled = false
+			o.step()
+		}},
+		{"paused after the answer of the log", func(o *answeredOwner) {
+			o.AppendAcknowledged(o.now, o.appendSentAt)
+			o.appendSentAt = 0
+			o.pass(time.Second)
+			o.step()
+		}},
+	} {
+		for _, restarted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/restarted=%t", test.name, restarted), func(t *testing.T) {
+				o := newAnsweredOwner(t, 1, 100_000)
+				waiting := o.takeHeartbeat()
+				o.c.Assert(waiting.Request.Wait > 0, qt.IsTrue)
+				o.AddJob(o.now, testJob("late", testStep(1)), wigeonjob.Progress{}, false)
+				o.logStalled = true
+				o.advance(20 * time.Millisecond)
+				o.c.Assert(o.appendSentAt > 0, qt.IsTrue)
+				test.delay(o)
+				o.logStalled = false
+				o.c.Assert(o.starts, qt.HasLen, 0)
+
+				// A heartbeat that the worker answers at once replaces the one that waits there.
+				o.c.Assert(o.heartbeats, qt.HasLen, 1)
+				o.c.Assert(o.heartbeats[0].Request.Wait, qt.Equals, time.Duration(0))
+				startedAt, number := wigeonstep.UnixMillis(1), wigeonstep.RunNumber(1)
+				if restarted {
+					startedAt, number = 2, 2
+				}
+				o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 101_100, StartedAt: startedAt})
+				o.advance(100 * time.Millisecond)
+				o.c.Assert(o.starts, qt.HasLen, 1)
+				o.c.Assert(o.starts[0].Order.Run.Number, qt.Equals, number)
+			})
+		}
+	}
+}
+
+// Guards against a repeated start that a restarted worker accepts, because the owner was paused before it sent it.
+func TestLateRepeatGoesOnlyToKnownProcess(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.submit("late", 1)
+	o.answerStart(o.starts[0], wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+	o.starts = nil
+	o.heartbeats = nil
+	o.pass(time.Second)
+	o.advance(10 * time.Millisecond)
+	o.c.Assert(o.starts, qt.HasLen, 0)
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 101_100, StartedAt: 1})
+	o.advance(10 * time.Millisecond)
+	o.c.Assert(o.starts, qt.HasLen, 1)
+}
+
 // Guards against the answer of another worker to a heartbeat that ends runs of which it proves nothing: their starts were
 // answered after the heartbeat was sent, or not at all.
 func TestReplacementEndsOnlyProvenRuns(t *testing.T) {
