--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -39,6 +40,14 @@
 	// lostAnswerRate is the share of calls whose answers are lost, lateCallRate the share of calls whose answers are lost
 	// and that take effect seconds later.
 	lostAnswerRate, lateCallRate float64
+	// lateAnswerRate is the share of answers that an owner reads up to 3 s after they arrived.
+	lateAnswerRate float64
+	// slowAppends is set while an append takes 0.3 to 2 s.
+	slowAppends bool
+	// heartbeatsWait makes workers delay the answers to heartbeats until a run ends, as the heartbeats ask.
+	heartbeatsWait bool
+	// takenAddresses holds the former addresses of workers at which workers with another id answer.
+	takenAddresses map[string]bool
 	// liveRuns counts the runs of each task on the workers, as the workers see them.
 	liveRuns map[wigeonstep.TaskID]int
 	// acknowledged holds the tasks with a run that was done and whose end an owner has acknowledged to the worker.
@@ -56,6 +65,8 @@
 	epoch    wigeonstep.FencingToken
 	sequence uint64
 	crashed  bool
+	// pausedUntil is the end of the newest pause of the process, in which it handles nothing.
+	pausedUntil time.Duration
 	// unreachable holds the workers that get no calls of this owner.
 	unreachable    map[wigeonstep.WorkerID]bool
 	logUnreachable bool
@@ -93,7 +104,7 @@
 		workers:  map[wigeonstep.WorkerID]*fakeWorker{},
 		liveRuns: map[wigeonstep.TaskID]int{}, acknowledged: map[wigeonstep.TaskID]bool{}, doneTasks: map[wigeonstep.TaskID]bool{},
 		history: map[wigeonstep.TaskID][]string{},
-		cordons: map[wigeonstep.WorkerID]wigeonstep.VMID{}, jobs: map[wigeonstep.JobID]*wigeonjob.Job{},
+		cordons: map[wigeonstep.WorkerID]wigeonstep.VMID{}, jobs: map[wigeonstep.JobID]*wigeonjob.Job{}, takenAddresses: map[string]bool{},
 	}
 	m.outcome = func(wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) {
 		return 200*time.Millisecond + time.Duration(m.random.IntN(800))*time.Millisecond, wigeonstep.EndDone
@@ -166,10 +177,35 @@
 	if o.crashed || o.Deposed() {
 		return
 	}
+	if m.now < o.pausedUntil {
+		m.deliver(o, func() { m.stepOwner(o) })
+		return
+	}
 	m.executeActions(o, o.Step(m.eventTime()))
 	m.schedule(10*time.Millisecond, func() { m.stepOwner(o) })
 }
 
+// deliver passes an event to an owner, unless it has crashed. A paused owner handles the events of its pause afterwards, in
+// any order.
+func (m *clusterModel) deliver(o *fakeOwner, event func()) {
+	switch {
+	case o.crashed:
+	case m.now < o.pausedUntil:
+		m.schedule(o.pausedUntil-m.now+time.Duration(m.random.IntN(30))*time.Millisecond, func() { m.deliver(o, event) })
+	default:
+		event()
+	}
+}
+
+// deliverAnswer passes an answer to an owner, which may read it late.
+func (m *clusterModel) deliverAnswer(o *fakeOwner, event func()) {
+	if m.lateAnswerRate > 0 && m.random.Float64() < m.lateAnswerRate {
+		m.schedule(time.Duration(m.random.IntN(3000))*time.Millisecond, func() { m.deliver(o, event) })
+		return
+	}
+	m.deliver(o, event)
+}
+
 // submitJob writes a job to the log and adds it to the live owners that reach the log.
 func (m *clusterModel) submitJob(job *wigeonjob.Job) {
 	m.jobs[job.ID] = job
@@ -177,8 +213,11 @@
 	qt.Assert(m.t, err, qt.IsNil)
 	m.applyRecord(wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindJob, job.ID), Value: value})
 	for _, o := range m.owners {
-		if !o.crashed && !o.logUnreachable {
-			o.AddJob(m.eventTime(), job, wigeonjob.Progress{}, false)
+		if !o.logUnreachable {
+			m.deliver(o, func() {
+				e := m.log.Find(job.ID)
+				o.AddJob(m.eventTime(), e.Job, wigeonjob.Progress{}, e.Cancelled)
+			})
 		}
 	}
 }
@@ -188,8 +227,8 @@
 	qt.Assert(m.t, err, qt.IsNil)
 	m.applyRecord(wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindCancel, id), Value: value})
 	for _, o := range m.owners {
-		if !o.crashed && !o.logUnreachable {
-			o.CancelJob(m.eventTime(), id)
+		if !o.logUnreachable {
+			m.deliver(o, func() { o.CancelJob(m.eventTime(), id) })
 		}
 	}
 }
@@ -207,22 +246,26 @@
 		m.recordHistory(decision.Run.Task, "owner %d: %s %s: %s", o.epoch, decision.Event, decision.Worker, decision.Cause)
 	}
 	for _, s := range a.Starts {
-		m.callWorker(o, s.Worker.ID, func(f *fakeWorker) any { return f.start(m, s.Order) }, func(answer any) {
+		m.callWorker(o, s.Worker, func(f *fakeWorker, reply func(any)) { reply(f.start(m, s.Order)) }, func(answer any) {
 			result, ok := answer.(wigeonstep.StartResult)
-			if !ok {
-				result = wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown}
+			err, _ := answer.(error)
+			switch {
+			case errors.Is(err, wigeonstep.ErrWorkerReplaced):
+				result.Verdict = wigeonstep.StartWorkerReplaced
+			case !ok:
+				result.Verdict = wigeonstep.StartUnknown
 			}
 			o.StartAnswered(m.eventTime(), s, result)
 		})
 	}
 	for _, s := range a.Stops {
-		m.callWorker(o, s.Worker.ID, func(f *fakeWorker) any { return f.stop(m, s.Run, o.epoch) }, func(answer any) {
+		m.callWorker(o, s.Worker, func(f *fakeWorker, reply func(any)) { reply(f.stop(m, s.Run, o.epoch)) }, func(answer any) {
 			err, _ := answer.(error)
 			o.StopAnswered(m.eventTime(), s, err)
 		})
 	}
 	for _, h := range a.Heartbeats {
-		m.callWorker(o, h.Worker.ID, func(f *fakeWorker) any { return f.heartbeat(m, h.Request) }, func(answer any) {
+		m.callWorker(o, h.Worker, func(f *fakeWorker, reply func(any)) { f.heartbeat(m, h.Request, reply) }, func(answer any) {
 			switch answer := answer.(type) {
 			case wigeonstep.HeartbeatResult:
 				o.HeartbeatAnswered(m.eventTime(), h, answer, nil)
@@ -236,16 +279,23 @@
 // appendRecords makes records durable in the order of the owner's appends. An append without an answer is repeated, and its
 // records are applied once.
 func (m *clusterModel) appendRecords(o *fakeOwner, records []wigeonstep.KeyedRecord) {
-	sequence := o.sequence
-	m.schedule(time.Duration(2+m.random.IntN(6))*time.Millisecond, func() {
+	sequence, sentAt := o.sequence, m.now
+	duration := time.Duration(2+m.random.IntN(6)) * time.Millisecond
+	if m.slowAppends {
+		duration = 300*time.Millisecond + time.Duration(m.random.IntN(1700))*time.Millisecond
+	}
+	retry := func(delay time.Duration) {
+		m.schedule(delay, func() { m.deliver(o, func() { m.appendRecords(o, records) }) })
+	}
+	m.schedule(duration, func() {
 		switch {
 		case o.crashed:
 			return
 		case m.logDown || o.logUnreachable:
-			m.schedule(50*time.Millisecond, func() { m.appendRecords(o, records) })
+			retry(50 * time.Millisecond)
 			return
 		case o.epoch < m.epoch:
-			o.deposed = true
+			m.deliver(o, func() { o.deposed = true })
 			return
 		}
 		if sequence > m.sequence {
@@ -255,68 +305,66 @@
 			}
 		}
 		if m.random.Float64() < m.lostAnswerRate {
-			m.schedule(100*time.Millisecond, func() { m.appendRecords(o, records) })
+			retry(100 * time.Millisecond)
 			return
 		}
-		o.AppendAcknowledged(m.eventTime(), m.now)
+		m.deliver(o, func() { o.AppendAcknowledged(m.eventTime(), sentAt) })
 	})
 }
 
-// callWorker sends an order to a worker. The answer may be lost, and the order may take effect seconds later.
-func (m *clusterModel) callWorker(o *fakeOwner, id wigeonstep.WorkerID, handle func(*fakeWorker) any, onAnswer func(any)) {
+// callWorker sends an order to the address of a worker. The answer may be lost, and the order may take effect seconds later.
+func (m *clusterModel) callWorker(o *fakeOwner, ref wigeonstep.WorkerRef, handle func(*fakeWorker, func(any)), onAnswer func(any)) {
 	const timeout = 400 * time.Millisecond
-	reportLost := func() {
-		m.schedule(timeout, func() {
-			if !o.crashed {
-				onAnswer(wigeonstep.ErrAnswerLost)
-			}
-		})
+	answered := false
+	answer := func(answer any) {
+		if !answered {
+			answered = true
+			m.deliverAnswer(o, func() { onAnswer(answer) })
+		}
+	}
+	reportLost := func(after time.Duration) {
+		m.schedule(after, func() { answer(wigeonstep.ErrAnswerLost) })
 	}
-	f := m.workers[id]
-	if f == nil || o.unreachable[id] || f.down {
-		reportLost()
+	f := m.workers[ref.ID]
+	if f != nil && f.listed.Address != ref.Address && m.takenAddresses[ref.Address] {
+		m.schedule(time.Millisecond, func() { answer(wigeonstep.ErrWorkerReplaced) })
+		return
+	}
+	if f == nil || o.unreachable[ref.ID] || f.down || f.listed.Address != ref.Address {
+		reportLost(timeout)
 		return
 	}
 	// An order that was sent to a worker process has no effect after the restart of the worker.
 	startedAt := f.startedAt
-	received := handle
-	handle = func(f *fakeWorker) any {
-		if f.startedAt != startedAt {
-			return wigeonstep.ErrAnswerLost
+	deliver := func(reply func(any)) {
+		if f.down || f.startedAt != startedAt {
+			reply(wigeonstep.ErrAnswerLost)
+			return
 		}
-		return received(f)
+		handle(f, reply)
 	}
+	ignore := func(any) {}
 	roll := m.random.Float64()
 	latency := time.Duration(300+m.random.IntN(1500)) * time.Microsecond
 	switch {
 	case roll < m.lateCallRate:
-		m.schedule(2*time.Second+time.Duration(m.random.IntN(9000))*time.Millisecond, func() { m.deliverCall(f, handle) })
-		reportLost()
+		m.schedule(2*time.Second+time.Duration(m.random.IntN(9000))*time.Millisecond, func() { deliver(ignore) })
+		reportLost(timeout)
 	case roll < m.lateCallRate+m.lostAnswerRate:
-		m.schedule(latency, func() { m.deliverCall(f, handle) })
-		reportLost()
+		m.schedule(latency, func() { deliver(ignore) })
+		reportLost(timeout)
 	default:
 		m.schedule(latency, func() {
-			answer := m.deliverCall(f, handle)
-			if answer == nil {
-				answer = error(nil)
-			}
-			m.schedule(latency, func() {
-				if !o.crashed {
-					onAnswer(answer)
+			deliver(func(result any) {
+				if result == nil {
+					result = error(nil)
 				}
+				m.schedule(latency, func() { answer(result) })
 			})
 		})
 	}
 }
 
-func (m *clusterModel) deliverCall(f *fakeWorker, handle func(*fakeWorker) any) any {
-	if f.down {
-		return wigeonstep.ErrAnswerLost
-	}
-	return handle(f)
-}
-
 func (m *clusterModel) unfinishedJobs() []string {
 	var open []string
 	for id, e := range m.log.Jobs() {
--- a/wigeonshard/fakeworker_test.go
+++ b/wigeonshard/fakeworker_test.go
@@ -22,6 +22,11 @@
 	lastEnd     uint64
 	down        bool
 	used        wigeonstep.Resources
+	// maxListedEnds is the number of ends in one answer; 0 means no limit.
+	maxListedEnds int
+	// forgetsAhead is set if an acknowledged number also stands for ends to come; forgotten is the highest such number.
+	forgetsAhead bool
+	forgotten    uint64
 }
 
 type fakeRun struct {
@@ -137,6 +142,18 @@
 	if cause == wigeonstep.EndDone {
 		m.doneTasks[r.id.Task] = true
 	}
+	f.forgetEnds(m, f.forgotten, 0)
+}
+
+// forgetEnds drops the ends up to a number that the owner with the fencing token acknowledges.
+func (f *fakeWorker) forgetEnds(m *clusterModel, acked uint64, fence wigeonstep.FencingToken) {
+	f.ended = slices.DeleteFunc(f.ended, func(e wigeonstep.EndedRun) bool {
+		if e.Number <= acked && e.Cause == wigeonstep.EndDone {
+			m.acknowledged[e.Run.Task] = true
+			m.recordHistory(e.Run.Task, "the end is acknowledged by %d", fence)
+		}
+		return e.Number <= acked
+	})
 }
 
 func (f *fakeWorker) stop(m *clusterModel, id wigeonstep.RunID, fence wigeonstep.FencingToken) any {
@@ -151,20 +168,38 @@
 	return nil
 }
 
-func (f *fakeWorker) heartbeat(m *clusterModel, request wigeonstep.HeartbeatRequest) any {
+// heartbeat replies at once, or, if the model's heartbeats wait, when a run has ended or the wait is over.
+func (f *fakeWorker) heartbeat(m *clusterModel, request wigeonstep.HeartbeatRequest, reply func(any)) {
 	if request.Fence < f.fence {
-		return wigeonstep.ErrFenced
+		reply(wigeonstep.ErrFenced)
+		return
 	}
 	f.fence = request.Fence
 	f.extendLease(m, request.LeaseEnd)
-	f.ended = slices.DeleteFunc(f.ended, func(e wigeonstep.EndedRun) bool {
-		if e.Number <= request.AckedEnd && e.Cause == wigeonstep.EndDone {
-			m.acknowledged[e.Run.Task] = true
-			m.recordHistory(e.Run.Task, "the end is acknowledged by %d", request.Fence)
+	f.forgetEnds(m, request.AckedEnd, request.Fence)
+	if f.forgetsAhead {
+		f.forgotten = max(f.forgotten, request.AckedEnd)
+	}
+	startedAt, until := f.startedAt, m.now+request.Wait
+	var replyWhenDue func()
+	replyWhenDue = func() {
+		switch {
+		case f.down || f.startedAt != startedAt:
+			reply(wigeonstep.ErrAnswerLost)
+		case m.heartbeatsWait && len(f.ended) == 0 && m.now < until:
+			m.schedule(10*time.Millisecond, replyWhenDue)
+		default:
+			reply(f.listRuns(m))
 		}
-		return e.Number <= request.AckedEnd
-	})
+	}
+	replyWhenDue()
+}
+
+func (f *fakeWorker) listRuns(m *clusterModel) wigeonstep.HeartbeatResult {
 	result := wigeonstep.HeartbeatResult{Clock: f.clock(m), StartedAt: f.listed.StartedAt, Ended: slices.Clone(f.ended)}
+	if f.maxListedEnds > 0 && len(result.Ended) >= f.maxListedEnds {
+		result.Ended, result.MoreEnded = result.Ended[:f.maxListedEnds], true
+	}
 	for _, r := range f.sortedRuns() {
 		result.Running = append(result.Running, wigeonstep.RunningRun{Run: r.id, ProgressPercent: 100})
 	}
@@ -175,22 +210,26 @@
 // id after 1.2 s.
 func (m *clusterModel) crash(id wigeonstep.WorkerID, restarts bool) {
 	f := m.workers[id]
+	f.crash(m)
+	if restarts {
+		m.schedule(1200*time.Millisecond, func() { f.restart(m) })
+	}
+}
+
+func (f *fakeWorker) crash(m *clusterModel) {
 	for _, r := range f.sortedRuns() {
 		r.terminated = true
 		m.liveRuns[r.id.Task]--
+		m.recordHistory(r.id.Task, "run %d is gone with %s", r.id.Number, f.listed.ID)
 	}
 	f.runs = map[wigeonstep.RunID]*fakeRun{}
 	f.used = wigeonstep.Resources{}
 	f.down = true
-	if !restarts {
-		return
-	}
-	m.schedule(1200*time.Millisecond, func() { f.restart(m) })
 }
 
 func (f *fakeWorker) restart(m *clusterModel) {
 	f.down = false
-	f.startedAt, f.fence, f.leaseEnd, f.lastEnd, f.ended = m.now, 0, 0, 0, nil
+	f.startedAt, f.fence, f.leaseEnd, f.lastEnd, f.ended, f.forgotten = m.now, 0, 0, 0, nil, 0
 	f.highestRuns = map[wigeonstep.TaskID]wigeonstep.RunNumber{}
 	f.listed.StartedAt = wigeonstep.UnixMillis(m.now.Milliseconds())
 }
