--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -161,9 +161,10 @@
 	return p
 }
 
-// AppendAcknowledged marks the state of the pending append as durable, so that the next Step sends the starts that depend on it. The caller
-// reports only acknowledged appends, and repeats an append without an answer. sentAt is the time at which the acknowledged
-// attempt was sent: the log confirms the ownership of that time, and the answer may have waited in a paused process.
+// AppendAcknowledged marks the state of the pending append as durable; the next Step sends the starts that depend on it. The
+// caller reports only acknowledged appends, and repeats an append without an answer. sentAt is the time at which the
+// acknowledged attempt was sent: the log confirms the ownership of that time, and the answer may have waited in a paused
+// process.
 func (o *Owner) AppendAcknowledged(now Timestamp, sentAt time.Duration) {
 	f := o.flush
 	if f == nil {
@@ -171,6 +172,7 @@
 	}
 	o.flush = nil
 	o.Confirm(sentAt)
+	o.logConfirmedAt = max(o.logConfirmedAt, sentAt)
 	if f.recordedLapses != nil {
 		o.ownerRecordDurable = true
 		for _, w := range o.sortedWorkers {
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -54,7 +54,7 @@
 		order.Ticket = a.tickets[w.ID].ticket
 	}
 	w.ordersInFlight++
-	o.out.Starts = append(o.out.Starts, Start{Worker: w.ref(), Order: order})
+	o.out.Starts = append(o.out.Starts, Start{Worker: w.ref(), SendBefore: o.startsSafeUntil(w), Order: order})
 }
 
 // startCheckpoint returns the checkpoint that a start carries; all members of a gang carry the same one.
@@ -176,24 +176,26 @@
 }
 
 // sendRunOrders sends the starts, stops and throttles that are due, oldest run first, as long as the worker has fewer than
-// maxOrdersInFlight. The others are decided anew in the next Step, so that no order is sent that is no longer wanted. A member
-// of a gang is started on a worker that is leaving all the same, because the other members may have begun.
+// maxOrdersInFlight. The others are decided anew in the next Step, so that no order is sent that is no longer wanted. A start to
+// a worker that may have restarted unseen waits for the answer to a heartbeat that is sent at once. A member of a gang is started on a worker that is leaving all the same, because the other members may have begun.
 func (o *Owner) sendRunOrders(now Timestamp) {
 	for _, w := range o.sortedWorkers {
 		if w.Address == "" {
 			continue
 		}
-		mayStart := o.mayStartOn(now, w)
+		mayStart, safe := o.mayStartOn(now, w), now.Steady < o.startsSafeUntil(w)
 		var unwanted []*run
 		for _, r := range w.runs {
 			switch {
 			case r.phase == runDurable && (r.stopping || !mayStart || w.leaving() && !r.task.step.Gang):
 				unwanted = append(unwanted, r)
 			case w.ordersInFlight >= maxOrdersInFlight:
-			case r.phase == runDurable:
+			case r.phase == runDurable && safe:
 				o.sendFirstStart(now, r)
-			case r.phase == runUnknown && !r.stopping && mayStart && r.startTries > 0 && now.Steady >= r.retryAt:
+			case r.repeatsStart(now.Steady) && mayStart && safe:
 				o.sendStart(now, r)
+			case r.phase == runDurable || r.repeatsStart(now.Steady) && mayStart:
+				w.askAtOnce = true
 			case r.stopping && r.stopSentAt == 0 && now.Steady >= r.retryAt && (r.phase == runAccepted || r.phase == runUnknown):
 				r.stopSentAt = now.Steady
 				o.sendStop(w, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
@@ -209,6 +211,19 @@
 	}
 }
 
+// repeatsStart reports whether the start of the run got no answer and is due again.
+func (r *run) repeatsStart(now time.Duration) bool {
+	return r.phase == runUnknown && !r.stopping && r.startTries > 0 && now >= r.retryAt
+}
+
+// startsSafeUntil returns the time until which a start can be sent to a worker that has restarted unseen. A newer owner
+// may have found the run missing in the earlier process, and the restarted one has not seen that owner's fencing token. This
+// owner was the newest when the log last accepted an append, and no newer one had asked the process when it last answered;
+// a restart after that takes maxAckAge.
+func (o *Owner) startsSafeUntil(w *worker) time.Duration {
+	return max(o.logConfirmedAt, w.seenAt) + maxAckAge
+}
+
 // mayStartOn reports whether starts may be sent to the worker. They may not when the worker does not answer, the log may hold
 // a lapse of the worker, which the lease of the start would exceed, or the ownership is not confirmed: another owner may have
 // given the run up by now.
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -41,6 +41,10 @@
 
 	// ordersInFlight counts the starts, stops and throttles without an answer, at most maxOrdersInFlight.
 	ordersInFlight int
+	// askAtOnce is set when a heartbeat is due at once, also in place of one that waits at the worker.
+	askAtOnce bool
+	// pendingMayWait is set while the pending heartbeat may wait at the worker.
+	pendingMayWait bool
 	// pendingHeartbeat is the number of the newest heartbeat while it has no answer; 0 otherwise.
 	pendingHeartbeat uint64
 	// heartbeatSentAt is the time at which the newest heartbeat was sent.
