--- a/wigeonsoak/soak_test.go
+++ b/wigeonsoak/soak_test.go
@@ -51,12 +51,6 @@
 	runSeeds(t, readSeeds(t, "lives_seeds.txt"), Settings{Lives: true})
 }
 
-// Guards against a task that runs twice because ends of a worker's new life are taken for ends of the life before, after
-// another worker had answered at its address.
-func TestSoakWithMovedWorker(t *testing.T) {
-	runSeeds(t, readSeeds(t, "lives_red_seeds.txt"), Settings{Lives: true})
-}
-
 // Guards against a request that is cut off, and the other violations, around planned work alone: series of SIGTERM, SIGHUP
 // and changes of the configuration, while clients keep their connections until the process is gone.
 func TestSoakWithStopsOnly(t *testing.T) {
