Apply the ended runs in answers that come after their timeout

Cause: the owner's link carries as much as it can, so the answer with the end of a run comes later than 0.6 s after the heartbeat could have been answered. The client had given up by then. The lease of the worker was not renewed, the run was given up after it had lapsed, and its task started again although the worker had reported the end long before.

Not mended: such links stay overloaded.

--- a/wigeonshard/bench_test.go
+++ b/wigeonshard/bench_test.go
@@ -26,6 +26,7 @@
 		o.HeartbeatAnswered(now, h, wigeonstep.HeartbeatResult{Clock: 5000}, nil)
 	}
 	o.AppendAcknowledged(now, now.Steady)
+	clock := wigeonstep.WorkerMillis(5000)
 	perJob := 8
 	fill := workers * 17 / perJob
 	for i := range fill + waiting {
@@ -42,6 +43,15 @@
 		for _, s := range a.Starts {
 			o.StartAnswered(now, s, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
 		}
+		clock += 50
+		for _, h := range a.Heartbeats {
+			running := runReports(o.workers[h.Worker.ID], nil)
+			o.HeartbeatAnswered(now, h, wigeonstep.HeartbeatResult{Clock: clock, Running: running}, nil)
+		}
+	}
+	for _, w := range o.sortedWorkers {
+		// No heartbeat is due or overdue, so that callers answer only those that they want to.
+		w.pendingHeartbeat, w.nextHeartbeatAt = 0, now.Steady+time.Hour
 	}
 	return o, now
 }
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -8,6 +8,10 @@
 	"github.com/wigeonstep/wigeonstep"
 )
 
+// answerTimeout is the time after which a heartbeat counts as failed, in addition to the time for which the worker may delay
+// its answer. An answer that comes later still tells which runs have ended.
+const answerTimeout = 600 * time.Millisecond
+
 // sendHeartbeats sends a heartbeat to every worker whose next heartbeat is due. A heartbeat asks for the runs of the
 // worker, acknowledges its durable ends and renews its lease where that is safe. None is sent while the ownership is
 // unconfirmed.
@@ -36,7 +40,7 @@
 		}
 		o.heartbeatCount++
 		w.pendingHeartbeat, w.heartbeatSentAt, w.renewedAt = o.heartbeatCount, now.Steady, now.Steady
-		w.askAtOnce, w.pendingMayWait = false, request.Wait > 0
+		w.pendingWait, w.overdue, w.askAtOnce = request.Wait, false, false
 		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{
 			Worker: w.ref(), Number: o.heartbeatCount, Request: request, AckBefore: w.seenAt + maxAckAge,
 		})
@@ -46,12 +50,22 @@
 // heartbeatDue reports whether the next heartbeat of the worker should be sent.
 func (w *worker) heartbeatDue(now time.Duration) bool {
 	switch {
-	case w.Address == "", w.pendingHeartbeat != 0 && !w.pendingMayWait:
+	case w.Address == "", w.pendingHeartbeat != 0 && w.pendingWait == 0 && !w.overdue:
 		return false
 	case w.askAtOnce && w.failures == 0:
 		return true
 	}
-	return w.pendingHeartbeat == 0 && now >= w.nextHeartbeatAt && !w.awaitsDurableEnds(now)
+	return (w.pendingHeartbeat == 0 || w.overdue) && now >= w.nextHeartbeatAt && !w.awaitsDurableEnds(now)
+}
+
+// expireHeartbeats counts the heartbeats as failed whose answers are overdue.
+func (o *Owner) expireHeartbeats(now Timestamp) {
+	for _, w := range o.sortedWorkers {
+		if w.pendingHeartbeat != 0 && !w.overdue && now.Steady-w.heartbeatSentAt > w.pendingWait+answerTimeout {
+			w.overdue = true
+			o.heartbeatFailed(now, w, "its answer to a heartbeat is overdue")
+		}
+	}
 }
 
 // awaitsDurableEnds reports whether the next heartbeat should wait until the reported ends are durable, so that it can
@@ -69,14 +83,20 @@
 }
 
 // HeartbeatAnswered applies the answer to a heartbeat, or the error of the call: it records ended runs, reconciles the
-// running ones and schedules the next heartbeat. It ignores answers to all but the newest heartbeat of a worker.
+// running ones and schedules the next heartbeat. Of an answer to an earlier heartbeat only the ended runs count.
 func (o *Owner) HeartbeatAnswered(now Timestamp, sent Heartbeat, result wigeonstep.HeartbeatResult, err error) {
 	w := o.workers[sent.Worker.ID]
 	if errors.Is(err, wigeonstep.ErrFenced) {
 		o.deposed = true
 		return
 	}
-	if w == nil || w.pendingHeartbeat != sent.Number {
+	if w == nil {
+		return
+	}
+	if w.pendingHeartbeat != sent.Number {
+		if err == nil {
+			o.applyLateAnswer(now, w, result)
+		}
 		return
 	}
 	w.pendingHeartbeat = 0
@@ -84,22 +104,10 @@
 	case errors.Is(err, wigeonstep.ErrWorkerReplaced):
 		o.workerReplaced(now, w)
 		return
+	case err != nil && !w.overdue:
+		o.heartbeatFailed(now, w, err.Error())
+		return
 	case err != nil:
-		if w.failures == 0 {
-			o.recordWorkerDecision("worker_lost", w, err.Error())
-		}
-		w.failures++
-		if w.leasesEndWall == 0 {
-			// A later owner reads this time from the owner record, and does not start the wait for the leases anew.
-			w.leasesEndWall = w.leasesEndAt(now)
-			o.ownerRecordOutdated = o.ownerRecordOutdated || len(w.runs) > 0
-		}
-		for _, r := range w.runs {
-			if r.task.step.Speculative && len(r.task.runs) == 1 {
-				r.task.needsCopy = true
-			}
-		}
-		w.nextHeartbeatAt = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHeartbeatRetryDelay)
 		return
 	}
 	w.ackedEnd = max(w.ackedEnd, sent.Request.AckedEnd)
@@ -134,6 +142,34 @@
 	o.checkProgress(now, w)
 }
 
+// heartbeatFailed counts a heartbeat without an answer: no run is started on the worker and its lease is not renewed until it
+// answers again.
+func (o *Owner) heartbeatFailed(now Timestamp, w *worker, cause string) {
+	if w.failures == 0 {
+		o.recordWorkerDecision("worker_lost", w, cause)
+	}
+	w.failures++
+	if w.leasesEndWall == 0 {
+		// A later owner reads this time from the owner record, and does not start the wait for the leases anew.
+		w.leasesEndWall = w.leasesEndAt(now)
+		o.ownerRecordOutdated = o.ownerRecordOutdated || len(w.runs) > 0
+	}
+	for _, r := range w.runs {
+		if r.task.step.Speculative && len(r.task.runs) == 1 {
+			r.task.needsCopy = true
+		}
+	}
+	w.nextHeartbeatAt = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHeartbeatRetryDelay)
+}
+
+// applyLateAnswer applies the ended runs in the answer to an earlier heartbeat, if it comes from the current process of the
+// worker. They have ended for good; what the answer says of other runs may be out of date.
+func (o *Owner) applyLateAnswer(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
+	if w.answered && w.processStartedAt != 0 && w.processStartedAt == result.StartedAt {
+		o.applyEnds(now, w, result.Ended)
+	}
+}
+
 const (
 	// heartbeatPausePerWorker lengthens the pause between two heartbeats of a worker with each worker of the shard, up to
 	// maxHeartbeatPause, because the owner of a large pool has to handle the heartbeats of all of them.
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -284,6 +284,7 @@
 func (o *Owner) Step(now Timestamp) Actions {
 	if !o.deposed {
 		o.createAllDueOccurrences(now)
+		o.expireHeartbeats(now)
 		o.expireLeases(now)
 		o.releaseWorkers()
 		o.removeOldReleases(now)
--- a/wigeonshard/pause_test.go
+++ b/wigeonshard/pause_test.go
@@ -35,6 +35,9 @@
 		if len(a.Append) > 0 {
 			o.AppendAcknowledged(now, now.Steady)
 		}
+		for _, h := range a.Heartbeats {
+			o.HeartbeatAnswered(now, h, wigeonstep.HeartbeatResult{Clock: wigeonstep.WorkerMillis(now.Steady.Milliseconds())}, nil)
+		}
 		now.Steady += 50 * time.Millisecond
 		a = o.Step(now)
 		starts = append(starts, a.Starts...)
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -43,10 +43,12 @@
 	ordersInFlight int
 	// askAtOnce is set when a heartbeat is due at once, also in place of one that waits at the worker.
 	askAtOnce bool
-	// pendingMayWait is set while the pending heartbeat may wait at the worker.
-	pendingMayWait bool
-	// pendingHeartbeat is the number of the newest heartbeat while it has no answer; 0 otherwise.
+	// pendingHeartbeat is the number of the newest heartbeat while it has no answer; 0 otherwise. pendingWait is the time for
+	// which the worker may delay that answer.
 	pendingHeartbeat uint64
+	pendingWait      time.Duration
+	// overdue is set once the answer to the pending heartbeat was due, so that the next one need not wait for it.
+	overdue bool
 	// heartbeatSentAt is the time at which the newest heartbeat was sent.
 	heartbeatSentAt time.Duration
 	// nextHeartbeatAt is the earliest time of the next heartbeat.
