Let an owner that falls behind start runs and acknowledge ends

An owner that handles all answers 250 ms late or later, as on a VM too slow for its pool, started no run and acknowledged no end: by the time that it read an answer, the worker's process counted as not seen, and it asked again.

The limit now doubles with each answer in a row that was read late, up to 4 s, and is 250 ms again after one that was read in time. A pause of the owner makes a few answers late and widens the limit only for the next decision.

--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -230,7 +230,7 @@
 // owner was the newest when the log last accepted an append, and no newer one had asked the process when it last answered;
 // a restart after that takes maxAckAge.
 func (o *Owner) startsSafeUntil(w *worker) time.Duration {
-	return max(o.logConfirmedAt, w.seenAt) + maxAckAge
+	return max(o.logConfirmedAt+maxAckAge, w.sameProcessUntil())
 }
 
 // removeEndedJobs removes from memory the jobs whose final state is durable and that have no run left.
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -38,7 +38,7 @@
 		w.pendingHeartbeat, w.heartbeatSentAt, w.renewedAt = o.heartbeatCount, now.Steady, now.Steady
 		w.askAtOnce, w.pendingMayWait = false, request.Wait > 0
 		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{
-			Worker: w.ref(), Number: o.heartbeatCount, Request: request, AckBefore: w.seenAt + maxAckAge,
+			Worker: w.ref(), Number: o.heartbeatCount, Request: request, AckBefore: w.sameProcessUntil(),
 		})
 	}
 }
@@ -65,7 +65,7 @@
 // perhaps also those to come. A process that was last seen earlier is first asked for its start time, with a heartbeat that
 // acknowledges nothing; ends that it has forgotten before stay forgotten.
 func (w *worker) mayAcknowledge(now time.Duration) bool {
-	return w.durableEnd > w.ackedEnd && w.failures == 0 && now-w.seenAt < maxAckAge
+	return w.durableEnd > w.ackedEnd && w.failures == 0 && now < w.sameProcessUntil()
 }
 
 // HeartbeatAnswered applies the answer to a heartbeat, or the error of the call: it records ended runs, reconciles the
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -32,6 +32,8 @@
 	// maxAckAge is the time since a worker process was last certainly up after which another process may answer. A process
 	// takes longer to start again.
 	maxAckAge = 250 * time.Millisecond
+	// maxAckAgeDoublings limits the growth of that time for an owner that reads all answers late.
+	maxAckAgeDoublings = 4
 	// restoredSpeed is the speed of best-effort runs of an earlier owner until this owner adjusts it, in percent.
 	restoredSpeed = 50
 )
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -77,8 +77,10 @@
 	// clockLead is an upper bound of the lead of the worker's clock over this process's steady clock: the lowest difference
 	// between a reading and the time at which its heartbeat was sent.
 	clockLead time.Duration
-	// seenAt is the latest time at which the process was certainly up.
-	seenAt time.Duration
+	// seenAt is the latest time at which the process was certainly up. oldAnswers counts the last answers in a row that
+	// were read maxAckAge or more after it.
+	seenAt     time.Duration
+	oldAnswers int
 	// leaseEnd is the latest end of any lease that this owner granted, or that an earlier owner may have granted, by the
 	// worker's clock.
 	leaseEnd wigeonstep.WorkerMillis
@@ -95,16 +97,25 @@
 // the answer carried none. The answer may be read long after the worker gave it.
 func (w *worker) recordAnswer(clock wigeonstep.WorkerMillis, sentAt, now time.Duration) {
 	w.seenAt = sentAt
-	if clock == 0 {
-		return
+	if clock != 0 {
+		reading := time.Duration(clock) * time.Millisecond
+		if lead := reading - sentAt; w.clock == 0 || lead < w.clockLead {
+			w.clockLead = lead
+		}
+		// The clock is not fast, so it can't have shown this reading before.
+		w.seenAt = min(reading-w.clockLead, now)
+		w.clock, w.clockAt = clock, now
 	}
-	reading := time.Duration(clock) * time.Millisecond
-	if lead := reading - sentAt; w.clock == 0 || lead < w.clockLead {
-		w.clockLead = lead
+	w.oldAnswers++
+	if now-w.seenAt < maxAckAge {
+		w.oldAnswers = 0
 	}
-	// The clock is not fast, so it can't have shown this reading before.
-	w.seenAt = min(reading-w.clockLead, now)
-	w.clock, w.clockAt = clock, now
+}
+
+// sameProcessUntil returns the time until which the process that last answered is taken to be up. The time grows while all
+// answers are read late, so that an owner that falls behind goes on to start runs and to acknowledge ends.
+func (w *worker) sameProcessUntil() time.Duration {
+	return w.seenAt + maxAckAge<<min(w.oldAnswers, maxAckAgeDoublings)
 }
 
 // minClock returns a time that the worker's clock has certainly reached.
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -212,6 +212,42 @@
 	o.c.Assert(o.starts, qt.HasLen, 1)
 }
 
+// Guards against an owner that starts nothing and acknowledges no end because it handles every answer late, for example on a
+// VM that is too slow for its pool.
+func TestOwnerThatFallsBehindGoesOn(t *testing.T) {
+	const lag = 400 * time.Millisecond
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.AddJob(o.now, testJob("first", testStep(1)), wigeonjob.Progress{}, false)
+	o.logStalled = true
+	clock := wigeonstep.WorkerMillis(100_000)
+	var started []wigeonstep.RunID
+	ended, acked := false, uint64(0)
+	for range 20 {
+		o.Confirm(o.now.Steady)
+		o.advance(20 * time.Millisecond)
+		sent := o.sentHeartbeat()
+		acked = max(acked, sent.Request.AckedEnd)
+		// The worker answers at once, and the owner reads the answers of the worker and the log after the lag.
+		clock += 10
+		result := wigeonstep.HeartbeatResult{Clock: clock, StartedAt: 1}
+		if ended = ended || len(started) > 0; ended {
+			result.Ended = doneRuns(1, started...)
+		}
+		o.pass(lag)
+		clock += wigeonstep.WorkerMillis(lag.Milliseconds()) + 20
+		o.answerHeartbeat(result)
+		o.logStalled = false
+		o.advance(10 * time.Millisecond)
+		o.logStalled = true
+		for _, s := range o.starts {
+			started = append(started, s.Order.Run)
+		}
+		o.answerStarts(0)
+	}
+	o.c.Assert(started, qt.HasLen, 1)
+	o.c.Assert(acked, qt.Equals, uint64(1))
+}
+
 // Guards against the answer of another worker to a heartbeat that ends runs of which it proves nothing: their starts were
 // answered after the heartbeat was sent, or not at all.
 func TestReplacementEndsOnlyProvenRuns(t *testing.T) {
