--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -34,6 +34,8 @@
 	// maxAckAge is the time since a worker process was last certainly up after which another process may answer. A process
 	// takes longer to start again.
 	maxAckAge = 250 * time.Millisecond
+	// maxAckAgeDoublings limits the growth of that time for an owner that reads all answers late.
+	maxAckAgeDoublings = 4
 	// restoredSpeed is the speed of best-effort runs of an earlier owner until this owner adjusts it, in percent.
 	restoredSpeed = 50
 )
@@ -221,7 +223,7 @@
 // owner was the newest when the log last accepted an append, and no newer one had asked the process when it last answered;
 // a restart after that takes maxAckAge.
 func (o *Owner) startsSafeUntil(w *worker) time.Duration {
-	return max(o.logConfirmedAt, w.seenAt) + maxAckAge
+	return max(o.logConfirmedAt+maxAckAge, w.sameProcessUntil())
 }
 
 // mayStartOn reports whether starts may be sent to the worker. They may not when the worker does not answer, the log may hold
