Apply late answers in the order of their heartbeats, and let timeouts follow them

Cause: each failed heartbeat was followed by another before its answer came, and only the newest could be answered.

An answer counts in full now if its heartbeat is newer than the last one that was answered; what it proves follows from the time at which its own heartbeat was sent. The timeout doubles with each late answer, up to 2.4 s, and heartbeats don't wait at such a worker.

--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -45,7 +45,7 @@
 	for _, s := range a.Starts {
 		d.config.Metrics.starts.Inc()
 		go func() {
-			result := wigeonstep.StartResult{Verdict: wigeonstep.StartUnavailable}
+			result := wigeonstep.StartResult{Verdict: wigeonstep.StartNotSent}
 			if d.config.Now().Steady < s.SendBefore {
 				result = d.config.Orders.Start(ctx, s.Worker, s.Order)
 			}
--- a/wigeonshard/action.go
+++ b/wigeonshard/action.go
@@ -10,7 +10,7 @@
 // caller reports the answer with StartAnswered.
 type Start struct {
 	Worker wigeonstep.WorkerRef
-	// SendBefore is the time after which the order must not be sent; the caller reports StartUnavailable instead.
+	// SendBefore is the time after which the order must not be sent; the caller reports StartNotSent instead.
 	SendBefore time.Duration
 	Order      wigeonstep.StartOrder
 }
@@ -27,8 +27,10 @@
 // set. The caller reports the answer with HeartbeatAnswered.
 type Heartbeat struct {
 	Worker wigeonstep.WorkerRef
-	// Number identifies the heartbeat among all of the owner; answers to all but the newest of a worker are ignored.
+	// Number orders the heartbeats of the owner. Of an answer that is older than the last one applied only the ended runs count.
 	Number uint64
+	// SentAt is the time of the Step that returned the heartbeat.
+	SentAt time.Duration
 	// AckBefore is the time after which the heartbeat is sent, and reported as sent, with an AckedEnd of 0.
 	AckBefore time.Duration
 	Request   wigeonstep.HeartbeatRequest
--- a/wigeonshard/bench_test.go
+++ b/wigeonshard/bench_test.go
@@ -69,11 +69,11 @@
 			for i := range b.N {
 				now.Steady += time.Millisecond
 				w := o.sortedWorkers[i%len(o.sortedWorkers)]
-				w.pendingHeartbeat = 1
+				pending := o.pendHeartbeat(now, w)
 				if len(w.runs) > 0 {
 					r := w.runs[0]
 					ends[w.ID]++
-					o.HeartbeatAnswered(now, Heartbeat{Worker: w.ref(), Number: 1}, wigeonstep.HeartbeatResult{Clock: 5000, Ended: []wigeonstep.EndedRun{{Number: ends[w.ID], Run: r.id(), Cause: wigeonstep.EndStopped}}, Running: runReports(w, r)}, nil)
+					o.HeartbeatAnswered(now, pending, wigeonstep.HeartbeatResult{Clock: 5000, Ended: []wigeonstep.EndedRun{{Number: ends[w.ID], Run: r.id(), Cause: wigeonstep.EndStopped}}, Running: runReports(w, r)}, nil)
 				}
 				a := o.Step(now)
 				if a.Append != nil {
@@ -92,6 +92,13 @@
 	}
 }
 
+// pendHeartbeat makes a heartbeat to the worker the newest one, as if it had been sent, and returns it.
+func (o *Owner) pendHeartbeat(now Timestamp, w *worker) Heartbeat {
+	o.heartbeatCount++
+	w.pendingHeartbeat, w.overdue = o.heartbeatCount, false
+	return Heartbeat{Worker: w.ref(), Number: o.heartbeatCount, SentAt: now.Steady}
+}
+
 // runReports returns the reports of a worker's runs without the run except.
 func runReports(w *worker, except *run) []wigeonstep.RunningRun {
 	var all []wigeonstep.RunningRun
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -8,9 +8,13 @@
 	"github.com/wigeonstep/wigeonstep"
 )
 
-// answerTimeout is the time after which a heartbeat counts as failed, in addition to the time for which the worker may delay
-// its answer. An answer that comes later still tells which runs have ended.
-const answerTimeout = 600 * time.Millisecond
+const (
+	// minAnswerTimeout is the shortest time after which a heartbeat counts as failed, in addition to the time for which the
+	// worker may delay its answer.
+	minAnswerTimeout = 600 * time.Millisecond
+	// maxLateAnswers limits the doublings of that time. The caller has to wait longer than the longest.
+	maxLateAnswers = 2
+)
 
 // sendHeartbeats sends a heartbeat to every worker whose next heartbeat is due. A heartbeat asks for the runs of the
 // worker, acknowledges its durable ends and renews its lease where that is safe. None is sent while the ownership is
@@ -28,7 +32,7 @@
 			request.AckedEnd = w.durableEnd
 		}
 		askOnly := w.durableEnd > w.ackedEnd && request.AckedEnd == 0
-		if w.lastEnd == w.durableEnd && w.answered && w.failures == 0 && !askOnly && !w.askAtOnce {
+		if w.lastEnd == w.durableEnd && w.answered && w.failures == 0 && w.lateAnswers == 0 && !askOnly && !w.askAtOnce {
 			request.Wait = o.heartbeatWaitFor(now, w)
 		}
 		// The lease of a worker that does not answer is not renewed: the worker may receive the heartbeat although its
@@ -42,7 +46,7 @@
 		w.pendingHeartbeat, w.heartbeatSentAt, w.renewedAt = o.heartbeatCount, now.Steady, now.Steady
 		w.pendingWait, w.overdue, w.askAtOnce = request.Wait, false, false
 		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{
-			Worker: w.ref(), Number: o.heartbeatCount, Request: request, AckBefore: w.sameProcessUntil(),
+			Worker: w.ref(), Number: o.heartbeatCount, SentAt: now.Steady, Request: request, AckBefore: w.sameProcessUntil(),
 		})
 	}
 }
@@ -61,7 +65,7 @@
 // expireHeartbeats counts the heartbeats as failed whose answers are overdue.
 func (o *Owner) expireHeartbeats(now Timestamp) {
 	for _, w := range o.sortedWorkers {
-		if w.pendingHeartbeat != 0 && !w.overdue && now.Steady-w.heartbeatSentAt > w.pendingWait+answerTimeout {
+		if w.pendingHeartbeat != 0 && !w.overdue && now.Steady-w.heartbeatSentAt > w.pendingWait+w.answerTimeout() {
 			w.overdue = true
 			o.heartbeatFailed(now, w, "its answer to a heartbeat is overdue")
 		}
@@ -83,7 +87,8 @@
 }
 
 // HeartbeatAnswered applies the answer to a heartbeat, or the error of the call: it records ended runs, reconciles the
-// running ones and schedules the next heartbeat. Of an answer to an earlier heartbeat only the ended runs count.
+// running ones and schedules the next heartbeat. Only the newest heartbeat can fail. Answers may come late; of one that is
+// older than the last one applied only the ended runs count.
 func (o *Owner) HeartbeatAnswered(now Timestamp, sent Heartbeat, result wigeonstep.HeartbeatResult, err error) {
 	w := o.workers[sent.Worker.ID]
 	if errors.Is(err, wigeonstep.ErrFenced) {
@@ -93,23 +98,30 @@
 	if w == nil {
 		return
 	}
-	if w.pendingHeartbeat != sent.Number {
-		if err == nil {
-			o.applyLateAnswer(now, w, result)
-		}
+	newest := w.pendingHeartbeat == sent.Number
+	late := !newest || w.overdue
+	switch {
+	case !newest && err != nil:
+		return
+	case sent.Number <= w.appliedHeartbeat:
+		o.applyOutdatedAnswer(now, w, result)
 		return
+	case newest:
+		w.pendingHeartbeat = 0
 	}
-	w.pendingHeartbeat = 0
 	switch {
 	case errors.Is(err, wigeonstep.ErrWorkerReplaced):
+		w.appliedSentAt = sent.SentAt
 		o.workerReplaced(now, w)
 		return
-	case err != nil && !w.overdue:
+	case err != nil && !late:
 		o.heartbeatFailed(now, w, err.Error())
 		return
 	case err != nil:
 		return
 	}
+	w.appliedHeartbeat, w.appliedSentAt = sent.Number, sent.SentAt
+	w.recordDelay(late)
 	w.ackedEnd = max(w.ackedEnd, sent.Request.AckedEnd)
 	if w.processStartedAt != 0 && result.StartedAt != 0 && result.StartedAt != w.processStartedAt {
 		o.workerRestarted(now, w, result)
@@ -123,7 +135,7 @@
 	w.failures = 0
 	w.leasesEndWall = 0
 	o.ownerRecordOutdated = o.ownerRecordOutdated || w.lapseRecorded
-	w.recordAnswer(result.Clock, w.heartbeatSentAt, now.Steady)
+	w.recordAnswer(result.Clock, sent.SentAt, now.Steady)
 	for _, row := range result.UndecodableRows {
 		o.recordWorkerDecision("row_skipped", w, row)
 	}
@@ -162,9 +174,9 @@
 	w.nextHeartbeatAt = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHeartbeatRetryDelay)
 }
 
-// applyLateAnswer applies the ended runs in the answer to an earlier heartbeat, if it comes from the current process of the
-// worker. They have ended for good; what the answer says of other runs may be out of date.
-func (o *Owner) applyLateAnswer(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
+// applyOutdatedAnswer applies the ended runs in an answer that is older than the last one applied, if it comes from the current
+// process of the worker. They have ended for good; what the answer says of other runs is out of date.
+func (o *Owner) applyOutdatedAnswer(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
 	if w.answered && w.processStartedAt != 0 && w.processStartedAt == result.StartedAt {
 		o.applyEnds(now, w, result.Ended)
 	}
@@ -285,7 +297,7 @@
 		// Only a heartbeat that was sent after the outcome of the start was known proves that the run is not on the
 		// worker. For a run of an earlier owner that is the first heartbeat with this fencing token, because the worker
 		// then refuses older orders.
-		if r.startKnownAt >= 0 && w.heartbeatSentAt > r.startKnownAt {
+		if r.startKnownAt >= 0 && w.appliedSentAt > r.startKnownAt {
 			o.recordRunDecision("run_lost", r, cause, now.Steady-r.startSentAt)
 			o.endRun(now, r, wigeonstep.EndLeaseExpired, r.task.checkpoint)
 		}
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -100,11 +100,25 @@
 			o.recordRunDecision("run_stopped", r, "its starts were not answered", 0)
 			r.stopping = true
 		}
+	case wigeonstep.StartNotSent:
+		o.startNotSent(now, r)
 	default:
 		o.startRefused(now, r, result.Verdict)
 	}
 }
 
+// startNotSent ends a run whose start was not sent, so that its task is placed anew. A start that was to be repeated is tried
+// again, since an earlier one may have begun the run.
+func (o *Owner) startNotSent(now Timestamp, r *run) {
+	o.recordRunDecision("start_refused", r, "it was too late to send the start", 0)
+	if r.startTries > 0 {
+		r.phase = runUnknown
+		r.retryAt = now.Steady + startRetryDelay
+		return
+	}
+	o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+}
+
 // startRefused handles a start that the worker refused: the run ends, unless an earlier start may still take effect.
 func (o *Owner) startRefused(now Timestamp, r *run, verdict wigeonstep.StartVerdict) {
 	w := r.worker
@@ -145,6 +159,7 @@
 	o.endUnlistedRuns(now, w, nil, "another worker answers at the address")
 	o.stopUnansweredStarts(w, func(*run) bool { return false })
 	w.forgetProcess(now.Steady)
+	w.appliedHeartbeat = o.heartbeatCount
 	w.failures++
 	w.nextHeartbeatAt = now.Steady + maxHeartbeatRetryDelay
 }
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -30,3 +30,17 @@
 	o.c.Assert(o.starts, qt.HasLen, maxOrdersInFlight+1)
 	o.c.Assert(o.workers[onlyWorker].runs, qt.HasLen, maxOrdersInFlight+1)
 }
+
+// Guards against an owner that has fallen behind and takes its own delay for a fault of the workers: a start that was not sent
+// paused all new runs on its worker.
+func TestUnsentStartDoesNotPauseTheWorker(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.submit("job", 1)
+	unsent := o.starts[0]
+	o.starts = nil
+	o.answerStart(unsent, wigeonstep.StartResult{Verdict: wigeonstep.StartNotSent})
+	o.c.Assert(o.workers[onlyWorker].backoff.active(o.now.Steady), qt.IsFalse)
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.starts, qt.HasLen, 1)
+	o.c.Assert(o.starts[0].Order.Run.Number, qt.Equals, unsent.Order.Run.Number+1)
+}
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -215,6 +215,7 @@
 		ListedWorker:     wigeonstep.ListedWorker{ID: id},
 		inheritedRunsEnd: max(o.ownedSince, now.Steady) + time.Duration(float64(o.settings.ConfirmLimit+o.settings.Lease)/clockRate) + lapseMargin,
 		released:         o.released[id],
+		appliedHeartbeat: o.heartbeatCount,
 	}
 	if w.released {
 		// The VM of the release is not known here. Any value keeps the worker cordoned, and no second release is written.
@@ -236,7 +237,7 @@
 	o.stopUnansweredStarts(w, func(*run) bool { return false })
 	w.forgetProcess(now.Steady)
 	w.backoff = workerBackoff{}
-	w.pendingHeartbeat, w.nextHeartbeatAt = 0, now.Steady
+	w.pendingHeartbeat, w.appliedHeartbeat, w.nextHeartbeatAt = 0, o.heartbeatCount, now.Steady
 }
 
 // workerRestarted handles a worker process that has restarted under its id, which answered a heartbeat with result. The
--- a/wigeonshard/steps_test.go
+++ b/wigeonshard/steps_test.go
@@ -267,7 +267,7 @@
 			o.StartAnswered(now, s, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
 		}
 		w := o.workers["w"]
-		w.pendingHeartbeat = 1
+		pending := o.pendHeartbeat(now, w)
 		var listed []wigeonstep.RunningRun
 		for _, r := range w.runs {
 			if r.phase == runAccepted {
@@ -278,7 +278,7 @@
 				listed = append(listed, entry)
 			}
 		}
-		o.HeartbeatAnswered(now, Heartbeat{Worker: w.ref(), Number: 1}, wigeonstep.HeartbeatResult{Clock: 5000, Running: listed}, nil)
+		o.HeartbeatAnswered(now, pending, wigeonstep.HeartbeatResult{Clock: 5000, Running: listed}, nil)
 		throttles := o.Step(now).Throttles
 		for _, throttle := range throttles {
 			o.ThrottleAnswered(throttle, nil)
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -49,6 +49,12 @@
 	pendingWait      time.Duration
 	// overdue is set once the answer to the pending heartbeat was due, so that the next one need not wait for it.
 	overdue bool
+	// appliedHeartbeat is the number of the newest heartbeat whose answer was applied, which was sent at appliedSentAt. An
+	// answer to an earlier one is out of date.
+	appliedHeartbeat uint64
+	appliedSentAt    time.Duration
+	// lateAnswers counts the answers that were overdue, less one for each that was not; between 0 and maxLateAnswers.
+	lateAnswers int
 	// heartbeatSentAt is the time at which the newest heartbeat was sent.
 	heartbeatSentAt time.Duration
 	// nextHeartbeatAt is the earliest time of the next heartbeat.
@@ -157,6 +163,21 @@
 	return now.Wall + wigeonstep.UnixMillis(max(w.leaseTimeLeft(now.Steady), 0).Milliseconds())
 }
 
+// answerTimeout returns the time after which the answer to a heartbeat is overdue, in addition to the wait at the worker. It
+// doubles with each answer that was late, so that a slow link doesn't let a worker count as silent for good.
+func (w *worker) answerTimeout() time.Duration {
+	return minAnswerTimeout << w.lateAnswers
+}
+
+// recordDelay adjusts the timeout after an answer.
+func (w *worker) recordDelay(late bool) {
+	if late {
+		w.lateAnswers = min(w.lateAnswers+1, maxLateAnswers)
+	} else {
+		w.lateAnswers = max(w.lateAnswers-1, 0)
+	}
+}
+
 // forgetProcess makes the worker one whose current process has not answered.
 func (w *worker) forgetProcess(now time.Duration) {
 	if w.answered {
--- a/worker.go
+++ b/worker.go
@@ -116,6 +116,8 @@
 	StartInvalid
 	// StartWorkerReplaced means that a worker with another id answered at the address.
 	StartWorkerReplaced
+	// StartNotSent means that the order was not sent, because this process was too late for it. It says nothing of the worker.
+	StartNotSent
 )
 
 // StartResult is the result of a start order.
