Go on serving when no connection can be accepted for want of descriptors

What callers could see: all requests in progress at a process end without an answer (LOST) and the process exits with status 1, when clients open more connections than the process has descriptors (4,100 on the users' VMs). Not known to have happened.

Cause: the HTTP server stops serving at the first error of its listener, and a node exits when one of its servers stops. The server for peers already went on after such errors.

Other errors still end the server.

--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -198,7 +198,7 @@
 	go func() { failed <- peers.Serve() }()
 	context.AfterFunc(ctx, func() { _ = peers.Close() })
 	admin := &wigeontelemetry.Admin{Metrics: set, Ready: daemon.Ready}
-	go func() { failed <- admin.Serve(ctx, listeners.metrics) }()
+	go func() { failed <- admin.Serve(ctx, platform.RetryingListener{Listener: listeners.metrics}) }()
 	return failed
 }
 
