Confirm every owner of the model, and restart a crashed worker once

In seed 41377 the last owner was one that no group confirmed, so it stopped its heartbeats when no append was left, and a job stayed open. In seed 50157 a worker that crashed twice was restarted a second time while it was up, without any time between. All owners of that test are confirmed now, and a crash is followed by one restart.

--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -46,6 +46,8 @@
 	slowAppends bool
 	// heartbeatsWait makes workers delay the answers to heartbeats until a run ends, as the heartbeats ask.
 	heartbeatsWait bool
+	// groupConfirms is set if a group confirms the ownership of the newest owner, not only the log.
+	groupConfirms bool
 	// takenAddresses holds the former addresses of workers at which workers with another id answer.
 	takenAddresses map[string]bool
 	// liveRuns counts the runs of each task on the workers, as the workers see them.
@@ -169,6 +171,9 @@
 	o.SetWorkers(m.eventTime(), m.listed)
 	o.SetCordons(m.cordons)
 	m.owners = append(m.owners, o)
+	if m.groupConfirms {
+		m.confirmOwnership(o)
+	}
 	m.stepOwner(o)
 	return o
 }
--- a/wigeonshard/fakeworker_test.go
+++ b/wigeonshard/fakeworker_test.go
@@ -211,9 +211,15 @@
 func (m *clusterModel) crash(id wigeonstep.WorkerID, restarts bool) {
 	f := m.workers[id]
 	f.crash(m)
-	if restarts {
-		m.schedule(1200*time.Millisecond, func() { f.restart(m) })
+	if !restarts {
+		return
 	}
+	m.schedule(1200*time.Millisecond, func() {
+		// A worker that crashed twice restarts once.
+		if f.down {
+			f.restart(m)
+		}
+	})
 }
 
 func (f *fakeWorker) crash(m *clusterModel) {
--- a/wigeonshard/latefaults_test.go
+++ b/wigeonshard/latefaults_test.go
@@ -32,7 +32,8 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			c := qt.New(t)
 			m := newClusterModel(t, uint64(seed), 6) //nolint:gosec // seeds are small
-			m.lostAnswerRate, m.lateCallRate, m.lateAnswerRate, m.heartbeatsWait = 0.02, 0.01, 0.01, true
+			m.lostAnswerRate, m.lateCallRate, m.lateAnswerRate = 0.02, 0.01, 0.01
+			m.heartbeatsWait, m.groupConfirms = true, true
 			for i, l := range m.listed {
 				f := m.workers[l.ID]
 				f.forgetsAhead = i%2 == 0
@@ -40,7 +41,7 @@
 					f.maxListedEnds = 2
 				}
 			}
-			m.takeOver()
+			m.addOwner()
 			for i := range 40 {
 				job := testJob(wigeonstep.JobID(fmt.Sprintf("job%02d", i)), testStep(1+m.random.IntN(6)), testStep(1+m.random.IntN(3), 0))
 				m.schedule(m.randomTime(15*time.Second), func() { m.submitJob(job) })
@@ -62,12 +63,7 @@
 	return time.Duration(m.random.Int64N(int64(below)))
 }
 
-// takeOver starts a new owner, whose ownership the group confirms every 100 ms.
-func (m *clusterModel) takeOver() {
-	m.confirmOwnership(m.addOwner())
-}
-
-// confirmOwnership confirms the ownership of an owner until another one replaces it.
+// confirmOwnership confirms the ownership of an owner every 100 ms until another one replaces it.
 func (m *clusterModel) confirmOwnership(o *fakeOwner) {
 	if o != m.owners[len(m.owners)-1] {
 		return
@@ -84,7 +80,7 @@
 	case 0, 1:
 		newest.pausedUntil = m.now + time.Second + m.randomTime(9*time.Second)
 		if m.random.IntN(3) > 0 {
-			m.schedule(1100*time.Millisecond+m.randomTime(time.Second), m.takeOver)
+			m.schedule(1100*time.Millisecond+m.randomTime(time.Second), func() { m.addOwner() })
 		}
 	case 2, 3, 4:
 		m.restartSoon(id)
@@ -92,7 +88,7 @@
 		m.slowAppends = true
 		m.schedule(m.randomTime(5*time.Second), func() { m.slowAppends = false })
 	case 6:
-		m.takeOver()
+		m.addOwner()
 	case 7:
 		m.injectFault()
 	}
