Replace VMs that are not drained in time for the pool that waits for them

Callers saw long-running tasks that waited for 7 to 10 s for a VM although their pool lacked one all the time.

Cause: a VM that is ordered into a pool counts as incoming from the order on. A VM that looked idle may get long-running tasks just before its cordon arrives, and these leave it one after the other, as far as MaxUnavailable of their steps allows.

Now a VM counts as incoming for 2.5 s of draining at most.

--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -28,6 +28,9 @@
 	// arrivalTimeout bounds the time after a confirmed move in which the VM counts as incoming although its new worker
 	// is not usable yet.
 	arrivalTimeout = 6 * time.Second
+	// maxDrainWait bounds the time since the order in which a VM counts as incoming although it is not drained. The VM may
+	// have got long-running tasks just before it was cordoned, and these leave it one after the other.
+	maxDrainWait = 2500 * time.Millisecond
 	// maxReportAge is the age above which a demand report is ignored.
 	maxReportAge = 600 * time.Millisecond
 	// retryDelay is the pause before a call to the platform that did not confirm the move is repeated.
@@ -133,6 +136,8 @@
 	lastPlan time.Duration
 	// confirmedAt holds the time at which the platform confirmed the last move of a VM to this planner.
 	confirmedAt map[wigeonstep.VMID]time.Duration
+	// drainingSince holds the time at which this planner first saw the order of each VM that is being drained.
+	drainingSince map[wigeonstep.VMID]time.Duration
 	// retryAt holds the earliest time for the next call after one that did not confirm the move.
 	retryAt map[wigeonstep.VMID]time.Duration
 	// called holds the VMs with a call to the platform that has no result yet, or that confirmed the move while the log still
@@ -183,14 +188,20 @@
 		return
 	}
 	p.surplusSince = map[wigeonstep.PoolName]time.Duration{}
+	p.drainingSince = map[wigeonstep.VMID]time.Duration{}
 	p.confirmedAt = map[wigeonstep.VMID]time.Duration{}
 	p.retryAt = map[wigeonstep.VMID]time.Duration{}
 	p.called = map[wigeonstep.VMID]bool{}
 }
 
 // advanceOrders adds the next phase or call of each order to the plan. It returns the incoming VMs of each pool: those with an
-// open or recently confirmed move into it.
+// open or recently confirmed move into it, except VMs that have been drained for longer than maxDrainWait.
 func (p *Planner) advanceOrders(now time.Duration, fleet Fleet, plan *Plan) map[wigeonstep.PoolName][]wigeonstep.VMID {
+	maps.DeleteFunc(p.drainingSince, func(id wigeonstep.VMID, _ time.Duration) bool {
+		order, ordered := fleet.Moves[id]
+		_, present := fleet.VMs[id]
+		return !present || !ordered || order.Phase != wigeonjob.OrderCordon
+	})
 	incoming := map[wigeonstep.PoolName][]wigeonstep.VMID{}
 	var issued []wigeonjob.MoveOrder
 	for _, id := range slices.Sorted(maps.Keys(fleet.Moves)) {
@@ -202,7 +213,9 @@
 		switch order.Phase {
 		case wigeonjob.OrderCordon:
 			delete(p.called, id)
-			incoming[order.Pool] = append(incoming[order.Pool], id)
+			if p.drainsInTime(now, id) {
+				incoming[order.Pool] = append(incoming[order.Pool], id)
+			}
 			switch {
 			case vm.Worker != order.Worker && vm.State == wigeonstep.VMUp:
 				// The cordoned worker was replaced by another one on the same VM, which has to be drained instead.
@@ -233,6 +246,16 @@
 	return incoming
 }
 
+// drainsInTime reports whether the VM, whose order is in phase OrderCordon, has been drained for at most maxDrainWait.
+func (p *Planner) drainsInTime(now time.Duration, vm wigeonstep.VMID) bool {
+	since, known := p.drainingSince[vm]
+	if !known {
+		p.drainingSince[vm] = now
+		return true
+	}
+	return now-since <= maxDrainWait
+}
+
 // switchOffRank is 1 for a move that switches a VM off and 0 for any other.
 func switchOffRank(fleet Fleet, order wigeonjob.MoveOrder) int {
 	if fleet.Spare[order.Pool] {
--- a/wigeonbalance/plan_test.go
+++ b/wigeonbalance/plan_test.go
@@ -373,3 +373,23 @@
 	c.Assert(m.ordersInto("pool0", demands), qt.Equals, 0)
 	c.Assert(m.ordersInto("pool1", demands), qt.Equals, 0)
 }
+
+// Guards against a pool that waits for a VM which is not drained for a long time, and gets no other one meanwhile: its
+// long-running tasks waited for 10 s because the VM counted as incoming.
+func TestVMThatIsNotDrainedInTimeIsReplaced(t *testing.T) {
+	c := qt.New(t)
+	m, demands := starvedFleet(1)
+	ordersAfter := func(wait time.Duration) int {
+		m.now += wait
+		for pool, d := range demands {
+			d.ReceivedAt = m.now
+			demands[pool] = d
+		}
+		return m.ordersInto("pool0", demands)
+	}
+	c.Assert(ordersAfter(0), qt.Equals, 1)
+	c.Assert(ordersAfter(testStep), qt.Equals, 0)
+	c.Assert(ordersAfter(maxDrainWait), qt.Equals, 0)
+	c.Assert(ordersAfter(testStep), qt.Equals, 1)
+	c.Assert(ordersAfter(maxDrainWait), qt.Equals, 0)
+}
