Keep no room on a worker that gets no new runs

Callers could see a long-running task wait for seconds beside workers whose room became free. Room was kept for it on one worker, and when that worker became suspect the hold stayed there, because only cordons, drains and missing answers ended it. Another worker was not chosen before the pause was over.

Now a hold ends when its worker is not in the pool of the round, and room is looked for anew.

--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -74,9 +74,9 @@
 	return free.Covers(h.task.step.Reserved())
 }
 
-// needed reports whether the task still waits or has to leave its worker, and the worker of the hold accepts new runs.
-func (h *roomHold) needed() bool {
-	if !h.worker.usable() || h.task.done || h.task.step.job.state.Terminal() {
+// needed reports whether the task still waits or has to leave its worker, and the worker of the hold is in the pool.
+func (h *roomHold) needed(pool []*worker) bool {
+	if !slices.Contains(pool, h.worker) || h.task.done || h.task.step.job.state.Terminal() {
 		return false
 	}
 	return !slices.ContainsFunc(h.task.runs, func(r *run) bool { return !r.stopping && !r.worker.leaving() })
@@ -89,10 +89,10 @@
 
 // dropUnneededHolds gives up the holds that are not needed any more. A long-running task that waits goes before those that
 // still run: it gets the room that is kept in its service for runs that are not stopped yet.
-func (o *Owner) dropUnneededHolds(waiting map[wigeonstep.ServiceName]bool) {
+func (o *Owner) dropUnneededHolds(pool []*worker, waiting map[wigeonstep.ServiceName]bool) {
 	for _, w := range o.sortedWorkers {
 		for _, h := range slices.Clone(w.held.holds) {
-			if !h.needed() || h.movesLater() && waiting[w.Service] {
+			if !h.needed(pool) || h.movesLater() && waiting[w.Service] {
 				dropHold(h.task)
 			}
 		}
--- a/wigeonshard/moveruns_test.go
+++ b/wigeonshard/moveruns_test.go
@@ -172,3 +172,30 @@
 		}
 	}
 }
+
+// Guards against a task that waits for the end of the pause of a suspect worker on which room is kept for it.
+func TestRoomIsNotKeptOnSuspectWorker(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 112, 4)
+	o := m.addOwner()
+	m.advance(time.Second)
+	lasting := testStep(1)
+	lasting.Required.CPU = 5000
+	tasks := m.submitLasting("lasting", lasting)
+	m.advance(time.Second)
+	m.submitRepeatedly(25*time.Millisecond, wigeonstep.Resources{CPU: 700, Memory: 300})
+	m.advance(3 * time.Second)
+	watch := m.watchInterruptions(tasks)
+	m.failRuns("lasting")
+	m.advance(150 * time.Millisecond)
+	hold := o.findTask(tasks[0]).hold
+	c.Assert(hold, qt.IsNotNil)
+	suspect := hold.worker
+	// A run that is done ends the pause, so the worker is made suspect again and again.
+	for until := m.now + 5*time.Second; m.now < until; m.advance(5 * time.Millisecond) {
+		suspect.backoff.until = m.now + suspectDuration
+	}
+	c.Assert(m.violations, qt.HasLen, 0)
+	// A finite run takes up to a second here.
+	c.Assert(watch.longest <= 2*time.Second, qt.IsTrue, qt.Commentf("%v had no run for %v: %v", watch.longestTask, watch.longest, m.history[watch.longestTask]))
+}
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -55,8 +55,8 @@
 		first = len(candidates)
 	}
 	longRunning, finite := candidates[:first], candidates[first:]
-	o.dropUnneededHolds(servicesWithWaitingTasks(now, longRunning))
 	r := round{pool: o.pool(now)}
+	o.dropUnneededHolds(r.pool, servicesWithWaitingTasks(now, longRunning))
 	o.placeSteps(now, longRunning, &r)
 	o.holdForWaitingTasks(now, longRunning, r.pool)
 	o.moveRuns(now, r.pool)
