Start waiting long-running tasks on cordoned workers that can't be emptied

Callers saw long-running tasks wait after a failure while their pool had room for them, for as long as no other worker had any.

Cause: a cordoned worker gets no new run, but while its long-running runs fit nowhere else it stays up, and the rest of its room serves nobody.

Now a long-running task that has waited for half a second starts on such a worker. The worker is not released later by that: it stays up for its other long-running runs, and the tasks of both need a place. A released worker, one that drains and one whose last runs are ending get none. run_on_cordoned says so in the log.

--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -59,6 +59,7 @@
 	o.dropUnneededHolds(r.pool, servicesWithWaitingTasks(now, longRunning))
 	o.placeSteps(now, longRunning, &r)
 	o.holdForWaitingTasks(now, longRunning, r.pool)
+	o.placeOnCordoned(now, longRunning)
 	o.moveRuns(now, r.pool)
 	o.placeSteps(now, finite, &r)
 	o.reportLongWaits(now, longRunning)
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -126,7 +126,12 @@
 
 // usable reports whether new runs may be placed on the worker.
 func (w *worker) usable() bool {
-	return w.listed && w.answered && !w.Draining && w.cordoned == "" && w.failures == 0 && w.unexpected == 0 && !w.lapseRecorded
+	return w.accepting() && w.cordoned == ""
+}
+
+// accepting reports whether the worker would accept new runs, whether or not it is cordoned.
+func (w *worker) accepting() bool {
+	return w.listed && w.answered && !w.Draining && w.failures == 0 && w.unexpected == 0 && !w.lapseRecorded
 }
 
 func (w *worker) attach(r *run) {
