--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -131,6 +131,8 @@
 	startKnownAt time.Duration
 	// stopping is set once the run is to be stopped.
 	stopping bool
+	// onCordoned is set if the worker was cordoned when the run was planned.
+	onCordoned bool
 	// stopSentAt is the time at which the newest stop was sent; zero when none was sent or the newest one failed.
 	stopSentAt time.Duration
 	// stopTries counts the stops that failed, startTries the starts that got no answer.
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -194,7 +194,7 @@
 
 // sendRunOrders sends the starts, stops and throttles that are due, oldest run first, as long as the worker has fewer than
 // maxOrdersInFlight. The others are decided anew in the next Step, so that no order is sent that is no longer wanted. A start to
-// a worker that may have restarted unseen waits for the answer to a heartbeat that is sent at once. A member of a gang is started on a worker that is leaving all the same, because the other members may have begun.
+// a worker that may have restarted unseen waits for the answer to a heartbeat that is sent at once.
 func (o *Owner) sendRunOrders(now Timestamp) {
 	for _, w := range o.sortedWorkers {
 		if w.Address == "" {
@@ -204,7 +204,7 @@
 		var unwanted []*run
 		for _, r := range w.runs {
 			switch {
-			case r.phase == runDurable && (r.stopping || !mayStart || w.leaving() && !r.task.step.Gang):
+			case r.phase == runDurable && (r.stopping || !mayStart || r.mustStartElsewhere()):
 				unwanted = append(unwanted, r)
 			case w.ordersInFlight >= maxOrdersInFlight:
 			case r.phase == runDurable && safe:
@@ -228,6 +228,13 @@
 	}
 }
 
+// mustStartElsewhere reports whether the worker of an unsent run is leaving since the run was planned. A member of a gang is
+// started all the same, because the other members may have begun.
+func (r *run) mustStartElsewhere() bool {
+	w := r.worker
+	return (w.Draining || w.released || w.cordoned != "" && !r.onCordoned) && !r.task.step.Gang
+}
+
 // repeatsStart reports whether the start of the run got no answer and is due again.
 func (r *run) repeatsStart(now time.Duration) bool {
 	return r.phase == runUnknown && !r.stopping && r.startTries > 0 && now >= r.retryAt
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -55,10 +55,11 @@
 		first = len(candidates)
 	}
 	longRunning, finite := candidates[:first], candidates[first:]
-	o.dropUnneededHolds(servicesWithWaitingTasks(now, longRunning))
 	r := round{pool: o.pool(now)}
+	o.dropUnneededHolds(r.pool, servicesWithWaitingTasks(now, longRunning))
 	o.placeSteps(now, longRunning, &r)
 	o.holdForWaitingTasks(now, longRunning, r.pool)
+	o.placeOnCordoned(now, longRunning)
 	o.moveRuns(now, r.pool)
 	o.placeSteps(now, finite, &r)
 	o.reportLongWaits(now, longRunning)
