Take a 421 at an unconfirmed address for proof only after two seconds

Cause: a process that owns no shard reads the entries of workers every 0.6 s. As a new owner it asked a worker at the address that the worker had before its restart, another worker answered there, and the runs that it had inherited were given up although they went on at the new address. Besides, the change of the address marked inherited runs to be stopped.

--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -141,6 +141,7 @@
 	}
 	o.applyEnds(now, w, result.Ended)
 	o.reconcileRuns(now, w, result)
+	w.addressConfirmed = true
 	if !w.answered {
 		w.answered = true
 		o.placementDue = true
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -36,6 +36,9 @@
 	maxAckAge = 250 * time.Millisecond
 	// maxAckAgeDoublings limits the growth of that time for an owner that reads all answers late.
 	maxAckAgeDoublings = 4
+	// addressSettleTime is the time after which the address of a worker counts as current. A process that has owned no shard
+	// reads the entries of workers every 0.6 s.
+	addressSettleTime = 2 * time.Second
 	// restoredSpeed is the speed of best-effort runs of an earlier owner until this owner adjusts it, in percent.
 	restoredSpeed = 50
 )
@@ -154,10 +157,14 @@
 }
 
 // workerReplaced handles the answer of another worker to the newest heartbeat: the process that had the address has ended
-// with its runs. Runs whose starts were not answered before the heartbeat was sent stay until their leases have ended.
+// with its runs. Runs whose starts were not answered before the heartbeat was sent stay until their leases have ended. At an
+// address at which the worker has not answered this owner, the answer counts only after addressSettleTime: the worker may have
+// restarted elsewhere before its entry was read.
 func (o *Owner) workerReplaced(now Timestamp, w *worker) {
-	o.endUnlistedRuns(now, w, nil, "another worker answers at the address")
-	o.stopUnansweredStarts(w, func(*run) bool { return false })
+	if w.addressConfirmed || now.Steady-w.addressSince >= addressSettleTime {
+		o.endUnlistedRuns(now, w, nil, "another worker answers at the address")
+		o.stopUnansweredStarts(w, func(*run) bool { return false })
+	}
 	w.forgetProcess(now.Steady)
 	w.appliedHeartbeat = o.heartbeatCount
 	w.failures++
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -151,8 +151,11 @@
 	}
 	for _, l := range listed {
 		w := o.ensureWorker(now, l.ID)
-		if w.Address != "" && w.Address != l.Address {
-			o.addressChanged(now, w)
+		if w.Address != l.Address {
+			if w.Address != "" {
+				o.addressChanged(now, w)
+			}
+			w.addressSince, w.addressConfirmed = now.Steady, false
 		}
 		w.ListedWorker = l
 		w.listed = true
@@ -234,7 +237,9 @@
 // addressChanged handles a new address of a worker, at which a new process answers. Its heartbeats prove which runs of the
 // former process have ended.
 func (o *Owner) addressChanged(now Timestamp, w *worker) {
-	o.stopUnansweredStarts(w, func(*run) bool { return false })
+	if w.addressConfirmed {
+		o.stopUnansweredStarts(w, func(*run) bool { return false })
+	}
 	w.forgetProcess(now.Steady)
 	w.backoff = workerBackoff{}
 	w.pendingHeartbeat, w.appliedHeartbeat, w.nextHeartbeatAt = 0, o.heartbeatCount, now.Steady
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -19,6 +19,10 @@
 	wigeonstep.ListedWorker
 	// listed is set while the worker is in the list of SetWorkers.
 	listed bool
+	// addressSince is the time at which this owner got the worker's address. addressConfirmed is set once the worker has
+	// answered a heartbeat there.
+	addressSince     time.Duration
+	addressConfirmed bool
 	workerProcess
 	// inheritedRunsEnd is the time at which the runs of earlier owners, and of earlier processes of the worker, count as
 	// ended if the current process has not answered.
