Move no run in the first 0.6 s of an ownership

Cause: a stop that is under way is known only to the owner that sent it. A new owner counted the run as serving until its end was listed, 0.2 s later, and stopped runs of other tasks of the step.

--- a/wigeonshard/emptyworkers.go
+++ b/wigeonshard/emptyworkers.go
@@ -16,6 +16,10 @@
 // runs with all workers.
 const emptyInterval = 40 * time.Millisecond
 
+// takeoverSettleTime is the time after the start of the ownership in which no run is moved. A stop that the former owner sent
+// takes up to 0.2 s, and its run counts as serving until its end is listed.
+const takeoverSettleTime = 600 * time.Millisecond
+
 // releaseWorkers releases the cordoned workers that have become idle.
 func (o *Owner) releaseWorkers() {
 	for _, w := range o.sortedWorkers {
@@ -27,7 +31,7 @@
 
 // moveRuns moves runs off draining and cordoned workers, to workers of the pool.
 func (o *Owner) moveRuns(now Timestamp, pool []*worker) {
-	if now.Steady-o.lastEmptying < emptyInterval {
+	if now.Steady-o.lastEmptying < emptyInterval || now.Steady-o.ownedSince < takeoverSettleTime {
 		return
 	}
 	o.lastEmptying = now.Steady
