Reword what a newcomer stumbles over, and remove a field that is never different

What stumbled: doc comments that did not match their code (room is kept only for long-running tasks, and pendingMoves does not count the granted ones), that left out what callers have to keep (each start, stop and throttle is reported exactly once; the caller of heartbeats waits longer than the longest timeout; AckBefore changes the Heartbeat that is reported too), that had to be read twice (maxAckAge, startsSafeUntil, mayAcknowledge, workerRestarted, partitionAtHolders), figurative words (the lives of a worker), and comments of tests that told what had happened instead of what the test guards against.

What changed besides comments: - worker.renewedAt is gone; it was set together with heartbeatSentAt, to the same value. - workerAvailable, which had one caller left, is part of otherWorkerAvailable. - The second half of HeartbeatAnswered is applyAnswer, moved as it was. - suitability uses worker.leaving, and its counts are described. - In the soak workerLife is workerProcess, and startLife is startWorkerProcess. The flag -soak.lives and PlanLives keep their names.

No behaviour, constant, log line or assertion changed. go test ./wigeonshard ./wigeondaemon ./wigeonbalance ./wigeonwave ./platform passes, as do the short tests of wigeonsoak; the soak itself was not run.

--- a/wigeonbalance/plan.go
+++ b/wigeonbalance/plan.go
@@ -28,8 +28,8 @@
 	// arrivalTimeout bounds the time after a confirmed move in which the VM counts as incoming although its new worker
 	// is not usable yet.
 	arrivalTimeout = 6 * time.Second
-	// maxDrainWait bounds the time since the order in which a VM counts as incoming although it is not drained. The VM may
-	// have got long-running tasks just before it was cordoned, and these leave it one after the other.
+	// maxDrainWait is the time after the order for which a VM that is not drained yet counts as incoming. Draining takes longer
+	// when the VM has long-running tasks, which leave it one after the other.
 	maxDrainWait = 2500 * time.Millisecond
 	// maxReportAge is the age above which a demand report is ignored.
 	maxReportAge = 600 * time.Millisecond
@@ -136,7 +136,7 @@
 	lastPlan time.Duration
 	// confirmedAt holds the time at which the platform confirmed the last move of a VM to this planner.
 	confirmedAt map[wigeonstep.VMID]time.Duration
-	// drainingSince holds the time at which this planner first saw the order of each VM that is being drained.
+	// drainingSince holds, for each VM that is draining, the time at which this planner first saw its order.
 	drainingSince map[wigeonstep.VMID]time.Duration
 	// retryAt holds the earliest time for the next call after one that did not confirm the move.
 	retryAt map[wigeonstep.VMID]time.Duration
@@ -195,7 +195,7 @@
 }
 
 // advanceOrders adds the next phase or call of each order to the plan. It returns the incoming VMs of each pool: those with an
-// open or recently confirmed move into it, except VMs that have been drained for longer than maxDrainWait.
+// open or recently confirmed move into it, except VMs that have been draining for longer than maxDrainWait.
 func (p *Planner) advanceOrders(now time.Duration, fleet Fleet, plan *Plan) map[wigeonstep.PoolName][]wigeonstep.VMID {
 	maps.DeleteFunc(p.drainingSince, func(id wigeonstep.VMID, _ time.Duration) bool {
 		order, ordered := fleet.Moves[id]
@@ -246,7 +246,8 @@
 	return incoming
 }
 
-// drainsInTime reports whether the VM, whose order is in phase OrderCordon, has been drained for at most maxDrainWait.
+// drainsInTime reports whether the VM, whose order is in phase OrderCordon, has been draining for at most maxDrainWait. The
+// first call for an order records the time.
 func (p *Planner) drainsInTime(now time.Duration, vm wigeonstep.VMID) bool {
 	since, known := p.drainingSince[vm]
 	if !known {
@@ -430,8 +431,8 @@
 }
 
 // takeFromLargest removes an idle VM, or one that is about to become idle, from the largest pool that has one and no
-// long-running tasks without a VM, whether or not that pool has a surplus. Finite work waits for its turn on fewer VMs, but a
-// long-running task may not find room on its pool's VMs at all.
+// long-running tasks without a VM, whether or not that pool has a surplus. With fewer VMs finite work takes longer, but a
+// long-running task may never find room on the VMs of its pool.
 func takeFromLargest(pools []*pool, to *pool) (wigeonstep.PooledVM, bool) {
 	var from *pool
 	for _, pl := range pools {
--- a/wigeonbalance/plan_test.go
+++ b/wigeonbalance/plan_test.go
@@ -374,8 +374,8 @@
 	c.Assert(m.ordersInto("pool1", demands), qt.Equals, 0)
 }
 
-// Guards against a pool that waits for a VM which is not drained for a long time, and gets no other one meanwhile: its
-// long-running tasks waited for 10 s because the VM counted as incoming.
+// Guards against a pool whose long-running tasks wait because a VM that takes long to drain counts as incoming, so that the
+// pool gets no other one meanwhile.
 func TestVMThatIsNotDrainedInTimeIsReplaced(t *testing.T) {
 	c := qt.New(t)
 	m, demands := starvedFleet(1)
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -114,7 +114,7 @@
 	began := time.Now()
 	job.Queue, job.Service, job.Policy = queue.Name, queue.Service, queue.Policy
 	job.Accepted = d.config.Now().Wall
-	if _, held := d.findPartition(ctx, job.ID); held {
+	if _, known := d.findPartition(ctx, job.ID); known {
 		return responseAccepted
 	}
 	value, err := wigeonjob.EncodeJob(job)
@@ -260,7 +260,7 @@
 		case fresh.known:
 			return fresh, responseDone
 		case batch.Complete && fresh.nextOffset >= batch.Next:
-			// A listing of the log that ended in the meantime may have put the replica back, without the batch.
+			// A lower nextOffset means that a listing has replaced the replica meanwhile, perhaps without the batch.
 			return fresh, responseNoSuchJob
 		}
 		v = fresh
--- a/wigeondaemon/execute_test.go
+++ b/wigeondaemon/execute_test.go
@@ -68,8 +68,8 @@
 	return len(s.started)
 }
 
-// Guards against a start that is sent after the decision for it was withdrawn. Starts to a worker that answered slowly waited
-// for earlier ones, and were sent after their job was cancelled or their task had ended elsewhere.
+// Guards against a start that is sent after its job was cancelled or its task has ended elsewhere, because it waited for
+// earlier starts to a worker that answers slowly.
 func TestWithdrawnStartIsNotSent(t *testing.T) {
 	c := qt.New(t)
 	var elapsed atomic.Int64
--- a/wigeondaemon/movedqueue_test.go
+++ b/wigeondaemon/movedqueue_test.go
@@ -51,7 +51,7 @@
 	c.Assert(<-appended, qt.Equals, listedPartition)
 }
 
-// Guards against the same for a standby, which asks this process.
+// Guards against a standby that, asking this process, does not find a job in the shard of its queue's former service.
 func TestStandbyIsToldOfJobOfFormerService(t *testing.T) {
 	c := qt.New(t)
 	d, _, _ := newMovedQueueDaemon(c, t)
--- a/wigeondaemon/partitions.go
+++ b/wigeondaemon/partitions.go
@@ -30,7 +30,7 @@
 	return d.hashPartition(service, string(id))
 }
 
-// jobPartitions returns the partitions that the services have for a job, each once, with the given one first.
+// jobPartitions returns first and the partitions that the services have for a job, each once.
 func (d *Daemon) jobPartitions(first wigeonstep.Partition, id wigeonstep.JobID) []wigeonstep.Partition {
 	all := []wigeonstep.Partition{first}
 	table := d.partitionTable.Load()
--- a/wigeondaemon/standby.go
+++ b/wigeondaemon/standby.go
@@ -91,9 +91,8 @@
 	return jobLookup{part: part, state: wigeonjob.State(status.GetState()), known: true}, responseDone
 }
 
-// partitionAtHolders returns the partition in which the holders know a job. They are asked for that of its queue's service
-// first, and then for those of the other services, which the queue may have had before. The first is also the result if no
-// holder names a partition.
+// partitionAtHolders returns the partition in which a holder knows the job, or first if none knows it. It asks about first, the
+// partition of the service that the queue has now, and then about those of the other services, which it may have had before.
 func (d *Daemon) partitionAtHolders(ctx context.Context, first wigeonstep.Partition, id wigeonstep.JobID) wigeonstep.Partition {
 	for _, part := range d.jobPartitions(first, id) {
 		query := &wigeonwire.JobQuery{Partition: uint32(part), Job: string(id)}
--- a/wigeonshard/action.go
+++ b/wigeonshard/action.go
@@ -7,19 +7,20 @@
 )
 
 // Start is an order to start a run. Step returns it only after the append with the record of the run is acknowledged. The
-// caller reports the answer with StartAnswered.
+// caller reports the answer with StartAnswered, exactly once.
 type Start struct {
 	Worker wigeonstep.WorkerRef
-	// SendBefore is the time after which the order must not be sent; the caller reports StartNotSent instead.
+	// SendBefore is the time from which the order must not be sent any more; the caller reports StartNotSent instead.
 	SendBefore time.Duration
 	Order      wigeonstep.StartOrder
 }
 
-// Stop is an order to stop a run. The caller reports the answer with StopAnswered.
+// Stop is an order to stop a run. The caller reports the answer with StopAnswered, exactly once.
 type Stop struct {
 	Worker wigeonstep.WorkerRef
 	Run    wigeonstep.RunID
-	// SentAt is the time of the Step that returned the order; answers to all but the newest stop of a run are ignored.
+	// SentAt is the time of the Step that returned the order. It tells the answer to the newest stop of a run from earlier
+	// ones, which change nothing about the run; zero for a run that the owner did not expect.
 	SentAt time.Duration
 }
 
@@ -27,16 +28,19 @@
 // set. The caller reports the answer with HeartbeatAnswered.
 type Heartbeat struct {
 	Worker wigeonstep.WorkerRef
-	// Number orders the heartbeats of the owner. Of an answer that is older than the last one applied only the ended runs count.
+	// Number grows with each heartbeat of the owner, and is never 0. If the answer to a later heartbeat of the worker has been
+	// applied, only the ended runs in this answer count.
 	Number uint64
 	// SentAt is the time of the Step that returned the heartbeat.
 	SentAt time.Duration
-	// AckBefore is the time after which the heartbeat is sent, and reported as sent, with an AckedEnd of 0.
+	// AckBefore is the time from which the request must not acknowledge ends any more: the caller sets its AckedEnd to 0, in
+	// the Heartbeat that it passes to HeartbeatAnswered as well.
 	AckBefore time.Duration
 	Request   wigeonstep.HeartbeatRequest
 }
 
-// Throttle is an order that limits a best-effort run to a percentage of its full speed.
+// Throttle is an order that limits a best-effort run to a percentage of its full speed. The caller reports the answer with
+// ThrottleAnswered, exactly once.
 type Throttle struct {
 	Worker  wigeonstep.WorkerRef
 	Run     wigeonstep.RunID
--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -72,7 +72,8 @@
 	// unreachable holds the workers that get no calls of this owner.
 	unreachable    map[wigeonstep.WorkerID]bool
 	logUnreachable bool
-	// pauseAtAppend pauses the process when its next append is answered; resume then handles the answer.
+	// pauseAtAppend pauses the process when its next append is answered; resume then handles the answer. During this pause
+	// crashed is set.
 	pauseAtAppend bool
 	resume        func()
 }
--- a/wigeonshard/emptyworkers.go
+++ b/wigeonshard/emptyworkers.go
@@ -29,7 +29,8 @@
 	}
 }
 
-// moveRuns moves runs off draining and cordoned workers, to workers of the pool.
+// moveRuns moves runs off draining and cordoned workers, to workers of the pool. It does so every emptyInterval, and not
+// within takeoverSettleTime after the start of the ownership.
 func (o *Owner) moveRuns(now Timestamp, pool []*worker) {
 	if now.Steady-o.lastEmptying < emptyInterval || now.Steady-o.ownedSince < takeoverSettleTime {
 		return
@@ -55,7 +56,7 @@
 }
 
 // moveRun stops a run on a draining or cordoned worker that can go on elsewhere. A long-running run is stopped only when room
-// on another worker is free, which is kept for its task from then on.
+// on another worker is free; the room is then kept for its task.
 func (o *Owner) moveRun(now Timestamp, r *run, pool []*worker) {
 	cause := "its worker is draining"
 	if r.worker.cordoned != "" {
@@ -74,8 +75,9 @@
 	}
 }
 
-// findRoom keeps room for a task that has to leave its worker, and reports whether the room is free. When no worker has
-// enough, the room is kept where finite runs are expected to leave it first.
+// findRoom keeps room for a long-running task that has to leave its worker, and reports whether the room is free. When no
+// worker has enough free room, it is kept on the worker where finite runs are expected to leave it first, for at most
+// MaxUnavailable tasks of the step at a time.
 func (o *Owner) findRoom(now Timestamp, t *task, pool []*worker) bool {
 	if t.hold != nil && t.hold.roomFree() {
 		t.hold.granted = true
@@ -95,7 +97,7 @@
 	return false
 }
 
-// pendingMoves counts the tasks of the step for which room is kept although they still run.
+// pendingMoves counts the tasks of the step whose runs are not stopped until the room that is kept for them is free.
 func (s *step) pendingMoves() int {
 	n := 0
 	for _, t := range s.tasks {
@@ -155,16 +157,12 @@
 	return unavailable < max(s.MaxUnavailable, 1)
 }
 
-// otherWorkerAvailable reports whether a worker other than the run's own can run its task.
+// otherWorkerAvailable reports whether a usable worker other than the run's own has room, the required label and fewer than
+// MaxPerWorker tasks of the step, so that it can run the task.
 func (o *Owner) otherWorkerAvailable(r *run) bool {
-	return o.workerAvailable(r.task.step, r.worker)
-}
-
-// workerAvailable reports whether a usable worker other than except has room, the required label and fewer than
-// MaxPerWorker runs for a task of the step. except may be nil.
-func (o *Owner) workerAvailable(s *step, except *worker) bool {
+	s := r.task.step
 	for _, w := range o.sortedWorkers {
-		if w == except || !w.usable() || w.Service != s.job.Service || !w.free().Covers(s.Reserved()) {
+		if w == r.worker || !w.usable() || w.Service != s.job.Service || !w.free().Covers(s.Reserved()) {
 			continue
 		}
 		if s.RequiredLabel != "" && !w.hasLabel(s.RequiredLabel) {
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -12,7 +12,8 @@
 	// minAnswerTimeout is the shortest time after which a heartbeat counts as failed, in addition to the time for which the
 	// worker may delay its answer.
 	minAnswerTimeout = 600 * time.Millisecond
-	// maxLateAnswers limits the doublings of that time. The caller has to wait longer than the longest.
+	// maxLateAnswers limits the doublings of minAnswerTimeout. The caller's own time limit for a heartbeat has to be longer than
+	// the timeout after all of them, so that late answers still arrive.
 	maxLateAnswers = 2
 )
 
@@ -31,6 +32,7 @@
 		if w.mayAcknowledge(now.Steady) {
 			request.AckedEnd = w.durableEnd
 		}
+		// A heartbeat that can't acknowledge the durable ends asks which process answers, so that the next one can.
 		askOnly := w.durableEnd > w.ackedEnd && request.AckedEnd == 0
 		if w.lastEnd == w.durableEnd && w.answered && w.failures == 0 && w.lateAnswers == 0 && !askOnly && !w.askAtOnce {
 			request.Wait = o.heartbeatWaitFor(now, w)
@@ -43,7 +45,7 @@
 			request.LeaseEnd = w.grantLease(now.Steady, o.settings.Lease)
 		}
 		o.heartbeatCount++
-		w.pendingHeartbeat, w.heartbeatSentAt, w.renewedAt = o.heartbeatCount, now.Steady, now.Steady
+		w.pendingHeartbeat, w.heartbeatSentAt = o.heartbeatCount, now.Steady
 		w.pendingWait, w.overdue, w.askAtOnce = request.Wait, false, false
 		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{
 			Worker: w.ref(), Number: o.heartbeatCount, SentAt: now.Steady, Request: request, AckBefore: w.sameProcessUntil(),
@@ -51,7 +53,8 @@
 	}
 }
 
-// heartbeatDue reports whether the next heartbeat of the worker should be sent.
+// heartbeatDue reports whether the next heartbeat of the worker should be sent. One without an answer is followed by another
+// only when it is overdue, or when it waits at the worker and askAtOnce is set.
 func (w *worker) heartbeatDue(now time.Duration) bool {
 	switch {
 	case w.Address == "", w.pendingHeartbeat != 0 && w.pendingWait == 0 && !w.overdue:
@@ -75,20 +78,20 @@
 // awaitsDurableEnds reports whether the next heartbeat should wait until the reported ends are durable, so that it can
 // acknowledge them. It waits at most maxRenewalPause, and not while earlier ends can be acknowledged.
 func (w *worker) awaitsDurableEnds(now time.Duration) bool {
-	return w.lastEnd > w.durableEnd && now-w.renewedAt < maxRenewalPause && !w.mayAcknowledge(now)
+	return w.lastEnd > w.durableEnd && now-w.heartbeatSentAt < maxRenewalPause && !w.mayAcknowledge(now)
 }
 
-// mayAcknowledge reports whether there are durable ends to acknowledge, and the process that numbered them was up within
-// maxAckAge. One that has restarted since numbers its ends from the start again: the number would make it forget its own,
-// perhaps also those to come. A process that was last seen earlier is first asked for its start time, with a heartbeat that
-// acknowledges nothing; ends that it has forgotten before stay forgotten.
+// mayAcknowledge reports whether there are durable ends to acknowledge and the process that numbered them is taken to be up.
+// A restarted process numbers its ends from the start again, and the number of an earlier process would make it forget its
+// own, perhaps also those to come. When the process may have restarted, a heartbeat that acknowledges nothing first asks for
+// its start time.
 func (w *worker) mayAcknowledge(now time.Duration) bool {
 	return w.durableEnd > w.ackedEnd && w.failures == 0 && now < w.sameProcessUntil()
 }
 
 // HeartbeatAnswered applies the answer to a heartbeat, or the error of the call: it records ended runs, reconciles the
-// running ones and schedules the next heartbeat. Only the newest heartbeat can fail. Answers may come late; of one that is
-// older than the last one applied only the ended runs count.
+// running ones and schedules the next heartbeat. An error of an earlier heartbeat than the newest is ignored. Answers may come
+// late; of one that is older than the last one applied only the ended runs count.
 func (o *Owner) HeartbeatAnswered(now Timestamp, sent Heartbeat, result wigeonstep.HeartbeatResult, err error) {
 	w := o.workers[sent.Worker.ID]
 	if errors.Is(err, wigeonstep.ErrFenced) {
@@ -120,6 +123,12 @@
 	case err != nil:
 		return
 	}
+	o.applyAnswer(now, w, sent, result, late)
+}
+
+// applyAnswer applies an answer that is newer than the last one applied. late is set if the answer was overdue or a later
+// heartbeat had been sent.
+func (o *Owner) applyAnswer(now Timestamp, w *worker, sent Heartbeat, result wigeonstep.HeartbeatResult, late bool) {
 	w.appliedHeartbeat, w.appliedSentAt = sent.Number, sent.SentAt
 	w.recordDelay(late)
 	w.ackedEnd = max(w.ackedEnd, sent.Request.AckedEnd)
@@ -269,7 +278,7 @@
 }
 
 // reconcileRuns compares the runs that the worker lists with those that this owner expects there. It stops unexpected runs
-// and ends the expected ones that the worker certainly doesn't have.
+// and ends the expected ones that the worker certainly doesn't have; it ends none while the worker has more ends to list.
 func (o *Owner) reconcileRuns(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
 	listed := make(map[*run]bool, len(result.Running))
 	w.unexpected = 0
@@ -288,8 +297,8 @@
 	}
 }
 
-// endUnlistedRuns ends the runs that certainly aren't on the worker when the answer to its newest heartbeat lists only
-// those in listed.
+// endUnlistedRuns ends the runs that certainly aren't on the worker when the last answer that was applied lists only those in
+// listed.
 func (o *Owner) endUnlistedRuns(now Timestamp, w *worker, listed map[*run]bool, cause string) {
 	for _, r := range slices.Clone(w.runs) {
 		if listed[r] || r.unsent() || r.phase == runStarting {
--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -8,13 +8,13 @@
 	"github.com/wigeonstep/wigeonstep"
 )
 
-// roomHold is room on a worker that is kept for one task, so that no other task takes it. A long-running task has one while
-// it waits for smaller finite runs to end there, and any task that is moved has one while its old run is being stopped.
+// roomHold is room on a worker that is kept for one long-running task, so that no other task takes it. The task has no
+// run, or only runs that are being stopped or have to leave their worker.
 type roomHold struct {
 	task   *task
 	worker *worker
-	// granted is set once the room is free. The granted holds and the runs on a worker never exceed its capacity together;
-	// other holds may, until finite runs have ended.
+	// granted is set once the room is free and the old run of the task may be stopped. Granted holds and runs together never
+	// exceed the capacity of a worker; other holds may, until finite runs have ended.
 	granted bool
 }
 
@@ -87,8 +87,8 @@
 	return !h.granted && len(h.task.runs) > 0
 }
 
-// dropUnneededHolds gives up the holds that are not needed any more. A long-running task that waits goes before those that
-// still run: it gets the room that is kept in its service for runs that are not stopped yet.
+// dropUnneededHolds gives up the holds that are not needed any more. In the services in waiting it also gives up those for
+// runs that are not stopped yet, because tasks without a run come first.
 func (o *Owner) dropUnneededHolds(pool []*worker, waiting map[wigeonstep.ServiceName]bool) {
 	for _, w := range o.sortedWorkers {
 		for _, h := range slices.Clone(w.held.holds) {
@@ -99,7 +99,8 @@
 	}
 }
 
-// servicesWithWaitingTasks returns the services with a long-running task that has neither a run nor room kept for it.
+// servicesWithWaitingTasks returns the services with a long-running task that can be placed now and has neither a run nor
+// room kept for it.
 func servicesWithWaitingTasks(now Timestamp, longRunning []candidate) map[wigeonstep.ServiceName]bool {
 	services := map[wigeonstep.ServiceName]bool{}
 	for _, c := range longRunning {
@@ -114,7 +115,7 @@
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.needsRoom(now) })
 }
 
-// needsRoom reports whether the task can be placed now and no room is kept for it.
+// needsRoom reports whether the task has no run, can be placed now and has no room kept for it.
 func (t *task) needsRoom(now time.Duration) bool {
 	return !t.done && len(t.runs) == 0 && t.hold == nil && now >= t.retryAt
 }
@@ -173,14 +174,14 @@
 	return best
 }
 
-// timeUntilRoom returns the expected time until enough finite runs have ended for a request; ok is false when the room
-// would not suffice even then.
+// timeUntilRoom returns the expected time until enough finite and stopping runs have ended for a request; ok is false when
+// the room would not suffice after the end of all of them.
 func (w *worker) timeUntilRoom(now time.Duration, request wigeonstep.Resources) (wait time.Duration, ok bool) {
 	free := w.free()
 	if free.Covers(request) {
 		return 0, true
 	}
-	var finite []*run
+	var ending []*run
 	atMost := free
 	for _, r := range w.runs {
 		if !r.task.step.LongRunning || r.stopping {
@@ -190,13 +191,14 @@
 	if !atMost.Covers(request) {
 		return 0, false
 	}
+	// Only now, so that nothing is allocated for a worker that can't have the room.
 	for _, r := range w.runs {
 		if !r.task.step.LongRunning || r.stopping {
-			finite = append(finite, r)
+			ending = append(ending, r)
 		}
 	}
-	slices.SortStableFunc(finite, func(a, b *run) int { return cmp.Compare(a.remaining(now), b.remaining(now)) })
-	for _, r := range finite {
+	slices.SortStableFunc(ending, func(a, b *run) int { return cmp.Compare(a.remaining(now), b.remaining(now)) })
+	for _, r := range ending {
 		free = free.Add(r.task.step.Reserved())
 		if free.Covers(request) {
 			return r.remaining(now), true
--- a/wigeonshard/lapse_test.go
+++ b/wigeonshard/lapse_test.go
@@ -114,7 +114,7 @@
 	f.Assert(f.starts, qt.HasLen, 1)
 }
 
-// Guards against the same with a start that is repeated because it got no answer.
+// Guards against a repeated start, after one without an answer, that extends the lease of a worker beyond the lapse in the log.
 func TestNoRepeatedStartWhileTheLogHoldsALapse(t *testing.T) {
 	f := newLapseFixture(t)
 	f.submit()
--- a/wigeonshard/lateanswer_test.go
+++ b/wigeonshard/lateanswer_test.go
@@ -11,7 +11,7 @@
 )
 
 // Guards against a task that runs twice because a busy link delays the answer with the end of its run beyond the timeout of the
-// heartbeat: the answer was thrown away, the lease of the worker lapsed, and the task started again.
+// heartbeat: if the answer is ignored, the lease of the worker lapses and the task starts again.
 func TestLateAnswerEndsItsRuns(t *testing.T) {
 	o := newAnsweredOwner(t, 1, 100_000)
 	runs := o.submit("job", 1)
@@ -42,7 +42,7 @@
 }
 
 // Guards against a worker behind a slow link that counts as silent for good, because each answer comes after the timeout of its
-// heartbeat: its lease was not renewed, so that its runs were given up although they went on.
+// heartbeat: its lease is then not renewed, and its runs are given up although they go on.
 func TestWorkerBehindASlowLinkKeepsItsRuns(t *testing.T) {
 	const delay = 2200 * time.Millisecond
 	o := newAnsweredOwner(t, 1, 100_000)
--- a/wigeonshard/missingworkers.go
+++ b/wigeonshard/missingworkers.go
@@ -1,8 +1,6 @@
 package wigeonshard
 
-import (
-	"github.com/wigeonstep/wigeonstep"
-)
+import "github.com/wigeonstep/wigeonstep"
 
 // bin is the room of a worker for long-running tasks, in a trial distribution of the tasks that need room.
 type bin struct {
@@ -125,8 +123,8 @@
 	return bins
 }
 
-// largestCapacity returns the largest CPU, memory and GPU capacity of the workers of a service; known is false when it has
-// none.
+// largestCapacity returns the largest CPU, memory and GPU capacity of the workers of a service, each by itself; known is false
+// when it has no workers.
 func (o *Owner) largestCapacity(service wigeonstep.ServiceName) (largest wigeonstep.Resources, known bool) {
 	for _, w := range o.sortedWorkers {
 		if w.Service == service {
--- a/wigeonshard/missingworkers_test.go
+++ b/wigeonshard/missingworkers_test.go
@@ -13,8 +13,8 @@
 	return o.Demands(m.eventTime(), []wigeonstep.ServiceName{testService})[0].MissingWorkers
 }
 
-// Guards against a count of missing workers that takes the same room for tasks of several steps: each of two tasks needs a
-// whole worker, and the count was 1.
+// Guards against a count of missing workers that takes the same room for tasks of several steps: two tasks that each need a
+// whole worker lack two.
 func TestMissingWorkersOfSeveralSteps(t *testing.T) {
 	c := qt.New(t)
 	m := newClusterModel(t, 130, 3)
@@ -33,8 +33,8 @@
 	c.Assert(m.missingWorkers(o), qt.Equals, 2)
 }
 
-// Guards against workers that are asked for although finite runs leave the room in a moment: VMs moved into pools with plenty
-// of finite work for each long-running task that had to wait for the end of a run.
+// Guards against a worker that is asked for whenever a long-running task has to wait for the end of a finite run: a pool with
+// much finite work would get VMs that it does not need.
 func TestFiniteRunsMakeNoWorkerMissing(t *testing.T) {
 	c := qt.New(t)
 	m := newClusterModel(t, 131, 3)
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -84,10 +84,9 @@
 	avoidWorker wigeonstep.WorkerID
 	// retryAt is the earliest time at which the task may be placed again after a failure or refusal.
 	retryAt time.Duration
-	// waitingSince is the time from which the task has had no run: the time at which it was created, or the end of its last
-	// run. It has no meaning while the task has a run.
+	// waitingSince is the time at which the task was created or its last run ended. It has no meaning while the task has a run.
 	waitingSince time.Duration
-	// nextWaitReportAt is the earliest time of the next report that the task waits.
+	// nextWaitReportAt is the earliest time of the next decision task_waiting about the task.
 	nextWaitReportAt time.Duration
 	// needsCopy is set when a second run of a speculative task should start on another worker.
 	needsCopy bool
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -31,10 +31,10 @@
 	// maxRenewalPause limits the time for which the next heartbeat waits until the reported ends are durable, so that
 	// the lease is renewed in time when the log is slow.
 	maxRenewalPause = 1200 * time.Millisecond
-	// maxAckAge is the time since a worker process was last certainly up after which another process may answer. A process
-	// takes longer to start again.
+	// maxAckAge is the time after a worker process was last certainly up in which it is taken to be still the same: a restart
+	// takes longer. Ends are acknowledged and starts are sent within it.
 	maxAckAge = 250 * time.Millisecond
-	// maxAckAgeDoublings limits the growth of that time for an owner that reads all answers late.
+	// maxAckAgeDoublings limits the growth of maxAckAge for an owner that reads all answers late.
 	maxAckAgeDoublings = 4
 	// addressSettleTime is the time after which the address of a worker counts as current. A process that has owned no shard
 	// reads the entries of workers every 0.6 s.
@@ -75,8 +75,8 @@
 	return ""
 }
 
-// StartAnswered applies the answer to a start. The worker's clock in it is not used: the answer may be older than that to
-// the newest heartbeat, or come from an earlier process of the worker, which it does not name.
+// StartAnswered applies the answer to a start. The clock in the answer is not used: the answer does not name the process of
+// the worker that gave it, which may be an earlier one, and it may be older than the last heartbeat's answer.
 func (o *Owner) StartAnswered(now Timestamp, sent Start, result wigeonstep.StartResult) {
 	w := o.workers[sent.Worker.ID]
 	if w == nil {
@@ -110,8 +110,8 @@
 	}
 }
 
-// startNotSent ends a run whose start was not sent, so that its task is placed anew. A start that was to be repeated is tried
-// again, since an earlier one may have begun the run.
+// startNotSent ends a run whose start was not sent, so that its task is placed anew. If an earlier start of the run may have
+// begun it, the start is repeated instead.
 func (o *Owner) startNotSent(now Timestamp, r *run) {
 	o.recordRunDecision("start_refused", r, "it was too late to send the start", 0)
 	if r.startTries > 0 {
@@ -199,9 +199,9 @@
 	r.retryAt = now.Steady + min(stopRetryDelay<<min(r.stopTries, 4), maxStopRetryDelay)
 }
 
-// sendRunOrders sends the starts, stops and throttles that are due, oldest run first, as long as the worker has fewer than
-// maxOrdersInFlight. The others are decided anew in the next Step, so that no order is sent that is no longer wanted. A start to
-// a worker that may have restarted unseen waits for the answer to a heartbeat that is sent at once.
+// sendRunOrders sends the starts, stops and throttles that are due, oldest run first, while fewer than maxOrdersInFlight are
+// without an answer. The next Step decides on the others anew, so that no order is sent that is no longer wanted. A start to a
+// worker that may have restarted unseen waits for the answer to a heartbeat that is sent at once.
 func (o *Owner) sendRunOrders(now Timestamp) {
 	for _, w := range o.sortedWorkers {
 		if w.Address == "" {
@@ -235,8 +235,8 @@
 	}
 }
 
-// mustStartElsewhere reports whether the worker of an unsent run is leaving since the run was planned. A member of a gang is
-// started all the same, because the other members may have begun.
+// mustStartElsewhere reports whether the worker of an unsent run drains, was released, or was cordoned after the run was
+// planned. A member of a gang is started all the same, because the other members may have begun.
 func (r *run) mustStartElsewhere() bool {
 	w := r.worker
 	return (w.Draining || w.released || w.cordoned != "" && !r.onCordoned) && !r.task.step.Gang
@@ -247,17 +247,17 @@
 	return r.phase == runUnknown && !r.stopping && r.startTries > 0 && now >= r.retryAt
 }
 
-// startsSafeUntil returns the time until which a start can be sent to a worker that has restarted unseen. A newer owner
-// may have found the run missing in the earlier process, and the restarted one has not seen that owner's fencing token. This
-// owner was the newest when the log last accepted an append, and no newer one had asked the process when it last answered;
-// a restart after that takes maxAckAge.
+// startsSafeUntil returns the time until which starts may be sent although the worker may restart unseen. A newer owner may
+// have found the run missing in the earlier process, and the restarted one does not know that owner's fencing token. When the
+// log last accepted an append, this owner was the newest; when the process last answered, no newer owner had reached it. A
+// restart after either takes longer than maxAckAge.
 func (o *Owner) startsSafeUntil(w *worker) time.Duration {
 	return max(o.logConfirmedAt+maxAckAge, w.sameProcessUntil())
 }
 
-// mayStartOn reports whether starts may be sent to the worker. They may not when the worker does not answer, the log may hold
-// a lapse of the worker, which the lease of the start would exceed, or the ownership is not confirmed: another owner may have
-// given the run up by now.
+// mayStartOn reports whether starts may be sent to the worker. They may not when the worker does not answer, when the log may
+// hold a lapse of the worker, which the lease of the start would exceed, or when the ownership is not confirmed, so that
+// another owner may have given the run up.
 func (o *Owner) mayStartOn(now Timestamp, w *worker) bool {
 	return w.answered && w.failures == 0 && !w.lapseRecorded && o.ownershipConfirmed(now)
 }
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -32,7 +32,7 @@
 }
 
 // Guards against an owner that has fallen behind and takes its own delay for a fault of the workers: a start that was not sent
-// paused all new runs on its worker.
+// must not pause new runs on its worker.
 func TestUnsentStartDoesNotPauseTheWorker(t *testing.T) {
 	o := newAnsweredOwner(t, 1, 100_000)
 	o.submit("job", 1)
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -234,8 +234,8 @@
 	return w
 }
 
-// addressChanged handles a new address of a worker, at which a new process answers. Its heartbeats prove which runs of the
-// former process have ended.
+// addressChanged handles a new address of a worker, at which a new process answers. The answers of the new process prove
+// which runs of the former one have ended.
 func (o *Owner) addressChanged(now Timestamp, w *worker) {
 	if w.addressConfirmed {
 		o.stopUnansweredStarts(w, func(*run) bool { return false })
@@ -245,22 +245,22 @@
 	w.pendingHeartbeat, w.appliedHeartbeat, w.nextHeartbeatAt = 0, o.heartbeatCount, now.Steady
 }
 
-// workerRestarted handles a worker process that has restarted under its id, which answered a heartbeat with result. The
-// heartbeat also proves which runs have ended with the old process; those whose starts were answered since it was sent may
-// be in the new one.
+// workerRestarted handles a worker that has restarted under its id; result is the first answer of the new process. The answer
+// also proves which runs have ended with the old process, except those whose starts were answered after the heartbeat was
+// sent: the new process may have them.
 func (o *Owner) workerRestarted(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
 	o.stopUnansweredStarts(w, func(r *run) bool { return listsRun(result, r.id()) })
 	w.forgetProcess(now.Steady)
-	// Orders with times of the old process's clock may have reached the new one, which then granted its longest lease.
+	// Orders whose lease ends by the old process's clock may have reached the new one, which limits it to its longest lease.
 	w.leaseEnd = result.Clock + wigeonstep.WorkerMillis(o.settings.MaxLease.Milliseconds())
 	w.backoff = workerBackoff{}
 	o.recordWorkerDecision("worker_reborn", w, "it restarted under the same id")
 }
 
-// stopUnansweredStarts marks the runs to be stopped whose starts were sent to an earlier process of the worker and got no
-// answer. Such a start may still begin the run in the new process, so the run is stopped there before its task is placed
-// again. listed reports the runs that the new process has. A run whose start was not sent yet never starts: a newer owner may
-// have read its record and found it missing in the earlier process.
+// stopUnansweredStarts marks runs to be stopped after the process of the worker has changed. A start without an answer may
+// still begin its run in the new process, so the run is stopped there before its task is placed again; listed reports the
+// runs that the new process has. A run whose record is written but whose start is not sent never starts: a newer owner may
+// have read the record and found the run missing in the earlier process.
 func (o *Owner) stopUnansweredStarts(w *worker, listed func(*run) bool) {
 	for _, r := range w.runs {
 		unanswered := r.phase == runUnknown || r.phase == runStarting && r.startTries > 0
--- a/wigeonshard/waiting.go
+++ b/wigeonshard/waiting.go
@@ -32,9 +32,15 @@
 	o.out.Decisions = append(o.out.Decisions, decision)
 }
 
-// poolSuitability counts the workers of a service by the reason why they can't run a task of a step now.
+// poolSuitability counts the workers of a service by the reason why they can't run a task of a step now. Of the suitable ones
+// there is no such reason.
 type poolSuitability struct {
-	workers, leaving, notAnswering, suspect, unlabelled, full, saturated, suitable int
+	workers, leaving, notAnswering, unlabelled, full int
+	// saturated counts the workers that have MaxPerWorker tasks of the step.
+	saturated int
+	// suspect counts the workers that get no new run for a while after failures, refusals or slow progress.
+	suspect  int
+	suitable int
 }
 
 // suitability counts the workers of the step's service that can run one of its tasks, and the others by the first reason
@@ -47,7 +53,7 @@
 		}
 		p.workers++
 		switch {
-		case w.cordoned != "" || w.Draining:
+		case w.leaving():
 			p.leaving++
 		case !w.usable():
 			p.notAnswering++
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -51,20 +51,19 @@
 	// which the worker may delay that answer.
 	pendingHeartbeat uint64
 	pendingWait      time.Duration
-	// overdue is set once the answer to the pending heartbeat was due, so that the next one need not wait for it.
+	// overdue is set once the pending heartbeat has been without an answer for longer than its timeout; the next one does not
+	// wait for that answer.
 	overdue bool
 	// appliedHeartbeat is the number of the newest heartbeat whose answer was applied, which was sent at appliedSentAt. An
 	// answer to an earlier one is out of date.
 	appliedHeartbeat uint64
 	appliedSentAt    time.Duration
-	// lateAnswers counts the answers that were overdue, less one for each that was not; between 0 and maxLateAnswers.
+	// lateAnswers goes up by one with each late answer and down by one with each other; between 0 and maxLateAnswers.
 	lateAnswers int
-	// heartbeatSentAt is the time at which the newest heartbeat was sent.
+	// heartbeatSentAt is the time at which the newest heartbeat was sent, whether or not it renewed the lease.
 	heartbeatSentAt time.Duration
 	// nextHeartbeatAt is the earliest time of the next heartbeat.
 	nextHeartbeatAt time.Duration
-	// renewedAt is the time at which the newest heartbeat was sent, whether or not it renewed the lease.
-	renewedAt time.Duration
 	// failures counts the heartbeats without an answer, and the answers of another process at the worker's address, since
 	// the worker last answered a heartbeat.
 	failures int
@@ -108,8 +107,8 @@
 	return wigeonstep.WorkerRef{ID: w.ID, Address: w.Address}
 }
 
-// recordAnswer stores the reading of the worker's clock in the answer to a heartbeat that was sent at sentAt; 0 means that
-// the answer carried none. The answer may be read long after the worker gave it.
+// recordAnswer stores when the worker was last certainly up, and the reading of its clock in the answer to a heartbeat that
+// was sent at sentAt; 0 means that the answer carried none. The answer may be read long after the worker gave it.
 func (w *worker) recordAnswer(clock wigeonstep.WorkerMillis, sentAt, now time.Duration) {
 	w.seenAt = sentAt
 	if clock != 0 {
@@ -117,7 +116,7 @@
 		if lead := reading - sentAt; w.clock == 0 || lead < w.clockLead {
 			w.clockLead = lead
 		}
-		// The clock is not fast, so it can't have shown this reading before.
+		// The worker's clock is not fast, so it showed the reading at this time or later.
 		w.seenAt = min(reading-w.clockLead, now)
 		w.clock, w.clockAt = clock, now
 	}
@@ -127,8 +126,8 @@
 	}
 }
 
-// sameProcessUntil returns the time until which the process that last answered is taken to be up. The time grows while all
-// answers are read late, so that an owner that falls behind goes on to start runs and to acknowledge ends.
+// sameProcessUntil returns the time until which the process that last answered is taken to be up. It is later while all
+// answers are read late, so that an owner that falls behind still starts runs and acknowledges ends.
 func (w *worker) sameProcessUntil() time.Duration {
 	return w.seenAt + maxAckAge<<min(w.oldAnswers, maxAckAgeDoublings)
 }
@@ -168,7 +167,7 @@
 }
 
 // answerTimeout returns the time after which the answer to a heartbeat is overdue, in addition to the wait at the worker. It
-// doubles with each answer that was late, so that a slow link doesn't let a worker count as silent for good.
+// doubles with each late answer, so that a worker behind a slow link doesn't count as silent for good.
 func (w *worker) answerTimeout() time.Duration {
 	return minAnswerTimeout << w.lateAnswers
 }
@@ -182,7 +181,8 @@
 	}
 }
 
-// forgetProcess makes the worker one whose current process has not answered.
+// forgetProcess resets what is known of the worker's process, because another one may answer from now on. The runs of the
+// former one count as ended when its leases have ended.
 func (w *worker) forgetProcess(now time.Duration) {
 	if w.answered {
 		w.inheritedRunsEnd = now + w.leaseTimeLeft(now)
--- a/wigeonshard/workerrestart_test.go
+++ b/wigeonshard/workerrestart_test.go
@@ -21,9 +21,9 @@
 	o.c.Assert(o.sentHeartbeat().Request.AckedEnd, qt.Equals, uint64(2))
 }
 
-// Guards against ends of a restarted worker that are taken for ends of its earlier process. After another worker had
-// answered at the address, the owner kept the number of the last end, so the first ends after the return of the worker
-// were acknowledged without being applied, and their tasks were started again.
+// Guards against ends of a restarted worker that are taken for ends of its earlier process. If the owner keeps the number of
+// the last end after another worker has answered at the address, it acknowledges the first ends of the restarted worker
+// without applying them, and starts their tasks again.
 func TestEndsAfterReplacementAreApplied(t *testing.T) {
 	o := newAnsweredOwner(t, 1, 100_000)
 	o.endTwoRuns(1, 100_000)
@@ -105,7 +105,7 @@
 }
 
 // Guards against a run that is given up while it runs, because the answer to its start is read after that to a newer
-// heartbeat. The lower clock in it was taken for that of a restarted worker.
+// heartbeat, and the lower clock in it is taken for that of a restarted worker.
 func TestStartAnswerReadLateEndsNoRun(t *testing.T) {
 	o := newAnsweredOwner(t, 1, 100_000)
 	first := o.submit("first", 1)
--- a/wigeonsoak/client.go
+++ b/wigeonsoak/client.go
@@ -23,7 +23,8 @@
 	submitAttempts = 5
 	cancelAttempts = 20
 	retryDelay     = 200 * time.Millisecond
-	// stateQueryPercent and longRunningPercent are the shares of a client without a connection of its own.
+	// stateQueryPercent and longRunningPercent are the values of the client fields with these names, unless the client has a
+	// connection of its own. A long-running job has longRunningTasks tasks.
 	stateQueryPercent  = 40
 	longRunningPercent = 8
 	longRunningTasks   = 2
@@ -40,8 +41,8 @@
 	random    *rand.Rand
 	// connection, if set, carries the first attempt of each request. A further attempt goes to a random process.
 	connection *connection
-	// stateQueryPercent is the share of requests that query the state of a job submitted before, longRunningPercent that of
-	// long-running jobs; each has longRunningTasks tasks.
+	// stateQueryPercent is the share of requests that query the state of a job submitted before, and longRunningPercent the
+	// share of submitted jobs that are long-running.
 	stateQueryPercent, longRunningPercent int
 }
 
--- a/wigeonsoak/connection_test.go
+++ b/wigeonsoak/connection_test.go
@@ -40,7 +40,7 @@
 	qt.Assert(t, h.cutRequests, qt.HasLen, 1)
 }
 
-// Guards against late calls that are not executed, or that reach another life of the worker: a request that is held arrives
+// Guards against late calls that are not executed, or that reach another process of the worker: a request that is held arrives
 // after its caller has gone, at the target that the connection had when it was opened.
 func TestProxyForwardsLateRequests(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/wigeonsoak/history.go
+++ b/wigeonsoak/history.go
@@ -32,8 +32,8 @@
 	completedAt time.Time
 }
 
-// workerLife is one life of a worker, which may restart under its ID.
-type workerLife struct {
+// workerProcess identifies one process of a worker, which may restart under its ID.
+type workerProcess struct {
 	id        string
 	startedAt time.Time
 }
@@ -61,7 +61,7 @@
 
 // taskRun is one run of a task as its worker observed it.
 type taskRun struct {
-	worker    workerLife
+	worker    workerProcess
 	number    uint32
 	startedAt time.Time
 	// endedAt is zero while the task runs.
@@ -81,7 +81,7 @@
 	// runs is keyed by task ID, which is the job ID followed by ".OCCURRENCE.STEP.INDEX".
 	runs map[string][]*taskRun
 	// leaseExpiredAt holds the time at which the lease of a worker last expired.
-	leaseExpiredAt map[workerLife]time.Time
+	leaseExpiredAt map[workerProcess]time.Time
 	cutRequests    []cutRequest
 	disruptions    []disruption
 	violations     []string
@@ -90,7 +90,7 @@
 }
 
 func newHistory() *history {
-	return &history{jobs: map[string]*clientJob{}, runs: map[string][]*taskRun{}, leaseExpiredAt: map[workerLife]time.Time{}}
+	return &history{jobs: map[string]*clientJob{}, runs: map[string][]*taskRun{}, leaseExpiredAt: map[workerProcess]time.Time{}}
 }
 
 // logEvent writes a line to the event log.
@@ -176,19 +176,19 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.writeLog(o.At, "worker=%s task=%s run=%d %s %s", o.Worker, o.Task, o.Run, eventNames[o.Kind], o.Cause)
-	life := workerLife{o.Worker, o.WorkerStartedAt}
+	worker := workerProcess{o.Worker, o.WorkerStartedAt}
 	switch o.Kind {
 	case wigeonstandin.RunStarted:
-		h.runs[o.Task] = append(h.runs[o.Task], &taskRun{worker: life, number: o.Run, startedAt: o.At})
+		h.runs[o.Task] = append(h.runs[o.Task], &taskRun{worker: worker, number: o.Run, startedAt: o.At})
 	case wigeonstandin.LeaseExpired:
-		h.leaseExpiredAt[life] = o.At
+		h.leaseExpiredAt[worker] = o.At
 	default:
 		for _, r := range h.runs[o.Task] {
-			if r.worker != life || r.number != o.Run {
+			if r.worker != worker || r.number != o.Run {
 				continue
 			}
 			if o.Kind == wigeonstandin.EndAcknowledged {
-				r.endAcknowledged = r.endAcknowledged || !h.leaseExpiredAt[life].After(r.endedAt)
+				r.endAcknowledged = r.endAcknowledged || !h.leaseExpiredAt[worker].After(r.endedAt)
 				continue
 			}
 			r.endedAt, r.endReason = o.At, o.Cause
@@ -199,7 +199,8 @@
 // check returns the recorded violations and those that the history shows. A violation begins with its category: "twice" is
 // a task that ran more than once, "lost" an accepted job that did not reach its expected state, "refused" a refused job
 // that ran, "unrequested" a run that no client asked for, "early" a job that was reported as completed before its tasks
-// were, "cut" a request whose connection ended without an answer although there was no disruption; "client", "process" and "soak" name where an operation failed.
+// were, "cut" a request whose connection ended without an answer although there was no disruption; "client", "process" and
+// "soak" name where an operation failed.
 func (h *history) check() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/wigeonsoak/plan.go
+++ b/wigeonsoak/plan.go
@@ -90,10 +90,12 @@
 	// maxWorkerDowntime bounds the time until a crashed worker restarts under its ID.
 	maxWorkerDowntime = 2500 * time.Millisecond
 	// minLateness exceeds the time limit of an order to a worker, so that its caller has given up when the worker executes it.
-	minLateness   = 700 * time.Millisecond
+	minLateness = 700 * time.Millisecond
+	// latenessRange is the range of random delays above minLateness.
 	latenessRange = 4 * time.Second
 	// maxSeriesGap is below the time for which a stopping process serves, so that most series overlap with a drain.
-	maxSeriesGap       = 1500 * time.Millisecond
+	maxSeriesGap = 1500 * time.Millisecond
+	// otherTargetPercent is the share of the further faults of a series whose target is chosen anew.
 	otherTargetPercent = 30
 )
 
@@ -139,9 +141,9 @@
 	return plan
 }
 
-// PlanLives returns faults of workers and processes that live several times, sorted by start: workers that restart under
-// their ID at the same or another address, calls that a worker executes late, and series of signals and changes of the
-// configuration that overlap on one process. It does not depend on the faults of Plan.
+// PlanLives returns faults around restarts, sorted by start: workers that restart under their ID at the same or another
+// address, calls that a worker executes late, and series of signals and changes of the configuration that overlap on one
+// process. It does not depend on the faults of Plan.
 func PlanLives(seed uint64, period time.Duration, processes, workers int) []Fault {
 	r := rand.New(rand.NewPCG(seed, 3)) //nolint:gosec // the plan of a seed has to be repeatable
 	var plan []Fault
--- a/wigeonsoak/soak.go
+++ b/wigeonsoak/soak.go
@@ -27,8 +27,8 @@
 	// clientCount clients send requests concurrently. Each waits clientInterval after a request.
 	clientCount    = 3
 	clientInterval = 150 * time.Millisecond
-	// Besides, each process has a client that keeps one connection open. connectedInterval is the time between two requests
-	// of all of these clients together; connectedQueryPercent is their share of state queries.
+	// connectedInterval is the time between two requests of all the clients with a connection of their own together, one
+	// client for each process. connectedQueryPercent is their share of state queries.
 	connectedInterval     = 40 * time.Millisecond
 	connectedQueryPercent = 75
 	// startupTimePerProcess lengthens startupTimeout, because many processes start on one machine.
@@ -86,7 +86,7 @@
 	workers []*wigeonstandin.Worker
 	// workerLinks holds the proxy in front of each worker, by the index of the worker.
 	workerLinks []*Proxy
-	// restarting is set for the workers that are down until they restart under their ID, by the index of the worker.
+	// restarting is set, by the index of the worker, while a worker is down and will restart under its ID.
 	restarting []bool
 	// startedWorkers counts the workers started so far; it makes worker IDs unique.
 	startedWorkers int
@@ -123,8 +123,9 @@
 	var load sync.WaitGroup
 	for i := range clientCount {
 		load.Go(func() {
-			s.sendLoad(loadCtx, i, newClient(s.clientAddresses, s.history, settings.Seed+uint64(i)), clientInterval)
-		}) //nolint:gosec // i is small
+			c := newClient(s.clientAddresses, s.history, settings.Seed+uint64(i)) //nolint:gosec // i is small
+			s.sendLoad(loadCtx, i, c, clientInterval)
+		})
 	}
 	for i, address := range s.clientAddresses {
 		c := newClient(s.clientAddresses, s.history, settings.Seed+uint64(clientCount+i)) //nolint:gosec // i is small
@@ -201,7 +202,7 @@
 	if err != nil {
 		return err
 	}
-	w, err := s.startLife(i, s.newWorkerID(i), link)
+	w, err := s.startWorkerProcess(i, s.newWorkerID(i), link)
 	if err != nil {
 		return err
 	}
@@ -218,9 +219,9 @@
 	return fmt.Sprintf("i-%d-%d", i, s.startedWorkers)
 }
 
-// startLife starts a worker with the given ID that registers the address of the link. From then on, the link forwards new
-// connections to it.
-func (s *system) startLife(i int, id string, link *Proxy) (*wigeonstandin.Worker, error) {
+// startWorkerProcess starts worker i with the given ID, which registers the address of the link. From then on, the link
+// forwards new connections to it.
+func (s *system) startWorkerProcess(i int, id string, link *Proxy) (*wigeonstandin.Worker, error) {
 	return wigeonstandin.StartWorker(s.ctx, s.store, wigeonstandin.WorkerSettings{
 		ID: id, Service: service, Rack: fmt.Sprintf("r%d", i), OnEvent: s.history.observe,
 		RegisteredAddress: func(address string) (string, error) {
@@ -381,7 +382,7 @@
 }
 
 // restartWorker crashes worker i and restarts it under its ID after the downtime. If it moves, it restarts behind a new proxy,
-// and a worker with a new ID takes over its former address at once. Overlapping restarts of one worker are left out.
+// and a worker with a new ID takes over its former address at once. It does nothing while worker i already restarts.
 func (s *system) restartWorker(i int, downtime time.Duration, moves bool) {
 	s.mu.Lock()
 	old, link := s.workers[i], s.workerLinks[i]
@@ -394,7 +395,7 @@
 	old.Crash()
 	next, err := link, error(nil)
 	if moves {
-		if _, err = s.startLife(i, s.newWorkerID(i), link); err == nil {
+		if _, err = s.startWorkerProcess(i, s.newWorkerID(i), link); err == nil {
 			next, err = NewProxy(s.ctx, loopbackIP(s.settings.Seed, i), "")
 		}
 	}
@@ -405,7 +406,7 @@
 	}
 	var w *wigeonstandin.Worker
 	if err == nil {
-		w, err = s.startLife(i, old.ID, next)
+		w, err = s.startWorkerProcess(i, old.ID, next)
 	}
 	if err != nil {
 		s.history.recordViolation("soak: restart worker: %v", err)
--- a/wigeonwave/plan_test.go
+++ b/wigeonwave/plan_test.go
@@ -166,8 +166,8 @@
 	c.Assert(m.completed, qt.IsTrue)
 }
 
-// Guards against two waves with the same VMs that are never completed, and that keep all workers cordoned: the order of each
-// wave replaced the record that the other one was done.
+// Guards against two waves with the same VMs that are never completed and keep all workers cordoned, because the order of each
+// wave replaces the record that the other one is done.
 func TestWavesWithSharedVMsAreCompleted(t *testing.T) {
 	c := qt.New(t)
 	m := newWaveModel(10, 3)
