Give up the room that is kept on a worker when the worker is removed

Callers would see a long-running task that is stopped to be moved, or that waits, for which no room is looked for any more: the hold names a worker that the owner has removed. dropUnneededHolds goes over the known workers only, so nothing drops such a hold. findRoom takes its room for free and stops the run for it; holdForWaitingTasks and the count of missing workers take the task for one that has room.

SetWorkers and expireLeases remove an unlisted worker without runs at once, before the next round of placement, and a granted hold is often on a worker without runs. The test failed before: "moveruns_test.go:221: got non-nil value" for the hold after the removal. The removal now drops the holds, so a task on the list of holds of a worker always names a known one, and the next round looks for room elsewhere.

--- a/wigeonshard/moveruns_test.go
+++ b/wigeonshard/moveruns_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -199,3 +200,23 @@
 	// A finite run takes up to a second here.
 	c.Assert(watch.longest <= 2*time.Second, qt.IsTrue, qt.Commentf("%v had no run for %v: %v", watch.longestTask, watch.longest, m.history[watch.longestTask]))
 }
+
+// Guards against room that stays kept on a worker that was removed: the owner counted the room as free, and the task got none
+// elsewhere.
+func TestRoomOnRemovedWorkerIsNotKept(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 113, 2)
+	o := m.addOwner()
+	m.advance(time.Second)
+	lasting := testStep(1)
+	tasks := m.submitLasting("lasting", lasting)
+	m.advance(time.Second)
+	moved := o.findTask(tasks[0])
+	c.Assert(moved.runs, qt.HasLen, 1)
+	from := moved.runs[0].worker
+	i := slices.IndexFunc(o.sortedWorkers, func(w *worker) bool { return w != from })
+	o.holdRoom(moved, o.sortedWorkers[i], true)
+	o.SetWorkers(m.eventTime(), []wigeonstep.ListedWorker{from.ListedWorker})
+	c.Assert(o.sortedWorkers, qt.HasLen, 1)
+	c.Assert(moved.hold, qt.IsNil)
+}
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -173,6 +173,9 @@
 			return false
 		}
 		if removable {
+			for _, h := range slices.Clone(w.held.holds) {
+				dropHold(h.task)
+			}
 			delete(o.workers, w.ID)
 		}
 		return removable
