Repeat a throttle that failed only after a delay

Callers would see a cancelled task that runs on: a throttle that failed was due again in the next step, without a delay, and orders are sent oldest run first. Two best-effort runs whose throttles fail at once, as on an unhealthy worker that answers 429 or 503, hold both places for orders to their worker in every step, so that stops and starts of newer runs are never sent; the worker also gets a call for each step.

The test failed before: "orders_test.go:72: unexpected length" (no stop in 30 steps, 60 throttles were sent). A throttle that failed is due again after throttleRetryDelay, so the places are free for other orders in between. The calls of ThrottleAnswered in existing tests pass the time in addition; what they check is unchanged.

--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -55,7 +55,7 @@
 	for _, t := range a.Throttles {
 		go func() {
 			err := d.config.Orders.Throttle(ctx, t.Worker, t.Run, t.Percent, fence)
-			deliver(func(wigeonshard.Timestamp) { owner.ThrottleAnswered(t, err) })
+			deliver(func(now wigeonshard.Timestamp) { owner.ThrottleAnswered(now, t, err) })
 		}()
 	}
 	for _, request := range a.AdviceRequests {
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -363,8 +363,8 @@
 	}
 }
 
-// ThrottleAnswered applies the answer to a throttle; one that failed is sent again.
-func (o *Owner) ThrottleAnswered(sent Throttle, err error) {
+// ThrottleAnswered applies the answer to a throttle; one that failed is sent again after throttleRetryDelay.
+func (o *Owner) ThrottleAnswered(now Timestamp, sent Throttle, err error) {
 	w := o.workers[sent.Worker.ID]
 	if w == nil {
 		return
@@ -376,5 +376,6 @@
 	}
 	if r := w.findRun(sent.Run); r != nil && err != nil {
 		r.sentSpeed = -1
+		r.throttleRetryAt = now.Steady + throttleRetryDelay
 	}
 }
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -155,6 +155,8 @@
 	// was sent to the worker.
 	speed     int
 	sentSpeed int
+	// throttleRetryAt is the earliest time at which a throttle that failed is repeated.
+	throttleRetryAt time.Duration
 }
 
 // unsent reports whether no start of the run has been sent.
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -19,6 +19,9 @@
 	// up to maxStopRetryDelay.
 	stopRetryDelay    = 150 * time.Millisecond
 	maxStopRetryDelay = time.Second
+	// throttleRetryDelay is the delay before a throttle that failed is repeated. Without it throttles that fail at once would
+	// hold all places for orders to their worker.
+	throttleRetryDelay = 200 * time.Millisecond
 	// noCapacityPause is the time for which a worker that refused a start for lack of capacity gets no new runs.
 	noCapacityPause = 300 * time.Millisecond
 	// unavailablePause is the time for which a worker that refused a start as unavailable gets no new runs. It is also the
@@ -223,7 +226,7 @@
 			case r.stopping && r.stopSentAt == 0 && now.Steady >= r.retryAt && (r.phase == runAccepted || r.phase == runUnknown):
 				r.stopSentAt = now.Steady
 				o.sendStop(w, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
-			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && r.task.step.BestEffort:
+			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && now.Steady >= r.throttleRetryAt && r.task.step.BestEffort:
 				r.sentSpeed = r.speed
 				w.ordersInFlight++
 				o.out.Throttles = append(o.out.Throttles, Throttle{Worker: w.ref(), Run: r.id(), Percent: r.speed})
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -44,3 +44,31 @@
 	o.c.Assert(o.starts, qt.HasLen, 1)
 	o.c.Assert(o.starts[0].Order.Run.Number, qt.Equals, unsent.Order.Run.Number+1)
 }
+
+// Guards against throttles that fail at once and are sent again in every step: they held all places for orders to their worker,
+// so that a cancelled run on it was never stopped.
+func TestFailingThrottlesDoNotKeepStopsWaiting(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	paced := testStep(maxOrdersInFlight)
+	paced.LongRunning, paced.BestEffort = true, true
+	o.AddJob(o.now, testJob("paced", paced), wigeonjob.Progress{}, false)
+	o.advance(50 * time.Millisecond)
+	o.answerStarts(100_000)
+	o.submit("cancelled", 1)
+	o.answerStarts(100_000)
+	o.setSpeed(o.now, o.workers[onlyWorker], func(int) int { return fullSpeed / 2 })
+	o.CancelJob(o.now, "cancelled")
+
+	sent := 0
+	for range 30 {
+		o.pass(10 * time.Millisecond)
+		a := o.Step(o.now)
+		o.stops = append(o.stops, a.Stops...)
+		sent += len(a.Throttles)
+		for _, throttle := range a.Throttles {
+			o.ThrottleAnswered(o.now, throttle, wigeonstep.ErrUnavailable)
+		}
+	}
+	o.c.Assert(o.stops, qt.HasLen, 1, qt.Commentf("%d throttles were sent", sent))
+	o.c.Assert(sent <= 3*maxOrdersInFlight, qt.IsTrue, qt.Commentf("%d throttles were sent", sent))
+}
--- a/wigeonshard/steps_test.go
+++ b/wigeonshard/steps_test.go
@@ -281,7 +281,7 @@
 		o.HeartbeatAnswered(now, pending, wigeonstep.HeartbeatResult{Clock: 5000, Running: listed}, nil)
 		throttles := o.Step(now).Throttles
 		for _, throttle := range throttles {
-			o.ThrottleAnswered(throttle, nil)
+			o.ThrottleAnswered(now, throttle, nil)
 		}
 		return throttles
 	}
