Stop a run instead of repeating its start on a worker that leaves

Users would see a task that starts on a worker long after the worker has said that it drains. A first start is withdrawn when its worker drains, or was cordoned, since the run was planned. A start without an answer was repeated all the same, up to twice, each time after its timeout: a decision that waits and is carried out after the state that it was based on has changed.

The test failed before: "orders_test.go:86: unexpected length, got 1" for the starts on a draining worker. The run is now stopped there. An earlier start may have begun it, so it can't be ended without a stop; the worker rejects later starts of a stopped run, and the task is placed elsewhere when the end is listed.

--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -213,6 +213,11 @@
 		mayStart, safe := o.mayStartOn(now, w), now.Steady < o.startsSafeUntil(w)
 		var unwanted []*run
 		for _, r := range w.runs {
+			if r.repeatsStart(now.Steady) && r.mustStartElsewhere() {
+				// The first start may have begun the run, so only a stop frees the task for another worker.
+				o.recordRunDecision("run_stopped", r, "its start was not answered and its worker is leaving", 0)
+				r.stopping = true
+			}
 			switch {
 			case r.phase == runDurable && (r.stopping || !mayStart || r.mustStartElsewhere()):
 				unwanted = append(unwanted, r)
@@ -238,8 +243,8 @@
 	}
 }
 
-// mustStartElsewhere reports whether the worker of an unsent run is leaving since the run was planned. A member of a gang is
-// started all the same, because the other members may have begun.
+// mustStartElsewhere reports whether the worker of a run that is not known to have begun is leaving since the run was planned.
+// A member of a gang is started all the same, because the other members may have begun.
 func (r *run) mustStartElsewhere() bool {
 	w := r.worker
 	return (w.Draining || w.released || w.cordoned != "" && !r.onCordoned) && !r.task.step.Gang
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -72,3 +72,18 @@
 	o.c.Assert(o.stops, qt.HasLen, 1, qt.Commentf("%d throttles were sent", sent))
 	o.c.Assert(sent <= 3*maxOrdersInFlight, qt.IsTrue, qt.Commentf("%d throttles were sent", sent))
 }
+
+// Guards against a start that is repeated on a worker that has begun to drain, or was cordoned, since the first one got no
+// answer.
+func TestNoStartIsRepeatedOnLeavingWorker(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.submit("job", 1)
+	first := o.starts[0]
+	o.starts = nil
+	o.answerStart(first, wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+	o.workers[onlyWorker].Draining = true
+	o.advance(2 * startRetryDelay)
+	o.c.Assert(o.starts, qt.HasLen, 0)
+	o.c.Assert(o.stops, qt.HasLen, 1)
+	o.c.Assert(o.stops[0].Run, qt.Equals, first.Order.Run)
+}
