Withdraw a start on a worker that has left the list

Users could see a task start on a worker that is no longer listed for the service: a run is placed on listed workers only, but a run whose record became durable after its worker had left the list was started there. It is the only condition of placement that the step that sends the start did not check again, besides the pause of a suspect worker.

The test failed before: "orders_test.go:101: unexpected length, got 1" for the starts. Like a worker that drains, one that has left the list gets no first or repeated start; the task is placed again.

--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -243,11 +243,11 @@
 	}
 }
 
-// mustStartElsewhere reports whether the worker of a run that is not known to have begun is leaving since the run was planned.
-// A member of a gang is started all the same, because the other members may have begun.
+// mustStartElsewhere reports whether the worker of a run that is not known to have begun is leaving, or has left the list, since
+// the run was planned. A member of a gang is started all the same, because the other members may have begun.
 func (r *run) mustStartElsewhere() bool {
 	w := r.worker
-	return (w.Draining || w.released || w.cordoned != "" && !r.onCordoned) && !r.task.step.Gang
+	return (!w.listed || w.Draining || w.released || w.cordoned != "" && !r.onCordoned) && !r.task.step.Gang
 }
 
 // repeatsStart reports whether the start of the run got no answer and is due again.
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -87,3 +87,16 @@
 	o.c.Assert(o.stops, qt.HasLen, 1)
 	o.c.Assert(o.stops[0].Run, qt.Equals, first.Order.Run)
 }
+
+// Guards against a first start on a worker that has left the list since the run was planned.
+func TestNoStartOnWorkerThatLeftTheList(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.logStalled = true
+	o.AddJob(o.now, testJob("job", testStep(1)), wigeonjob.Progress{}, false)
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.workers[onlyWorker].runs, qt.HasLen, 1)
+	o.SetWorkers(o.now, nil)
+	o.logStalled = false
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.starts, qt.HasLen, 0)
+}
