Send the reports of a wave one at a time

Operators could see a wave as running for good after it has been completed. Each report was sent by its own goroutine, with up to 2 s for the append, so a report of a wave as running that was still under way when the wave was completed could take effect after the report of that; the planner counted the wave as reported and sent no other. A failure of the older report also removed the entry of the newer one, also that of a later ownership.

The next report of a wave now waits for the answer to the one before, and an answer counts only for the ownership that sent it. A report whose answer was lost may still take effect late; that needs a fence or a look at the entry.

--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -55,6 +55,9 @@
 	// reportedWaves holds the state of each wave in the newest report to the operator: true for completed, false for
 	// running. The report may still be in flight.
 	reportedWaves map[int]bool
+	// waveReportInFlight holds the waves with a report that has no answer yet. The next one waits for it, because reports may
+	// overtake each other.
+	waveReportInFlight map[int]bool
 	// shardDemands holds the newest demand of each shard by pool, demands their sum, and released the drained workers
 	// that each shard reported.
 	shardDemands map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand
@@ -70,7 +73,7 @@
 func newFleet(callRate float64) fleet {
 	return fleet{
 		calls:       wigeonlimit.Limiter{MaxOpen: maxMachineCalls, Rate: machineCallShare * callRate},
-		wavePlanner: &wigeonwave.Planner{}, movePlanner: &wigeonbalance.Planner{}, reportedWaves: map[int]bool{},
+		wavePlanner: &wigeonwave.Planner{}, movePlanner: &wigeonbalance.Planner{}, reportedWaves: map[int]bool{}, waveReportInFlight: map[int]bool{},
 		shardDemands: map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand{},
 		demands:      map[wigeonstep.PoolName]wigeonbalance.Demand{}, released: map[uint32]map[wigeonstep.WorkerID]bool{},
 	}
@@ -350,26 +353,35 @@
 	}
 }
 
-// reportWave reports the state of a wave to the operator, once for each change. A failed report is repeated with the next
-// plan.
+// reportWave reports the state of a wave to the operator, once for each change and one report at a time. A later plan repeats a
+// failed report and sends one that had to wait.
 func (d *Daemon) reportWave(sh *shard, wave int, completed bool) {
 	f := &d.fleet
-	if last, ok := f.reportedWaves[wave]; ok && last == completed {
+	if last, ok := f.reportedWaves[wave]; ok && last == completed || f.waveReportInFlight[wave] {
 		return
 	}
 	// The entry is set before the call, so that the next plan does not send the report again; a failed call removes the
 	// entry, so that a later plan does.
-	f.reportedWaves[wave] = completed
+	f.reportedWaves[wave], f.waveReportInFlight[wave] = completed, true
 	ctx := sh.ctx
 	go func() {
-		ctx, cancel := context.WithTimeout(ctx, waveReportTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, waveReportTimeout)
 		defer cancel()
-		if err := d.config.Waves.SetWaveState(ctx, wave, completed); err != nil {
-			d.post(func() { delete(d.fleet.reportedWaves, wave) })
+		err := d.config.Waves.SetWaveState(callCtx, wave, completed)
+		if err != nil {
 			d.config.Logger.Warn("wave_report_failed", zap.Int("wave", wave), zap.Error(err))
-			return
+		} else {
+			d.config.Logger.Info("wave_reported", zap.Int("wave", wave), zap.Bool("completed", completed))
 		}
-		d.config.Logger.Info("wave_reported", zap.Int("wave", wave), zap.Bool("completed", completed))
+		d.post(func() {
+			if ctx.Err() != nil {
+				return
+			}
+			delete(d.fleet.waveReportInFlight, wave)
+			if err != nil {
+				delete(d.fleet.reportedWaves, wave)
+			}
+		})
 	}()
 }
 
