Stop the other members of a gang whose member is not started

Users could see members of a gang end as incomplete with nothing wrong near them, and a gang that waits until they do. A start that waits for others to the same worker is withdrawn when the worker misses a heartbeat, was not sent in time, or is refused. The owner ended that run only. The other members had begun, kept their room and waited for one that would not come, since the gang is placed again, with a new run number, only when none of its members has a run. A gang with more than maxOrdersInFlight members on a worker always has such a wait since starts wait in the owner.

Both tests failed before: "orders_test.go:131: unexpected length, got 0, want 2" for the stops of the members that had begun, and the same at line 142 after a refused start. The others are now stopped at once, and those that are not sent yet are ended, so the gang is placed again within the time of a stop. Nothing is lost, because a gang works only when it is complete.

--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -122,7 +122,7 @@
 		r.retryAt = now.Steady + startRetryDelay
 		return
 	}
-	o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+	o.endUnstartedRun(now, r)
 }
 
 // startRefused handles a start that the worker refused: the run ends, unless an earlier start may still take effect.
@@ -156,7 +156,7 @@
 		r.stopping = true
 		return
 	}
-	o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+	o.endUnstartedRun(now, r)
 }
 
 // workerReplaced handles the answer of another worker to the newest heartbeat: the process that had the address has ended
@@ -238,11 +238,26 @@
 			}
 		}
 		for _, r := range unwanted {
-			o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+			o.endUnstartedRun(now, r)
 		}
 	}
 }
 
+// endUnstartedRun ends a run that the worker has certainly not begun. The other members of a gang can't work without it, so they
+// are stopped.
+func (o *Owner) endUnstartedRun(now Timestamp, r *run) {
+	if r.phase == runEnded {
+		return
+	}
+	o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+	if !r.task.step.Gang {
+		return
+	}
+	for _, member := range r.task.step.tasks {
+		o.stopTask(now, member)
+	}
+}
+
 // mustStartElsewhere reports whether the worker of a run that is not known to have begun is leaving, or has left the list, since
 // the run was planned. A member of a gang is started all the same, because the other members may have begun.
 func (r *run) mustStartElsewhere() bool {
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -100,3 +100,44 @@
 	o.advance(50 * time.Millisecond)
 	o.c.Assert(o.starts, qt.HasLen, 0)
 }
+
+// submitGang submits a gang of one member more than there are places for orders to the worker, and returns the starts that are
+// sent first.
+func (o *answeredOwner) submitGang() []Start {
+	gang := testStep(maxOrdersInFlight + 1)
+	gang.Gang = true
+	o.AddJob(o.now, testJob("gang", gang), wigeonjob.Progress{}, false)
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.starts, qt.HasLen, maxOrdersInFlight)
+	return o.starts
+}
+
+func (o *answeredOwner) acceptStarts(starts []Start) {
+	for _, s := range starts {
+		o.answerStart(s, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 100_000})
+	}
+	o.step()
+}
+
+// Guards against members of a gang that wait in vain for one whose start was withdrawn: they keep their room, and the gang is not
+// placed again, until they give up.
+func TestGangWithWithdrawnMemberIsStopped(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	begun := o.submitGang()
+	o.failHeartbeat(wigeonstep.ErrAnswerLost)
+	o.acceptStarts(begun)
+	o.c.Assert(o.starts, qt.HasLen, len(begun))
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.stops, qt.HasLen, len(begun))
+}
+
+// Guards against members of a gang that wait in vain for one whose start the worker refused.
+func TestGangWithRefusedMemberIsStopped(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	begun := o.submitGang()
+	o.acceptStarts(begun)
+	o.c.Assert(o.starts, qt.HasLen, len(begun)+1)
+	o.answerStart(o.starts[len(begun)], wigeonstep.StartResult{Verdict: wigeonstep.StartNoCapacity})
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.stops, qt.HasLen, len(begun))
+}
