Count the validity of a ticket from the request that it answers

Callers would see starts refused for a ticket that is not valid. An answer of the advice service was taken for one to the newest request: after a repeated request the answer to the first one was valid from the sending of the second, and the answer to the second was stored as valid from a time before the start of the process, so it replaced a good ticket by an expired one.

The platform client gives up after 2.5 s and the owner repeats after 3 s, so this needs a process that was paused or is behind. A request now carries the time at which it was sent, an answer ends the wait only for its own request, and an older ticket does not replace a newer one.

--- a/wigeonshard/action.go
+++ b/wigeonshard/action.go
@@ -49,6 +49,8 @@
 	Occurrence int
 	Step       int
 	Workers    []wigeonstep.WorkerID
+	// SentAt is the time of the Step that returned the request.
+	SentAt time.Duration
 }
 
 // Decision is a decision of the owner that the caller logs.
--- a/wigeonshard/advice.go
+++ b/wigeonshard/advice.go
@@ -35,7 +35,7 @@
 	if s.fitsAnyOf(ticketed) || waiting || now.Steady < a.retryAt {
 		return ticketed
 	}
-	request := AdviceRequest{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.number}
+	request := AdviceRequest{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.number, SentAt: now.Steady}
 	for _, w := range pool {
 		if w.Service == s.job.Service && w.free().Covers(s.Reserved()) && len(request.Workers) < maxAdvised {
 			request.Workers = append(request.Workers, w.ID)
@@ -58,7 +58,8 @@
 	return false
 }
 
-// AdviceAnswered records the answer of the advice service to a request, or the error of the call.
+// AdviceAnswered records the answer of the advice service to a request, or the error of the call. It may come after the request was
+// repeated; tickets are valid from the time of their own request.
 func (o *Owner) AdviceAnswered(now Timestamp, request AdviceRequest, advice wigeonstep.Advice, err error) {
 	j := o.jobs[request.Job]
 	if j == nil {
@@ -70,13 +71,17 @@
 		}
 		a := occ.steps[request.Step].advice
 		a.retryAt = now.Steady + adviceRetryDelay
-		sent := a.requestedAt
-		a.requestedAt = -1
+		if a.requestedAt == request.SentAt {
+			a.requestedAt = -1
+		}
 		if err != nil {
 			return
 		}
 		for id, ticket := range advice.Tickets {
-			a.tickets[id] = ticketGrant{ticket: ticket, validUntil: sent + advice.TTL}
+			grant := ticketGrant{ticket: ticket, validUntil: request.SentAt + advice.TTL}
+			if grant.validUntil > a.tickets[id].validUntil {
+				a.tickets[id] = grant
+			}
 		}
 	}
 }
