--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -19,6 +19,9 @@
 	// up to maxStopRetryDelay.
 	stopRetryDelay    = 150 * time.Millisecond
 	maxStopRetryDelay = time.Second
+	// throttleRetryDelay is the delay before a throttle that failed is repeated. Without it throttles that fail at once would
+	// hold all places for orders to their worker.
+	throttleRetryDelay = 200 * time.Millisecond
 	// noCapacityPause is the time for which a worker that refused a start for lack of capacity gets no new runs.
 	noCapacityPause = 300 * time.Millisecond
 	// unavailablePause is the time for which a worker that refused a start as unavailable gets no new runs. It is also the
@@ -119,7 +122,7 @@
 		r.retryAt = now.Steady + startRetryDelay
 		return
 	}
-	o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+	o.endUnstartedRun(now, r)
 }
 
 // startRefused handles a start that the worker refused: the run ends, unless an earlier start may still take effect.
@@ -153,7 +156,7 @@
 		r.stopping = true
 		return
 	}
-	o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+	o.endUnstartedRun(now, r)
 }
 
 // workerReplaced handles the answer of another worker to the newest heartbeat: the process that had the address has ended
@@ -210,6 +213,11 @@
 		mayStart, safe := o.mayStartOn(now, w), now.Steady < o.startsSafeUntil(w)
 		var unwanted []*run
 		for _, r := range w.runs {
+			if r.repeatsStart(now.Steady) && r.mustStartElsewhere() {
+				// The first start may have begun the run, so only a stop frees the task for another worker.
+				o.recordRunDecision("run_stopped", r, "its start was not answered and its worker is leaving", 0)
+				r.stopping = true
+			}
 			switch {
 			case r.phase == runDurable && (r.stopping || !mayStart || r.mustStartElsewhere()):
 				unwanted = append(unwanted, r)
@@ -223,23 +231,38 @@
 			case r.stopping && r.stopSentAt == 0 && now.Steady >= r.retryAt && (r.phase == runAccepted || r.phase == runUnknown):
 				r.stopSentAt = now.Steady
 				o.sendStop(w, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
-			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && r.task.step.BestEffort:
+			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && now.Steady >= r.throttleRetryAt && r.task.step.BestEffort:
 				r.sentSpeed = r.speed
 				w.ordersInFlight++
 				o.out.Throttles = append(o.out.Throttles, Throttle{Worker: w.ref(), Run: r.id(), Percent: r.speed})
 			}
 		}
 		for _, r := range unwanted {
-			o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+			o.endUnstartedRun(now, r)
 		}
 	}
 }
 
-// mustStartElsewhere reports whether the worker of an unsent run drains, was released, or was cordoned after the run was
-// planned. A member of a gang is started all the same, because the other members may have begun.
+// endUnstartedRun ends a run that the worker has certainly not begun. The other members of a gang can't work without it, so they
+// are stopped.
+func (o *Owner) endUnstartedRun(now Timestamp, r *run) {
+	if r.phase == runEnded {
+		return
+	}
+	o.endRun(now, r, wigeonstep.EndStopped, r.task.checkpoint)
+	if !r.task.step.Gang {
+		return
+	}
+	for _, member := range r.task.step.tasks {
+		o.stopTask(now, member)
+	}
+}
+
+// mustStartElsewhere reports whether the worker of a run that is not known to have begun is leaving, or has left the list, since
+// the run was planned. A member of a gang is started all the same, because the other members may have begun.
 func (r *run) mustStartElsewhere() bool {
 	w := r.worker
-	return (w.Draining || w.released || w.cordoned != "" && !r.onCordoned) && !r.task.step.Gang
+	return (!w.listed || w.Draining || w.released || w.cordoned != "" && !r.onCordoned) && !r.task.step.Gang
 }
 
 // repeatsStart reports whether the start of the run got no answer and is due again.
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -44,3 +44,100 @@
 	o.c.Assert(o.starts, qt.HasLen, 1)
 	o.c.Assert(o.starts[0].Order.Run.Number, qt.Equals, unsent.Order.Run.Number+1)
 }
+
+// Guards against throttles that fail at once and are sent again in every step: they held all places for orders to their worker,
+// so that a cancelled run on it was never stopped.
+func TestFailingThrottlesDoNotKeepStopsWaiting(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	paced := testStep(maxOrdersInFlight)
+	paced.LongRunning, paced.BestEffort = true, true
+	o.AddJob(o.now, testJob("paced", paced), wigeonjob.Progress{}, false)
+	o.advance(50 * time.Millisecond)
+	o.answerStarts(100_000)
+	o.submit("cancelled", 1)
+	o.answerStarts(100_000)
+	o.setSpeed(o.now, o.workers[onlyWorker], func(int) int { return fullSpeed / 2 })
+	o.CancelJob(o.now, "cancelled")
+
+	sent := 0
+	for range 30 {
+		o.pass(10 * time.Millisecond)
+		a := o.Step(o.now)
+		o.stops = append(o.stops, a.Stops...)
+		sent += len(a.Throttles)
+		for _, throttle := range a.Throttles {
+			o.ThrottleAnswered(o.now, throttle, wigeonstep.ErrUnavailable)
+		}
+	}
+	o.c.Assert(o.stops, qt.HasLen, 1, qt.Commentf("%d throttles were sent", sent))
+	o.c.Assert(sent <= 3*maxOrdersInFlight, qt.IsTrue, qt.Commentf("%d throttles were sent", sent))
+}
+
+// Guards against a start that is repeated on a worker that has begun to drain, or was cordoned, since the first one got no
+// answer.
+func TestNoStartIsRepeatedOnLeavingWorker(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.submit("job", 1)
+	first := o.starts[0]
+	o.starts = nil
+	o.answerStart(first, wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+	o.workers[onlyWorker].Draining = true
+	o.advance(2 * startRetryDelay)
+	o.c.Assert(o.starts, qt.HasLen, 0)
+	o.c.Assert(o.stops, qt.HasLen, 1)
+	o.c.Assert(o.stops[0].Run, qt.Equals, first.Order.Run)
+}
+
+// Guards against a first start on a worker that has left the list since the run was planned.
+func TestNoStartOnWorkerThatLeftTheList(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	o.logStalled = true
+	o.AddJob(o.now, testJob("job", testStep(1)), wigeonjob.Progress{}, false)
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.workers[onlyWorker].runs, qt.HasLen, 1)
+	o.SetWorkers(o.now, nil)
+	o.logStalled = false
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.starts, qt.HasLen, 0)
+}
+
+// submitGang submits a gang of one member more than there are places for orders to the worker, and returns the starts that are
+// sent first.
+func (o *answeredOwner) submitGang() []Start {
+	gang := testStep(maxOrdersInFlight + 1)
+	gang.Gang = true
+	o.AddJob(o.now, testJob("gang", gang), wigeonjob.Progress{}, false)
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.starts, qt.HasLen, maxOrdersInFlight)
+	return o.starts
+}
+
+func (o *answeredOwner) acceptStarts(starts []Start) {
+	for _, s := range starts {
+		o.answerStart(s, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 100_000})
+	}
+	o.step()
+}
+
+// Guards against members of a gang that wait in vain for one whose start was withdrawn: they keep their room, and the gang is not
+// placed again, until they give up.
+func TestGangWithWithdrawnMemberIsStopped(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	begun := o.submitGang()
+	o.failHeartbeat(wigeonstep.ErrAnswerLost)
+	o.acceptStarts(begun)
+	o.c.Assert(o.starts, qt.HasLen, len(begun))
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.stops, qt.HasLen, len(begun))
+}
+
+// Guards against members of a gang that wait in vain for one whose start the worker refused.
+func TestGangWithRefusedMemberIsStopped(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	begun := o.submitGang()
+	o.acceptStarts(begun)
+	o.c.Assert(o.starts, qt.HasLen, len(begun)+1)
+	o.answerStart(o.starts[len(begun)], wigeonstep.StartResult{Verdict: wigeonstep.StartNoCapacity})
+	o.advance(50 * time.Millisecond)
+	o.c.Assert(o.stops, qt.HasLen, len(begun))
+}
