Count a job as waiting until one of its tasks has begun

Cause: a job became a running one when its first run was planned, before the record was durable and its start was sent or accepted.

Evidence: TestJobIsPendingUntilATaskHasBegun failed before.

--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -12,9 +12,9 @@
 type State int
 
 const (
-	// StatePending means that no run of the job was planned yet.
+	// StatePending means that no run of the job is known to have begun.
 	StatePending State = iota
-	// StateRunning means that a run of the job was planned.
+	// StateRunning means that a run of the job has begun on its worker.
 	StateRunning
 	// StateCompleted means that all tasks of all occurrences are done.
 	StateCompleted
--- a/wigeonreplica/replica.go
+++ b/wigeonreplica/replica.go
@@ -57,7 +57,8 @@
 	return e
 }
 
-// CountPending returns the number of jobs of a queue that are in StatePending: no run is planned, and they are not cancelled.
+// CountPending returns the number of jobs of a queue that are in StatePending: no run is known to have begun, and they are
+// not cancelled.
 func (r *Replica) CountPending(queue wigeonstep.QueueName) int {
 	n := 0
 	for _, e := range r.jobs {
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -316,8 +316,7 @@
 
 func (o *Owner) applyRunReport(now Timestamp, r *run, report wigeonstep.RunningRun) {
 	if r.phase == runUnknown || r.phase == runStarting {
-		r.phase = runAccepted
-		r.startKnownAt = now.Steady
+		o.markBegun(now, r)
 		r.startTries = 0
 	}
 	if report.Checkpoint != "" {
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -156,12 +156,14 @@
 	o.setFinalState(j, wigeonjob.StateCancelled)
 }
 
-// markRunning makes a pending job a running one.
-func (o *Owner) markRunning(j *job) {
-	if j.state == wigeonjob.StatePending {
+// markBegun records that the worker has begun the run, which makes a pending job a running one.
+func (o *Owner) markBegun(now Timestamp, r *run) {
+	r.phase = runAccepted
+	r.startKnownAt = now.Steady
+	if j := r.task.step.job; j.state == wigeonjob.StatePending {
 		j.state = wigeonjob.StateRunning
+		o.markDirty(j)
 	}
-	o.markDirty(j)
 }
 
 // setFinalState sets the terminal state of a job.
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -96,8 +96,7 @@
 	}
 	switch result.Verdict {
 	case wigeonstep.StartAccepted, wigeonstep.StartSuperseded:
-		r.phase = runAccepted
-		r.startKnownAt = now.Steady
+		o.markBegun(now, r)
 	case wigeonstep.StartUnknown:
 		r.startTries++
 		r.phase = runUnknown
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -141,3 +141,17 @@
 	o.advance(50 * time.Millisecond)
 	o.c.Assert(o.stops, qt.HasLen, len(begun))
 }
+
+// Guards against a job that counts as running although none of its tasks has begun, for example while its starts wait for a slow
+// log or a worker that does not answer.
+func TestJobIsPendingUntilATaskHasBegun(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	runs := o.submit("job", 1)
+	state, _ := o.JobState("job")
+	o.c.Assert(state, qt.Equals, wigeonjob.StatePending)
+	o.answerStarts(100_000)
+	o.advance(50 * time.Millisecond)
+	state, _ = o.JobState("job")
+	o.c.Assert(state, qt.Equals, wigeonjob.StateRunning)
+	o.assertRunning(runs...)
+}
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -297,11 +297,11 @@
 	return r
 }
 
-// commitRun makes a reserved run the newest run of its task, and its job a running one.
+// commitRun makes a reserved run the newest run of its task.
 func (o *Owner) commitRun(r *run) {
 	r.task.lastRun = r.number
 	r.task.needsCopy = false
-	o.markRunning(r.task.step.job)
+	o.markDirty(r.task.step.job)
 }
 
 // smallestFittingRack returns the workers of the rack that has room for all remaining tasks of the step and, among those,
