--- a/wigeonshard/missingworkers.go
+++ b/wigeonshard/missingworkers.go
@@ -2,12 +2,12 @@
 
 import "github.com/wigeonstep/wigeonstep"
 
-// bin is the room of a worker for long-running tasks, in a trial distribution of the tasks that need room.
+// bin is the room of a worker for long-running tasks, while missingWorkers distributes the tasks that need room.
 type bin struct {
 	// worker is nil for an additional worker.
 	worker *worker
 	free   wigeonstep.Resources
-	// placed counts the tasks of each step that the trial has put on the worker.
+	// placed counts the tasks of each step that were put on the worker.
 	placed map[*step]int
 }
 
