Allow six orders without an answer to a worker

Cause: since starts wait in the owner, the place of an answered order is used in the next step, which is up to 8 ms later in a large pool; two places had been enough as long as the process used them at once. The tests of the bound follow the constant, and fill the worker with smaller tasks.

--- a/wigeondaemon/execute_test.go
+++ b/wigeondaemon/execute_test.go
@@ -72,6 +72,8 @@
 // earlier starts to a worker that answers slowly.
 func TestWithdrawnStartIsNotSent(t *testing.T) {
 	c := qt.New(t)
+	// An owner sends this number of orders to a worker before it waits for an answer.
+	const ordersInFlight = 6
 	var elapsed atomic.Int64
 	clock := func() wigeonshard.Timestamp {
 		return wigeonshard.Timestamp{Steady: time.Hour + time.Duration(elapsed.Load()), Wall: 1_700_000_000_000}
@@ -95,11 +97,11 @@
 	sh.owner.SetWorkers(clock(), []wigeonstep.ListedWorker{{ID: "w", Address: "w:1", Service: "s", StartedAt: 1, Capacity: wigeonstep.Resources{CPU: 8000, Memory: 8000}}})
 	job := &wigeonjob.Job{ID: "job", Queue: "q", Service: "s", Steps: []wigeonjob.Step{{Count: 8, Required: wigeonstep.Resources{CPU: 1000}, Estimate: time.Minute}}}
 	sh.owner.AddJob(clock(), job, wigeonjob.Progress{}, false)
-	stepUntil(func() bool { return workers.startCount() == 2 })
+	stepUntil(func() bool { return workers.startCount() == ordersInFlight })
 	sh.owner.CancelJob(clock(), "job")
 	close(workers.answerStarts)
 	stepUntil(func() bool { return len(sh.owner.Demands(clock(), []wigeonstep.ServiceName{"s"})[0].Idle) == 1 })
-	c.Assert(workers.startCount(), qt.Equals, 2)
+	c.Assert(workers.startCount(), qt.Equals, ordersInFlight)
 }
 
 // recordingWorkers records the starts and heartbeats that are sent, and answers all.
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -9,7 +9,7 @@
 
 const (
 	// maxOrdersInFlight bounds the starts, stops and throttles without an answer to one worker. Heartbeats are not counted.
-	maxOrdersInFlight = 2
+	maxOrdersInFlight = 6
 	// startRetryDelay is the delay before a start without an answer is repeated on the same worker. It is also the base of
 	// the exponential delay between heartbeats without an answer.
 	startRetryDelay = 100 * time.Millisecond
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -10,11 +10,18 @@
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
 )
 
+// smallStep returns a step of which the worker has room for all tasks.
+func smallStep(count int) wigeonjob.Step {
+	s := testStep(count)
+	s.Required = wigeonstep.Resources{CPU: 100, Memory: 100}
+	return s
+}
+
 // Guards against orders that wait outside the owner, where no later decision reaches them: starts beyond the bound of a worker
 // wait in the owner, and are withdrawn when the worker stops answering.
 func TestWaitingStartsAreWithdrawn(t *testing.T) {
 	o := newAnsweredOwner(t, 1, 100_000)
-	o.AddJob(o.now, testJob("wide", testStep(4)), wigeonjob.Progress{}, false)
+	o.AddJob(o.now, testJob("wide", smallStep(maxOrdersInFlight+2)), wigeonjob.Progress{}, false)
 	o.advance(50 * time.Millisecond)
 	o.c.Assert(o.starts, qt.HasLen, maxOrdersInFlight)
 	first := o.starts[0]
@@ -104,7 +111,7 @@
 // submitGang submits a gang of one member more than there are places for orders to the worker, and returns the starts that are
 // sent first.
 func (o *answeredOwner) submitGang() []Start {
-	gang := testStep(maxOrdersInFlight + 1)
+	gang := smallStep(maxOrdersInFlight + 1)
 	gang.Gang = true
 	o.AddJob(o.now, testJob("gang", gang), wigeonjob.Progress{}, false)
 	o.advance(50 * time.Millisecond)
