--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -73,8 +73,9 @@
 	return d.config.Advisor.Advise(ctx, request.Job, request.Occurrence, request.Step, request.Workers)
 }
 
-// logDecision logs a decision of an owner.
+// logDecision logs and counts a decision of an owner.
 func (d *Daemon) logDecision(decision wigeonshard.Decision) {
+	d.config.Metrics.countDecision(decision.Event)
 	fields := []zap.Field{zap.String("worker", string(decision.Worker)), zap.String("cause", decision.Cause)}
 	if decision.Run.Task.Job != "" {
 		fields = append(fields, zap.String("job", string(decision.Run.Task.Job)), zap.String("task", formatTaskID(decision.Run.Task)), zap.Uint32("run", uint32(decision.Run.Number)))
@@ -82,6 +83,12 @@
 	if decision.Age > 0 {
 		fields = append(fields, zap.Duration("age", decision.Age))
 	}
+	if decision.RunAge > 0 {
+		fields = append(fields, zap.Duration("run_age", decision.RunAge))
+	}
+	if decision.Runs > 0 {
+		fields = append(fields, zap.Int("runs", decision.Runs))
+	}
 	d.config.Logger.Info(decision.Event, fields...)
 }
 
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -29,6 +29,11 @@
 	}
 }
 
+// countDecision counts a decision of an owner by its event, such as worker_lost.
+func (m *Metrics) countDecision(event string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`wigeonstep_owner_decisions_total{event=%q}`, event)).Inc()
+}
+
 // observeSubmit counts a submitted job by queue and outcome and records the latency of its response.
 func (m *Metrics) observeSubmit(queue wigeonstep.QueueName, response wigeonstep.Response, took time.Duration) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`wigeonstep_jobs_submitted_total{queue=%q,outcome=%q}`, queue, response.Outcome)).Inc()
--- a/wigeonshard/action.go
+++ b/wigeonshard/action.go
@@ -67,6 +67,11 @@
 	// Age is the age of the input that led to the decision, such as the time since the last report about the run; 0 when
 	// the input has no age.
 	Age time.Duration
+	// RunAge is the time for which the run, or the youngest run of the worker, had been started when the worker was found not to
+	// answer; 0 when that doesn't apply or is unknown.
+	RunAge time.Duration
+	// Runs is the number of runs on the worker that the decision concerns; 0 for a decision about a single run.
+	Runs int
 }
 
 // Actions holds the orders, requests and records that result from a Step. The caller may carry them out in any order.
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -167,18 +167,19 @@
 // heartbeatFailed counts a heartbeat without an answer: no run is started on the worker and its lease is not renewed until it
 // answers again.
 func (o *Owner) heartbeatFailed(now Timestamp, w *worker, cause string) {
-	if w.failures == 0 {
-		o.recordWorkerDecision("worker_lost", w, cause)
+	w.recordFailure(now.Steady)
+	if w.failures == 1 {
+		o.out.Decisions = append(o.out.Decisions, Decision{Event: "worker_lost", Cause: cause, Worker: w.ID, Runs: len(w.runs), RunAge: w.youngestRunAge()})
 	}
-	w.failures++
 	if w.leasesEndWall == 0 {
 		// A later owner reads this time from the owner record, and does not start the wait for the leases anew.
 		w.leasesEndWall = w.leasesEndAt(now)
 		o.ownerRecordOutdated = o.ownerRecordOutdated || len(w.runs) > 0
 	}
 	for _, r := range w.runs {
-		if r.task.step.Speculative && len(r.task.runs) == 1 {
+		if r.task.step.Speculative && len(r.task.runs) == 1 && !r.task.needsCopy {
 			r.task.needsCopy = true
+			o.recordRunDecision("copy_planned", r, "its worker does not answer", now.Steady-r.reportedAt)
 		}
 	}
 	w.nextHeartbeatAt = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHeartbeatRetryDelay)
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -49,7 +49,7 @@
 	t.lostRuns = slices.Clone(p.LostRuns)
 	for _, live := range p.Runs {
 		w := o.ensureWorker(now, live.Worker)
-		r := &run{task: t, number: live.Number, worker: w, phase: runUnknown, speed: restoredSpeed, sentSpeed: -1, reportedAt: now.Steady, startSentAt: now.Steady, progressedAt: now.Steady}
+		r := &run{task: t, number: live.Number, worker: w, phase: runUnknown, inherited: true, speed: restoredSpeed, sentSpeed: -1, reportedAt: now.Steady, startSentAt: now.Steady, progressedAt: now.Steady}
 		o.attach(r)
 	}
 }
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -142,6 +142,8 @@
 	// startSentAt is the time at which the first start was sent; for runs of an earlier owner, the time at which this
 	// owner read them from the log.
 	startSentAt time.Duration
+	// inherited is set for runs of an earlier owner.
+	inherited bool
 	// progressPercent, tailLatency and cpu are from the newest report of the worker, which arrived at
 	// reportedAt.
 	progressPercent int
@@ -167,6 +169,15 @@
 	return wigeonstep.RunID{Task: r.task.id, Number: r.number}
 }
 
+// ageWhenLost returns the time for which the run had been started when its worker was found not to answer; 0 if this owner has
+// not started it.
+func (r *run) ageWhenLost() time.Duration {
+	if r.unsent() || r.inherited {
+		return 0
+	}
+	return max(r.worker.lostAt-r.startSentAt, 0)
+}
+
 // serving reports whether a long-running run is ready, not stopping, and on a worker that answers. The last report of a
 // worker that stopped answering doesn't count.
 func (r *run) serving() bool {
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -169,7 +169,7 @@
 	}
 	w.forgetProcess(now.Steady)
 	w.appliedHeartbeat = o.heartbeatCount
-	w.failures++
+	w.recordFailure(now.Steady)
 	w.nextHeartbeatAt = now.Steady + maxHeartbeatRetryDelay
 }
 
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -322,6 +322,9 @@
 	decision := Decision{Event: event, Cause: cause, Age: age, Run: r.id()}
 	if r.worker != nil {
 		decision.Worker = r.worker.ID
+		if r.worker.failures > 0 {
+			decision.RunAge = r.ageWhenLost()
+		}
 	}
 	o.out.Decisions = append(o.out.Decisions, decision)
 }
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -65,8 +65,9 @@
 	// nextHeartbeatAt is the earliest time of the next heartbeat.
 	nextHeartbeatAt time.Duration
 	// failures counts the heartbeats without an answer, and the answers of another process at the worker's address, since
-	// the worker last answered a heartbeat.
+	// the worker last answered a heartbeat. lostAt is the time of the first of them.
 	failures int
+	lostAt   time.Duration
 
 	// cordoned is the VM of a worker that has to be emptied for maintenance or a move; empty otherwise.
 	cordoned wigeonstep.VMID
@@ -234,6 +235,26 @@
 	}
 }
 
+// recordFailure counts a heartbeat that shows that the worker does not answer.
+func (w *worker) recordFailure(now time.Duration) {
+	if w.failures == 0 {
+		w.lostAt = now
+	}
+	w.failures++
+}
+
+// youngestRunAge returns the time for which the last started run had been started when the worker was found not to answer; 0
+// when it has no run that this owner has started.
+func (w *worker) youngestRunAge() time.Duration {
+	youngest := time.Duration(0)
+	for _, r := range w.runs {
+		if age := r.ageWhenLost(); age > 0 && (youngest == 0 || age < youngest) {
+			youngest = age
+		}
+	}
+	return youngest
+}
+
 // findRun returns the run on the worker, or nil.
 func (w *worker) findRun(id wigeonstep.RunID) *run {
 	for _, r := range w.runs {
