--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -19,7 +19,8 @@
 
 // clusterModel is a model of the log, the workers and the network between them in virtual time. While it runs it checks
 // these invariants: no task runs twice at the same time (unless it is speculative) or starts after its end was
-// acknowledged, no worker exceeds its capacity, and no step starts before its dependencies are done.
+// acknowledged, no worker exceeds its capacity, no step starts before its dependencies are done, and no task starts more than
+// maxStartsAfterCrashes times after workers have crashed under it maxTaskCrashes times.
 type clusterModel struct {
 	t       *testing.T
 	random  *rand.Rand
@@ -55,6 +56,13 @@
 	// acknowledged holds the tasks with a run that was done and whose end an owner has acknowledged to the worker.
 	acknowledged map[wigeonstep.TaskID]bool
 	doneTasks    map[wigeonstep.TaskID]bool
+	// crashingTasks holds the tasks that crash their worker, each with the age of the run at which it does so.
+	crashingTasks map[wigeonstep.TaskID]time.Duration
+	// crashes counts the workers that crashed under each of these tasks, startsAfterCrashes the starts since the last one
+	// that is allowed.
+	crashes, startsAfterCrashes map[wigeonstep.TaskID]int
+	// replacements counts the workers that took the place of crashed ones.
+	replacements int
 	violations   []string
 	history      map[wigeonstep.TaskID][]string
 	// outcome returns the duration of a finite run and the cause of its end.
@@ -99,6 +107,15 @@
 	return last
 }
 
+const (
+	// maxTaskCrashes is the number of workers that may crash under a task before its starts are limited to
+	// maxStartsAfterCrashes.
+	maxTaskCrashes        = 3
+	maxStartsAfterCrashes = 2
+	// workerReplacementTime is the time from a crash of a worker until another one answers at its address.
+	workerReplacementTime = 3200 * time.Millisecond
+)
+
 const testService = wigeonstep.ServiceName("bake")
 
 var testSettings = Settings{Lease: 5 * time.Second, MaxLease: 10 * time.Second, HeartbeatWait: 1500 * time.Millisecond, HeartbeatPause: 20 * time.Millisecond, ConfirmLimit: 6 * time.Second}
@@ -109,7 +126,8 @@
 		t: t, random: rand.New(rand.NewPCG(seed, seed)), now: time.Hour,
 		workers:  map[wigeonstep.WorkerID]*fakeWorker{},
 		liveRuns: map[wigeonstep.TaskID]int{}, acknowledged: map[wigeonstep.TaskID]bool{}, doneTasks: map[wigeonstep.TaskID]bool{},
-		history: map[wigeonstep.TaskID][]string{},
+		history:       map[wigeonstep.TaskID][]string{},
+		crashingTasks: map[wigeonstep.TaskID]time.Duration{}, crashes: map[wigeonstep.TaskID]int{}, startsAfterCrashes: map[wigeonstep.TaskID]int{},
 		cordons: map[wigeonstep.WorkerID]wigeonstep.VMID{}, jobs: map[wigeonstep.JobID]*wigeonjob.Job{}, takenAddresses: map[string]bool{},
 	}
 	m.outcome = func(wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) {
@@ -349,6 +367,10 @@
 		return
 	}
 	if f == nil || o.unreachable[ref.ID] || f.down || f.listed.Address != ref.Address {
+		if f == nil && !o.unreachable[ref.ID] && m.workerAt(ref.Address) != nil {
+			m.schedule(time.Millisecond, func() { answer(wigeonstep.ErrWorkerReplaced) })
+			return
+		}
 		reportLost(timeout)
 		return
 	}
--- a/wigeonshard/fakeworker_test.go
+++ b/wigeonshard/fakeworker_test.go
@@ -97,9 +97,32 @@
 		length, cause := m.outcome(order.Run)
 		m.schedule(length, func() { f.endRun(m, run, cause) })
 	}
+	f.scheduleCrash(m, run)
 	return result
 }
 
+// scheduleCrash crashes the worker some time after the start of a run whose task does so, unless the run has ended before.
+func (f *fakeWorker) scheduleCrash(m *clusterModel, run *fakeRun) {
+	task := run.id.Task
+	age, crashes := m.crashingTasks[task]
+	if !crashes {
+		return
+	}
+	if m.crashes[task] >= maxTaskCrashes {
+		m.startsAfterCrashes[task]++
+		if m.startsAfterCrashes[task] > maxStartsAfterCrashes {
+			m.reportViolation("task %v starts %d times after %d workers had crashed under it: %v", task, m.startsAfterCrashes[task], m.crashes[task], m.history[task])
+		}
+	}
+	m.schedule(age, func() {
+		if !run.terminated {
+			m.crashes[task]++
+			m.crash(f.listed.ID, false)
+			m.schedule(workerReplacementTime, func() { m.replaceWorker(f.listed.ID) })
+		}
+	})
+}
+
 func (m *clusterModel) reportViolation(format string, args ...any) {
 	m.violations = append(m.violations, fmt.Sprintf("at %s: ", m.now-time.Hour)+fmt.Sprintf(format, args...))
 }
@@ -222,6 +245,34 @@
 	})
 }
 
+// replaceWorker removes a crashed worker; another one with a new id takes its address.
+func (m *clusterModel) replaceWorker(id wigeonstep.WorkerID) {
+	old := m.workers[id]
+	if old == nil || !old.down {
+		return
+	}
+	delete(m.workers, id)
+	m.replacements++
+	next := m.addWorker(wigeonstep.WorkerID(fmt.Sprintf("x%02d", m.replacements)), old.listed.Rack)
+	next.startedAt = m.now
+	next.listed.Address = old.listed.Address
+	m.listed = slices.DeleteFunc(m.listed, func(l wigeonstep.ListedWorker) bool { return l.ID == id || l.ID == next.listed.ID })
+	m.listed = append(m.listed, next.listed)
+	for _, o := range m.owners {
+		m.deliver(o, func() { o.SetWorkers(m.eventTime(), m.listed) })
+	}
+}
+
+// workerAt returns the worker that answers at an address, or nil.
+func (m *clusterModel) workerAt(address string) *fakeWorker {
+	for _, f := range m.workers {
+		if f.listed.Address == address && !f.down {
+			return f
+		}
+	}
+	return nil
+}
+
 func (f *fakeWorker) crash(m *clusterModel) {
 	for _, r := range f.sortedRuns() {
 		r.terminated = true
