Give up tasks that crash their workers, and start suspected ones alone

Cause: only ends that a worker lists were counted against a task; a run lost with its worker counted for nothing, and its copy started before the first crash was judged.

The owner now counts the loss of a worker against the runs that may have caused it: the youngest at the moment at which the connection closed, and those whose starts were not answered. The count is in the progress record, so it outlives the owner. A suspected task gets no copy and starts alone, on a worker where nothing else is young; one that survives is cleared, one under which a second worker crashes is given up, and the others that were lost beside it are cleared as well. Unconfirmed losses weigh less, and a worker that answers again takes them back. A job that is given up keeps the cause in its record.

--- a/errors.go
+++ b/errors.go
@@ -11,6 +11,9 @@
 	ErrUnavailable = errors.New("peer is not available")
 	// ErrAnswerLost means that the answer to a call did not arrive. The call may have taken effect.
 	ErrAnswerLost = errors.New("the answer was lost; the call may have taken effect")
+	// ErrConnectionClosed means that the peer closed or refused the connection of a call. It comes together with ErrUnavailable
+	// or ErrAnswerLost, which say whether the call may have taken effect.
+	ErrConnectionClosed = errors.New("the peer closed the connection")
 	// ErrCompacted means that the log no longer holds the records at the requested offset.
 	ErrCompacted = errors.New("the log no longer holds the offset")
 	// ErrRejected means that the peer rejected the call. The call had no effect.
--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/wigeonstep/wigeonstep"
 )
@@ -50,6 +51,21 @@
 type LiveRun struct {
 	Number wigeonstep.RunNumber
 	Worker wigeonstep.WorkerID
+	// PlannedAt is 0 in records of processes that did not write it.
+	PlannedAt wigeonstep.UnixMillis
+}
+
+// WorkerCrash is the loss of a worker with a run of a task that may have crashed it.
+type WorkerCrash struct {
+	Run    wigeonstep.RunNumber
+	Worker wigeonstep.WorkerID
+	// RunAge is the time for which the run had been started when the worker was found not to answer; 0 if it is unknown.
+	RunAge time.Duration
+	// Confirmed is set if the worker's process is known to have ended. Otherwise it may only have been unreachable.
+	Confirmed bool
+	// Likely is set if the run was among those that most likely crashed the worker, Sole if no run of another task was.
+	Likely bool
+	Sole   bool
 }
 
 // TaskProgress is the progress of a task for which a run was ever planned.
@@ -66,6 +82,9 @@
 	// LostRuns holds runs that were given up when their leases had ended, and whose own end is not known. A worker that was
 	// cut off may still report that such a run failed, and the failure counts.
 	LostRuns []wigeonstep.RunNumber
+	// Crashes holds the newest crashes of workers under runs of the task, the oldest first, since a run last survived for so
+	// long that they count no more. A gang counts them at its first task.
+	Crashes []WorkerCrash
 }
 
 // Progress is the durable progress of a job. It is appended to the log before the start orders of its runs are sent.
@@ -73,6 +92,8 @@
 	State State
 	// Ended is 0 until the state is terminal.
 	Ended wigeonstep.UnixMillis
+	// Cause says why the job failed; empty in other states.
+	Cause string
 	// Finished lists the numbers of the occurrences whose tasks are all done; empty once the state is terminal.
 	Finished []int
 	// Tasks lists the progress of tasks in other occurrences; empty once the state is terminal.
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -120,7 +120,7 @@
 
 // EncodeProgress returns the record of a job's progress.
 func EncodeProgress(p *Progress) ([]byte, error) {
-	r := &wigeonwire.ProgressRecord{State: wigeonwire.ProgressState(p.State), EndedUnixMs: int64(p.Ended)}
+	r := &wigeonwire.ProgressRecord{State: wigeonwire.ProgressState(p.State), EndedUnixMs: int64(p.Ended), Cause: p.Cause}
 	for _, k := range p.Finished {
 		r.Finished = append(r.Finished, uint32(k))
 	}
@@ -136,23 +136,39 @@
 			Checkpoint: string(t.Checkpoint),
 		}
 		for _, run := range t.Runs {
-			task.Runs = append(task.Runs, &wigeonwire.RunProgress{Run: uint32(run.Number), Worker: string(run.Worker)})
+			task.Runs = append(task.Runs, &wigeonwire.RunProgress{Run: uint32(run.Number), Worker: string(run.Worker), PlannedUnixMs: int64(run.PlannedAt)})
 		}
 		for _, number := range t.LostRuns {
 			task.LostRuns = append(task.LostRuns, uint32(number))
 		}
+		for _, c := range t.Crashes {
+			task.Crashes = append(task.Crashes, encodeCrash(c))
+		}
 		r.Tasks = append(r.Tasks, task)
 	}
 	return encode(r)
 }
 
+func encodeCrash(c WorkerCrash) *wigeonwire.WorkerCrash {
+	return &wigeonwire.WorkerCrash{
+		Run: uint32(c.Run), Worker: string(c.Worker), RunAgeMs: c.RunAge.Milliseconds(), Confirmed: c.Confirmed, Likely: c.Likely, Sole: c.Sole,
+	}
+}
+
+func decodeCrash(r *wigeonwire.WorkerCrash) WorkerCrash {
+	return WorkerCrash{
+		Run: wigeonstep.RunNumber(r.GetRun()), Worker: wigeonstep.WorkerID(r.GetWorker()), RunAge: milliseconds(r.GetRunAgeMs()),
+		Confirmed: r.GetConfirmed(), Likely: r.GetLikely(), Sole: r.GetSole(),
+	}
+}
+
 // DecodeProgress decodes the record of a job's progress.
 func DecodeProgress(value []byte) (*Progress, error) {
 	var r wigeonwire.ProgressRecord
 	if err := proto.Unmarshal(value, &r); err != nil {
 		return nil, fmt.Errorf("decode record of a job's progress: %w", err)
 	}
-	p := &Progress{State: State(r.GetState()), Ended: wigeonstep.UnixMillis(r.GetEndedUnixMs())}
+	p := &Progress{State: State(r.GetState()), Ended: wigeonstep.UnixMillis(r.GetEndedUnixMs()), Cause: r.GetCause()}
 	for _, k := range r.GetFinished() {
 		p.Finished = append(p.Finished, int(k))
 	}
@@ -167,11 +183,14 @@
 			Checkpoint: wigeonstep.Checkpoint(t.GetCheckpoint()),
 		}
 		for _, run := range t.GetRuns() {
-			task.Runs = append(task.Runs, LiveRun{Number: wigeonstep.RunNumber(run.GetRun()), Worker: wigeonstep.WorkerID(run.GetWorker())})
+			task.Runs = append(task.Runs, LiveRun{Number: wigeonstep.RunNumber(run.GetRun()), Worker: wigeonstep.WorkerID(run.GetWorker()), PlannedAt: wigeonstep.UnixMillis(run.GetPlannedUnixMs())})
 		}
 		for _, number := range t.GetLostRuns() {
 			task.LostRuns = append(task.LostRuns, wigeonstep.RunNumber(number))
 		}
+		for _, c := range t.GetCrashes() {
+			task.Crashes = append(task.Crashes, decodeCrash(c))
+		}
 		p.Tasks = append(p.Tasks, task)
 	}
 	return p, nil
--- a/wigeonshard/chooseworker.go
+++ b/wigeonshard/chooseworker.go
@@ -31,7 +31,7 @@
 	var best *worker
 	var bestScore score
 	for _, w := range pool {
-		if !w.free().Covers(reserved) || w.Service != s.job.Service || t.runsOn(w) {
+		if w.isolation != nil || !w.free().Covers(reserved) || w.Service != s.job.Service || t.runsOn(w) {
 			continue
 		}
 		if s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
--- /dev/null
+++ b/wigeonshard/crash.go
@@ -0,0 +1,241 @@
+package wigeonshard
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+)
+
+const (
+	// promptCrashAge is the age up to which a run counts as a likely cause of the crash of its worker.
+	promptCrashAge = time.Second
+	// suspectAgeFactor and suspectAgeMargin bound the age of the likely causes of a crash from the age of the youngest run.
+	suspectAgeFactor = 2
+	suspectAgeMargin = 50 * time.Millisecond
+	// noticeDelay is the time within which an owner that is not paused handles the end of a connection.
+	noticeDelay = 50 * time.Millisecond
+)
+
+// workerLoss is what an owner knows of the moment at which a worker stopped answering. The zero value is a worker that answers.
+type workerLoss struct {
+	// noticedAt is the time of the first heartbeat without an answer since the worker last answered.
+	noticedAt time.Duration
+	// earliest is a time at which the worker's process was certainly up.
+	earliest time.Duration
+}
+
+// recordLoss stores the moment at which the worker stopped answering. The end of its connection gives it precisely, unless the
+// owner was paused and handles it late; otherwise the worker may have been down since its last answer.
+func (o *Owner) recordLoss(now Timestamp, w *worker, connectionClosed bool) {
+	w.loss = workerLoss{noticedAt: now.Steady, earliest: w.seenAt}
+	if connectionClosed {
+		w.loss.earliest = max(w.seenAt, o.lastStep-noticeDelay)
+	}
+}
+
+// processEnded counts the end of the worker's process against the runs that may have caused it. Nothing is counted for a worker
+// that was about to leave. confirmed is set if the process has certainly ended.
+func (o *Owner) processEnded(now Timestamp, w *worker, confirmed bool) {
+	if w.Draining || w.released {
+		return
+	}
+	var lost []*run
+	for _, r := range w.runs {
+		if !r.unsent() && !r.crashCounted {
+			lost = append(lost, r)
+		}
+	}
+	if len(lost) == 0 {
+		return
+	}
+	suspects, sole := likelyCauses(w, lost)
+	cause := fmt.Sprintf("it ended with %d runs, of which %d may have crashed it", len(lost), len(suspects))
+	if !confirmed {
+		cause = fmt.Sprintf("it was lost with %d runs, of which %d may have crashed it", len(lost), len(suspects))
+	}
+	o.recordWorkerDecision("worker_crashed", w, cause)
+	var counted []*task
+	for _, r := range lost {
+		r.crashCounted = true
+		likely := slices.Contains(suspects, r)
+		t := r.task.counter()
+		if sole && !likely || slices.Contains(counted, t) || t.done {
+			continue
+		}
+		counted = append(counted, t)
+		crash := wigeonjob.WorkerCrash{Run: r.number, Worker: w.ID, RunAge: r.ageWhenLost(), Confirmed: confirmed, Likely: likely, Sole: sole}
+		if likely {
+			o.recordRunDecision("crash_suspected", r, "its worker crashed", 0)
+		}
+		o.setCrashes(t, append(slices.Clone(t.crashes), crash))
+		o.crashedTasks[w.ID] = append(o.crashedTasks[w.ID], t)
+	}
+	for _, t := range counted {
+		o.judge(now, t)
+	}
+}
+
+// likelyCauses returns those of the lost runs that most likely crashed their worker; sole is set if they belong to one task or
+// gang. An isolated run on the worker is the only likely cause. Otherwise the likely causes are the youngest runs, and those whose
+// starts were not answered.
+func likelyCauses(w *worker, lost []*run) (likely []*run, sole bool) {
+	earliest := w.loss.earliest
+	for _, r := range lost {
+		if r.isolated() {
+			return []*run{r}, true
+		}
+		earliest = max(earliest, r.begunAt())
+	}
+	age := func(r *run) time.Duration {
+		if r.phase != runAccepted && !r.inherited {
+			return 0
+		}
+		return earliest - r.begunAt()
+	}
+	youngest := age(lost[0])
+	for _, r := range lost {
+		youngest = min(youngest, age(r))
+	}
+	for _, r := range lost {
+		if a := age(r); a <= promptCrashAge && a <= suspectAgeFactor*youngest+suspectAgeMargin {
+			likely = append(likely, r)
+		}
+	}
+	for _, r := range likely {
+		if r.task.counter() != likely[0].task.counter() {
+			return likely, false
+		}
+	}
+	return likely, len(likely) > 0
+}
+
+// counter returns the task that counts failures and crashes: the first one of a gang, or the task itself.
+func (t *task) counter() *task {
+	if t.step.Gang {
+		return t.step.tasks[0]
+	}
+	return t
+}
+
+// suspected reports whether the task should only run isolated.
+func (t *task) suspected() bool {
+	return t.counter().crashes.suspicious()
+}
+
+// setCrashes replaces the crash history of a task.
+func (o *Owner) setCrashes(t *task, h crashHistory) {
+	if t.crashes.suspicious() {
+		t.step.suspects--
+	}
+	t.crashes = h
+	if h.suspicious() {
+		t.step.suspects++
+	}
+	o.markDirty(t.step.job)
+}
+
+// judge gives the job up when its task has crashed enough workers. Otherwise it withdraws the runs of a suspected task that have
+// not been sent, such as a copy, so that the task starts isolated.
+func (o *Owner) judge(now Timestamp, t *task) {
+	j := t.step.job
+	switch {
+	case j.state.Terminal() || t.done:
+	case t.crashes.conclusive():
+		j.cause = fmt.Sprintf("task %d.%d.%d crashed its workers: %s", t.id.Occurrence, t.id.Step, t.id.Index, t.crashes)
+		o.recordJobDecision("job_given_up", j, j.cause, now.Steady-j.acceptedAt)
+		o.clearOthers(t)
+		o.stopJob(now, j)
+		o.setFinalState(j, wigeonjob.StateFailed)
+	case t.suspected():
+		o.withdrawUnsent(now, t)
+	}
+}
+
+// clearOthers lifts the suspicion from the other tasks that were lost with the workers that the task has crashed.
+func (o *Owner) clearOthers(culprit *task) {
+	for _, c := range culprit.crashes {
+		for _, t := range o.crashedTasks[c.Worker] {
+			if t != culprit {
+				o.setCrashes(t, t.crashes.explained(c.Worker))
+			}
+		}
+	}
+}
+
+// withdrawUnsent ends the runs of a task, or of a gang, whose starts have not been sent.
+func (o *Owner) withdrawUnsent(now Timestamp, t *task) {
+	members := []*task{t}
+	if t.step.Gang {
+		members = t.step.tasks
+	}
+	for _, member := range members {
+		member.needsCopy = false
+		for _, r := range slices.Clone(member.runs) {
+			if r.phase == runPlanned || r.phase == runDurable {
+				o.endUnstartedRun(now, r)
+			}
+		}
+	}
+}
+
+// confirmCrash marks the crashes of a worker as confirmed, after its process has certainly ended.
+func (o *Owner) confirmCrash(now Timestamp, id wigeonstep.WorkerID) {
+	for _, t := range o.crashedTasks[id] {
+		if h, changed := t.crashes.confirmed(id); changed {
+			o.setCrashes(t, h)
+			o.judge(now, t)
+		}
+	}
+}
+
+// disproveCrash removes the unconfirmed crashes of a worker whose process has answered again.
+func (o *Owner) disproveCrash(id wigeonstep.WorkerID) {
+	for _, t := range o.crashedTasks[id] {
+		if h := t.crashes.without(id); len(h) < len(t.crashes) {
+			o.setCrashes(t, h)
+		}
+	}
+}
+
+// checkSurvival clears the crash history of a task once a run of it, or each run of a gang, has outlived the crashes.
+func (o *Owner) checkSurvival(r *run) {
+	t := r.task.counter()
+	if len(t.crashes) == 0 {
+		return
+	}
+	members := []*task{r.task}
+	if t.step.Gang {
+		members = t.step.tasks
+	}
+	for _, member := range members {
+		if !slices.ContainsFunc(member.runs, func(r *run) bool { return r.survived(t.crashes.survivalAge()) }) {
+			return
+		}
+	}
+	o.recordRunDecision("suspicion_cleared", r, "it has outlived the crashes under earlier runs", r.worker.seenAt-r.startKnownAt)
+	o.setCrashes(t, nil)
+	o.dropIsolation(r.task)
+}
+
+// survived reports whether the run was reported to run at the age.
+func (r *run) survived(age time.Duration) bool {
+	return r.phase == runAccepted && r.worker.seenAt-r.startKnownAt >= age
+}
+
+// likelyCauses returns the runs that most likely crashed the worker if it has crashed.
+func (w *worker) likelyCauses() []*run {
+	var lost []*run
+	for _, r := range w.runs {
+		if !r.unsent() {
+			lost = append(lost, r)
+		}
+	}
+	if len(lost) == 0 {
+		return nil
+	}
+	likely, _ := likelyCauses(w, lost)
+	return likely
+}
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -68,7 +68,7 @@
 		if j.state.Terminal() && j.ended == 0 {
 			j.ended = now.Wall
 		}
-		value, runs := o.encodeProgress(j)
+		value, runs := o.encodeProgress(now, j)
 		size += len(value)
 		records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindProgress, j.ID), Value: value})
 		f.jobs = append(f.jobs, flushedJob{job: j, state: j.state})
@@ -111,8 +111,8 @@
 }
 
 // encodeProgress returns the record of a job's progress and the planned runs that the record makes durable.
-func (o *Owner) encodeProgress(j *job) ([]byte, []*run) {
-	p := wigeonjob.Progress{State: j.state, Ended: j.ended}
+func (o *Owner) encodeProgress(now Timestamp, j *job) ([]byte, []*run) {
+	p := wigeonjob.Progress{State: j.state, Ended: j.ended, Cause: j.cause}
 	var planned []*run
 	if !j.state.Terminal() {
 		p.Finished = j.finished
@@ -122,7 +122,7 @@
 			for _, t := range s.tasks {
 				for _, r := range t.runs {
 					if r.phase == runPlanned {
-						r.phase = runWriting
+						r.phase, r.plannedWall = runWriting, now.Wall
 						planned = append(planned, r)
 					}
 				}
@@ -153,10 +153,10 @@
 		p.Checkpoint = t.checkpoint
 	}
 	if !t.done {
-		p.LostRuns = t.lostRuns
+		p.LostRuns, p.Crashes = t.lostRuns, t.crashes
 	}
 	for _, r := range t.runs {
-		p.Runs = append(p.Runs, wigeonjob.LiveRun{Number: r.number, Worker: r.worker.ID})
+		p.Runs = append(p.Runs, wigeonjob.LiveRun{Number: r.number, Worker: r.worker.ID, PlannedAt: r.plannedWall})
 	}
 	return p
 }
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -70,7 +70,7 @@
 	for _, w := range o.sortedWorkers {
 		if w.pendingHeartbeat != 0 && !w.overdue && now.Steady-w.heartbeatSentAt > w.pendingWait+w.answerTimeout() {
 			w.overdue = true
-			o.heartbeatFailed(now, w, "its answer to a heartbeat is overdue")
+			o.heartbeatFailed(now, w, errOverdue)
 		}
 	}
 }
@@ -118,7 +118,7 @@
 		o.workerReplaced(now, w)
 		return
 	case err != nil && !late:
-		o.heartbeatFailed(now, w, err.Error())
+		o.heartbeatFailed(now, w, err)
 		return
 	case err != nil:
 		return
@@ -132,8 +132,11 @@
 	w.appliedHeartbeat, w.appliedSentAt = sent.Number, sent.SentAt
 	w.recordDelay(late)
 	w.ackedEnd = max(w.ackedEnd, sent.Request.AckedEnd)
-	if w.processStartedAt != 0 && result.StartedAt != 0 && result.StartedAt != w.processStartedAt {
+	switch restarted := w.processStartedAt != 0 && result.StartedAt != 0 && result.StartedAt != w.processStartedAt; {
+	case restarted:
 		o.workerRestarted(now, w, result)
+	case w.processStartedAt != 0 && w.processStartedAt == result.StartedAt:
+		o.disproveCrash(w.ID)
 	}
 	if result.StartedAt != 0 {
 		w.processStartedAt = result.StartedAt
@@ -164,25 +167,36 @@
 	o.checkProgress(now, w)
 }
 
+var errOverdue = errors.New("its answer to a heartbeat is overdue")
+
 // heartbeatFailed counts a heartbeat without an answer: no run is started on the worker and its lease is not renewed until it
 // answers again.
-func (o *Owner) heartbeatFailed(now Timestamp, w *worker, cause string) {
-	w.recordFailure(now.Steady)
-	if w.failures == 1 {
-		o.out.Decisions = append(o.out.Decisions, Decision{Event: "worker_lost", Cause: cause, Worker: w.ID, Runs: len(w.runs), RunAge: w.youngestRunAge()})
+func (o *Owner) heartbeatFailed(now Timestamp, w *worker, err error) {
+	if w.failures == 0 {
+		o.recordLoss(now, w, errors.Is(err, wigeonstep.ErrConnectionClosed))
+		o.out.Decisions = append(o.out.Decisions, Decision{Event: "worker_lost", Cause: err.Error(), Worker: w.ID, Runs: len(w.runs), RunAge: w.youngestRunAge()})
 	}
+	w.failures++
 	if w.leasesEndWall == 0 {
 		// A later owner reads this time from the owner record, and does not start the wait for the leases anew.
 		w.leasesEndWall = w.leasesEndAt(now)
 		o.ownerRecordOutdated = o.ownerRecordOutdated || len(w.runs) > 0
 	}
+	o.planCopies(now, w)
+	w.nextHeartbeatAt = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHeartbeatRetryDelay)
+}
+
+// planCopies lets a second run of each speculative task on a worker that does not answer start elsewhere, except for tasks that may
+// have crashed the worker.
+func (o *Owner) planCopies(now Timestamp, w *worker) {
+	suspects := w.likelyCauses()
 	for _, r := range w.runs {
-		if r.task.step.Speculative && len(r.task.runs) == 1 && !r.task.needsCopy {
-			r.task.needsCopy = true
+		t := r.task
+		if t.step.Speculative && len(t.runs) == 1 && !t.needsCopy && !t.suspected() && !slices.Contains(suspects, r) {
+			t.needsCopy = true
 			o.recordRunDecision("copy_planned", r, "its worker does not answer", now.Steady-r.reportedAt)
 		}
 	}
-	w.nextHeartbeatAt = now.Steady + min(startRetryDelay<<min(w.failures, 4), maxHeartbeatRetryDelay)
 }
 
 // applyOutdatedAnswer applies the ended runs in an answer that is older than the last one applied, if it comes from the current
@@ -327,6 +341,7 @@
 		r.progressedAt = now.Steady
 	}
 	r.progressPercent, r.tailLatency, r.cpu, r.reportedAt = report.ProgressPercent, report.TailLatency, report.CPU, now.Steady
+	o.checkSurvival(r)
 }
 
 const (
--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -117,17 +117,17 @@
 
 // needsRoom reports whether the task has no run, can be placed now and has no room kept for it.
 func (t *task) needsRoom(now time.Duration) bool {
-	return !t.done && len(t.runs) == 0 && t.hold == nil && now >= t.retryAt
+	return !t.done && len(t.runs) == 0 && t.hold == nil && now >= t.retryAt && !t.suspected()
 }
 
 // placeHeldTasks plans runs for the waiting tasks of a step whose kept room is free, and returns their number.
 func (o *Owner) placeHeldTasks(now Timestamp, s *step, pool []*worker) int {
 	planned := 0
 	for _, t := range s.tasks {
-		if t.hold == nil || !t.needsRun() || now.Steady < t.retryAt {
+		if t.hold == nil || !t.needsRun() || now.Steady < t.retryAt || t.suspected() {
 			continue
 		}
-		if w := t.hold.worker; slices.Contains(pool, w) && t.hold.roomFree() {
+		if w := t.hold.worker; slices.Contains(pool, w) && w.isolation == nil && t.hold.roomFree() {
 			o.planRun(t, w, t.lastRun+1)
 			planned++
 		}
--- /dev/null
+++ b/wigeonshard/isolation.go
@@ -0,0 +1,169 @@
+package wigeonshard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+const (
+	// maxIsolatedShare limits the workers of a service that are kept for suspected tasks at once to one in maxIsolatedShare, but
+	// allows at least one.
+	maxIsolatedShare = 2
+	// survivalCheckInterval is the time between two requests for a report about an isolated run that may have outlived the
+	// crashes under its task.
+	survivalCheckInterval = 50 * time.Millisecond
+)
+
+// isolation keeps a worker for one suspected task: no other run starts there from the reservation of the worker until the run has
+// ended or outlived the earlier crashes. A crash in between is put down to the task.
+type isolation struct {
+	task   *task
+	worker *worker
+	// run is nil until the run is planned.
+	run *run
+	// nextCheckAt is the earliest time of the next request for a report about the run.
+	nextCheckAt time.Duration
+}
+
+// isolated reports whether the worker of the run is kept for it.
+func (r *run) isolated() bool {
+	return r.task.isolation != nil && r.task.isolation.run == r
+}
+
+// placeSuspects plans isolated runs for the suspected tasks of a step. done is set if nothing else of the step is to be placed: the
+// tasks of a gang run together, and the other finite tasks are of use only if the suspected ones succeed.
+func (o *Owner) placeSuspects(now Timestamp, s *step, pool []*worker) (planned int, done bool) {
+	if s.Gang {
+		return o.placeSuspectGang(now, s, pool), true
+	}
+	for _, t := range s.tasks {
+		if t.suspected() && t.needsRun() && now.Steady >= t.retryAt {
+			planned += o.placeSuspect(now, t, pool)
+		}
+	}
+	return planned, !s.LongRunning
+}
+
+// placeSuspect plans an isolated run of a suspected task, and returns the number of planned runs. It first keeps a worker for the
+// task, and waits until its youngest run is old enough.
+func (o *Owner) placeSuspect(now Timestamp, t *task, pool []*worker) int {
+	s := t.step
+	if t.isolation == nil {
+		if !o.mayIsolate(s) {
+			return 0
+		}
+		w := s.chooseIsolated(now.Steady, t, o.eligibleWorkers(now, s, pool))
+		if w == nil {
+			return 0
+		}
+		t.isolation = &isolation{task: t, worker: w}
+		w.isolation = t.isolation
+		o.isolations = append(o.isolations, t.isolation)
+	}
+	i := t.isolation
+	if i.run != nil || !i.worker.quiet(now.Steady, t.counter().crashes.survivalAge()) || !i.worker.free().Covers(s.Reserved()) {
+		return 0
+	}
+	o.planRun(t, i.worker, t.lastRun+1)
+	i.run = t.runs[len(t.runs)-1]
+	o.recordRunDecision("run_isolated", i.run, t.counter().crashes.String(), 0)
+	return 1
+}
+
+// mayIsolate reports whether a worker may be kept for a task of the step: none is kept for another task of its job, and there
+// are fewer than one in maxIsolatedShare of the workers of its service.
+func (o *Owner) mayIsolate(s *step) bool {
+	kept, usable := 0, 0
+	for _, i := range o.isolations {
+		if i.task.step.job == s.job {
+			return false
+		}
+		if i.task.step.job.Service == s.job.Service {
+			kept++
+		}
+	}
+	for _, w := range o.sortedWorkers {
+		if w.Service == s.job.Service && w.usable() {
+			usable++
+		}
+	}
+	return kept < max(usable/maxIsolatedShare, 1)
+}
+
+// chooseIsolated returns the worker of the pool whose crash would do the least harm, of those that have room for the task now or
+// once their finite runs have ended; nil if there is none.
+func (s *step) chooseIsolated(now time.Duration, t *task, pool []*worker) *worker {
+	type harm struct{ waits, longRunning, runs int }
+	var best *worker
+	var least harm
+	for _, w := range pool {
+		if w.Service != s.job.Service || w.isolation != nil || t.runsOn(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
+			continue
+		}
+		wait, ok := w.timeUntilRoom(now, s.Reserved())
+		if !ok {
+			continue
+		}
+		h := harm{runs: len(w.runs)}
+		if wait > 0 {
+			h.waits = 1
+		}
+		for _, r := range w.runs {
+			if r.task.step.LongRunning {
+				h.longRunning++
+			}
+		}
+		if best == nil || cmp.Or(cmp.Compare(h.waits, least.waits), cmp.Compare(h.longRunning, least.longRunning), cmp.Compare(h.runs, least.runs)) < 0 {
+			best, least = w, h
+		}
+	}
+	return best
+}
+
+// quiet reports whether each run on the worker has been running for at least the age.
+func (w *worker) quiet(now, age time.Duration) bool {
+	return !slices.ContainsFunc(w.runs, func(r *run) bool { return r.phase != runAccepted || now-r.startKnownAt < age })
+}
+
+// dropIsolation gives back the worker that is kept for the task, if any.
+func (o *Owner) dropIsolation(t *task) {
+	if t.isolation == nil {
+		return
+	}
+	o.isolations = slices.DeleteFunc(o.isolations, func(i *isolation) bool { return i == t.isolation })
+	t.isolation.worker.isolation = nil
+	t.isolation = nil
+	o.placementDue = true
+}
+
+// checkIsolations gives back the workers that can't be used for their tasks any more, and asks for reports about the isolated
+// runs that may have outlived the crashes under their tasks.
+func (o *Owner) checkIsolations(now Timestamp) {
+	for _, i := range slices.Clone(o.isolations) {
+		t := i.task
+		switch {
+		case i.run == nil && (!i.worker.usable() || !t.needsRun() || !t.suspected() || t.step.job.state.Terminal()):
+			o.dropIsolation(t)
+		case i.run != nil && i.run.phase == runAccepted && now.Steady >= i.nextCheckAt && now.Steady-i.run.startKnownAt >= t.counter().crashes.survivalAge():
+			i.worker.askAtOnce = true
+			i.nextCheckAt = now.Steady + survivalCheckInterval
+		}
+	}
+}
+
+// placeSuspectGang plans the runs of a suspected gang on workers whose runs are old enough, so that a crash is put down to the
+// gang.
+func (o *Owner) placeSuspectGang(now Timestamp, s *step, pool []*worker) int {
+	age := s.tasks[0].crashes.survivalAge()
+	quiet := slices.DeleteFunc(slices.Clone(pool), func(w *worker) bool { return !w.quiet(now.Steady, age) })
+	planned := o.placeGang(s, quiet)
+	if planned > 0 {
+		o.out.Decisions = append(o.out.Decisions, Decision{
+			Event: "run_isolated", Cause: s.tasks[0].crashes.String(), Run: wigeonstep.RunID{Task: s.tasks[0].id, Number: s.tasks[0].lastRun},
+		})
+	}
+	return planned
+}
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -47,13 +47,32 @@
 	t := o.ensureOccurrence(now, j, p.Occurrence).steps[p.Step].tasks[p.Index]
 	t.lastRun, t.failures, t.done, t.checkpoint = p.LastRun, p.Failures, p.Done, p.Checkpoint
 	t.lostRuns = slices.Clone(p.LostRuns)
+	o.restoreCrashes(t, p.Crashes)
 	for _, live := range p.Runs {
 		w := o.ensureWorker(now, live.Worker)
-		r := &run{task: t, number: live.Number, worker: w, phase: runUnknown, inherited: true, speed: restoredSpeed, sentSpeed: -1, reportedAt: now.Steady, startSentAt: now.Steady, progressedAt: now.Steady}
+		r := &run{
+			task: t, number: live.Number, worker: w, phase: runUnknown, speed: restoredSpeed, sentSpeed: -1,
+			inherited: true, plannedWall: live.PlannedAt, plannedAt: now.Steady,
+			reportedAt: now.Steady, startSentAt: now.Steady, progressedAt: now.Steady,
+		}
+		if live.PlannedAt != 0 {
+			r.plannedAt -= time.Duration(now.Wall-live.PlannedAt) * time.Millisecond
+		}
 		o.attach(r)
 	}
 }
 
+// restoreCrashes sets the crash history that earlier owners recorded.
+func (o *Owner) restoreCrashes(t *task, recorded []wigeonjob.WorkerCrash) {
+	t.crashes = slices.Clone(recorded)
+	if t.crashes.suspicious() {
+		t.step.suspects++
+	}
+	for _, c := range recorded {
+		o.crashedTasks[c.Worker] = append(o.crashedTasks[c.Worker], t)
+	}
+}
+
 // attach adds a run to its task and its worker, and to their counters.
 func (o *Owner) attach(r *run) {
 	r.task.runs = append(r.task.runs, r)
@@ -200,6 +219,9 @@
 	s := t.step
 	j := s.job
 	o.detach(r)
+	if r.isolated() {
+		o.dropIsolation(t)
+	}
 	r.phase = runEnded
 	t.waitingSince = now.Steady
 	if checkpoint != "" {
@@ -230,6 +252,7 @@
 			continue
 		}
 		member.done = true
+		o.setCrashes(member, nil)
 		s.tasksLeft--
 		if s.Gang {
 			o.endMemberRuns(now, member)
@@ -265,11 +288,7 @@
 // countFailure counts a failed run of a task, and ends the job when the task has failed as often as its queue allows.
 func (o *Owner) countFailure(now Timestamp, t *task, run wigeonstep.RunID) {
 	s := t.step
-	// A gang counts its failures at its first member.
-	counted := t
-	if s.Gang {
-		counted = s.tasks[0]
-	}
+	counted := t.counter()
 	counted.failures++
 	if s.LongRunning || t.done {
 		return
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -40,6 +40,8 @@
 	acceptedAt time.Duration
 	// liveRuns counts the runs of all tasks.
 	liveRuns int
+	// cause says why the job failed; empty in other states.
+	cause string
 	// startRecorded is set once this owner has sent a start of the job, so that job_started is logged once.
 	startRecorded bool
 }
@@ -62,6 +64,8 @@
 	tasksLeft int
 	// liveRuns counts the runs of all tasks of the step.
 	liveRuns int
+	// suspects counts the tasks whose crash history is suspicious.
+	suspects int
 	// advice is nil until the step is first considered for placement on a queue with advice.
 	advice *adviceState
 }
@@ -79,6 +83,10 @@
 	hold *roomHold
 	// lostRuns holds the newest runs that were given up without a known end, at most maxLostRuns.
 	lostRuns []wigeonstep.RunNumber
+	// crashes holds the crashes of workers under the runs of the task; for a gang, those of all its tasks at the first one.
+	crashes crashHistory
+	// isolation is set while a worker is kept for the task.
+	isolation *isolation
 	// avoidWorker is the worker on which the task last failed, stalled or was slow; it is chosen only when no other worker
 	// fits.
 	avoidWorker wigeonstep.WorkerID
@@ -94,7 +102,7 @@
 
 // needsRun reports whether the task has to be placed: it has no run, or one run and needs a copy.
 func (t *task) needsRun() bool {
-	return !t.done && (len(t.runs) == 0 || t.needsCopy && len(t.runs) == 1)
+	return !t.done && (len(t.runs) == 0 || t.needsCopy && len(t.runs) == 1 && !t.suspected())
 }
 
 // runPhase is the progress of a run from its plan to its end.
@@ -144,6 +152,12 @@
 	startSentAt time.Duration
 	// inherited is set for runs of an earlier owner.
 	inherited bool
+	// plannedWall is the time at which the record of the run was first written, plannedAt the same time on this process's steady
+	// clock for an inherited run.
+	plannedWall wigeonstep.UnixMillis
+	plannedAt   time.Duration
+	// crashCounted is set once the end of the worker's process was counted against the run, or found not to be its fault.
+	crashCounted bool
 	// progressPercent, tailLatency and cpu are from the newest report of the worker, which arrived at
 	// reportedAt.
 	progressPercent int
@@ -169,13 +183,22 @@
 	return wigeonstep.RunID{Task: r.task.id, Number: r.number}
 }
 
+// begunAt returns the latest time at which an accepted run may have begun. For a run of an earlier owner it is the time at which
+// that owner planned it, by the clocks of both, and so comparable only with other such runs.
+func (r *run) begunAt() time.Duration {
+	if r.inherited {
+		return r.plannedAt
+	}
+	return r.startKnownAt
+}
+
 // ageWhenLost returns the time for which the run had been started when its worker was found not to answer; 0 if this owner has
 // not started it.
 func (r *run) ageWhenLost() time.Duration {
 	if r.unsent() || r.inherited {
 		return 0
 	}
-	return max(r.worker.lostAt-r.startSentAt, 0)
+	return max(r.worker.loss.noticedAt-r.startSentAt, 0)
 }
 
 // serving reports whether a long-running run is ready, not stopping, and on a worker that answers. The last report of a
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -163,13 +163,18 @@
 // address at which the worker has not answered this owner, the answer counts only after addressSettleTime: the worker may have
 // restarted elsewhere before its entry was read.
 func (o *Owner) workerReplaced(now Timestamp, w *worker) {
+	if w.failures == 0 {
+		o.recordLoss(now, w, false)
+	}
+	w.failures++
 	if w.addressConfirmed || now.Steady-w.addressSince >= addressSettleTime {
+		o.processEnded(now, w, true)
+		o.confirmCrash(now, w.ID)
 		o.endUnlistedRuns(now, w, nil, "another worker answers at the address")
 		o.stopUnansweredStarts(w, func(*run) bool { return false })
 	}
 	w.forgetProcess(now.Steady)
 	w.appliedHeartbeat = o.heartbeatCount
-	w.recordFailure(now.Steady)
 	w.nextHeartbeatAt = now.Steady + maxHeartbeatRetryDelay
 }
 
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -78,6 +78,12 @@
 	ownerRecordOutdated bool
 	// inheritedLapses holds the lapses in the record of the previous owner.
 	inheritedLapses map[wigeonstep.WorkerID]wigeonstep.UnixMillis
+	// lastStep is the time of the newest Step.
+	lastStep time.Duration
+	// isolations holds the workers that are kept for suspected tasks, in the order in which they were chosen.
+	isolations []*isolation
+	// crashedTasks holds the tasks whose crash history names a worker, or has done so.
+	crashedTasks map[wigeonstep.WorkerID][]*task
 	// flush is the state in the pending append; nil when none is pending.
 	flush *flush
 	// out collects the actions that the next Step returns.
@@ -103,6 +109,7 @@
 		released:        map[wigeonstep.WorkerID]bool{},
 		absentSince:     map[wigeonstep.WorkerID]time.Duration{},
 		arrivals:        map[wigeonstep.ServiceName]*arrivalRate{},
+		crashedTasks:    map[wigeonstep.WorkerID][]*task{},
 	}
 }
 
@@ -176,6 +183,9 @@
 			for _, h := range slices.Clone(w.held.holds) {
 				dropHold(h.task)
 			}
+			if w.isolation != nil {
+				o.dropIsolation(w.isolation.task)
+			}
 			delete(o.workers, w.ID)
 		}
 		return removable
@@ -252,6 +262,11 @@
 // also proves which runs have ended with the old process, except those whose starts were answered after the heartbeat was
 // sent: the new process may have them.
 func (o *Owner) workerRestarted(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
+	if w.failures == 0 {
+		o.recordLoss(now, w, false)
+	}
+	o.processEnded(now, w, true)
+	o.confirmCrash(now, w.ID)
 	o.stopUnansweredStarts(w, func(r *run) bool { return listsRun(result, r.id()) })
 	w.forgetProcess(now.Steady)
 	// Orders whose lease ends by the old process's clock may have reached the new one, which limits it to its longest lease.
@@ -279,6 +294,7 @@
 
 // markRunsLost removes all runs of a worker on which they have certainly ended.
 func (o *Owner) markRunsLost(now Timestamp, w *worker, cause string) {
+	o.processEnded(now, w, false)
 	for len(w.runs) > 0 {
 		r := w.runs[0]
 		r.task.lostRuns = append(r.task.lostRuns, r.number)
@@ -295,6 +311,7 @@
 		o.createAllDueOccurrences(now)
 		o.expireHeartbeats(now)
 		o.expireLeases(now)
+		o.checkIsolations(now)
 		o.releaseWorkers()
 		o.removeOldReleases(now)
 		o.placeTasks(now)
@@ -302,6 +319,7 @@
 		o.sendHeartbeats(now)
 		o.startFlush(now)
 	}
+	o.lastStep = now.Steady
 	out := o.out
 	o.out = Actions{}
 	return out
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -211,7 +211,7 @@
 	var usable, suspect []*worker
 	for _, w := range o.sortedWorkers {
 		switch {
-		case !w.usable():
+		case !w.usable(), w.isolation != nil:
 		case w.backoff.active(now.Steady):
 			suspect = append(suspect, w)
 		default:
@@ -228,6 +228,11 @@
 // placeStep plans runs for the waiting tasks of a step and returns their number.
 func (o *Owner) placeStep(now Timestamp, s *step, r *round) int {
 	reserved := s.Reserved()
+	if s.suspects > 0 {
+		if planned, done := o.placeSuspects(now, s, r.pool); done {
+			return planned
+		}
+	}
 	held := o.placeHeldTasks(now, s, r.pool)
 	if r.cannotFit(s.job.Service, reserved) {
 		return held
@@ -241,7 +246,7 @@
 	}
 	planned := held
 	for _, t := range s.tasks {
-		if !t.needsRun() || now.Steady < t.retryAt {
+		if !t.needsRun() || now.Steady < t.retryAt || t.suspected() {
 			continue
 		}
 		w := s.chooseWorker(t, pool, reserved)
--- a/wigeonshard/progress.go
+++ b/wigeonshard/progress.go
@@ -81,7 +81,7 @@
 			o.recordRunDecision("run_moved", r, "its worker is slow and its progress is saved", now.Steady-r.startSentAt)
 			r.stopping = true
 			r.task.avoidWorker = w.ID
-		case s.Speculative && len(r.task.runs) == 1 && o.otherWorkerAvailable(r):
+		case s.Speculative && len(r.task.runs) == 1 && !r.task.suspected() && o.otherWorkerAvailable(r):
 			r.task.avoidWorker = w.ID
 			r.task.needsCopy = true
 		}
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -65,9 +65,11 @@
 	// nextHeartbeatAt is the earliest time of the next heartbeat.
 	nextHeartbeatAt time.Duration
 	// failures counts the heartbeats without an answer, and the answers of another process at the worker's address, since
-	// the worker last answered a heartbeat. lostAt is the time of the first of them.
+	// the worker last answered a heartbeat. loss describes the first of them.
 	failures int
-	lostAt   time.Duration
+	loss     workerLoss
+	// isolation is set while the worker is kept for a suspected task.
+	isolation *isolation
 
 	// cordoned is the VM of a worker that has to be emptied for maintenance or a move; empty otherwise.
 	cordoned wigeonstep.VMID
@@ -235,14 +237,6 @@
 	}
 }
 
-// recordFailure counts a heartbeat that shows that the worker does not answer.
-func (w *worker) recordFailure(now time.Duration) {
-	if w.failures == 0 {
-		w.lostAt = now
-	}
-	w.failures++
-}
-
 // youngestRunAge returns the time for which the last started run had been started when the worker was found not to answer; 0
 // when it has no run that this owner has started.
 func (w *worker) youngestRunAge() time.Duration {
