Learn from the VM list that a lost worker has ended

Owners of shards now report the workers that do not answer to the owner of the fleet partition, which asks for a VM list at once. A worker that an earlier list had and a list requested after its loss does not have has ended: its runs end and their tasks start elsewhere. One that is still on its VM is only unreachable: nothing is counted against its tasks. A verdict names the loss it is about, so it never reaches the next process of the worker.

--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -63,7 +63,9 @@
 	shardDemands map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand
 	demands      map[wigeonstep.PoolName]wigeonbalance.Demand
 	released     map[uint32]map[wigeonstep.WorkerID]bool
-	lastPlan     time.Duration
+	// losses holds the lost workers that the shards report, and what the VM lists say of them.
+	losses   lossTracker
+	lastPlan time.Duration
 	// lastSizeLog is the time at which the pool sizes were last logged.
 	lastSizeLog time.Duration
 }
@@ -90,6 +92,9 @@
 	if !d.allWavesReported() || d.movesPending(sh) {
 		interval = listInterval
 	}
+	if f.losses.unresolved() {
+		interval = min(interval, lossListInterval+time.Duration(len(f.vms))*lossListIntervalPerVM)
+	}
 	if !f.listInFlight && (f.vms == nil || now.Steady-f.lastList > interval) {
 		d.listVMs(sh, now.Steady)
 	}
@@ -260,6 +265,7 @@
 			if now < f.minListTime {
 				return
 			}
+			f.losses.applyList(now, vms)
 			f.vms = make(map[wigeonstep.VMID]wigeonstep.PooledVM, len(vms))
 			for _, vm := range vms {
 				f.vms[vm.ID] = vm
--- a/wigeondaemon/report.go
+++ b/wigeondaemon/report.go
@@ -13,13 +13,13 @@
 )
 
 // reportInterval is the minimum time between reports of a shard's demands to the owner of the fleet partition. A newly
-// drained worker is reported without this delay unless a report is in flight.
+// drained or lost worker is reported without this delay unless a report is in flight.
 const reportInterval = 60 * time.Millisecond
 
 // reportShards sends the demands of the owned shards to the owner of the fleet partition when they are due. A report in
 // flight delays the next ones.
 func (d *Daemon) reportShards(now wigeonshard.Timestamp) {
-	if now.Steady-d.lastReport < reportInterval && !d.checkNewReleases() || d.reportInFlight {
+	if now.Steady-d.lastReport < reportInterval && !d.checkUrgentReport() || d.reportInFlight {
 		return
 	}
 	var reports []*wigeonwire.ShardReport
@@ -35,7 +35,7 @@
 	fleetShard := d.shards[fleetPartition]
 	if fleetShard.owned {
 		for _, r := range reports {
-			d.handleReport(r)
+			d.applyLossVerdicts(r.GetPartition(), d.handleReport(r))
 		}
 		return
 	}
@@ -47,16 +47,17 @@
 	go d.sendReports(address, reports)
 }
 
-// checkNewReleases reports whether the number of drained workers of an owned shard has changed since the last call, and stores
-// the numbers for the next one.
-func (d *Daemon) checkNewReleases() bool {
+// checkUrgentReport reports whether the number of drained or of lost workers of an owned shard has changed since the last call, and
+// stores the numbers for the next one.
+func (d *Daemon) checkUrgentReport() bool {
 	found := false
 	for _, sh := range d.sortedShards {
 		if sh.owner == nil {
 			continue
 		}
-		if n := len(sh.owner.Released()); n != sh.reportedReleaseCount {
-			sh.reportedReleaseCount = n
+		released, lost := len(sh.owner.Released()), len(sh.owner.LostWorkers())
+		if released != sh.reportedReleaseCount || lost != sh.reportedLossCount {
+			sh.reportedReleaseCount, sh.reportedLossCount = released, lost
 			found = true
 		}
 	}
@@ -65,6 +66,7 @@
 
 func (d *Daemon) sendReports(address string, reports []*wigeonwire.ShardReport) {
 	cordons := map[wigeonstep.WorkerID]wigeonstep.VMID{}
+	answers := map[uint32]*wigeonwire.ShardOrders{}
 	reachedOwner := true
 	for _, r := range reports {
 		ctx, cancel := context.WithTimeout(d.ctx, peerTimeout)
@@ -78,6 +80,7 @@
 		orders := answer.GetShard()
 		reachedOwner = reachedOwner && orders.GetOwner()
 		if orders.GetOwner() {
+			answers[r.GetPartition()] = orders
 			for _, c := range orders.GetCordons() {
 				cordons[wigeonstep.WorkerID(c.GetWorker())] = wigeonstep.VMID(c.GetVm())
 			}
@@ -85,6 +88,9 @@
 	}
 	d.post(func() {
 		d.reportInFlight = false
+		for _, r := range reports {
+			d.applyLossVerdicts(r.GetPartition(), answers[r.GetPartition()])
+		}
 		if !reachedOwner {
 			// The log names the new owner of the fleet partition, which plans no moves before all shards have reported to it.
 			d.shards[fleetPartition].wake()
@@ -123,9 +129,31 @@
 		report.Services = append(report.Services, service)
 	}
 	report.Released = workerStrings(sh.owner.Released())
+	for _, l := range sh.owner.LostWorkers() {
+		report.Lost = append(report.Lost, &wigeonwire.LostWorker{Worker: string(l.Worker), SinceMs: l.Since.Milliseconds()})
+	}
 	return report
 }
 
+// applyLossVerdicts passes on to the owner of a shard in this process what the VM list says of its lost workers.
+func (d *Daemon) applyLossVerdicts(partition uint32, orders *wigeonwire.ShardOrders) {
+	sh := d.shards[wigeonstep.Partition(partition)]
+	if sh == nil || sh.owner == nil {
+		return
+	}
+	now := d.config.Now()
+	for _, l := range orders.GetEnded() {
+		sh.owner.WorkerEnded(now, lostWorker(l))
+	}
+	for _, l := range orders.GetUp() {
+		sh.owner.WorkerUp(now, lostWorker(l))
+	}
+}
+
+func lostWorker(l *wigeonwire.LostWorker) wigeonshard.LostWorker {
+	return wigeonshard.LostWorker{Worker: wigeonstep.WorkerID(l.GetWorker()), Since: time.Duration(l.GetSinceMs()) * time.Millisecond}
+}
+
 func workerStrings(ids []wigeonstep.WorkerID) []string {
 	all := make([]string, len(ids))
 	for i, id := range ids {
@@ -172,7 +200,9 @@
 		d.fleet.demands[pool] = wigeonbalance.SumDemands(d.fleet.shardDemands[pool], len(d.partitions(wigeonstep.ServiceName(pool))))
 	}
 	d.fleet.released[r.GetPartition()] = workerSet(r.GetReleased())
+	d.fleet.losses.report(now, r.GetPartition(), r.GetLost())
 	orders := &wigeonwire.ShardOrders{Owner: true}
+	orders.Ended, orders.Up = d.fleet.losses.verdicts(r.GetPartition())
 	for vm, order := range sh.replica.MaintenanceOrders {
 		orders.Cordons = appendCordon(orders.Cordons, order.Worker, vm, order.Phase)
 	}
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -68,6 +68,8 @@
 	retryClaimAt time.Duration
 	// reportedReleaseCount is the number of released workers at the last check for new ones.
 	reportedReleaseCount int
+	// reportedLossCount is the number of lost workers at that check.
+	reportedLossCount int
 	// cancel cancels ctx, the context of all calls made under the current ownership.
 	cancel context.CancelFunc
 	ctx    context.Context
--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -47,6 +47,9 @@
 	slowAppends bool
 	// heartbeatsWait makes workers delay the answers to heartbeats until a run ends, as the heartbeats ask.
 	heartbeatsWait bool
+	reportedLosses map[lossKey]bool
+	// vmList is set if a VM list tells the owners which of their lost workers have ended.
+	vmList bool
 	// groupConfirms is set if a group confirms the ownership of the newest owner, not only the log.
 	groupConfirms bool
 	// takenAddresses holds the former addresses of workers at which workers with another id answer.
@@ -208,10 +211,42 @@
 		m.deliver(o, func() { m.stepOwner(o) })
 		return
 	}
+	if m.vmList {
+		m.reportLosses(o)
+	}
 	m.executeActions(o, o.Step(m.eventTime()))
 	m.schedule(10*time.Millisecond, func() { m.stepOwner(o) })
 }
 
+// reportLosses tells an owner 100 to 300 ms after the loss of a worker what the VM list says of it.
+func (m *clusterModel) reportLosses(o *fakeOwner) {
+	for _, l := range o.LostWorkers() {
+		if m.reportedLosses[lossKey{o, l}] {
+			continue
+		}
+		if m.reportedLosses == nil {
+			m.reportedLosses = map[lossKey]bool{}
+		}
+		m.reportedLosses[lossKey{o, l}] = true
+		m.schedule(time.Duration(100+m.random.IntN(200))*time.Millisecond, func() {
+			f := m.workers[l.Worker]
+			m.deliver(o, func() {
+				if f == nil || f.down {
+					o.WorkerEnded(m.eventTime(), l)
+				} else {
+					o.WorkerUp(m.eventTime(), l)
+				}
+			})
+		})
+	}
+}
+
+// lossKey is the loss of a worker as one owner sees it.
+type lossKey struct {
+	owner *fakeOwner
+	loss  LostWorker
+}
+
 // deliver passes an event to an owner, unless it has crashed. A paused owner handles the events of its pause afterwards, in
 // any order.
 func (m *clusterModel) deliver(o *fakeOwner, event func()) {
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -25,6 +25,8 @@
 	noticedAt time.Duration
 	// earliest is a time at which the worker's process was certainly up.
 	earliest time.Duration
+	// up is set while the VM list shows the worker on its VM, so that it may only be unreachable.
+	up bool
 }
 
 // recordLoss stores the moment at which the worker stopped answering. The end of its connection gives it precisely, unless the
@@ -39,7 +41,7 @@
 // processEnded counts the end of the worker's process against the runs that may have caused it. Nothing is counted for a worker
 // that was about to leave. confirmed is set if the process has certainly ended.
 func (o *Owner) processEnded(now Timestamp, w *worker, confirmed bool) {
-	if w.Draining || w.released {
+	if w.Draining || w.released || !confirmed && w.loss.up {
 		return
 	}
 	var lost []*run
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -189,7 +189,10 @@
 // planCopies lets a second run of each speculative task on a worker that does not answer start elsewhere, except for tasks that may
 // have crashed the worker.
 func (o *Owner) planCopies(now Timestamp, w *worker) {
-	suspects := w.likelyCauses()
+	var suspects []*run
+	if !w.loss.up {
+		suspects = w.likelyCauses()
+	}
 	for _, r := range w.runs {
 		t := r.task
 		if t.step.Speculative && len(t.runs) == 1 && !t.needsCopy && !t.suspected() && !slices.Contains(suspects, r) {
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -168,16 +168,22 @@
 	}
 	w.failures++
 	if w.addressConfirmed || now.Steady-w.addressSince >= addressSettleTime {
-		o.processEnded(now, w, true)
-		o.confirmCrash(now, w.ID)
-		o.endUnlistedRuns(now, w, nil, "another worker answers at the address")
-		o.stopUnansweredStarts(w, func(*run) bool { return false })
+		o.endProcess(now, w, "another worker answers at the address")
 	}
 	w.forgetProcess(now.Steady)
 	w.appliedHeartbeat = o.heartbeatCount
 	w.nextHeartbeatAt = now.Steady + maxHeartbeatRetryDelay
 }
 
+// endProcess ends the runs of a worker's process that has certainly ended. Runs whose starts were not answered before the last
+// sign of its end stay until their leases have ended.
+func (o *Owner) endProcess(now Timestamp, w *worker, cause string) {
+	o.processEnded(now, w, true)
+	o.confirmCrash(now, w.ID)
+	o.endUnlistedRuns(now, w, nil, cause)
+	o.stopUnansweredStarts(w, func(*run) bool { return false })
+}
+
 // StopAnswered applies the answer to the newest stop of a run, or the error of the call. An answered stop doesn't end the
 // run; a later heartbeat reports its end.
 func (o *Owner) StopAnswered(now Timestamp, sent Stop, err error) {
