--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -59,15 +59,19 @@
 type WorkerCrash struct {
 	Run    wigeonstep.RunNumber
 	Worker wigeonstep.WorkerID
-	// RunAge is the time for which the run had been started when the worker was found not to answer; 0 if it is unknown.
+	// RunAge is the time for which the run had been started when the worker was found not to answer; 0 if the run is not known to
+	// have begun.
 	RunAge time.Duration
-	// Confirmed is set if the worker's process is known to have ended. Otherwise it may only have been unreachable.
-	Confirmed bool
+	// Ended is set if the worker's process is known to have ended. Otherwise it may only have been unreachable.
+	Ended bool
 	// Likely is set if the run was among those that most likely crashed the worker, Sole if no run of another task was.
 	Likely bool
 	Sole   bool
 }
 
+// Confirmed reports whether the worker has certainly crashed under the run.
+func (c WorkerCrash) Confirmed() bool { return c.Ended && c.RunAge > 0 }
+
 // TaskProgress is the progress of a task for which a run was ever planned.
 type TaskProgress struct {
 	Occurrence int
--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -61,8 +61,8 @@
 	doneTasks    map[wigeonstep.TaskID]bool
 	// crashingTasks holds the tasks that crash their worker, each with the age of the run at which it does so.
 	crashingTasks map[wigeonstep.TaskID]time.Duration
-	// crashes counts the workers that crashed under each of these tasks, startsAfterCrashes the starts since the last one
-	// that is allowed.
+	// crashes counts the workers that crashed under each task, startsAfterCrashes the starts of each of crashingTasks since
+	// maxTaskCrashes of them.
 	crashes, startsAfterCrashes map[wigeonstep.TaskID]int
 	// replacements counts the workers that took the place of crashed ones.
 	replacements int
@@ -145,7 +145,7 @@
 func (m *clusterModel) addWorker(id wigeonstep.WorkerID, rack wigeonstep.Label) *fakeWorker {
 	f := &fakeWorker{
 		listed: wigeonstep.ListedWorker{
-			ID: id, Address: string(id) + ":1", Service: testService, StartedAt: wigeonstep.UnixMillis(m.now.Milliseconds()),
+			ID: id, Address: string(id) + ":1", Service: testService, StartedAt: m.eventTime().Wall,
 			Capacity: wigeonstep.Resources{CPU: 8000, Memory: 8192}, Labels: []wigeonstep.Label{"a", rack}, Rack: rack,
 		},
 		startedAt: m.now - time.Duration(m.random.IntN(5000))*time.Millisecond,
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -38,24 +38,38 @@
 	}
 }
 
-// processEnded counts the end of the worker's process against the runs that may have caused it. Nothing is counted for a worker
-// that was about to leave. confirmed is set if the process has certainly ended.
-func (o *Owner) processEnded(now Timestamp, w *worker, confirmed bool) {
-	if w.Draining || w.released || !confirmed && w.loss.up {
-		return
-	}
-	var lost []*run
-	for _, r := range w.runs {
-		if !r.unsent() && !r.crashCounted {
-			lost = append(lost, r)
-		}
+// processEnded counts the end of the worker's process against those of its runs that may have caused it. ended is set if the process
+// has certainly ended.
+func (o *Owner) processEnded(now Timestamp, w *worker, ended bool) {
+	if ended || !w.loss.up {
+		o.countCrash(now, w, w.sentRuns(), ended)
 	}
-	if len(lost) == 0 {
+}
+
+// inheritedRunsEnded counts the end of a process of a worker that ended before this owner knew the worker against the runs of
+// earlier owners that were planned before the present process was started and that it does not list.
+func (o *Owner) inheritedRunsEnded(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
+	lost := slices.DeleteFunc(w.sentRuns(), func(r *run) bool {
+		return !r.inherited || r.plannedWall == 0 || r.plannedWall >= result.StartedAt || listsRun(result, r.id())
+	})
+	o.countCrash(now, w, lost, true)
+}
+
+// sentRuns returns the runs of the worker whose starts may have been sent.
+func (w *worker) sentRuns() []*run {
+	return slices.DeleteFunc(slices.Clone(w.runs), (*run).unsent)
+}
+
+// countCrash counts the end of the worker's process against those of the lost runs that may have caused it. Nothing is counted for
+// a worker that was about to leave, and no run is counted twice.
+func (o *Owner) countCrash(now Timestamp, w *worker, lost []*run, ended bool) {
+	lost = slices.DeleteFunc(lost, func(r *run) bool { return r.crashCounted })
+	if w.Draining || w.released || len(lost) == 0 {
 		return
 	}
 	suspects, sole := likelyCauses(w, lost)
 	cause := fmt.Sprintf("it ended with %d runs, of which %d may have crashed it", len(lost), len(suspects))
-	if !confirmed {
+	if !ended {
 		cause = fmt.Sprintf("it was lost with %d runs, of which %d may have crashed it", len(lost), len(suspects))
 	}
 	o.recordWorkerDecision("worker_crashed", w, cause)
@@ -64,11 +78,15 @@
 		r.crashCounted = true
 		likely := slices.Contains(suspects, r)
 		t := r.task.counter()
-		if sole && !likely || slices.Contains(counted, t) || t.done {
+		if sole && !likely || slices.Contains(counted, t) || t.done || t.crashes.has(r.number, w.ID) {
 			continue
 		}
 		counted = append(counted, t)
-		crash := wigeonjob.WorkerCrash{Run: r.number, Worker: w.ID, RunAge: r.ageWhenLost(), Confirmed: confirmed, Likely: likely, Sole: sole}
+		if r.phase == runAccepted && !r.inherited {
+			// The run may have outlived earlier crashes without a report that shows it.
+			o.setCrashes(t, t.crashes.outlived(w.loss.earliest-r.startKnownAt))
+		}
+		crash := wigeonjob.WorkerCrash{Run: r.number, Worker: w.ID, RunAge: r.ageWhenLost(), Ended: ended, Likely: likely, Sole: sole}
 		if likely {
 			o.recordRunDecision("crash_suspected", r, "its worker crashed", 0)
 		}
@@ -81,16 +99,19 @@
 }
 
 // likelyCauses returns those of the lost runs that most likely crashed their worker; sole is set if they belong to one task or
-// gang. An isolated run on the worker is the only likely cause. Otherwise the likely causes are the youngest runs, and those whose
-// starts were not answered.
+// gang and are known to have begun. If there are runs of tasks that were suspected before, only these are likely causes.
+// Otherwise the likely causes are the youngest runs, and those whose starts were not answered.
 func likelyCauses(w *worker, lost []*run) (likely []*run, sole bool) {
 	earliest := w.loss.earliest
 	for _, r := range lost {
-		if r.isolated() {
-			return []*run{r}, true
+		if r.isolated() || r.inherited && r.task.suspected() {
+			likely = append(likely, r)
 		}
 		earliest = max(earliest, r.begunAt())
 	}
+	if len(likely) > 0 {
+		return likely, ofOneTask(likely)
+	}
 	age := func(r *run) time.Duration {
 		if r.phase != runAccepted && !r.inherited {
 			return 0
@@ -106,12 +127,17 @@
 			likely = append(likely, r)
 		}
 	}
-	for _, r := range likely {
-		if r.task.counter() != likely[0].task.counter() {
-			return likely, false
+	return likely, ofOneTask(likely) && !slices.ContainsFunc(likely, func(r *run) bool { return r.phase != runAccepted })
+}
+
+// ofOneTask reports whether there are runs and all belong to one task or gang.
+func ofOneTask(runs []*run) bool {
+	for _, r := range runs {
+		if r.task.counter() != runs[0].task.counter() {
+			return false
 		}
 	}
-	return likely, len(likely) > 0
+	return len(runs) > 0
 }
 
 // counter returns the task that counts failures and crashes: the first one of a gang, or the task itself.
@@ -183,17 +209,17 @@
 	}
 }
 
-// confirmCrash marks the crashes of a worker as confirmed, after its process has certainly ended.
+// confirmCrash records in the crash histories that name a worker that its process has certainly ended.
 func (o *Owner) confirmCrash(now Timestamp, id wigeonstep.WorkerID) {
 	for _, t := range o.crashedTasks[id] {
-		if h, changed := t.crashes.confirmed(id); changed {
+		if h, changed := t.crashes.ended(id); changed {
 			o.setCrashes(t, h)
 			o.judge(now, t)
 		}
 	}
 }
 
-// disproveCrash removes the unconfirmed crashes of a worker whose process has answered again.
+// disproveCrash removes a loss of a worker from the crash histories after its process has answered again.
 func (o *Owner) disproveCrash(id wigeonstep.WorkerID) {
 	for _, t := range o.crashedTasks[id] {
 		if h := t.crashes.without(id); len(h) < len(t.crashes) {
@@ -202,7 +228,7 @@
 	}
 }
 
-// checkSurvival clears the crash history of a task once a run of it, or each run of a gang, has outlived the crashes.
+// checkSurvival removes the crashes that a run of the task, or each run of a gang, has outlived.
 func (o *Owner) checkSurvival(r *run) {
 	t := r.task.counter()
 	if len(t.crashes) == 0 {
@@ -212,32 +238,40 @@
 	if t.step.Gang {
 		members = t.step.tasks
 	}
+	age := members[0].survivedAge()
 	for _, member := range members {
-		if !slices.ContainsFunc(member.runs, func(r *run) bool { return r.survived(t.crashes.survivalAge()) }) {
-			return
-		}
+		age = min(age, member.survivedAge())
+	}
+	rest := t.crashes.outlived(age)
+	if len(rest) == len(t.crashes) {
+		return
+	}
+	if t.suspected() && !rest.suspicious() {
+		o.recordRunDecision("suspicion_cleared", r, "it has outlived the crashes under earlier runs", age)
+	}
+	o.setCrashes(t, rest)
+	if !rest.suspicious() {
+		o.dropIsolation(r.task)
 	}
-	o.recordRunDecision("suspicion_cleared", r, "it has outlived the crashes under earlier runs", r.worker.seenAt-r.startKnownAt)
-	o.setCrashes(t, nil)
-	o.dropIsolation(r.task)
 }
 
-// survived reports whether the run was reported to run at the age.
-func (r *run) survived(age time.Duration) bool {
-	return r.phase == runAccepted && r.worker.seenAt-r.startKnownAt >= age
+// survivedAge returns the greatest age at which a run of the task was reported to run.
+func (t *task) survivedAge() time.Duration {
+	age := time.Duration(0)
+	for _, r := range t.runs {
+		if r.phase == runAccepted {
+			age = max(age, r.worker.seenAt-r.startKnownAt)
+		}
+	}
+	return age
 }
 
 // likelyCauses returns the runs that most likely crashed the worker if it has crashed.
 func (w *worker) likelyCauses() []*run {
-	var lost []*run
-	for _, r := range w.runs {
-		if !r.unsent() {
-			lost = append(lost, r)
-		}
-	}
-	if len(lost) == 0 {
+	sent := w.sentRuns()
+	if len(sent) == 0 {
 		return nil
 	}
-	likely, _ := likelyCauses(w, lost)
+	likely, _ := likelyCauses(w, sent)
 	return likely
 }
--- a/wigeonshard/crashhistory.go
+++ b/wigeonshard/crashhistory.go
@@ -1,6 +1,7 @@
 package wigeonshard
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -13,11 +14,11 @@
 const (
 	// maxCrashes is the number of crashes after which a task is given up, whatever is known of their cause.
 	maxCrashes = 5
-	// survivalFactor and survivalMargin give the age at which a run has outlived the earlier crashes under its task, from the
-	// greatest age of a run at such a crash.
+	// survivalFactor and survivalMargin give the age at which a run has outlived an earlier crash under its task, from the age of
+	// the run at the crash.
 	survivalFactor = 2
 	survivalMargin = 50 * time.Millisecond
-	// unknownCrashAge takes the place of the age of a run that an earlier owner started.
+	// unknownCrashAge takes the place of an unknown age.
 	unknownCrashAge = 100 * time.Millisecond
 )
 
@@ -32,7 +33,7 @@
 	for _, c := range h {
 		if c.Likely {
 			likely++
-			if c.Confirmed {
+			if c.Confirmed() {
 				confirmed++
 			}
 		}
@@ -40,37 +41,65 @@
 	return confirmed >= 1 || likely >= 2 || len(h) >= 3
 }
 
-// conclusive reports whether the task has to be given up: two workers have certainly crashed with the task as a likely cause,
-// and one of them with no other; or three with it as the only likely cause of the last one; or maxCrashes workers were lost.
+// conclusive reports whether the task has to be given up: two workers have certainly crashed under runs of similar age with the
+// task as a likely cause, and one of them with no other; or three with it as the only likely cause of the last one; or maxCrashes
+// workers were lost.
 func (h crashHistory) conclusive() bool {
-	likely, confirmed, sole := 0, 0, 0
-	for _, c := range h {
-		if !c.Confirmed {
+	confirmed := 0
+	for i, c := range h {
+		if !c.Confirmed() {
 			continue
 		}
 		confirmed++
-		if c.Likely {
-			likely++
-		}
-		if c.Sole {
-			sole++
+		for _, earlier := range h[:i] {
+			if earlier.Confirmed() && earlier.Likely && c.Likely && (earlier.Sole || c.Sole) && similarAge(earlier, c) {
+				return true
+			}
 		}
 	}
 	last := len(h) - 1
-	return likely >= 2 && sole >= 1 || confirmed >= 3 && h[last].Confirmed && h[last].Sole || len(h) >= maxCrashes
+	return confirmed >= 3 && h[last].Confirmed() && h[last].Sole || len(h) >= maxCrashes
 }
 
-// survivalAge returns the age at which a run has outlived all crashes of the history.
+// similarAge reports whether neither run was so old at its crash that it had outlived the other crash.
+func similarAge(a, b wigeonjob.WorkerCrash) bool {
+	return a.RunAge < outlivedAge(b) && b.RunAge < outlivedAge(a)
+}
+
+// has reports whether the history holds the crash of a worker under a run. An earlier owner may have counted it.
+func (h crashHistory) has(run wigeonstep.RunNumber, worker wigeonstep.WorkerID) bool {
+	return slices.ContainsFunc(h, func(c wigeonjob.WorkerCrash) bool { return c.Run == run && c.Worker == worker })
+}
+
+// survivalAge returns the age at which a run has outlived so many crashes of the history that the rest is not suspicious.
 func (h crashHistory) survivalAge() time.Duration {
-	oldest := time.Duration(0)
+	ages := make([]time.Duration, len(h))
+	for i, c := range h {
+		ages[i] = outlivedAge(c)
+	}
+	slices.Sort(ages)
+	for _, age := range ages {
+		if !h.outlived(age).suspicious() {
+			return age
+		}
+	}
+	return 0
+}
+
+// outlivedAge returns the age at which a run has outlived a crash.
+func outlivedAge(c wigeonjob.WorkerCrash) time.Duration {
+	return survivalFactor*cmp.Or(c.RunAge, unknownCrashAge) + survivalMargin
+}
+
+// outlived returns the crashes that a run of the age has not outlived.
+func (h crashHistory) outlived(age time.Duration) crashHistory {
+	var rest crashHistory
 	for _, c := range h {
-		age := c.RunAge
-		if age == 0 {
-			age = unknownCrashAge
+		if age < outlivedAge(c) {
+			rest = append(rest, c)
 		}
-		oldest = max(oldest, age)
 	}
-	return survivalFactor*oldest + survivalMargin
+	return rest
 }
 
 // explained returns the history after the crash of a worker was put down to another task. The crash still counts towards
@@ -85,22 +114,22 @@
 	return rest
 }
 
-// confirmed returns the history with the crashes of a worker marked as confirmed, and whether any of them was not before.
-func (h crashHistory) confirmed(worker wigeonstep.WorkerID) (all crashHistory, changed bool) {
+// ended returns the history after the process of a worker has certainly ended; changed is set if that was not known before.
+func (h crashHistory) ended(worker wigeonstep.WorkerID) (all crashHistory, changed bool) {
 	all = slices.Clone(h)
 	for i := range all {
-		if all[i].Worker == worker && !all[i].Confirmed {
-			all[i].Confirmed, changed = true, true
+		if all[i].Worker == worker && !all[i].Ended {
+			all[i].Ended, changed = true, true
 		}
 	}
 	return all, changed
 }
 
-// without returns the history without the unconfirmed crashes of a worker.
+// without returns the history without the losses of a worker whose process has not ended.
 func (h crashHistory) without(worker wigeonstep.WorkerID) crashHistory {
 	var rest crashHistory
 	for _, c := range h {
-		if c.Confirmed || c.Worker != worker {
+		if c.Ended || c.Worker != worker {
 			rest = append(rest, c)
 		}
 	}
@@ -116,7 +145,7 @@
 			age = c.RunAge.Round(time.Millisecond).String() + " old"
 		}
 		certainty := "confirmed"
-		if !c.Confirmed {
+		if !c.Confirmed() {
 			certainty = "unconfirmed"
 		}
 		crashes[i] = fmt.Sprintf("%s under run %d (%s, %s)", c.Worker, c.Run, age, certainty)
--- a/wigeonshard/fakeworker_test.go
+++ b/wigeonshard/fakeworker_test.go
@@ -116,7 +116,6 @@
 	}
 	m.schedule(age, func() {
 		if !run.terminated {
-			m.crashes[task]++
 			m.crash(f.listed.ID, false)
 			m.schedule(workerReplacementTime, func() { m.replaceWorker(f.listed.ID) })
 		}
@@ -277,6 +276,7 @@
 	for _, r := range f.sortedRuns() {
 		r.terminated = true
 		m.liveRuns[r.id.Task]--
+		m.crashes[r.id.Task]++
 		m.recordHistory(r.id.Task, "run %d is gone with %s", r.id.Number, f.listed.ID)
 	}
 	f.runs = map[wigeonstep.RunID]*fakeRun{}
@@ -288,5 +288,5 @@
 	f.down = false
 	f.startedAt, f.fence, f.leaseEnd, f.lastEnd, f.ended, f.forgotten = m.now, 0, 0, 0, nil, 0
 	f.highestRuns = map[wigeonstep.TaskID]wigeonstep.RunNumber{}
-	f.listed.StartedAt = wigeonstep.UnixMillis(m.now.Milliseconds())
+	f.listed.StartedAt = m.eventTime().Wall
 }
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -152,6 +152,9 @@
 		o.recordWorkerDecision("row_skipped", w, row)
 	}
 	o.applyEnds(now, w, result.Ended)
+	if !w.answered && !result.MoreEnded {
+		o.inheritedRunsEnded(now, w, result)
+	}
 	o.reconcileRuns(now, w, result)
 	w.addressConfirmed = true
 	if !w.answered {
--- a/wigeonshard/isolation.go
+++ b/wigeonshard/isolation.go
@@ -100,7 +100,7 @@
 	var best *worker
 	var least harm
 	for _, w := range pool {
-		if w.Service != s.job.Service || w.isolation != nil || t.runsOn(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
+		if w.Service != s.job.Service || w.isolation != nil || w.hasSuspect() || t.runsOn(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
 			continue
 		}
 		wait, ok := w.timeUntilRoom(now, s.Reserved())
@@ -123,6 +123,11 @@
 	return best
 }
 
+// hasSuspect reports whether a run of a suspected task is on the worker.
+func (w *worker) hasSuspect() bool {
+	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.task.suspected() })
+}
+
 // quiet reports whether each run on the worker has been running for at least the age.
 func (w *worker) quiet(now, age time.Duration) bool {
 	return !slices.ContainsFunc(w.runs, func(r *run) bool { return r.phase != runAccepted || now-r.startKnownAt < age })
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -192,13 +192,13 @@
 	return r.startKnownAt
 }
 
-// ageWhenLost returns the time for which the run had been started when its worker was found not to answer; 0 if this owner has
-// not started it.
+// ageWhenLost returns the time since which the run was known to have begun when its worker was found not to answer, at least a
+// millisecond; 0 if it is not known to have begun.
 func (r *run) ageWhenLost() time.Duration {
-	if r.unsent() || r.inherited {
+	if r.phase != runAccepted {
 		return 0
 	}
-	return max(r.worker.loss.noticedAt-r.startSentAt, 0)
+	return max(r.worker.loss.noticedAt-r.begunAt(), time.Millisecond)
 }
 
 // serving reports whether a long-running run is ready, not stopping, and on a worker that answers. The last report of a
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -288,11 +288,11 @@
 	return max(o.logConfirmedAt+maxAckAge, w.sameProcessUntil())
 }
 
-// mayStartOn reports whether starts may be sent to the worker. They may not when the worker does not answer, when the log may
-// hold a lapse of the worker, which the lease of the start would exceed, or when the ownership is not confirmed, so that
-// another owner may have given the run up.
+// mayStartOn reports whether starts may be sent to the worker. They may not when the worker does not answer, when its clock, by
+// which the lease of the start ends, is not known, when the log may hold a lapse of the worker, which the lease would exceed, or
+// when the ownership is not confirmed, so that another owner may have given the run up.
 func (o *Owner) mayStartOn(now Timestamp, w *worker) bool {
-	return w.answered && w.failures == 0 && !w.lapseRecorded && o.ownershipConfirmed(now)
+	return w.answered && w.clock != 0 && w.failures == 0 && !w.lapseRecorded && o.ownershipConfirmed(now)
 }
 
 // sendFirstStart sends the start of a run whose record is durable.
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -214,7 +214,7 @@
 
 // accepting reports whether the worker would accept new runs, whether or not it is cordoned.
 func (w *worker) accepting() bool {
-	return w.listed && w.answered && !w.Draining && w.failures == 0 && w.unexpected == 0 && !w.lapseRecorded
+	return w.listed && w.answered && w.clock != 0 && !w.Draining && w.failures == 0 && w.unexpected == 0 && !w.lapseRecorded
 }
 
 func (w *worker) attach(r *run) {
