Withdraw runs that no longer fit when the capacity of their worker shrinks

A run was planned for a worker while it had room, and its start was sent after the worker had shrunk: its record waited for a log that was down or slow, or the order for its turn. An unanswered start was repeated as well. A worker that does not guard its capacity then exceeds it (LIMIT). Room that was kept for a long-running task stayed kept on a worker that could never have it again.

An owner now withdraws the newest unsent runs as it learns of the smaller capacity, stops a run whose start was not answered rather than repeat it, and drops kept room that has become impossible.

--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -74,9 +74,10 @@
 	return free.Covers(h.task.step.Reserved())
 }
 
-// needed reports whether the task still waits or has to leave its worker, and the worker of the hold is in the pool.
+// needed reports whether the task still waits or has to leave its worker, and the worker of the hold is in the pool and can have the
+// room.
 func (h *roomHold) needed(pool []*worker) bool {
-	if !slices.Contains(pool, h.worker) || h.task.done || h.task.step.job.state.Terminal() {
+	if !slices.Contains(pool, h.worker) || !h.possible() || h.task.done || h.task.step.job.state.Terminal() {
 		return false
 	}
 	return !slices.ContainsFunc(h.task.runs, func(r *run) bool { return !r.stopping && !r.worker.leaving() })
--- a/wigeonshard/isolation.go
+++ b/wigeonshard/isolation.go
@@ -123,6 +123,12 @@
 	return best
 }
 
+// canHave reports whether the worker has room for a task of the step, now or once its finite runs have ended.
+func (w *worker) canHave(s *step) bool {
+	_, ok := w.timeUntilRoom(0, s.Reserved())
+	return ok
+}
+
 // hasSuspect reports whether a run of a suspected task is on the worker.
 func (w *worker) hasSuspect() bool {
 	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.task.suspected() })
@@ -150,7 +156,7 @@
 	for _, i := range slices.Clone(o.isolations) {
 		t := i.task
 		switch {
-		case i.run == nil && (!i.worker.usable() || !t.needsRun() || !t.suspected() || t.step.job.state.Terminal()):
+		case i.run == nil && (!i.worker.usable() || !i.worker.canHave(t.step) || !t.needsRun() || !t.suspected() || t.step.job.state.Terminal()):
 			o.dropIsolation(t)
 		case i.run != nil && i.run.phase == runAccepted && now.Steady >= i.nextCheckAt && now.Steady-i.run.startKnownAt >= t.counter().crashes.survivalAge():
 			i.worker.askAtOnce = true
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -223,9 +223,9 @@
 		mayStart, safe := o.mayStartOn(now, w), now.Steady < o.startsSafeUntil(w)
 		var unwanted []*run
 		for _, r := range w.runs {
-			if r.repeatsStart(now.Steady) && r.mustStartElsewhere() {
+			if r.repeatsStart(now.Steady) && (r.mustStartElsewhere() || w.overCapacity()) {
 				// The first start may have begun the run, so only a stop frees the task for another worker.
-				o.recordRunDecision("run_stopped", r, "its start was not answered and its worker is leaving", 0)
+				o.recordRunDecision("run_stopped", r, "its start was not answered and its worker is leaving or over its capacity", 0)
 				r.stopping = true
 			}
 			switch {
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -164,8 +164,12 @@
 			}
 			w.addressSince, w.addressConfirmed = now.Steady, false
 		}
+		shrunk := !l.Capacity.Covers(w.Capacity)
 		w.ListedWorker = l
 		w.listed = true
+		if shrunk {
+			o.withdrawExcess(now, w)
+		}
 	}
 	o.removeUnlistedWorkers()
 }
