Suspect a task for crashes at its start, and test suspects of a job side by side

Causes: - every run younger than a second counted as a suspect after one crash, and a test lasts as long as the run was old.

--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -67,6 +67,8 @@
 	// Likely is set if the run was among those that most likely crashed the worker, Sole if no run of another task was.
 	Likely bool
 	Sole   bool
+	// Explained is set once the crash was put down to another task.
+	Explained bool
 }
 
 // Confirmed reports whether the worker has certainly crashed under the run.
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -151,14 +151,14 @@
 
 func encodeCrash(c WorkerCrash) *wigeonwire.WorkerCrash {
 	return &wigeonwire.WorkerCrash{
-		Run: uint32(c.Run), Worker: string(c.Worker), RunAgeMs: c.RunAge.Milliseconds(), Ended: c.Ended, Likely: c.Likely, Sole: c.Sole,
+		Run: uint32(c.Run), Worker: string(c.Worker), RunAgeMs: c.RunAge.Milliseconds(), Ended: c.Ended, Likely: c.Likely, Sole: c.Sole, Explained: c.Explained,
 	}
 }
 
 func decodeCrash(r *wigeonwire.WorkerCrash) WorkerCrash {
 	return WorkerCrash{
 		Run: wigeonstep.RunNumber(r.GetRun()), Worker: wigeonstep.WorkerID(r.GetWorker()), RunAge: milliseconds(r.GetRunAgeMs()),
-		Ended: r.GetEnded(), Likely: r.GetLikely(), Sole: r.GetSole(),
+		Ended: r.GetEnded(), Likely: r.GetLikely(), Sole: r.GetSole(), Explained: r.GetExplained(),
 	}
 }
 
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"time"
 
@@ -78,7 +79,7 @@
 		r.crashCounted = true
 		likely := slices.Contains(suspects, r)
 		t := r.task.counter()
-		if sole && !likely || slices.Contains(counted, t) || t.done || t.crashes.has(r.number, w.ID) {
+		if !likely && (sole || !ended) || slices.Contains(counted, t) || t.done || t.crashes.has(r.number, w.ID) {
 			continue
 		}
 		counted = append(counted, t)
@@ -99,31 +100,37 @@
 }
 
 // likelyCauses returns those of the lost runs that most likely crashed their worker; sole is set if they belong to one task or
-// gang and are known to have begun. If there are runs of tasks that were suspected before, only these are likely causes.
-// Otherwise the likely causes are the youngest runs, and those whose starts were not answered.
+// gang and are known to have begun. An isolated run is the only likely cause. Otherwise the likely causes are the youngest runs,
+// those whose starts were not answered, and those of tasks that were suspected before. Of the runs that the worker never reported to
+// this owner, they are those that were planned last: an earlier owner may have planned more after the crash.
 func likelyCauses(w *worker, lost []*run) (likely []*run, sole bool) {
-	earliest := w.loss.earliest
+	earliest, newestPlan := w.loss.earliest, time.Duration(math.MinInt64)
 	for _, r := range lost {
-		if r.isolated() || r.inherited && r.task.suspected() {
-			likely = append(likely, r)
+		switch {
+		case r.phase == runAccepted:
+			earliest = max(earliest, r.startSentAt)
+		case r.inherited:
+			newestPlan = max(newestPlan, r.plannedAt)
+		}
+		if r.isolated() {
+			return []*run{r}, true
 		}
-		earliest = max(earliest, r.begunAt())
-	}
-	if len(likely) > 0 {
-		return likely, ofOneTask(likely)
 	}
+	// The least age that a run may have had at the crash.
 	age := func(r *run) time.Duration {
-		if r.phase != runAccepted && !r.inherited {
+		if r.phase != runAccepted {
 			return 0
 		}
-		return earliest - r.begunAt()
+		return max(earliest-r.startKnownAt, 0)
 	}
 	youngest := age(lost[0])
 	for _, r := range lost {
 		youngest = min(youngest, age(r))
 	}
+	oldest := min(promptCrashAge, suspectAgeFactor*youngest+suspectAgeMargin)
 	for _, r := range lost {
-		if a := age(r); a <= promptCrashAge && a <= suspectAgeFactor*youngest+suspectAgeMargin {
+		plannedEarly := r.phase != runAccepted && r.inherited && newestPlan-r.plannedAt > promptCrashAge
+		if r.task.suspected() || age(r) <= oldest && !plannedEarly {
 			likely = append(likely, r)
 		}
 	}
@@ -248,6 +255,7 @@
 	}
 	if t.suspected() && !rest.suspicious() {
 		o.recordRunDecision("suspicion_cleared", r, "it has outlived the crashes under earlier runs", age)
+		t.step.job.clearedTasks++
 	}
 	o.setCrashes(t, rest)
 	if !rest.suspicious() {
--- a/wigeonshard/isolation.go
+++ b/wigeonshard/isolation.go
@@ -12,13 +12,15 @@
 	// maxIsolatedShare limits the workers of a service that are kept for suspected tasks at once to one in maxIsolatedShare, but
 	// allows at least one.
 	maxIsolatedShare = 2
+	// maxIsolation is the time after which a worker that is kept for a suspected task gets other runs again.
+	maxIsolation = time.Second
 	// survivalCheckInterval is the time between two requests for a report about an isolated run that may have outlived the
 	// crashes under its task.
 	survivalCheckInterval = 50 * time.Millisecond
 )
 
 // isolation keeps a worker for one suspected task: no other run starts there from the reservation of the worker until the run has
-// ended or outlived the earlier crashes. A crash in between is put down to the task.
+// ended, outlived the earlier crashes or lasted for maxIsolation. A crash in between is put down to the task.
 type isolation struct {
 	task   *task
 	worker *worker
@@ -37,7 +39,7 @@
 // tasks of a gang run together, and the other finite tasks are of use only if the suspected ones succeed.
 func (o *Owner) placeSuspects(now Timestamp, s *step, pool []*worker) (planned int, done bool) {
 	if s.Gang {
-		return o.placeSuspectGang(now, s, pool), true
+		return o.placeSuspectGang(s, pool), true
 	}
 	for _, t := range s.tasks {
 		if t.suspected() && t.needsRun() && now.Steady >= t.retryAt {
@@ -64,7 +66,7 @@
 		o.isolations = append(o.isolations, t.isolation)
 	}
 	i := t.isolation
-	if i.run != nil || !i.worker.quiet(now.Steady, t.counter().crashes.survivalAge()) || !i.worker.free().Covers(s.Reserved()) {
+	if i.run != nil || !i.worker.quiet(t.counter().crashes.quietAge()) || !i.worker.free().Covers(s.Reserved()) {
 		return 0
 	}
 	o.planRun(t, i.worker, t.lastRun+1)
@@ -73,18 +75,22 @@
 	return 1
 }
 
-// mayIsolate reports whether a worker may be kept for a task of the step: none is kept for another task of its job, and there
-// are fewer than one in maxIsolatedShare of the workers of its service.
+// mayIsolate reports whether a worker may be kept for a task of the step: as long as no task of its job has been cleared, one is
+// kept for the job at a time, and one more for each that has; and fewer than one in maxIsolatedShare of the workers of its service
+// are kept in all.
 func (o *Owner) mayIsolate(s *step) bool {
-	kept, usable := 0, 0
+	kept, keptForJob, usable := 0, 0, 0
 	for _, i := range o.isolations {
 		if i.task.step.job == s.job {
-			return false
+			keptForJob++
 		}
 		if i.task.step.job.Service == s.job.Service {
 			kept++
 		}
 	}
+	if keptForJob > s.job.clearedTasks {
+		return false
+	}
 	for _, w := range o.sortedWorkers {
 		if w.Service == s.job.Service && w.usable() {
 			usable++
@@ -134,9 +140,9 @@
 	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.task.suspected() })
 }
 
-// quiet reports whether each run on the worker has been running for at least the age.
-func (w *worker) quiet(now, age time.Duration) bool {
-	return !slices.ContainsFunc(w.runs, func(r *run) bool { return r.phase != runAccepted || now-r.startKnownAt < age })
+// quiet reports whether each run on the worker was reported to run at the age.
+func (w *worker) quiet(age time.Duration) bool {
+	return !slices.ContainsFunc(w.runs, func(r *run) bool { return r.phase != runAccepted || w.seenAt-r.startKnownAt < age })
 }
 
 // dropIsolation gives back the worker that is kept for the task, if any.
@@ -150,6 +156,26 @@
 	o.placementDue = true
 }
 
+// needsReport reports whether a report of the worker may show that its runs have become old enough, or that the isolated run has
+// outlived the crashes under its task.
+func (i *isolation) needsReport(now time.Duration) bool {
+	h := i.task.counter().crashes
+	if i.run != nil {
+		return i.run.phase == runAccepted && now-i.run.startKnownAt >= h.survivalAge()
+	}
+	return !i.worker.quiet(h.quietAge()) &&
+		!slices.ContainsFunc(i.worker.runs, func(r *run) bool { return r.phase != runAccepted || now-r.startKnownAt < h.quietAge() })
+}
+
+// inheritIsolation keeps the worker of a run of a suspected task, which an earlier owner has isolated.
+func (o *Owner) inheritIsolation(r *run) {
+	if r.task.suspected() && !r.task.step.Gang && r.task.isolation == nil && r.worker.isolation == nil {
+		r.task.isolation = &isolation{task: r.task, worker: r.worker, run: r}
+		r.worker.isolation = r.task.isolation
+		o.isolations = append(o.isolations, r.task.isolation)
+	}
+}
+
 // checkIsolations gives back the workers that can't be used for their tasks any more, and asks for reports about the isolated
 // runs that may have outlived the crashes under their tasks.
 func (o *Owner) checkIsolations(now Timestamp) {
@@ -158,7 +184,9 @@
 		switch {
 		case i.run == nil && (!i.worker.usable() || !i.worker.canHave(t.step) || !t.needsRun() || !t.suspected() || t.step.job.state.Terminal()):
 			o.dropIsolation(t)
-		case i.run != nil && i.run.phase == runAccepted && now.Steady >= i.nextCheckAt && now.Steady-i.run.startKnownAt >= t.counter().crashes.survivalAge():
+		case i.run != nil && i.run.phase == runAccepted && now.Steady-i.run.startKnownAt >= maxIsolation:
+			o.dropIsolation(t)
+		case now.Steady >= i.nextCheckAt && i.needsReport(now.Steady):
 			i.worker.askAtOnce = true
 			i.nextCheckAt = now.Steady + survivalCheckInterval
 		}
@@ -167,9 +195,9 @@
 
 // placeSuspectGang plans the runs of a suspected gang on workers whose runs are old enough, so that a crash is put down to the
 // gang.
-func (o *Owner) placeSuspectGang(now Timestamp, s *step, pool []*worker) int {
-	age := s.tasks[0].crashes.survivalAge()
-	quiet := slices.DeleteFunc(slices.Clone(pool), func(w *worker) bool { return !w.quiet(now.Steady, age) })
+func (o *Owner) placeSuspectGang(s *step, pool []*worker) int {
+	age := s.tasks[0].crashes.quietAge()
+	quiet := slices.DeleteFunc(slices.Clone(pool), func(w *worker) bool { return !w.quiet(age) })
 	planned := o.placeGang(s, quiet)
 	if planned > 0 {
 		o.out.Decisions = append(o.out.Decisions, Decision{
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -59,6 +59,7 @@
 			r.plannedAt -= time.Duration(now.Wall-live.PlannedAt) * time.Millisecond
 		}
 		o.attach(r)
+		o.inheritIsolation(r)
 	}
 }
 
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -40,6 +40,8 @@
 	acceptedAt time.Duration
 	// liveRuns counts the runs of all tasks.
 	liveRuns int
+	// clearedTasks counts the tasks that were suspected of crashing their workers and have been cleared.
+	clearedTasks int
 	// cause says why the job failed; empty in other states.
 	cause string
 	// startRecorded is set once this owner has sent a start of the job, so that job_started is logged once.
