Say why a job was given up, and test gangs, long-running tasks and waiting starts

explain and the record of a failed job now name the cause: the task, the workers that crashed under it with the runs and their ages, or the number of attempts; any node answers it from the log. worker_crashed (the process has ended) and worker_given_up (nothing shows it) are told apart in the log and in wigeonstep_owner_decisions_total. Workers that no crash history names are forgotten every 10 s.

The model of a cluster ends the other members of a gang when one has gone.

--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strconv"
 
 	"go.uber.org/zap"
 
@@ -78,7 +77,7 @@
 	d.config.Metrics.countDecision(decision.Event)
 	fields := []zap.Field{zap.String("worker", string(decision.Worker)), zap.String("cause", decision.Cause)}
 	if decision.Run.Task.Job != "" {
-		fields = append(fields, zap.String("job", string(decision.Run.Task.Job)), zap.String("task", formatTaskID(decision.Run.Task)), zap.Uint32("run", uint32(decision.Run.Number)))
+		fields = append(fields, zap.String("job", string(decision.Run.Task.Job)), zap.String("task", decision.Run.Task.Path()), zap.Uint32("run", uint32(decision.Run.Number)))
 	}
 	if decision.Age > 0 {
 		fields = append(fields, zap.Duration("age", decision.Age))
@@ -91,7 +90,3 @@
 	}
 	d.config.Logger.Info(decision.Event, fields...)
 }
-
-func formatTaskID(id wigeonstep.TaskID) string {
-	return strconv.Itoa(id.Occurrence) + "." + strconv.Itoa(id.Step) + "." + strconv.Itoa(id.Index)
-}
--- a/wigeondaemon/explain.go
+++ b/wigeondaemon/explain.go
@@ -80,6 +80,9 @@
 		}
 		if e := sh.replica.Find(id); e != nil {
 			status.State = e.State().String() + ", as the log says"
+			if e.Progress.Cause != "" {
+				status.State += ", because " + e.Progress.Cause
+			}
 			status.WaitsFor = ""
 			if !e.State().Terminal() {
 				status.WaitsFor = "its owner, which did not answer"
--- a/wigeonreplica/replica_test.go
+++ b/wigeonreplica/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -73,7 +74,11 @@
 	progress := wigeonjob.Progress{
 		State: wigeonjob.StateRunning, Finished: []int{0, 2},
 		Tasks: []wigeonjob.TaskProgress{
-			{Occurrence: 1, Step: 1, Index: 3, LastRun: 4, Failures: 2, Checkpoint: "aa", Runs: []wigeonjob.LiveRun{{Number: 4, Worker: "w"}}},
+			{Occurrence: 1, Step: 1, Index: 3, LastRun: 4, Failures: 2, Checkpoint: "aa", Runs: []wigeonjob.LiveRun{{Number: 4, Worker: "w", PlannedAt: 7}}},
+			{Occurrence: 2, LastRun: 3, LostRuns: []wigeonstep.RunNumber{2}, Crashes: []wigeonjob.WorkerCrash{
+				{Run: 1, Worker: "v", RunAge: 12 * time.Millisecond, Ended: true, Likely: true, Sole: true},
+				{Run: 2, Worker: "w", Likely: true, Explained: true},
+			}},
 			{Occurrence: 3, Done: true, LastRun: 1},
 		},
 	}
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -69,11 +70,12 @@
 		return
 	}
 	suspects, sole := likelyCauses(w, lost)
-	cause := fmt.Sprintf("it ended with %d runs, of which %d may have crashed it", len(lost), len(suspects))
+	event := "worker_crashed"
 	if !ended {
-		cause = fmt.Sprintf("it was lost with %d runs, of which %d may have crashed it", len(lost), len(suspects))
+		event = "worker_given_up"
 	}
-	o.recordWorkerDecision("worker_crashed", w, cause)
+	cause := fmt.Sprintf("%d of its runs may have crashed it", len(suspects))
+	o.out.Decisions = append(o.out.Decisions, Decision{Event: event, Cause: cause, Worker: w.ID, Runs: len(lost), RunAge: w.youngestRunAge()})
 	var counted []*task
 	for _, r := range lost {
 		r.crashCounted = true
@@ -179,7 +181,7 @@
 	switch {
 	case j.state.Terminal() || t.done:
 	case t.crashes.conclusive():
-		j.cause = fmt.Sprintf("task %d.%d.%d crashed its workers: %s", t.id.Occurrence, t.id.Step, t.id.Index, t.crashes)
+		j.cause = fmt.Sprintf("task %s crashed its workers: %s", t.id.Path(), t.crashes)
 		o.recordJobDecision("job_given_up", j, j.cause, now.Steady-j.acceptedAt)
 		o.clearOthers(t)
 		o.stopJob(now, j)
@@ -235,6 +237,13 @@
 	}
 }
 
+// removeSettledCrashes forgets the workers that no crash history names any more.
+func (o *Owner) removeSettledCrashes() {
+	maps.DeleteFunc(o.crashedTasks, func(id wigeonstep.WorkerID, tasks []*task) bool {
+		return !slices.ContainsFunc(tasks, func(t *task) bool { return t.crashes.names(id) && !t.step.job.durableState.Terminal() })
+	})
+}
+
 // checkSurvival removes the crashes that a run of the task, or each run of a gang, has outlived.
 func (o *Owner) checkSurvival(r *run) {
 	t := r.task.counter()
--- a/wigeonshard/crash_test.go
+++ b/wigeonshard/crash_test.go
@@ -90,6 +90,118 @@
 	m.assertNeighboursComplete(c)
 }
 
+// Guards against a gang that crashes worker after worker: each of its runs takes one down, and the other members end with it.
+func TestGangThatCrashesWorkersIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 5, 8)
+	m.heartbeatsWait, m.vmList, m.groupConfirms = true, true, true
+	m.addOwner()
+	m.outcome = func(wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) {
+		return 2 * time.Second, wigeonstep.EndDone
+	}
+	task := wigeonstep.TaskID{Job: "crashing", Index: 2}
+	m.crashingTasks[task] = 10 * time.Millisecond
+	gang := testStep(4)
+	gang.Gang, gang.MaxPerWorker = true, 1
+	m.submitJob(testJob("crashing", gang))
+	m.advance(40 * time.Second)
+	c.Assert(m.violations, qt.HasLen, 0)
+	c.Assert(m.crashes[task], qt.Equals, 2)
+	c.Assert(m.log.Find("crashing").State(), qt.Equals, wigeonjob.StateFailed)
+}
+
+// Guards against a long-running task that is restarted without end although it crashes its workers, and against a long-running
+// neighbour that is given up with it.
+func TestLongRunningTaskThatCrashesWorkersIsGivenUp(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 6, 6)
+	m.heartbeatsWait, m.vmList, m.groupConfirms = true, true, true
+	m.addOwner()
+	task := wigeonstep.TaskID{Job: "crashing", Index: 1}
+	m.crashingTasks[task] = 15 * time.Millisecond
+	longRunning := testStep(3)
+	longRunning.LongRunning = true
+	m.submitJob(testJob("neighbour", longRunning))
+	m.advance(time.Second)
+	m.submitJob(testJob("crashing", longRunning))
+	m.advance(40 * time.Second)
+	c.Assert(m.violations, qt.HasLen, 0)
+	c.Assert(m.crashes[task], qt.Equals, 2)
+	c.Assert(m.log.Find("crashing").State(), qt.Equals, wigeonjob.StateFailed)
+	c.Assert(m.log.Find("neighbour").State(), qt.Equals, wigeonjob.StateRunning)
+	for i := range longRunning.Count {
+		c.Assert(m.liveRuns[wigeonstep.TaskID{Job: "neighbour", Index: i}], qt.Equals, 1)
+	}
+}
+
+// Guards against innocent tasks that are put on one worker with the one that may have crashed their former worker.
+func TestSuspectStartsAlone(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 7, 6)
+	m.heartbeatsWait, m.vmList, m.groupConfirms = true, true, true
+	m.addOwner()
+	task := wigeonstep.TaskID{Job: "crashing"}
+	m.crashingTasks[task] = 10 * time.Millisecond
+	m.submitJob(testJob("neighbour", testStep(3)))
+	m.submitJob(testJob("crashing", testStep(1)))
+	m.advance(40 * time.Second)
+	c.Assert(m.violations, qt.HasLen, 0)
+	c.Assert(m.crashes[task], qt.Equals, 2)
+	for i := range 3 {
+		c.Assert(m.crashes[wigeonstep.TaskID{Job: "neighbour", Index: i}] <= 1, qt.IsTrue)
+	}
+	m.assertNeighboursComplete(c)
+}
+
+// Guards against an on-call engineer who can't tell from a job's id why it was given up and on which workers it ran.
+func TestExplainNamesCrashedWorkers(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 8, 6)
+	m.heartbeatsWait, m.vmList, m.groupConfirms = true, true, true
+	o := m.addOwner()
+	m.crashingTasks[wigeonstep.TaskID{Job: "crashing"}] = 10 * time.Millisecond
+	m.submitJob(testJob("crashing", testStep(1)))
+	explain := func(o *fakeOwner) wigeonstep.ObjectStatus {
+		status, known := o.Explain(m.eventTime(), "crashing")
+		c.Assert(known, qt.IsTrue)
+		return status
+	}
+	for m.crashes[wigeonstep.TaskID{Job: "crashing"}] == 0 || explain(o).WaitsFor == "" {
+		m.advance(time.Millisecond)
+	}
+	c.Assert(explain(o).WaitsFor, qt.Matches, `step 0.0: a worker of its own for task 0.0.0, which may have crashed others: w00 under run 1 .*`)
+	m.advance(20 * time.Second)
+	const cause = `failed, because task 0.0.0 crashed its workers: w00 under run 1 \(\d+ms old, confirmed\), w0\d under run 2 \(\d+ms old, confirmed\)`
+	c.Assert(explain(o).State, qt.Matches, cause)
+	c.Assert(explain(m.addOwner()).State, qt.Matches, cause)
+	m.advance(2 * sweepInterval)
+	c.Assert(o.crashedTasks, qt.HasLen, 0)
+}
+
+// Guards against a start that waits for a worker, or is held up on its way, until its task has been given up: it must not leave.
+func TestWaitingStartOfGivenUpTaskIsWithdrawn(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 9, 6)
+	m.heartbeatsWait, m.vmList, m.groupConfirms = true, true, true
+	o := m.addOwner()
+	task := wigeonstep.TaskID{Job: "crashing"}
+	m.crashingTasks[task] = 10 * time.Millisecond
+	m.submitJob(testJob("crashing", testStep(1)))
+	m.advance(60 * time.Millisecond)
+	for m.crashes[task] < 2 {
+		m.advance(time.Millisecond)
+	}
+	// The record of the end can't be written before the second crash is judged.
+	m.logDown = true
+	m.advance(3 * time.Second)
+	c.Assert(o.jobs["crashing"].state, qt.Equals, wigeonjob.StateFailed)
+	m.logDown = false
+	m.advance(10 * time.Second)
+	c.Assert(m.crashes[task], qt.Equals, 2)
+	c.Assert(m.violations, qt.HasLen, 0)
+	c.Assert(m.log.Find("crashing").State(), qt.Equals, wigeonjob.StateFailed)
+}
+
 // Guards against tasks that crash their workers without limit, and against innocent tasks that are given up or never run, while
 // owners replace each other, workers crash by themselves or are cut off, calls are lost or late, and the log is unavailable.
 func TestSeededCrashingTasks(t *testing.T) {
--- a/wigeonshard/crashhistory.go
+++ b/wigeonshard/crashhistory.go
@@ -102,6 +102,11 @@
 	return slices.ContainsFunc(h, func(c wigeonjob.WorkerCrash) bool { return c.Run == run && c.Worker == worker })
 }
 
+// names reports whether the history holds a crash of the worker.
+func (h crashHistory) names(worker wigeonstep.WorkerID) bool {
+	return slices.ContainsFunc(h, func(c wigeonjob.WorkerCrash) bool { return c.Worker == worker })
+}
+
 // survivalAge returns the age at which a run has outlived so many crashes of the history that the rest is not suspicious.
 func (h crashHistory) survivalAge() time.Duration {
 	ages := make([]time.Duration, len(h))
--- a/wigeonshard/emptyworkers.go
+++ b/wigeonshard/emptyworkers.go
@@ -107,21 +107,13 @@
 	return n
 }
 
-const (
-	// releaseRetention is the time for which the release of a worker stays in the log after this owner first finds the worker
-	// absent. The VM is taken down within seconds of the release.
-	releaseRetention = 2 * time.Minute
-	// releaseSweepInterval is the time between two searches for old releases.
-	releaseSweepInterval = 10 * time.Second
-)
+// releaseRetention is the time for which the release of a worker stays in the log after this owner first finds the worker
+// absent. The VM is taken down within seconds of the release.
+const releaseRetention = 2 * time.Minute
 
 // removeOldReleases removes from the log the releases of workers that have been absent for releaseRetention. Without it the
 // log would grow with every move of a VM, because each adds a release.
 func (o *Owner) removeOldReleases(now Timestamp) {
-	if now.Steady-o.lastReleaseSweep < releaseSweepInterval {
-		return
-	}
-	o.lastReleaseSweep = now.Steady
 	for _, id := range slices.Sorted(maps.Keys(o.released)) {
 		since, unlisted := o.absentSince[id]
 		switch {
--- a/wigeonshard/explain.go
+++ b/wigeonshard/explain.go
@@ -17,6 +17,9 @@
 	status = wigeonstep.ObjectStatus{Kind: "job", Subject: string(id), State: state.String()}
 	j := o.jobs[id]
 	if j == nil {
+		if cause := o.ended[id].cause; cause != "" {
+			status.State += ", because " + cause
+		}
 		return status, true
 	}
 	parts := []string{state.String(), "service " + string(j.Service), "accepted " + (now.Steady - j.acceptedAt).Round(time.Millisecond).String() + " ago"}
@@ -51,6 +54,8 @@
 		return "the steps before it"
 	case retrying == waiting:
 		return "the pause after a failure"
+	case s.suspects > 0:
+		return o.waitsForIsolation(s)
 	}
 	reserved := s.Reserved()
 	usable, fitting := 0, 0
@@ -71,3 +76,13 @@
 	}
 	return fmt.Sprintf("a worker that suits %d tasks (labels, racks, tasks per worker, gang) or the next round of placement: %d of %d usable workers have room", waiting, fitting, usable)
 }
+
+// waitsForIsolation returns the reason why a step waits that has tasks which may crash their workers.
+func (o *Owner) waitsForIsolation(s *step) string {
+	for _, t := range s.tasks {
+		if t.suspected() && t.needsRun() {
+			return fmt.Sprintf("a worker of its own for task %s, which may have crashed others: %s", t.id.Path(), t.counter().crashes)
+		}
+	}
+	return "the end of the isolated run of a task that may have crashed its worker"
+}
--- a/wigeonshard/fakeworker_test.go
+++ b/wigeonshard/fakeworker_test.go
@@ -316,9 +316,29 @@
 		m.crashes[r.id.Task]++
 		m.recordHistory(r.id.Task, "run %d is gone with %s", r.id.Number, f.listed.ID)
 	}
+	lost := f.runs
 	f.runs = map[wigeonstep.RunID]*fakeRun{}
 	f.used = wigeonstep.Resources{}
 	f.down = true
+	for id := range lost {
+		if m.jobs[id.Task.Job].Steps[id.Task.Step].Gang {
+			m.breakGang(id)
+		}
+	}
+}
+
+// breakGang ends the runs of the other members of a gang, after the run of one member has gone.
+func (m *clusterModel) breakGang(gone wigeonstep.RunID) {
+	for _, l := range m.listed {
+		f := m.workers[l.ID]
+		for _, r := range f.sortedRuns() {
+			id := r.id
+			id.Task.Index = gone.Task.Index
+			if id == gone {
+				f.endRun(m, r, wigeonstep.EndGangMemberEnded)
+			}
+		}
+	}
 }
 
 func (f *fakeWorker) restart(m *clusterModel) {
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -207,7 +207,7 @@
 		removable := j.durableState.Terminal() && j.liveRuns == 0 && !j.dirty
 		if removable {
 			delete(o.jobs, j.ID)
-			o.ended[j.ID] = j.durableState
+			o.ended[j.ID] = endedJob{state: j.durableState, cause: j.cause}
 		}
 		return removable
 	})
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -1,6 +1,7 @@
 package wigeonshard
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -15,7 +16,7 @@
 		return
 	}
 	if progress.State.Terminal() {
-		o.ended[accepted.ID] = progress.State
+		o.ended[accepted.ID] = endedJob{state: progress.State, cause: progress.Cause}
 		return
 	}
 	j := &job{Job: accepted, state: progress.State, durableState: progress.State, finished: slices.Clone(progress.Finished)}
@@ -295,7 +296,8 @@
 		return
 	}
 	if counted.failures >= max(s.job.Policy.MaxAttempts, 1) && !s.job.state.Terminal() {
-		o.out.Decisions = append(o.out.Decisions, Decision{Event: "job_failed", Cause: "a task failed as often as its queue allows", Run: run})
+		s.job.cause = fmt.Sprintf("task %s failed as often as its queue allows", t.id.Path())
+		o.out.Decisions = append(o.out.Decisions, Decision{Event: "job_failed", Cause: s.job.cause, Run: run})
 		o.stopJob(now, s.job)
 		o.setFinalState(s.job, wigeonjob.StateFailed)
 	}
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -48,6 +48,13 @@
 	startRecorded bool
 }
 
+// endedJob is the durable end of a job.
+type endedJob struct {
+	state wigeonjob.State
+	// cause says why the job failed; empty in other states.
+	cause string
+}
+
 type occurrence struct {
 	number int
 	steps  []*step
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -40,7 +40,7 @@
 
 	jobs map[wigeonstep.JobID]*job
 	// ended holds the durable final states of jobs that are no longer in jobs.
-	ended map[wigeonstep.JobID]wigeonjob.State
+	ended map[wigeonstep.JobID]endedJob
 	// jobOrder holds the jobs in the order in which they were added.
 	jobOrder []*job
 	workers  map[wigeonstep.WorkerID]*worker
@@ -52,8 +52,8 @@
 	released map[wigeonstep.WorkerID]bool
 	// absentSince holds the time at which a sweep first found a released worker absent from workers.
 	absentSince map[wigeonstep.WorkerID]time.Duration
-	// lastReleaseSweep is the time of the last search for old releases.
-	lastReleaseSweep time.Duration
+	// lastSweep is the time of the last search for old releases and crashes.
+	lastSweep time.Duration
 	// arrivals holds the rate of the work that arrives at each service.
 	arrivals map[wigeonstep.ServiceName]*arrivalRate
 
@@ -104,7 +104,7 @@
 		ownedSince:      now.Steady,
 		confirmedAt:     now.Steady,
 		jobs:            map[wigeonstep.JobID]*job{},
-		ended:           map[wigeonstep.JobID]wigeonjob.State{},
+		ended:           map[wigeonstep.JobID]endedJob{},
 		workers:         map[wigeonstep.WorkerID]*worker{},
 		released:        map[wigeonstep.WorkerID]bool{},
 		absentSince:     map[wigeonstep.WorkerID]time.Duration{},
@@ -131,8 +131,8 @@
 func (o *Owner) JobState(id wigeonstep.JobID) (wigeonjob.State, bool) {
 	j := o.jobs[id]
 	if j == nil {
-		state, known := o.ended[id]
-		return state, known
+		ended, known := o.ended[id]
+		return ended.state, known
 	}
 	if j.cancelled && !j.durableState.Terminal() {
 		return wigeonjob.StateCancelled, true
@@ -317,7 +317,7 @@
 		o.expireLeases(now)
 		o.checkIsolations(now)
 		o.releaseWorkers()
-		o.removeOldReleases(now)
+		o.sweep(now)
 		o.placeTasks(now)
 		o.sendRunOrders(now)
 		o.sendHeartbeats(now)
@@ -340,6 +340,19 @@
 	o.removeUnlistedWorkers()
 }
 
+// sweepInterval is the time between two searches for old releases and crashes.
+const sweepInterval = 10 * time.Second
+
+// sweep removes what an owner would otherwise keep for ever.
+func (o *Owner) sweep(now Timestamp) {
+	if now.Steady-o.lastSweep < sweepInterval {
+		return
+	}
+	o.lastSweep = now.Steady
+	o.removeOldReleases(now)
+	o.removeSettledCrashes()
+}
+
 func (o *Owner) recordRunDecision(event string, r *run, cause string, age time.Duration) {
 	decision := Decision{Event: event, Cause: cause, Age: age, Run: r.id()}
 	if r.worker != nil {
--- a/worker.go
+++ b/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 )
 
@@ -54,6 +55,11 @@
 	Index      int
 }
 
+// Path returns the numbers of the occurrence, the step and the task, separated by dots.
+func (t TaskID) Path() string {
+	return strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step) + "." + strconv.Itoa(t.Index)
+}
+
 // RunID identifies one run of a task.
 type RunID struct {
 	Task   TaskID
