Play jobs that crash their workers, and workers that shrink and grow, in the soak

New checks: a task is started at most twice after three workers have crashed under it, its job is reported as failed, no other job is given up with fewer than two crashes under one of its tasks, and no start exceeds a capacity that shrank 5 s before, unless a disruption came between.

--- a/wigeonsoak/client.go
+++ b/wigeonsoak/client.go
@@ -28,6 +28,9 @@
 	stateQueryPercent  = 40
 	longRunningPercent = 8
 	longRunningTasks   = 2
+	// crashingPercent is the share of jobs that crash their workers in a soak with such jobs, which have crashingTasks tasks.
+	crashingPercent = 4
+	crashingTasks   = 2
 	// ordinaryTasks is the number of tasks of other jobs.
 	ordinaryTasks = 5
 )
@@ -41,9 +44,9 @@
 	random    *rand.Rand
 	// connection, if set, carries the first attempt of each request. A further attempt goes to a random process.
 	connection *connection
-	// stateQueryPercent is the share of requests that query the state of a job submitted before, and longRunningPercent the
-	// share of submitted jobs that are long-running.
-	stateQueryPercent, longRunningPercent int
+	// stateQueryPercent is the share of requests that query the state of a job submitted before, longRunningPercent the share
+	// of submitted jobs that are long-running, and crashingPercent the share that crash their workers.
+	stateQueryPercent, longRunningPercent, crashingPercent int
 }
 
 func newClient(addresses []string, h *history, seed uint64) *client {
@@ -99,16 +102,20 @@
 // unknown, neither acceptedAt nor refusedAt of the job is set.
 func (c *client) submit(ctx context.Context, id string) {
 	longRunning := c.random.IntN(100) < c.longRunningPercent
+	crashing := !longRunning && c.crashingPercent > 0 && c.random.IntN(100) < c.crashingPercent
 	job := wigeonstandin.Job("order")
-	if longRunning {
+	switch {
+	case longRunning:
 		job = wigeonstandin.LongRunningJob(longRunningTasks)
+	case crashing:
+		job = wigeonstandin.CrashingJob(crashingTasks)
 	}
 	encoded, err := json.Marshal(job)
 	if err != nil {
 		c.history.recordViolation("client: encode job: %v", err)
 		return
 	}
-	c.history.add(id, &clientJob{longRunning: longRunning})
+	c.history.add(id, &clientJob{longRunning: longRunning, crashing: crashing})
 	// An attempt whose outcome is unknown may have been accepted, so the refusal of a later attempt does not mean that the
 	// job was refused.
 	outcomeUnknown := false
--- a/wigeonsoak/history.go
+++ b/wigeonsoak/history.go
@@ -16,6 +16,7 @@
 const (
 	stateCompleted = "completed"
 	stateRunning   = "running"
+	stateFailed    = "failed"
 )
 
 // clientJob is one submitted job as its client knows it.
@@ -26,12 +27,25 @@
 	// cancelled is set once a cancellation was acknowledged.
 	cancelled   bool
 	longRunning bool
+	// crashing is set if a task of the job crashes each worker that starts it.
+	crashing bool
 	// reportedState is the state that the latest successful query returned; it is empty before one.
 	reportedState string
 	// completedAt is the time at which the job was first reported as completed; zero before.
 	completedAt time.Time
 }
 
+// expectedState returns the state that an accepted job reaches in the end.
+func (j clientJob) expectedState() string {
+	switch {
+	case j.longRunning:
+		return stateRunning
+	case j.crashing:
+		return stateFailed
+	}
+	return stateCompleted
+}
+
 // workerProcess identifies one process of a worker, which may restart under its ID.
 type workerProcess struct {
 	id        string
@@ -80,9 +94,12 @@
 	jobs map[string]*clientJob
 	// runs is keyed by task ID, which is the job ID followed by ".OCCURRENCE.STEP.INDEX".
 	runs map[string][]*taskRun
+	// rooms holds the capacity and the use of each process of a worker.
+	rooms map[workerProcess]*room
 	// leaseExpiredAt holds the time at which the lease of a worker last expired.
 	leaseExpiredAt map[workerProcess]time.Time
 	cutRequests    []cutRequest
+	overloads      []overload
 	disruptions    []disruption
 	violations     []string
 	// log receives a line for each event, so that a violation can be traced; it may be nil.
@@ -90,7 +107,7 @@
 }
 
 func newHistory() *history {
-	return &history{jobs: map[string]*clientJob{}, runs: map[string][]*taskRun{}, leaseExpiredAt: map[workerProcess]time.Time{}}
+	return &history{jobs: map[string]*clientJob{}, runs: map[string][]*taskRun{}, rooms: map[workerProcess]*room{}, leaseExpiredAt: map[workerProcess]time.Time{}}
 }
 
 // logEvent writes a line to the event log.
@@ -168,7 +185,7 @@
 // eventNames are the names of the kinds of events in the event log.
 var eventNames = map[wigeonstandin.EventKind]string{
 	wigeonstandin.RunStarted: "started", wigeonstandin.RunEnded: "ended", wigeonstandin.EndAcknowledged: "end_acknowledged",
-	wigeonstandin.LeaseExpired: "lease_expired",
+	wigeonstandin.LeaseExpired: "lease_expired", wigeonstandin.Resized: "resized",
 }
 
 // observe records an event of a worker.
@@ -177,11 +194,13 @@
 	defer h.mu.Unlock()
 	h.writeLog(o.At, "worker=%s task=%s run=%d %s %s", o.Worker, o.Task, o.Run, eventNames[o.Kind], o.Cause)
 	worker := workerProcess{o.Worker, o.WorkerStartedAt}
+	h.observeRoom(worker, o)
 	switch o.Kind {
 	case wigeonstandin.RunStarted:
 		h.runs[o.Task] = append(h.runs[o.Task], &taskRun{worker: worker, number: o.Run, startedAt: o.At})
 	case wigeonstandin.LeaseExpired:
 		h.leaseExpiredAt[worker] = o.At
+	case wigeonstandin.Resized:
 	default:
 		for _, r := range h.runs[o.Task] {
 			if r.worker != worker || r.number != o.Run {
@@ -199,8 +218,9 @@
 // check returns the recorded violations and those that the history shows. A violation begins with its category: "twice" is
 // a task that ran more than once, "lost" an accepted job that did not reach its expected state, "refused" a refused job
 // that ran, "unrequested" a run that no client asked for, "early" a job that was reported as completed before its tasks
-// were, "cut" a request whose connection ended without an answer although there was no disruption; "client", "process" and
-// "soak" name where an operation failed.
+// were, "cut" a request whose connection ended without an answer although there was no disruption, "crashes" a task that was
+// started too often after it had crashed workers, "capacity" a start that exceeded the capacity of a worker; "client", "process"
+// and "soak" name where an operation failed.
 func (h *history) check() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -217,6 +237,7 @@
 		found = append(found, duplicateRuns(task, h.runs[task])...)
 		if j != nil {
 			found = append(found, lateStarts(task, h.runs[task], j.completedAt)...)
+			found = append(found, startsAfterCrashes(task, h.runs[task], j.crashing)...)
 		}
 	}
 	for _, r := range h.cutRequests {
@@ -225,16 +246,14 @@
 				r.sentAt.UTC().Format(timeFormat), r.endedAt.UTC().Format(timeFormat)))
 		}
 	}
+	found = append(found, h.checkOverloads()...)
 	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
 		j := h.jobs[id]
 		if j.acceptedAt.IsZero() || j.cancelled {
 			continue
 		}
-		if !j.longRunning && j.reportedState != stateCompleted {
-			found = append(found, fmt.Sprintf("lost: accepted job %s is reported as %q", id, j.reportedState))
-		}
-		if j.longRunning && j.reportedState != stateRunning {
-			found = append(found, fmt.Sprintf("lost: accepted long-running job %s is reported as %q", id, j.reportedState))
+		if j.reportedState != j.expectedState() && !h.mayFail(id, j) {
+			found = append(found, fmt.Sprintf("lost: accepted job %s is reported as %q, not as %q", id, j.reportedState, j.expectedState()))
 		}
 	}
 	return found
--- a/wigeonsoak/history_test.go
+++ b/wigeonsoak/history_test.go
@@ -30,6 +30,21 @@
 		e.WorkerStartedAt = start.Add(time.Duration(life) * time.Hour)
 		return e
 	}
+	// crashes returns n runs that end with their workers, from the given number on.
+	crashes := func(first, n int) []wigeonstandin.Event {
+		var events []wigeonstandin.Event
+		for i := first; i < first+n; i++ {
+			worker := fmt.Sprint("w", i)
+			events = append(events, started(10*i, worker, uint32(i)), event(10*i+5, worker, wigeonstandin.RunEnded, uint32(i), wigeonstandin.CauseCrashed)) //nolint:gosec // a small number
+		}
+		return events
+	}
+	resized := func(ms, milliCPU int) wigeonstandin.Event {
+		e := event(ms, "a", wigeonstandin.Resized, 0, "")
+		e.MilliCPU = milliCPU
+		return e
+	}
+	failed := clientJob{acceptedAt: start, crashing: true, reportedState: "failed"}
 	completeRun := []wigeonstandin.Event{started(0, "a", 1), completed(5, "a", 1), endAcknowledged(6, "a", 1)}
 	accepted := clientJob{acceptedAt: start, reportedState: "completed"}
 	for _, test := range []struct {
@@ -62,6 +77,14 @@
 		{"run after the job was reported as completed", &clientJob{acceptedAt: start, reportedState: "completed", completedAt: start.Add(3 * time.Millisecond)}, []wigeonstandin.Event{
 			started(4, "a", 1),
 		}, "twice"},
+		{"job that crashes its workers and was given up in time", &failed, crashes(1, 5), ""},
+		{"job that crashes its workers and was started too often", &failed, crashes(1, 6), "crashes"},
+		{"job that crashes its workers and is said to be completed", &clientJob{acceptedAt: start, crashing: true, reportedState: "completed"}, crashes(1, 2), "lost"},
+		{"job that was given up after two workers crashed under it", &clientJob{acceptedAt: start, reportedState: "failed"}, crashes(1, 2), ""},
+		{"job that was given up after one worker crashed under it", &clientJob{acceptedAt: start, reportedState: "failed"}, crashes(1, 1), "lost"},
+		{"start on a worker that has shrunk before", &accepted, append([]wigeonstandin.Event{resized(-6000, 500)}, completeRun...), "capacity"},
+		{"start on a worker that has just shrunk", &accepted, append([]wigeonstandin.Event{resized(-4000, 500)}, completeRun...), ""},
+		{"start on a worker that has grown again", &accepted, append([]wigeonstandin.Event{resized(-9000, 500), resized(-10, 1000)}, completeRun...), ""},
 		{"long-running job that ended without a cancellation", &clientJob{acceptedAt: start, longRunning: true, reportedState: "completed"}, nil, "lost"},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/wigeonsoak/inject.go
+++ b/wigeonsoak/inject.go
@@ -1,6 +1,7 @@
 package wigeonsoak
 
 import (
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -75,6 +76,8 @@
 		s.restartWorker(f.Target, f.ActiveFor, false)
 	case KindWorkerMove:
 		s.restartWorker(f.Target, f.ActiveFor, true)
+	case KindWorkerResize:
+		s.resizeWorker(f.Target, f.Percent, f.ActiveFor)
 	case KindConfigure:
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -115,6 +118,39 @@
 	}
 }
 
+// replacementDelay is the time after which another worker takes the place of one that a task has crashed.
+const replacementDelay = time.Second
+
+// replaceWorker starts another worker in the place of worker i, which a task has crashed. The machine is down until then.
+func (s *system) replaceWorker(i int) {
+	machine := fmt.Sprintf("m-%d", i)
+	s.machines.SetWorker(machine, "")
+	time.Sleep(replacementDelay)
+	s.mu.Lock()
+	link := s.workerLinks[i]
+	s.mu.Unlock()
+	id := s.newWorkerID(i)
+	w, err := s.startWorkerProcess(i, id, link)
+	if err != nil {
+		s.history.recordViolation("soak: replace worker: %v", err)
+		return
+	}
+	s.machines.SetWorker(machine, id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.workers[i] = w
+}
+
+// resizeWorker changes the capacity of worker i for a time.
+func (s *system) resizeWorker(i, percent int, duration time.Duration) {
+	s.mu.Lock()
+	w := s.workers[i]
+	s.mu.Unlock()
+	w.Resize(percent)
+	time.Sleep(duration)
+	w.Resize(100)
+}
+
 // restartWorker crashes worker i and restarts it under its ID after the downtime. If it moves, it restarts behind a new proxy,
 // and a worker with a new ID takes over its former address at once. It does nothing while worker i already restarts.
 func (s *system) restartWorker(i int, downtime time.Duration, moves bool) {
--- a/wigeonsoak/plan.go
+++ b/wigeonsoak/plan.go
@@ -45,10 +45,14 @@
 	// KindWorkerMove crashes a worker with all its task runs. A worker with a new ID takes over its address at once, and it
 	// restarts under its ID at another address.
 	KindWorkerMove Kind = "worker_move"
+	// KindWorkerResize lets the capacity of a worker shrink for a time.
+	KindWorkerResize Kind = "worker_resize"
 )
 
 // planned reports whether a fault of the kind is planned work, during which every request has to be answered.
-func (k Kind) planned() bool { return k == KindTerm || k == KindReload || k == KindConfigure }
+func (k Kind) planned() bool {
+	return k == KindTerm || k == KindReload || k == KindConfigure || k == KindWorkerResize
+}
 
 // weightedKinds lists the kinds of faults for a random choice; a kind that is listed twice is twice as likely.
 var weightedKinds = []Kind{
@@ -67,6 +71,8 @@
 	Target int
 	// LinkFault applies to KindStoreLink and KindWorkerLink; other kinds ignore it.
 	LinkFault LinkFault
+	// Percent is the share of its capacity that is left to a worker by KindWorkerResize; other kinds ignore it.
+	Percent int
 }
 
 // String returns the fault in the form in which a failed soak prints its plan.
@@ -84,9 +90,10 @@
 	// lossPeriod is the time in which one link loses packets on average, and maxLossRate the largest rate.
 	lossPeriod  = 2 * time.Second
 	maxLossRate = 0.3
-	// livesPeriod and stopsPeriod are the average times between two entries of PlanLives and of PlanStops.
-	livesPeriod = 900 * time.Millisecond
-	stopsPeriod = 1200 * time.Millisecond
+	// livesPeriod, stopsPeriod and crashesPeriod are the average times between two entries of PlanLives, PlanStops and PlanCrashes.
+	livesPeriod   = 900 * time.Millisecond
+	stopsPeriod   = 1200 * time.Millisecond
+	crashesPeriod = 700 * time.Millisecond
 	// maxWorkerDowntime bounds the time until a crashed worker restarts under its ID.
 	maxWorkerDowntime = 2500 * time.Millisecond
 	// minLateness exceeds the time limit of an order to a worker, so that its caller has given up when the worker executes it.
@@ -177,6 +184,25 @@
 	return sortPlan(plan)
 }
 
+// PlanCrashes returns the faults beside jobs that crash their workers, sorted by start: workers that shrink and grow, and now and
+// then a process that is killed, terminated or paused, or a worker that is unreachable.
+func PlanCrashes(seed uint64, period time.Duration, processes, workers int) []Fault {
+	r := rand.New(rand.NewPCG(seed, 5)) //nolint:gosec // the plan of a seed has to be repeatable
+	var plan []Fault
+	for offset := randomDuration(r, 2*crashesPeriod); offset < period; offset += randomDuration(r, 2*crashesPeriod) {
+		f := Fault{Offset: offset, ActiveFor: randomDuration(r, faultDurationRange), Kind: KindWorkerResize, Target: r.IntN(workers), Percent: r.IntN(100)}
+		if r.IntN(3) == 0 {
+			f.Kind, f.Target, f.Percent = []Kind{KindKill, KindTerm, KindPause}[r.IntN(3)], r.IntN(processes), 0
+		}
+		if r.IntN(8) == 0 {
+			f.Kind, f.Target, f.Percent = KindWorkerLink, r.IntN(workers), 0
+			f.LinkFault = LinkFault{DropRequests: true, DropAnswers: true}
+		}
+		plan = append(plan, f)
+	}
+	return sortPlan(plan)
+}
+
 // planSeries returns two to four faults of the given kinds. Each starts at most maxSeriesGap after the one before, and most
 // of them have the same target, so that they come while a process drains or restarts.
 func planSeries(r *rand.Rand, offset time.Duration, processes int, kinds []Kind) []Fault {
--- a/wigeonsoak/soak.go
+++ b/wigeonsoak/soak.go
@@ -52,6 +52,8 @@
 	PacketLoss bool
 	// Lives adds the faults of PlanLives to those of Plan.
 	Lives bool
+	// Crashes replaces all faults by those of PlanCrashes, and lets clients submit jobs that crash their workers.
+	Crashes bool
 	// StopsOnly replaces all faults by the planned work of PlanStops.
 	StopsOnly bool
 	// Processes and Workers are the numbers of processes and of workers, at least 2 each.
@@ -75,6 +77,7 @@
 	ctx       context.Context
 	history   *history
 	store     *wigeonstandin.Store
+	machines  *wigeonstandin.MachineService
 	processes []*process
 	// storeLinks holds the proxy between each process and the store, by the index of the process.
 	storeLinks []*Proxy
@@ -123,6 +126,9 @@
 	for i := range clientCount {
 		load.Go(func() {
 			c := newClient(s.clientAddresses, s.history, settings.Seed+uint64(i)) //nolint:gosec // i is small
+			if settings.Crashes {
+				c.crashingPercent = crashingPercent
+			}
 			s.sendLoad(loadCtx, i, c, clientInterval)
 		})
 	}
@@ -146,8 +152,11 @@
 
 // plan returns the faults of the soak, sorted by start.
 func (s Settings) plan() []Fault {
-	if s.StopsOnly {
+	switch {
+	case s.StopsOnly:
 		return PlanStops(s.Seed, s.FaultPeriod, s.Processes)
+	case s.Crashes:
+		return PlanCrashes(s.Seed, s.FaultPeriod, s.Processes, s.Workers)
 	}
 	faults := Plan(s.Seed, s.FaultPeriod, s.Processes, s.Workers)
 	if s.PacketLoss {
@@ -177,6 +186,9 @@
 	if err != nil {
 		return err
 	}
+	s.mu.Lock()
+	s.machines = machineService
+	s.mu.Unlock()
 	if err := s.storeConfiguration(); err != nil {
 		return err
 	}
@@ -223,6 +235,7 @@
 func (s *system) startWorkerProcess(i int, id string, link *Proxy) (*wigeonstandin.Worker, error) {
 	return wigeonstandin.StartWorker(s.ctx, s.store, wigeonstandin.WorkerSettings{
 		ID: id, Service: service, Rack: fmt.Sprintf("r%d", i), OnEvent: s.history.observe,
+		OnCrash: func() { s.replaceWorker(i) },
 		RegisteredAddress: func(address string) (string, error) {
 			link.SetTarget(address)
 			return link.Address(), nil
@@ -279,7 +292,7 @@
 	c := newClient(s.clientAddresses, s.history, s.settings.Seed)
 	completionDeadline := time.Now().Add(completionTimeout)
 	pending := func(j clientJob) bool {
-		return !j.cancelled && (j.longRunning && j.reportedState != stateRunning || !j.longRunning && j.reportedState != stateCompleted)
+		return !j.cancelled && j.reportedState != j.expectedState() && j.reportedState != stateFailed
 	}
 	for time.Now().Before(completionDeadline) {
 		ids := s.history.acceptedJobs(pending)
@@ -297,7 +310,7 @@
 // cancelLongRunning checks that all tasks of each accepted long-running job run by completionDeadline, cancels the job,
 // and checks that its tasks end within stopGrace of the acknowledgement.
 func (s *system) cancelLongRunning(c *client, completionDeadline time.Time) {
-	for _, id := range s.history.acceptedJobs(func(j clientJob) bool { return j.longRunning }) {
+	for _, id := range s.history.acceptedJobs(func(j clientJob) bool { return j.longRunning && j.reportedState != stateFailed }) {
 		for s.history.activeRuns(id) < longRunningTasks {
 			if time.Now().After(completionDeadline) {
 				s.history.recordViolation("lost: long-running job %s has %d of %d tasks running", id, s.history.activeRuns(id), longRunningTasks)
--- a/wigeonsoak/soak_test.go
+++ b/wigeonsoak/soak_test.go
@@ -21,6 +21,7 @@
 	packetLoss    = flag.Bool("soak.loss", false, "let links lose packets as well, for the seeds from -soak.first on")
 	lives         = flag.Bool("soak.lives", false, "add the faults of PlanLives, for the seeds from -soak.first on")
 	stopsOnly     = flag.Bool("soak.stops", false, "play only the planned work of PlanStops, for the seeds from -soak.first on")
+	crashes       = flag.Bool("soak.crashes", false, "play the faults of PlanCrashes beside jobs that crash their workers, for the seeds from -soak.first on")
 	processCount  = flag.Int("soak.processes", 4, "number of processes")
 	workerCount   = flag.Int("soak.workers", 5, "number of workers")
 	faultPeriod   = flag.Duration("soak.period", 8*time.Second, "period over which faults are planned")
@@ -37,7 +38,7 @@
 // repeatedly and all at once: an accepted job stays known and completes, a refused job never runs, no task runs twice, a
 // long-running job runs until it is cancelled, and a process exits only after a signal.
 func TestSoak(t *testing.T) {
-	runSeeds(t, selectedSeeds(t), Settings{PacketLoss: *packetLoss, Lives: *lives, StopsOnly: *stopsOnly})
+	runSeeds(t, selectedSeeds(t), Settings{PacketLoss: *packetLoss, Lives: *lives, StopsOnly: *stopsOnly, Crashes: *crashes})
 }
 
 // Guards against the same violations while links lose packets besides, so that data stalls and arrives late.
@@ -57,6 +58,12 @@
 	runSeeds(t, readSeeds(t, "stops_seeds.txt"), Settings{StopsOnly: true})
 }
 
+// Guards against jobs that crash worker after worker, against innocent jobs that are given up or lost beside them, and against
+// starts that exceed the capacity of workers that shrink and grow.
+func TestSoakWithCrashes(t *testing.T) {
+	runSeeds(t, readSeeds(t, "crashes_seeds.txt"), Settings{Crashes: true})
+}
+
 // runSeeds plays the seeds with the given faults.
 func runSeeds(t *testing.T, selected []uint64, faults Settings) {
 	t.Helper()
