--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -17,27 +17,23 @@
 	// suspectAgeFactor and suspectAgeMargin bound the age of the likely causes of a crash from the age of the youngest run.
 	suspectAgeFactor = 2
 	suspectAgeMargin = 50 * time.Millisecond
-	// noticeDelay is the time within which an owner that is not paused handles the end of a connection.
-	noticeDelay = 50 * time.Millisecond
+	// maxStepGap is the time since the last step after which an owner may have been paused.
+	maxStepGap = 250 * time.Millisecond
 )
 
 // workerLoss is what an owner knows of the moment at which a worker stopped answering. The zero value is a worker that answers.
 type workerLoss struct {
 	// noticedAt is the time of the first heartbeat without an answer since the worker last answered.
 	noticedAt time.Duration
-	// earliest is a time at which the worker's process was certainly up.
-	earliest time.Duration
+	// prompt is set if the loss was noticed soon: the worker closed its connection, and this process was not paused.
+	prompt bool
 	// up is set while the VM list shows the worker on its VM, so that it may only be unreachable.
 	up bool
 }
 
-// recordLoss stores the moment at which the worker stopped answering. The end of its connection gives it precisely, unless the
-// owner was paused and handles it late; otherwise the worker may have been down since its last answer.
+// recordLoss stores the moment at which the worker was found not to answer.
 func (o *Owner) recordLoss(now Timestamp, w *worker, connectionClosed bool) {
-	w.loss = workerLoss{noticedAt: now.Steady, earliest: w.seenAt}
-	if connectionClosed {
-		w.loss.earliest = max(w.seenAt, o.lastStep-noticeDelay)
-	}
+	w.loss = workerLoss{noticedAt: now.Steady, prompt: connectionClosed && now.Steady-o.lastStep < maxStepGap}
 }
 
 // processEnded counts the end of the worker's process against those of its runs that may have caused it. ended is set if the process
@@ -87,7 +83,7 @@
 		counted = append(counted, t)
 		if r.phase == runAccepted && !r.inherited {
 			// The run may have outlived earlier crashes without a report that shows it.
-			o.setCrashes(t, t.crashes.outlived(w.loss.earliest-r.startKnownAt))
+			o.setCrashes(t, t.crashes.outlived(w.seenAt-r.startKnownAt))
 		}
 		crash := wigeonjob.WorkerCrash{Run: r.number, Worker: w.ID, RunAge: r.ageWhenLost(), Ended: ended, Likely: likely, Sole: sole}
 		if likely {
@@ -106,11 +102,12 @@
 // those whose starts were not answered, and those of tasks that were suspected before. Of the runs that the worker never reported to
 // this owner, they are those that were planned last: an earlier owner may have planned more after the crash.
 func likelyCauses(w *worker, lost []*run) (likely []*run, sole bool) {
-	earliest, newestPlan := w.loss.earliest, time.Duration(math.MinInt64)
+	// The worker was up when it last answered, and when it received the last start that it accepted.
+	upAt, newestPlan := w.seenAt, time.Duration(math.MinInt64)
 	for _, r := range lost {
 		switch {
 		case r.phase == runAccepted:
-			earliest = max(earliest, r.startSentAt)
+			upAt = max(upAt, r.startSentAt)
 		case r.inherited:
 			newestPlan = max(newestPlan, r.plannedAt)
 		}
@@ -123,16 +120,16 @@
 		if r.phase != runAccepted {
 			return 0
 		}
-		return max(earliest-r.startKnownAt, 0)
+		return max(upAt-r.startKnownAt, 0)
 	}
 	youngest := age(lost[0])
 	for _, r := range lost {
 		youngest = min(youngest, age(r))
 	}
-	oldest := min(promptCrashAge, suspectAgeFactor*youngest+suspectAgeMargin)
 	for _, r := range lost {
 		plannedEarly := r.phase != runAccepted && r.inherited && newestPlan-r.plannedAt > promptCrashAge
-		if r.task.suspected() || age(r) <= oldest && !plannedEarly {
+		tooOld := w.loss.prompt && r.ageWhenLost() > promptCrashAge
+		if r.task.suspected() || age(r) <= suspectAgeFactor*youngest+suspectAgeMargin && !plannedEarly && !tooOld {
 			likely = append(likely, r)
 		}
 	}
--- a/wigeonshard/crash_test.go
+++ b/wigeonshard/crash_test.go
@@ -202,6 +202,23 @@
 	c.Assert(m.log.Find("crashing").State(), qt.Equals, wigeonjob.StateFailed)
 }
 
+// Guards against a suspected task that never runs where only one worker is left, which is kept for it while its other runs are young
+// and so accepts nothing.
+func TestSuspectRunsOnTheOnlyWorker(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 10, 2)
+	m.heartbeatsWait, m.vmList, m.groupConfirms = true, true, true
+	m.addOwner()
+	m.submitJob(testJob("first", testStep(4)))
+	m.submitJob(testJob("second", testStep(2)))
+	m.submitNeighbours(40)
+	m.advance(25 * time.Millisecond)
+	m.crash("w00", false)
+	m.advance(60 * time.Second)
+	c.Assert(m.violations, qt.HasLen, 0)
+	c.Assert(m.unfinishedJobs(), qt.HasLen, 0)
+}
+
 // Guards against tasks that crash their workers without limit, and against innocent tasks that are given up or never run, while
 // owners replace each other, workers crash by themselves or are cut off, calls are lost or late, and the log is unavailable.
 func TestSeededCrashingTasks(t *testing.T) {
@@ -217,6 +234,9 @@
 			if seed%2 == 1 {
 				m.lostAnswerRate, m.lateCallRate = 0.02, 0.02
 			}
+			if seed%5 == 2 {
+				m.lateAnswerRate = 0.05
+			}
 			m.addOwner()
 			m.submitSeededJobs(40)
 			for range 5 {
--- a/wigeonshard/fakeworker_test.go
+++ b/wigeonshard/fakeworker_test.go
@@ -227,6 +227,9 @@
 	return nil
 }
 
+// errClosed is the error of a call whose connection the worker closed.
+var errClosed = fmt.Errorf("%w: %w", wigeonstep.ErrAnswerLost, wigeonstep.ErrConnectionClosed)
+
 // heartbeat replies at once, or, if the model's heartbeats wait, when a run has ended or the wait is over.
 func (f *fakeWorker) heartbeat(m *clusterModel, request wigeonstep.HeartbeatRequest, reply func(any)) {
 	if request.Fence < f.fence {
@@ -244,7 +247,7 @@
 	replyWhenDue = func() {
 		switch {
 		case f.down || f.startedAt != startedAt:
-			reply(wigeonstep.ErrAnswerLost)
+			reply(errClosed)
 		case m.heartbeatsWait && len(f.ended) == 0 && m.now < until:
 			m.schedule(10*time.Millisecond, replyWhenDue)
 		default:
--- a/wigeonshard/isolation.go
+++ b/wigeonshard/isolation.go
@@ -14,6 +14,8 @@
 	maxIsolatedShare = 2
 	// maxIsolation is the time after which a worker that is kept for a suspected task gets other runs again.
 	maxIsolation = time.Second
+	// maxGangIsolationWait is the time after which a suspected gang starts although some of its workers have young runs.
+	maxGangIsolationWait = 2 * time.Second
 	// survivalCheckInterval is the time between two requests for a report about an isolated run that may have outlived the
 	// crashes under its task.
 	survivalCheckInterval = 50 * time.Millisecond
@@ -24,6 +26,8 @@
 type isolation struct {
 	task   *task
 	worker *worker
+	// since is the time at which the worker was chosen.
+	since time.Duration
 	// run is nil until the run is planned.
 	run *run
 	// nextCheckAt is the earliest time of the next request for a report about the run.
@@ -39,7 +43,7 @@
 // tasks of a gang run together, and the other finite tasks are of use only if the suspected ones succeed.
 func (o *Owner) placeSuspects(now Timestamp, s *step, pool []*worker) (planned int, done bool) {
 	if s.Gang {
-		return o.placeSuspectGang(s, pool), true
+		return o.placeSuspectGang(now, s, pool), true
 	}
 	for _, t := range s.tasks {
 		if t.suspected() && t.needsRun() && now.Steady >= t.retryAt {
@@ -61,7 +65,7 @@
 		if w == nil {
 			return 0
 		}
-		t.isolation = &isolation{task: t, worker: w}
+		t.isolation = &isolation{task: t, worker: w, since: now.Steady}
 		w.isolation = t.isolation
 		o.isolations = append(o.isolations, t.isolation)
 	}
@@ -102,7 +106,7 @@
 // chooseIsolated returns the worker of the pool whose crash would do the least harm, of those that have room for the task now or
 // once their finite runs have ended; nil if there is none.
 func (s *step) chooseIsolated(now time.Duration, t *task, pool []*worker) *worker {
-	type harm struct{ waits, longRunning, runs int }
+	type harm struct{ waits, unsettled, longRunning, runs int }
 	var best *worker
 	var least harm
 	for _, w := range pool {
@@ -118,11 +122,14 @@
 			h.waits = 1
 		}
 		for _, r := range w.runs {
+			if r.phase != runAccepted {
+				h.unsettled++
+			}
 			if r.task.step.LongRunning {
 				h.longRunning++
 			}
 		}
-		if best == nil || cmp.Or(cmp.Compare(h.waits, least.waits), cmp.Compare(h.longRunning, least.longRunning), cmp.Compare(h.runs, least.runs)) < 0 {
+		if best == nil || cmp.Or(cmp.Compare(h.waits, least.waits), cmp.Compare(h.unsettled, least.unsettled), cmp.Compare(h.longRunning, least.longRunning), cmp.Compare(h.runs, least.runs)) < 0 {
 			best, least = w, h
 		}
 	}
@@ -140,6 +147,11 @@
 	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.task.suspected() })
 }
 
+// hasUnsettledRun reports whether a run on the worker is not known to have begun.
+func (w *worker) hasUnsettledRun() bool {
+	return slices.ContainsFunc(w.runs, func(r *run) bool { return r.phase != runAccepted })
+}
+
 // quiet reports whether each run on the worker was reported to run at the age.
 func (w *worker) quiet(age time.Duration) bool {
 	return !slices.ContainsFunc(w.runs, func(r *run) bool { return r.phase != runAccepted || w.seenAt-r.startKnownAt < age })
@@ -182,7 +194,8 @@
 	for _, i := range slices.Clone(o.isolations) {
 		t := i.task
 		switch {
-		case i.run == nil && (!i.worker.usable() || !i.worker.canHave(t.step) || !t.needsRun() || !t.suspected() || t.step.job.state.Terminal()):
+		case i.run == nil && (!i.worker.usable() || !i.worker.canHave(t.step) || !t.needsRun() || !t.suspected() || t.step.job.state.Terminal()),
+			i.run == nil && now.Steady-i.since >= maxIsolation && i.worker.hasUnsettledRun():
 			o.dropIsolation(t)
 		case i.run != nil && i.run.phase == runAccepted && now.Steady-i.run.startKnownAt >= maxIsolation:
 			o.dropIsolation(t)
@@ -194,11 +207,13 @@
 }
 
 // placeSuspectGang plans the runs of a suspected gang on workers whose runs are old enough, so that a crash is put down to the
-// gang.
-func (o *Owner) placeSuspectGang(s *step, pool []*worker) int {
-	age := s.tasks[0].crashes.quietAge()
-	quiet := slices.DeleteFunc(slices.Clone(pool), func(w *worker) bool { return !w.quiet(age) })
-	planned := o.placeGang(s, quiet)
+// gang. After maxGangIsolationWait it takes any workers.
+func (o *Owner) placeSuspectGang(now Timestamp, s *step, pool []*worker) int {
+	if now.Steady-s.tasks[0].waitingSince < maxGangIsolationWait {
+		age := s.tasks[0].crashes.quietAge()
+		pool = slices.DeleteFunc(slices.Clone(pool), func(w *worker) bool { return !w.quiet(age) })
+	}
+	planned := o.placeGang(s, o.eligibleWorkers(now, s, pool))
 	if planned > 0 {
 		o.out.Decisions = append(o.out.Decisions, Decision{
 			Event: "run_isolated", Cause: s.tasks[0].crashes.String(), Run: wigeonstep.RunID{Task: s.tasks[0].id, Number: s.tasks[0].lastRun},
--- a/wigeonshard/loss.go
+++ b/wigeonshard/loss.go
@@ -17,7 +17,7 @@
 func (o *Owner) LostWorkers() []LostWorker {
 	var lost []LostWorker
 	for _, w := range o.sortedWorkers {
-		if w.failures > 0 && w.answered && len(w.runs) > 0 {
+		if w.failures > 0 && len(w.runs) > 0 {
 			lost = append(lost, LostWorker{Worker: w.ID, Since: w.loss.noticedAt})
 		}
 	}
@@ -52,7 +52,7 @@
 // lostWorker returns the worker if the loss is its newest one and it has not answered since; nil otherwise.
 func (o *Owner) lostWorker(l LostWorker) *worker {
 	w := o.workers[l.Worker]
-	if w == nil || w.failures == 0 || !w.answered || w.loss.noticedAt.Milliseconds() != l.Since.Milliseconds() {
+	if w == nil || w.failures == 0 || w.loss.noticedAt.Milliseconds() != l.Since.Milliseconds() {
 		return nil
 	}
 	return w
--- a/wigeonshard/loss_test.go
+++ b/wigeonshard/loss_test.go
@@ -32,6 +32,29 @@
 	}
 }
 
+// Guards against runs that wait for the limit of the former owner and the end of their leases, although the VM list shows that their
+// worker has ended: it crashed as the owner changed, so it has never answered the new one.
+func TestRunsOfWorkerThatEndedWithItsOwnerRestartAtOnce(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 2, 3)
+	m.heartbeatsWait, m.vmList = true, true
+	m.addOwner()
+	longRunning := testStep(1)
+	longRunning.LongRunning = true
+	m.submitJob(testJob("lasting", longRunning))
+	m.advance(2 * time.Second)
+	for _, l := range m.listed {
+		if len(m.workers[l.ID].runs) > 0 {
+			m.crash(l.ID, false)
+		}
+	}
+	m.owners[0].crashed = true
+	m.addOwner()
+	m.advance(2 * time.Second)
+	c.Assert(m.violations, qt.HasLen, 0)
+	c.Assert(m.liveRuns[wigeonstep.TaskID{Job: "lasting"}], qt.Equals, 1)
+}
+
 // Guards against a VM list that is applied to a later loss of the worker: its process has restarted since, and runs there.
 func TestVMListOfEarlierLossIsIgnored(t *testing.T) {
 	c := qt.New(t)
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -71,10 +71,15 @@
 // placeSteps plans runs for the waiting tasks of the candidates, in their order.
 func (o *Owner) placeSteps(now Timestamp, candidates []candidate, r *round) {
 	for _, c := range candidates {
-		if r.planned >= maxPlannedPerRound || len(r.pool) == 0 {
+		if r.planned >= maxPlannedPerRound {
 			o.placementDue = true
 			return
 		}
+		if len(r.pool) == 0 && c.step.suspects == 0 {
+			// Only a suspected task may have a worker that is kept for it.
+			o.placementDue = true
+			continue
+		}
 		r.planned += o.placeStep(now, c.step, r)
 	}
 }
