--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -340,6 +340,11 @@
 		o.markBegun(now, r)
 		r.startTries = 0
 	}
+	if r.unanswered && !r.task.step.Gang {
+		// It has begun after all. A stop may end it at a time at which no other task of its step may be away.
+		o.recordRunDecision("run_kept", r, "it has begun, although its starts were not answered", now.Steady-r.startSentAt)
+		r.stopping, r.unanswered = false, false
+	}
 	if report.Checkpoint != "" {
 		r.task.checkpoint = report.Checkpoint
 	}
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -211,7 +211,7 @@
 			o.endRun(now, r, wigeonstep.EndStopped, t.checkpoint)
 			continue
 		}
-		r.stopping = true
+		r.stopping, r.unanswered = true, false
 	}
 }
 
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -147,6 +147,8 @@
 	startKnownAt time.Duration
 	// stopping is set once the run is to be stopped.
 	stopping bool
+	// unanswered is set while the run is to be stopped only because its starts were not answered, so that it may not have begun.
+	unanswered bool
 	// onCordoned is set if the worker was cordoned when the run was planned.
 	onCordoned bool
 	// stopSentAt is the time at which the newest stop was sent; zero when none was sent or the newest one failed.
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -103,7 +103,7 @@
 		r.retryAt = now.Steady + startRetryDelay
 		if r.startTries >= maxStartTries {
 			o.recordRunDecision("run_stopped", r, "its starts were not answered", 0)
-			r.stopping = true
+			r.stopping, r.unanswered = true, true
 		}
 	case wigeonstep.StartNotSent:
 		o.startNotSent(now, r)
@@ -226,7 +226,7 @@
 			if r.repeatsStart(now.Steady) && (r.mustStartElsewhere() || w.overCapacity()) {
 				// The first start may have begun the run, so only a stop frees the task for another worker.
 				o.recordRunDecision("run_stopped", r, "its start was not answered and its worker is leaving or over its capacity", 0)
-				r.stopping = true
+				r.stopping, r.unanswered = true, true
 			}
 			switch {
 			case r.phase == runDurable && (r.stopping || !mayStart || r.mustStartElsewhere()):
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -38,6 +38,33 @@
 	o.c.Assert(o.workers[onlyWorker].runs, qt.HasLen, maxOrdersInFlight+1)
 }
 
+// Guards against a long-running run that is stopped because its starts were not answered, although a heartbeat has shown since that it
+// runs: other tasks of its step may be away by the time the stop arrives.
+func TestRunThatBeganAfterAllIsNotStopped(t *testing.T) {
+	o := newAnsweredOwner(t, 1, 100_000)
+	longRunning := testStep(1)
+	longRunning.LongRunning = true
+	o.AddJob(o.now, testJob("lasting", longRunning), wigeonjob.Progress{}, false)
+	o.advance(50 * time.Millisecond)
+	run := o.starts[0].Order.Run
+	for range maxStartTries {
+		for len(o.starts) == 0 {
+			o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_200, StartedAt: 1})
+			o.advance(10 * time.Millisecond)
+		}
+		o.answerStart(o.starts[0], wigeonstep.StartResult{Verdict: wigeonstep.StartUnknown})
+		o.starts = nil
+	}
+	o.advance(startRetryDelay + 10*time.Millisecond)
+	o.c.Assert(o.stops, qt.HasLen, 1)
+	o.answerStop(o.stops[0], wigeonstep.ErrAnswerLost)
+	o.stops = nil
+	o.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_900, StartedAt: 1, Running: listRunning(run)})
+	o.advance(2 * maxStopRetryDelay)
+	o.c.Assert(o.stops, qt.HasLen, 0)
+	o.assertRunning(run)
+}
+
 // Guards against an owner that has fallen behind and takes its own delay for a fault of the workers: a start that was not sent
 // must not pause new runs on its worker.
 func TestUnsentStartDoesNotPauseTheWorker(t *testing.T) {
