--- a/wigeonshard/emptyworkers.go
+++ b/wigeonshard/emptyworkers.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
 )
 
@@ -148,18 +149,19 @@
 	return unavailable < max(s.MaxUnavailable, 1)
 }
 
-// otherWorkerAvailable reports whether a usable worker other than the run's own has room, the required label and fewer than
-// MaxPerWorker tasks of the step, so that it can run the task.
-func (o *Owner) otherWorkerAvailable(r *run) bool {
+// claimOtherWorker reports whether a usable worker other than the run's own has room besides the room claimed before, the
+// required label and fewer than MaxPerWorker tasks of the step, so that it can run the task. It then claims the room.
+func (o *Owner) claimOtherWorker(r *run, claimed map[*worker]wigeonstep.Resources) bool {
 	s := r.task.step
 	for _, w := range o.sortedWorkers {
-		if w == r.worker || !w.usable() || w.Service != s.job.Service || !w.free().Covers(s.Reserved()) {
+		if w == r.worker || !w.usable() || w.isolation != nil || w.Service != s.job.Service || !w.free().Sub(claimed[w]).Covers(s.Reserved()) {
 			continue
 		}
 		if s.RequiredLabel != "" && !w.hasLabel(s.RequiredLabel) {
 			continue
 		}
 		if s.MaxPerWorker == 0 || w.countTasks(s) < s.MaxPerWorker {
+			claimed[w] = claimed[w].Add(s.Reserved())
 			return true
 		}
 	}
--- a/wigeonshard/progress.go
+++ b/wigeonshard/progress.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/wigeonstep/wigeonstep"
 )
 
 const (
@@ -68,20 +70,21 @@
 	return r.progressPercent < fullSpeed && now-r.progressedAt > stallTime && r.reportedAt-r.progressedAt > stallTime
 }
 
-// relocateFromSlowWorker stops the runs of a slow worker that have a checkpoint, and starts a copy of speculative tasks, if
-// another worker has room. Other runs stay, since they would start from the beginning.
+// relocateFromSlowWorker stops the runs of a slow worker that have a checkpoint, and starts a copy of speculative tasks, as far
+// as other workers have room for them together. Other runs stay, since they would start from the beginning.
 func (o *Owner) relocateFromSlowWorker(now Timestamp, w *worker) {
+	claimed := map[*worker]wigeonstep.Resources{}
 	for _, r := range w.runs {
 		s := r.task.step
 		if r.stopping || r.phase != runAccepted || s.LongRunning || r.progressPercent > slowKeepPercent {
 			continue
 		}
 		switch {
-		case s.SavesProgress && r.task.checkpoint != "" && o.otherWorkerAvailable(r):
+		case s.SavesProgress && r.task.checkpoint != "" && o.claimOtherWorker(r, claimed):
 			o.recordRunDecision("run_moved", r, "its worker is slow and its progress is saved", now.Steady-r.startSentAt)
 			r.stopping = true
 			r.task.avoidWorker = w.ID
-		case s.Speculative && len(r.task.runs) == 1 && !r.task.suspected() && o.otherWorkerAvailable(r):
+		case s.Speculative && len(r.task.runs) == 1 && !r.task.suspected() && o.claimOtherWorker(r, claimed):
 			r.task.avoidWorker = w.ID
 			r.task.needsCopy = true
 		}
