--- a/wigeondaemon/registry.go
+++ b/wigeondaemon/registry.go
@@ -59,7 +59,8 @@
 	return all
 }
 
-// applyWorkerBatch applies a batch of the worker log to the registry. Entries that can't be decoded are skipped.
+// applyWorkerBatch applies a batch of the worker log to the registry. An entry that can't be decoded names no worker, so it
+// counts as the removal of the one before it; a worker that is up soon writes its entry again.
 func (d *Daemon) applyWorkerBatch(b wigeontail.Batch) {
 	now := d.config.Now().Steady
 	if d.workers.entries == nil {
@@ -80,17 +81,13 @@
 	for _, record := range b.Records {
 		id := wigeonstep.WorkerID(record.Key)
 		known := d.workers.entries[id]
-		if len(record.Value) == 0 {
+		listed, present := d.decodeWorker(record)
+		if !present {
 			if known != nil && known.removedAt == 0 {
 				known.removedAt = now
 			}
 			continue
 		}
-		listed, err := d.config.Decoder.DecodeWorker(record)
-		if err != nil {
-			d.config.Logger.Warn("worker_entry_skipped", zap.String("worker", record.Key), zap.Error(err))
-			continue
-		}
 		if known == nil || known.removedAt != 0 || !sameEntry(known.ListedWorker, listed) {
 			changed = true
 		}
@@ -101,6 +98,21 @@
 	}
 }
 
+// maxLoggedKey bounds the part of a key that is logged.
+const maxLoggedKey = 64
+
+// decodeWorker decodes an entry of the worker log; the second result is false for one that was removed or can't be decoded.
+func (d *Daemon) decodeWorker(record wigeonstep.KeyedRecord) (wigeonstep.ListedWorker, bool) {
+	if len(record.Value) == 0 {
+		return wigeonstep.ListedWorker{}, false
+	}
+	listed, err := d.config.Decoder.DecodeWorker(record)
+	if err != nil {
+		d.config.Logger.Warn("worker_entry_skipped", zap.String("worker", record.Key[:min(len(record.Key), maxLoggedKey)]), zap.Error(err))
+	}
+	return listed, err == nil
+}
+
 // expireWorkers deletes workers whose removal delay is over and passes the rest to the owners.
 func (d *Daemon) expireWorkers(now time.Duration) {
 	if d.workers.expire(now) {
--- a/wigeonjob/job.go
+++ b/wigeonjob/job.go
@@ -14,6 +14,10 @@
 	maxSteps        = 256
 	maxTasksPerStep = 4096
 	maxRepeats      = 10_000
+	// maxDuration bounds the estimates, the target and the interval, so that sums of them don't overflow.
+	maxDuration = 366 * 24 * time.Hour
+	// maxUnixTime bounds the due times of a scheduled job, so that their distance from now is a valid duration.
+	maxUnixTime wigeonstep.UnixMillis = 9_000_000_000_000
 	// MaxSpecBytes is the size limit of a job's specification.
 	MaxSpecBytes = 4000
 )
@@ -118,9 +122,14 @@
 	return longest
 }
 
+// maxObjective bounds the objective, of which callers form small multiples.
+const maxObjective = 10 * maxDuration
+
 // Objective returns the target time from the due time of an occurrence to its end.
 func (j *Job) Objective() time.Duration {
-	return time.Duration(j.Policy.ObjectiveFactor*float64(j.CriticalPath())) + j.Policy.ObjectiveBase
+	// The inner conversion keeps the processor from fusing the product and the sum, which would round differently.
+	objective := float64(j.Policy.ObjectiveFactor*float64(j.CriticalPath())) + float64(j.Policy.ObjectiveBase)
+	return time.Duration(min(objective, float64(maxObjective)))
 }
 
 // Validate returns an error for the first invalid field of a job.
@@ -134,8 +143,10 @@
 		return fmt.Errorf("the job has %d steps; the limit is %d", len(j.Steps), maxSteps)
 	case j.Repeats < 0 || j.Repeats > maxRepeats:
 		return fmt.Errorf("repeats is %d; it must be 0 to %d", j.Repeats, maxRepeats)
-	case j.Interval < 0:
-		return fmt.Errorf("the interval %s is negative", j.Interval)
+	case j.Interval < 0 || j.Interval > maxDuration:
+		return fmt.Errorf("the interval %s is out of range", j.Interval)
+	case j.StartAt < 0 || j.StartAt > maxUnixTime || j.DueAt(j.Repeats) > maxUnixTime:
+		return fmt.Errorf("the occurrences from %d ms on are due out of range", j.StartAt)
 	}
 	for i := range j.Steps {
 		if err := j.Steps[i].validate(i); err != nil {
@@ -152,6 +163,9 @@
 	if s.Required.CPU < 0 || s.Required.Memory < 0 || s.Required.GPU < 0 || s.Estimate < 0 || s.MaxPerWorker < 0 || s.MaxUnavailable < 0 || s.Target < 0 {
 		return errors.New("a size, duration or bound is negative")
 	}
+	if !s.Required.Valid() || s.Estimate > maxDuration || s.Target > maxDuration {
+		return errors.New("a size or duration is too large")
+	}
 	for _, before := range s.After {
 		if before < 0 || before >= number {
 			return fmt.Errorf("after names step %d, which is not an earlier one", before)
--- a/worker.go
+++ b/worker.go
@@ -24,6 +24,18 @@
 	return Resources{CPU: r.CPU - other.CPU, Memory: r.Memory - other.Memory, GPU: r.GPU - other.GPU}
 }
 
+// Bounds of the capacity of a worker and of the requirement of a task.
+const (
+	maxCPU    MilliCPU  = 100_000_000
+	maxMemory Megabytes = 1 << 30
+	maxGPU              = 100_000
+)
+
+// Valid reports whether no field is negative, or so large that sums over a fleet could overflow.
+func (r Resources) Valid() bool {
+	return r.CPU >= 0 && r.CPU <= maxCPU && r.Memory >= 0 && r.Memory <= maxMemory && r.GPU >= 0 && r.GPU <= maxGPU
+}
+
 // Covers reports whether r is at least need in every field.
 func (r Resources) Covers(need Resources) bool {
 	return need.CPU <= r.CPU && need.Memory <= r.Memory && need.GPU <= r.GPU
