--- a/wigeonjob/key.go
+++ b/wigeonjob/key.go
@@ -39,19 +39,18 @@
 
 // ParseTaskID parses a task id of the form JOB.OCCURRENCE.STEP.INDEX.
 func ParseTaskID(text string) (wigeonstep.TaskID, bool) {
-	parts := strings.Split(text, ".")
-	if len(parts) != 4 || parts[0] == "" {
-		return wigeonstep.TaskID{}, false
-	}
+	job, rest, _ := strings.Cut(text, ".")
+	occurrence, rest, _ := strings.Cut(rest, ".")
+	step, index, _ := strings.Cut(rest, ".")
 	var numbers [3]int
-	for i, part := range parts[1:] {
+	for i, part := range [3]string{occurrence, step, index} {
 		n, ok := parseNumber(part)
 		if !ok {
 			return wigeonstep.TaskID{}, false
 		}
 		numbers[i] = n
 	}
-	return wigeonstep.TaskID{Job: wigeonstep.JobID(parts[0]), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, true
+	return wigeonstep.TaskID{Job: wigeonstep.JobID(job), Occurrence: numbers[0], Step: numbers[1], Index: numbers[2]}, job != ""
 }
 
 // parseNumber parses an unsigned decimal number of at most nine digits, which fits into an int32.
