--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -134,6 +134,7 @@
 	if err != nil {
 		return wigeondaemon.Config{}, err
 	}
+	clock := &wigeondaemon.Clock{}
 	rate := wigeongroup.TaskRateOf(settings.Limits.Cores, settings.Limits.LinkMbps)
 	c := wigeondaemon.Config{
 		Logger:          logger,
@@ -161,7 +162,7 @@
 			ConfirmLimit:   confirmLimit,
 			Address:        settings.PeerAddress(),
 		},
-		Now: wigeondaemon.SystemNow,
+		Now: clock.Now,
 	}
 	if settings.AdviceAddress != "" {
 		if c.Advisor, err = platform.NewAdvisor(settings.AdviceAddress); err != nil {
