--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -133,6 +133,7 @@
 	// waveReadAt holds the time at which each wave was first read.
 	waveReadAt map[int]time.Duration
 	appends    appendBatcher
+	load       loopLoad
 	fleet      fleet
 	// lastReport is the time of the last reports of the owned shards to the owner of the fleet partition.
 	lastReport     time.Duration
@@ -180,8 +181,10 @@
 		case <-ctx.Done():
 			return
 		case event := <-d.events:
-			d.protect(event)
-			d.drainEvents()
+			d.measure(partEvents, func() {
+				d.protect(event)
+				d.drainEvents()
+			})
 		case <-timer.C:
 		}
 		now := d.config.Now().Steady
@@ -413,7 +416,21 @@
 // step runs all periodic work of the event loop and lets each owner act on the events so far.
 func (d *Daemon) step() {
 	now := d.config.Now()
-	d.expireWorkers(now.Steady)
+	d.measure(partOwners, func() {
+		d.expireWorkers(now.Steady)
+		d.stepOwners(now)
+	})
+	d.measure(partOther, func() {
+		d.sweepEndedJobs(now)
+		d.probePeersForLog(now)
+	})
+	d.measure(partReports, func() { d.reportShards(now) })
+	d.measure(partFleet, func() { d.stepFleet(now) })
+	d.reportLoad(now.Steady)
+}
+
+// stepOwners lets each owner act on the events so far.
+func (d *Daemon) stepOwners(now wigeonshard.Timestamp) {
 	for _, sh := range d.sortedShards {
 		if sh.owner == nil {
 			continue
@@ -424,8 +441,4 @@
 			sh.retryClaimAt = now.Steady + claimRetryDelay
 		}
 	}
-	d.sweepEndedJobs(now)
-	d.probePeersForLog(now)
-	d.reportShards(now)
-	d.stepFleet(now)
 }
--- /dev/null
+++ b/wigeondaemon/loopload.go
@@ -0,0 +1,87 @@
+package wigeondaemon
+
+import (
+	"fmt"
+	"runtime"
+	"runtime/metrics"
+	"time"
+
+	"go.uber.org/zap"
+)
+
+// loopPart is a part of the work of the event loop.
+type loopPart int
+
+const (
+	// partEvents is the work of the queued events: answers of workers, batches of the logs, requests of clients and peers.
+	partEvents loopPart = iota
+	// partOwners is the work of the owners' steps, and of handing out their orders.
+	partOwners
+	// partReports is the work of the reports to the owner of the fleet partition.
+	partReports
+	// partFleet is the planning of waves and moves.
+	partFleet
+	// partOther is the rest of a step.
+	partOther
+	loopPartCount
+)
+
+var loopPartNames = [loopPartCount]string{"events", "owners", "reports", "fleet", "other"}
+
+const (
+	// loadInterval is the period over which the load of the event loop is measured.
+	loadInterval = time.Second
+	// minLoggedLoad is the share of the time above which the load is logged.
+	minLoggedLoad = 0.2
+)
+
+// loopLoad measures which part of its work takes the event loop's time, so that an owner that falls behind shows in its log and
+// metrics, with the cause. Time in which other goroutines or processes run in between counts too.
+type loopLoad struct {
+	since   time.Duration
+	busy    [loopPartCount]time.Duration
+	longest time.Duration
+	// gcSeconds is the processor time of the garbage collector since the start of the process, as of since.
+	gcSeconds float64
+}
+
+// measure runs work and adds its time to the part.
+func (d *Daemon) measure(part loopPart, work func()) {
+	began := d.config.Now().Steady
+	work()
+	took := d.config.Now().Steady - began
+	d.load.busy[part] += took
+	d.load.longest = max(d.load.longest, took)
+}
+
+// reportLoad counts the time of each part, and logs a high load, once every loadInterval.
+func (d *Daemon) reportLoad(now time.Duration) {
+	l := &d.load
+	elapsed := now - l.since
+	if elapsed < loadInterval {
+		return
+	}
+	var total time.Duration
+	fields := []zap.Field{zap.Duration("interval", elapsed), zap.Int("queued", len(d.events)), zap.Int("goroutines", runtime.NumGoroutine()), zap.Duration("longest", l.longest)}
+	for part, busy := range l.busy {
+		total += busy
+		d.config.Metrics.loopSeconds[part].Add(busy.Seconds())
+		fields = append(fields, zap.String(loopPartNames[part], fmt.Sprintf("%.2f", busy.Seconds()/elapsed.Seconds())))
+	}
+	gcSeconds := collectorSeconds()
+	fields = append(fields, zap.String("gc", fmt.Sprintf("%.2f", (gcSeconds-l.gcSeconds)/elapsed.Seconds())))
+	if l.since != 0 && total.Seconds() > minLoggedLoad*elapsed.Seconds() {
+		d.config.Logger.Info("loop_load", fields...)
+	}
+	*l = loopLoad{since: now, gcSeconds: gcSeconds}
+}
+
+// collectorSeconds returns the processor time that the garbage collector has taken, as of its last cycle.
+func collectorSeconds() float64 {
+	sample := []metrics.Sample{{Name: "/cpu/classes/gc/total:cpu-seconds"}}
+	metrics.Read(sample)
+	if sample[0].Value.Kind() != metrics.KindFloat64 {
+		return 0
+	}
+	return sample[0].Value.Float64()
+}
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -16,17 +16,23 @@
 	appendRetries *metrics.Counter
 	peerFailures  *metrics.Counter
 	panics        *metrics.Counter
+	// loopSeconds counts the time that each part of the event loop's work took.
+	loopSeconds [loopPartCount]*metrics.FloatCounter
 }
 
 // NewMetrics returns metrics that are registered in the set.
 func NewMetrics(set *metrics.Set) *Metrics {
-	return &Metrics{
+	m := &Metrics{
 		set:           set,
 		starts:        set.NewCounter("wigeonstep_task_starts_total"),
 		appendRetries: set.NewCounter("wigeonstep_log_append_retries_total"),
 		peerFailures:  set.NewCounter("wigeonstep_peer_failures_total"),
 		panics:        set.NewCounter("wigeonstep_panics_total"),
 	}
+	for part, name := range loopPartNames {
+		m.loopSeconds[part] = set.NewFloatCounter(fmt.Sprintf(`wigeonstep_loop_seconds_total{part=%q}`, name))
+	}
+	return m
 }
 
 // countDecision counts a decision of an owner by its event, such as worker_lost.
