--- a/wigeonshard/demand.go
+++ b/wigeonshard/demand.go
@@ -99,13 +99,9 @@
 			d.MissingWorkers = n
 		}
 	}
-	for _, j := range o.jobOrder {
-		d := index[j.Service]
-		if d == nil || j.state.Terminal() {
-			continue
-		}
-		for _, occ := range j.occurrences {
-			d.ReadyWork += occ.readyWork()
+	for _, s := range o.finiteSteps.entries {
+		if d := index[s.job.Service]; d != nil && !s.closed() && s.ready() {
+			d.ReadyWork += s.readyWork()
 		}
 	}
 	return demands
@@ -127,20 +123,13 @@
 	return longest, true
 }
 
-// readyWork returns the remaining work of the finite steps whose dependencies are done, in core-milliseconds. Steps with
-// open dependencies do not count, because no VM can work on them yet. Running tasks count as half done. The estimate of
+// readyWork returns the remaining work of a finite step whose dependencies are done, in core-milliseconds. Steps with open
+// dependencies do not count in the demand, because no VM can work on them yet. Running tasks count as half done. The estimate of
 // a task is limited to wigeonbalance.BacklogClearTime, the time in which a pool should clear its waiting work: a
 // longer task could not use more than its own cores in that time.
-func (occ *occurrence) readyWork() float64 {
-	work := 0.0
-	for _, s := range occ.steps {
-		if s.LongRunning || s.tasksLeft == 0 || !s.ready() {
-			continue
-		}
-		tasks := float64(s.tasksLeft) - float64(min(s.liveRuns, s.tasksLeft))/2
-		work += tasks * float64(s.Required.CPU) / 1000 * float64(min(s.Estimate, wigeonbalance.BacklogClearTime).Milliseconds())
-	}
-	return work
+func (s *step) readyWork() float64 {
+	tasks := float64(s.tasksLeft) - float64(min(s.liveRuns, s.tasksLeft))/2
+	return tasks * float64(s.Required.CPU) / 1000 * float64(min(s.Estimate, wigeonbalance.BacklogClearTime).Milliseconds())
 }
 
 // finiteWork returns the remaining work of all steps that are not long-running, in core-milliseconds.
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -198,17 +198,16 @@
 			r.phase = runDurable
 		}
 	}
-	o.removeEndedJobs()
+	for _, fj := range f.jobs {
+		o.removeIfEnded(fj.job)
+	}
 }
 
-// removeEndedJobs removes from memory the jobs whose final state is durable and that have no run left.
-func (o *Owner) removeEndedJobs() {
-	o.jobOrder = slices.DeleteFunc(o.jobOrder, func(j *job) bool {
-		removable := j.durableState.Terminal() && j.liveRuns == 0 && !j.dirty
-		if removable {
-			delete(o.jobs, j.ID)
-			o.ended[j.ID] = endedJob{state: j.durableState, cause: j.cause}
-		}
-		return removable
-	})
+// removeIfEnded removes a job from memory if its final state is durable and it has no run left. The end of its last run makes it
+// dirty, so it is considered after each append with its record.
+func (o *Owner) removeIfEnded(j *job) {
+	if j.durableState.Terminal() && j.liveRuns == 0 && !j.dirty {
+		delete(o.jobs, j.ID)
+		o.ended[j.ID] = endedJob{state: j.durableState, cause: j.cause}
+	}
 }
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -301,7 +301,6 @@
 // reconcileRuns compares the runs that the worker lists with those that this owner expects there. It stops unexpected runs
 // and ends the expected ones that the worker certainly doesn't have; it ends none while the worker has more ends to list.
 func (o *Owner) reconcileRuns(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
-	listed := make(map[*run]bool, len(result.Running))
 	w.unexpected = 0
 	for _, entry := range result.Running {
 		r := w.findRun(entry.Run)
@@ -310,29 +309,34 @@
 			o.stopUnexpected(w, entry.Run)
 			continue
 		}
-		listed[r] = true
+		r.listedIn = w.appliedHeartbeat
 		o.applyRunReport(now, r, entry)
 	}
 	if !result.MoreEnded {
-		o.endUnlistedRuns(now, w, listed, "the worker does not list it")
+		o.endUnlistedRuns(now, w, w.appliedHeartbeat, "the worker does not list it")
 	}
 }
 
-// endUnlistedRuns ends the runs that certainly aren't on the worker when the last answer that was applied lists only those in
-// listed.
-func (o *Owner) endUnlistedRuns(now Timestamp, w *worker, listed map[*run]bool, cause string) {
-	for _, r := range slices.Clone(w.runs) {
-		if listed[r] || r.unsent() || r.phase == runStarting {
+// endUnlistedRuns ends the runs that certainly aren't on the worker when the last answer that was applied lists only those that
+// were found in the answer to a heartbeat; 0 stands for an answer that lists none.
+func (o *Owner) endUnlistedRuns(now Timestamp, w *worker, heartbeat uint64, cause string) {
+	var gone []*run
+	for _, r := range w.runs {
+		listed := heartbeat != 0 && r.listedIn == heartbeat
+		if listed || r.unsent() || r.phase == runStarting {
 			continue
 		}
 		// Only a heartbeat that was sent after the outcome of the start was known proves that the run is not on the
 		// worker. For a run of an earlier owner that is the first heartbeat with this fencing token, because the worker
 		// then refuses older orders.
 		if r.startKnownAt >= 0 && w.appliedSentAt > r.startKnownAt {
-			o.recordRunDecision("run_lost", r, cause, now.Steady-r.startSentAt)
-			o.endRun(now, r, wigeonstep.EndLeaseExpired, r.task.checkpoint)
+			gone = append(gone, r)
 		}
 	}
+	for _, r := range gone {
+		o.recordRunDecision("run_lost", r, cause, now.Steady-r.startSentAt)
+		o.endRun(now, r, wigeonstep.EndLeaseExpired, r.task.checkpoint)
+	}
 }
 
 func (o *Owner) applyRunReport(now Timestamp, r *run, report wigeonstep.RunningRun) {
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -23,7 +23,9 @@
 	j.acceptedAt = now.Steady - time.Duration(max(now.Wall-accepted.Accepted, 0))*time.Millisecond
 	o.placementDue = true
 	o.jobs[accepted.ID] = j
-	o.jobOrder = append(o.jobOrder, j)
+	if j.Repeats > 0 {
+		o.repeatingJobs = append(o.repeatingJobs, j)
+	}
 	for i := range progress.Tasks {
 		o.restoreTask(now, j, &progress.Tasks[i])
 	}
@@ -112,6 +114,7 @@
 			s.tasks[i] = &task{id: wigeonstep.TaskID{Job: j.ID, Occurrence: number, Step: n, Index: i}, step: s, waitingSince: now.Steady}
 		}
 		occ.steps = append(occ.steps, s)
+		o.openSteps(s).add(s)
 	}
 	j.occurrences = append(j.occurrences, occ)
 	return occ
@@ -138,11 +141,10 @@
 
 // createAllDueOccurrences creates the occurrences of all repeating jobs that have become due.
 func (o *Owner) createAllDueOccurrences(now Timestamp) {
-	for _, j := range o.jobOrder {
-		if j.Repeats > 0 && j.nextOccurrence < j.Repeats {
-			o.createDueOccurrences(now, j)
-		}
+	for _, j := range o.repeatingJobs {
+		o.createDueOccurrences(now, j)
 	}
+	o.repeatingJobs = slices.DeleteFunc(o.repeatingJobs, func(j *job) bool { return j.nextOccurrence >= j.Repeats || j.state.Terminal() })
 }
 
 // createDueOccurrences creates the occurrences of a job that have become due and are not finished.
--- a/wigeonshard/missingworkers.go
+++ b/wigeonshard/missingworkers.go
@@ -39,30 +39,25 @@
 func (o *Owner) missingWorkers() map[wigeonstep.ServiceName]int {
 	missing := map[wigeonstep.ServiceName]int{}
 	bins := map[wigeonstep.ServiceName][]*bin{}
-	for _, j := range o.jobOrder {
-		if j.state.Terminal() {
+	for _, open := range o.longRunningSteps.entries {
+		s := open.step
+		n := s.tasksToPlace()
+		if n == 0 || s.closed() {
 			continue
 		}
-		for _, occ := range j.occurrences {
-			for _, s := range occ.steps {
-				n := s.tasksToPlace()
-				if n == 0 {
-					continue
-				}
-				largest, known := o.largestCapacity(j.Service)
-				if !known {
-					// The size of the first worker is not known, so the tasks are distributed once it is there.
-					missing[j.Service] = 1
-					continue
-				}
-				if bins[j.Service] == nil {
-					bins[j.Service] = o.bins(j.Service)
-				}
-				before := len(bins[j.Service])
-				bins[j.Service] = distribute(s, n, bins[j.Service], largest)
-				missing[j.Service] += len(bins[j.Service]) - before
-			}
+		service := s.job.Service
+		largest, known := o.largestCapacity(service)
+		if !known {
+			// The size of the first worker is not known, so the tasks are distributed once it is there.
+			missing[service] = 1
+			continue
+		}
+		if bins[service] == nil {
+			bins[service] = o.bins(service)
 		}
+		before := len(bins[service])
+		bins[service] = distribute(s, n, bins[service], largest)
+		missing[service] += len(bins[service]) - before
 	}
 	return missing
 }
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -141,6 +141,8 @@
 	number wigeonstep.RunNumber
 	worker *worker
 	phase  runPhase
+	// listedIn is the number of the last heartbeat in whose answer the worker listed the run; 0 if none did.
+	listedIn uint64
 	// startKnownAt is the time from which it is certain that the worker has begun the run or never will; negative while
 	// that is uncertain, and 0 for runs of earlier owners. When the answer to a heartbeat sent later doesn't list the
 	// run, it is not on the worker.
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -180,7 +180,7 @@
 func (o *Owner) endProcess(now Timestamp, w *worker, cause string) {
 	o.processEnded(now, w, true)
 	o.confirmCrash(now, w.ID)
-	o.endUnlistedRuns(now, w, nil, cause)
+	o.endUnlistedRuns(now, w, 0, cause)
 	o.stopUnansweredStarts(w, func(*run) bool { return false })
 }
 
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -41,9 +41,11 @@
 	jobs map[wigeonstep.JobID]*job
 	// ended holds the durable final states of jobs that are no longer in jobs.
 	ended map[wigeonstep.JobID]endedJob
-	// jobOrder holds the jobs in the order in which they were added.
-	jobOrder []*job
-	workers  map[wigeonstep.WorkerID]*worker
+	// repeatingJobs holds the jobs with occurrences that are not due yet.
+	repeatingJobs []*job
+	// longRunningSteps and finiteSteps hold the steps that are not done, and perhaps some that are.
+	longRunningSteps, finiteSteps openSteps
+	workers                       map[wigeonstep.WorkerID]*worker
 	// heartbeatCount is the number of the newest heartbeat of any worker.
 	heartbeatCount uint64
 	// sortedWorkers holds the workers sorted by id, so that decisions do not depend on the order of a map.
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -48,13 +48,9 @@
 		return
 	}
 	o.lastPlacement, o.placementDue = now.Steady, false
-	candidates := o.candidates(now)
-	slices.SortStableFunc(candidates, compareCandidates)
-	first := slices.IndexFunc(candidates, func(c candidate) bool { return c.urgency != urgencyLongRunning })
-	if first < 0 {
-		first = len(candidates)
-	}
-	longRunning, finite := candidates[:first], candidates[first:]
+	o.longRunningSteps.cleanUp(now.Steady)
+	o.finiteSteps.cleanUp(now.Steady)
+	longRunning := o.longRunningCandidates(now)
 	r := round{pool: o.pool(now)}
 	o.dropUnneededHolds(r.pool, servicesWithWaitingTasks(now, longRunning))
 	o.placeSteps(now, longRunning, &r)
@@ -64,7 +60,7 @@
 		o.placeOnCordoned(now, longRunning)
 		o.moveRuns(now, r.pool)
 	}
-	o.placeSteps(now, finite, &r)
+	o.placeSteps(now, o.finiteCandidates(now, r.pool), &r)
 	o.reportLongWaits(now, longRunning)
 }
 
@@ -127,35 +123,60 @@
 	)
 }
 
-// candidates returns the steps whose dependencies are done and that have tasks to place.
-func (o *Owner) candidates(now Timestamp) []candidate {
+// longRunningCandidates returns the long-running steps with tasks to place, in the order in which they are placed.
+func (o *Owner) longRunningCandidates(now Timestamp) []candidate {
 	var found []candidate
-	for _, j := range o.jobOrder {
-		if j.state.Terminal() {
-			continue
-		}
-		for _, occ := range j.occurrences {
-			found = appendCandidates(found, now, j, occ)
-		}
+	for _, s := range o.longRunningSteps.entries {
+		found = appendIfPlaceable(found, now, s.step)
 	}
+	slices.SortStableFunc(found, compareCandidates)
 	return found
 }
 
-func appendCandidates(found []candidate, now Timestamp, j *job, occ *occurrence) []candidate {
-	for _, s := range occ.steps {
-		if s.tasksLeft == 0 || !s.ready() || !s.hasPlaceableTask(now.Steady) {
-			continue
-		}
-		c := candidate{step: s, priority: j.Policy.Priority}
-		c.slack, c.urgency = occ.slack(now.Steady, j)
-		if s.LongRunning {
-			c.urgency = urgencyLongRunning
+// finiteCandidates returns the finite steps with tasks to place, without those whose tasks have room on no worker of the pool, in
+// the order in which they are placed.
+func (o *Owner) finiteCandidates(now Timestamp, pool []*worker) []candidate {
+	var found []candidate
+	room := largestRoom(pool)
+	for _, s := range o.finiteSteps.entries {
+		// With an empty pool the steps are looked at all the same, so that another round is due.
+		if len(pool) == 0 || room.Covers(s.reserved) || s.suspects > 0 {
+			found = appendIfPlaceable(found, now, s.step)
 		}
-		found = append(found, c)
 	}
+	slices.SortStableFunc(found, compareCandidates)
 	return found
 }
 
+// appendIfPlaceable appends the step if its dependencies are done and it has tasks to place.
+func appendIfPlaceable(found []candidate, now Timestamp, s *step) []candidate {
+	if s.closed() || !s.ready() || !s.hasPlaceableTask(now.Steady) {
+		return found
+	}
+	return append(found, newCandidate(now, s))
+}
+
+// largestRoom returns the largest free CPU, memory and GPU capacity of any worker, each by itself.
+func largestRoom(pool []*worker) wigeonstep.Resources {
+	var room wigeonstep.Resources
+	for _, w := range pool {
+		free := w.free()
+		room.CPU = max(room.CPU, free.CPU)
+		room.Memory = max(room.Memory, free.Memory)
+		room.GPU = max(room.GPU, free.GPU)
+	}
+	return room
+}
+
+func newCandidate(now Timestamp, s *step) candidate {
+	c := candidate{step: s, priority: s.job.Policy.Priority}
+	c.slack, c.urgency = s.occurrence.slack(now.Steady, s.job)
+	if s.LongRunning {
+		c.urgency = urgencyLongRunning
+	}
+	return c
+}
+
 // ready reports whether all tasks of the steps in After are done.
 func (s *step) ready() bool {
 	for _, before := range s.After {
@@ -198,7 +219,9 @@
 // remainingChain returns the estimated duration of the longest chain of dependent steps that are not done.
 func (occ *occurrence) remainingChain() time.Duration {
 	var longest time.Duration
-	ends := make([]time.Duration, len(occ.steps))
+	// Few jobs have more steps than fit on the stack.
+	var few [8]time.Duration
+	ends := append(few[:0], make([]time.Duration, len(occ.steps))...)
 	for i, s := range occ.steps {
 		for _, before := range s.After {
 			ends[i] = max(ends[i], ends[before])
--- a/wigeonshard/steps_test.go
+++ b/wigeonshard/steps_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -219,10 +221,8 @@
 	o.AddJob(now, job, wigeonjob.Progress{}, true)
 	job = testJob("advised2", testStep(2))
 	job.Policy.Advice = &wigeonstep.AdvicePolicy{}
-	for _, j := range o.jobOrder {
-		if !j.state.Terminal() {
-			o.CancelJob(now, j.ID)
-		}
+	for _, id := range slices.Sorted(maps.Keys(o.jobs)) {
+		o.CancelJob(now, id)
 	}
 	o.AddJob(now, job, wigeonjob.Progress{}, false)
 	now.Steady += 200 * time.Millisecond
