--- a/wigeonshard/burst_test.go
+++ b/wigeonshard/burst_test.go
@@ -26,6 +26,8 @@
 	lastEnd map[wigeonstep.WorkerID]uint64
 
 	jobs, started, ended, heartbeats int
+	// mostStarts is the largest number of starts of one step.
+	mostStarts int
 }
 
 func newBurst(workers int) *burst {
@@ -117,6 +119,7 @@
 	for _, h := range a.Heartbeats {
 		b.pending[h.Worker.ID] = h
 	}
+	b.mostStarts = max(b.mostStarts, len(a.Starts))
 	for _, s := range a.Starts {
 		id := s.Order.Run
 		estimate := b.owner.jobs[id.Task.Job].Steps[id.Task.Step].Estimate
@@ -145,6 +148,22 @@
 	}
 }
 
+// Guards against an owner that falls behind in a burst because it sends more starts at once than its processor can handle, and
+// against workers that get none while others do.
+func TestStartsOfABurstAreSpread(t *testing.T) {
+	c := qt.New(t)
+	b := newBurst(300)
+	b.advance(time.Millisecond, 0)
+	b.advance(100*time.Millisecond, 500)
+	for range 50 {
+		b.advance(8*time.Millisecond, 0)
+	}
+	c.Assert(b.mostStarts, qt.Equals, maxStartsPerStep)
+	for _, w := range b.owner.sortedWorkers {
+		c.Assert(len(b.listed[w.ID]) > 0, qt.IsTrue, qt.Commentf("worker %s got no start", w.ID))
+	}
+}
+
 // Guards against rounds of placement whose cost grows with the jobs that wait: an owner that has fallen behind once would fall
 // behind further. Only the steps that fit into the free room are looked at.
 func TestFullPoolIsSearchedForFewSteps(t *testing.T) {
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -10,6 +10,9 @@
 const (
 	// maxOrdersInFlight bounds the starts, stops and throttles without an answer to one worker. Heartbeats are not counted.
 	maxOrdersInFlight = 6
+	// maxStartsPerStep bounds the first starts of one Step. The caller sends each on its own, so an owner that may start more than
+	// its processor can send falls behind with everything else, and its starts become too late to be sent.
+	maxStartsPerStep = 64
 	// startRetryDelay is the delay before a start without an answer is repeated on the same worker. It is also the base of
 	// the exponential delay between heartbeats without an answer.
 	startRetryDelay = 100 * time.Millisecond
@@ -216,7 +219,10 @@
 // without an answer. The next Step decides on the others anew, so that no order is sent that is no longer wanted. A start to a
 // worker that may have restarted unseen waits for the answer to a heartbeat that is sent at once.
 func (o *Owner) sendRunOrders(now Timestamp) {
-	for _, w := range o.sortedWorkers {
+	starts := 0
+	first := o.nextToStart
+	for i := range o.sortedWorkers {
+		w := o.sortedWorkers[(first+i)%len(o.sortedWorkers)]
 		if w.Address == "" {
 			continue
 		}
@@ -232,8 +238,12 @@
 			case r.phase == runDurable && (r.stopping || !mayStart || r.mustStartElsewhere()):
 				unwanted = append(unwanted, r)
 			case w.ordersInFlight >= maxOrdersInFlight:
-			case r.phase == runDurable && safe:
+			case r.phase == runDurable && safe && starts < maxStartsPerStep:
 				o.sendFirstStart(now, r)
+				if starts++; starts == maxStartsPerStep {
+					o.nextToStart = (first + i) % len(o.sortedWorkers)
+				}
+			case r.phase == runDurable && safe:
 			case r.repeatsStart(now.Steady) && mayStart && safe:
 				o.sendStart(now, r)
 			case r.phase == runDurable || r.repeatsStart(now.Steady) && mayStart:
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -59,6 +59,9 @@
 	// arrivals holds the rate of the work that arrives at each service.
 	arrivals map[wigeonstep.ServiceName]*arrivalRate
 
+	// nextToStart is the index in sortedWorkers at which the next Step begins to send orders.
+	nextToStart int
+
 	// lastEmptying is the time of the last search for runs to move off draining and cordoned workers.
 	lastEmptying time.Duration
 	// lastPlacement is the time of the last round of placement; placementDue is set when an event since then could change
