--- a/wigeonshard/chooseworker.go
+++ b/wigeonshard/chooseworker.go
@@ -31,10 +31,7 @@
 	var best *worker
 	var bestScore score
 	for _, w := range pool {
-		if w.isolation != nil || !w.free().Covers(reserved) || w.Service != s.job.Service || t.runsOn(w) {
-			continue
-		}
-		if s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
+		if !s.accepts(t, w, reserved) {
 			continue
 		}
 		candidate := s.score(t, w, reserved)
@@ -45,6 +42,15 @@
 	return best
 }
 
+// accepts reports whether the worker belongs to the step's service, has room for a task, runs no other copy of it and is below
+// MaxPerWorker.
+func (s *step) accepts(t *task, w *worker, reserved wigeonstep.Resources) bool {
+	if w.isolation != nil || !w.free().Covers(reserved) || w.Service != s.job.Service || t.runsOn(w) {
+		return false
+	}
+	return s.MaxPerWorker == 0 || w.countTasks(s) < s.MaxPerWorker
+}
+
 // runsOn reports whether a run of the task is on the worker.
 func (t *task) runsOn(w *worker) bool {
 	return slices.ContainsFunc(t.runs, func(r *run) bool { return r.worker == w })
--- a/wigeonshard/emptyworkers.go
+++ b/wigeonshard/emptyworkers.go
@@ -67,11 +67,11 @@
 	case s.LongRunning:
 		if s.mayStop(r) && o.findRoom(now, r.task, pool) {
 			o.recordRunDecision("run_moved", r, cause+"; room is kept on "+string(r.task.hold.worker.ID), 0)
-			r.stopping = true
+			r.stopping, r.worker.settled = true, false
 		}
 	case r.worker.cordoned != "" && s.SavesProgress && now.Steady-r.startSentAt > minRunTimeBeforeMove && r.task.checkpoint != "":
 		o.recordRunDecision("run_moved", r, cause+" and its progress is saved", 0)
-		r.stopping = true
+		r.stopping, r.worker.settled = true, false
 	}
 }
 
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -194,6 +194,7 @@
 		fj.job.durableState = fj.state
 	}
 	for _, r := range f.runs {
+		r.worker.settled = false
 		if r.phase == runWriting {
 			r.phase = runDurable
 		}
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -101,6 +101,7 @@
 	if w == nil {
 		return
 	}
+	w.settled = false
 	newest := w.pendingHeartbeat == sent.Number
 	late := !newest || w.overdue
 	switch {
@@ -409,6 +410,7 @@
 		return
 	}
 	w.ordersInFlight--
+	w.settled = false
 	if errors.Is(err, wigeonstep.ErrFenced) {
 		o.deposed = true
 		return
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -213,7 +213,7 @@
 			o.endRun(now, r, wigeonstep.EndStopped, t.checkpoint)
 			continue
 		}
-		r.stopping, r.unanswered = true, false
+		r.stopping, r.unanswered, r.worker.settled = true, false, false
 	}
 }
 
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
@@ -89,6 +90,7 @@
 		return
 	}
 	w.ordersInFlight--
+	w.settled = false
 	r := w.findRun(sent.Order.Run)
 	if result.Verdict == wigeonstep.StartFenced {
 		o.deposed = true
@@ -195,6 +197,7 @@
 		return
 	}
 	w.ordersInFlight--
+	w.settled = false
 	if errors.Is(err, wigeonstep.ErrFenced) {
 		o.deposed = true
 		return
@@ -223,7 +226,7 @@
 	first := o.nextToStart
 	for i := range o.sortedWorkers {
 		w := o.sortedWorkers[(first+i)%len(o.sortedWorkers)]
-		if w.Address == "" {
+		if w.Address == "" || w.settled {
 			continue
 		}
 		mayStart, safe := o.mayStartOn(now, w), now.Steady < o.startsSafeUntil(w)
@@ -260,9 +263,21 @@
 		for _, r := range unwanted {
 			o.endUnstartedRun(now, r)
 		}
+		w.settled = !slices.ContainsFunc(w.runs, (*run).needsOrder)
 	}
 }
 
+// needsOrder reports whether the run gets an order now or when some time has passed. Any other run changes only with an event.
+func (r *run) needsOrder() bool {
+	switch r.phase {
+	case runDurable, runUnknown:
+		return true
+	case runAccepted:
+		return r.stopping && r.stopSentAt == 0 || !r.stopping && r.task.step.BestEffort && r.speed != r.sentSpeed
+	}
+	return false
+}
+
 // endUnstartedRun ends a run that the worker has certainly not begun. The other members of a gang can't work without it, so they
 // are stopped.
 func (o *Owner) endUnstartedRun(now Timestamp, r *run) {
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -289,6 +289,7 @@
 // runs that the new process has. A run whose record is written but whose start is not sent never starts: a newer owner may
 // have read the record and found the run missing in the earlier process.
 func (o *Owner) stopUnansweredStarts(w *worker, listed func(*run) bool) {
+	w.settled = false
 	for _, r := range w.runs {
 		unanswered := r.phase == runUnknown || r.phase == runStarting && r.startTries > 0
 		if unanswered && !listed(r) {
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -60,6 +60,7 @@
 		o.placeOnCordoned(now, longRunning)
 		o.moveRuns(now, r.pool)
 	}
+	r.order = nil
 	o.placeSteps(now, o.finiteCandidates(now, r.pool), &r)
 	o.reportLongWaits(now, longRunning)
 }
@@ -91,6 +92,8 @@
 type round struct {
 	// pool holds the workers that accept new runs.
 	pool []*worker
+	// order is the pool in the order of plain steps; nil while it is not known, because other runs have been planned since.
+	order roomOrder
 	// planned counts the runs that were planned in the round.
 	planned int
 	// unplaceable holds requests for which no worker of a service has room; requests for as much or more are not tried.
@@ -257,14 +260,22 @@
 func (o *Owner) placeStep(now Timestamp, s *step, r *round) int {
 	reserved := s.Reserved()
 	if s.suspects > 0 {
+		r.order = nil
 		if planned, done := o.placeSuspects(now, s, r.pool); done {
 			return planned
 		}
 	}
 	held := o.placeHeldTasks(now, s, r.pool)
+	if held > 0 {
+		r.order = nil
+	}
 	if r.cannotFit(s.job.Service, reserved) {
 		return held
 	}
+	if s.plain() {
+		return held + o.placePlainStep(now, s, r)
+	}
+	r.order = nil
 	pool := o.eligibleWorkers(now, s, r.pool)
 	if s.SameRack && s.liveRuns == 0 {
 		pool = s.smallestFittingRack(pool)
@@ -290,6 +301,31 @@
 	return planned
 }
 
+// placePlainStep plans runs for the waiting tasks of a plain step and returns their number.
+func (o *Owner) placePlainStep(now Timestamp, s *step, r *round) int {
+	reserved := s.Reserved()
+	planned := 0
+	for _, t := range s.tasks {
+		if !t.needsRun() || now.Steady < t.retryAt || t.suspected() {
+			continue
+		}
+		if r.order == nil {
+			r.order = newRoomOrder(r.pool)
+		}
+		place, ok := r.order.choose(s, t, reserved)
+		if !ok {
+			if s.unrestricted() && len(t.runs) == 0 {
+				r.unplaceable = append(r.unplaceable, unplaceableRequest{service: s.job.Service, reserved: reserved})
+			}
+			break
+		}
+		o.planRun(t, r.order[place].worker, t.lastRun+1)
+		r.order.reorder(place)
+		planned++
+	}
+	return planned
+}
+
 // unrestricted reports whether room is the only condition for the worker of a task of the step.
 func (s *step) unrestricted() bool {
 	return s.MaxPerWorker == 0 && s.RequiredLabel == "" && !s.SameRack && s.job.Policy.Advice == nil
--- a/wigeonshard/progress.go
+++ b/wigeonshard/progress.go
@@ -39,7 +39,7 @@
 		s := r.task.step
 		if r.stalled(now.Steady) && !s.Gang {
 			o.recordRunDecision("run_stopped", r, "it shows no progress", now.Steady-r.progressedAt)
-			r.stopping = true
+			r.stopping, w.settled = true, false
 			r.task.avoidWorker = w.ID
 			w.backoff.until = max(w.backoff.until, now.Steady+suspectDuration)
 			continue
@@ -82,7 +82,7 @@
 		switch {
 		case s.SavesProgress && r.task.checkpoint != "" && o.claimOtherWorker(r, claimed):
 			o.recordRunDecision("run_moved", r, "its worker is slow and its progress is saved", now.Steady-r.startSentAt)
-			r.stopping = true
+			r.stopping, w.settled = true, false
 			r.task.avoidWorker = w.ID
 		case s.Speculative && len(r.task.runs) == 1 && !r.task.suspected() && o.claimOtherWorker(r, claimed):
 			r.task.avoidWorker = w.ID
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -43,6 +43,8 @@
 	// unexpected counts the runs in the worker's last answer that this owner does not expect there.
 	unexpected int
 
+	// settled is set while no run on the worker needs an order before the next event about the worker or the run.
+	settled bool
 	// ordersInFlight counts the starts, stops and throttles without an answer, at most maxOrdersInFlight.
 	ordersInFlight int
 	// askAtOnce is set when a heartbeat is due at once, also in place of one that waits at the worker.
@@ -218,6 +220,7 @@
 }
 
 func (w *worker) attach(r *run) {
+	w.settled = false
 	w.runs = append(w.runs, r)
 	w.used = w.used.Add(r.task.step.Reserved())
 	if r.task.step.BestEffort {
@@ -230,6 +233,7 @@
 	if i < 0 {
 		return
 	}
+	w.settled = false
 	w.runs = slices.Delete(w.runs, i, i+1)
 	w.used = w.used.Sub(r.task.step.Reserved())
 	if r.task.step.BestEffort {
