--- a/wigeonshard/burst_test.go
+++ b/wigeonshard/burst_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -130,6 +131,30 @@
 	}
 }
 
+// wrongCounters describes the first counter of a step that differs from what it counts; empty if there is none.
+func (o *Owner) wrongCounters() string {
+	for _, s := range slices.Concat(o.finiteSteps.entries, o.longRunningSteps.entries) {
+		left, waiting, blocked := 0, 0, 0
+		for _, t := range s.tasks {
+			if !t.done {
+				left++
+			}
+			if !t.done && len(t.runs) == 0 {
+				waiting++
+			}
+		}
+		for _, before := range s.After {
+			if s.occurrence.steps[before].tasksLeft > 0 {
+				blocked++
+			}
+		}
+		if s.tasksLeft != left || s.waiting != waiting || s.blocked != blocked {
+			return fmt.Sprintf("job %s, step %d: %d left, %d waiting, blocked by %d; counted are %d, %d and %d", s.job.ID, s.number, left, waiting, blocked, s.tasksLeft, s.waiting, s.blocked)
+		}
+	}
+	return ""
+}
+
 // BenchmarkBurst measures the processor time of an owner for each task of a burst, all its decisions included.
 func BenchmarkBurst(b *testing.B) {
 	for _, workers := range []int{100, 500} {
--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -216,6 +216,9 @@
 		m.reportLosses(o)
 	}
 	m.executeActions(o, o.Step(m.eventTime()))
+	if wrong := o.wrongCounters(); wrong != "" {
+		m.reportViolation("%s", wrong)
+	}
 	m.schedule(10*time.Millisecond, func() { m.stepOwner(o) })
 }
 
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -20,6 +20,7 @@
 		return
 	}
 	j := &job{Job: accepted, state: progress.State, durableState: progress.State, finished: slices.Clone(progress.Finished)}
+	j.objective = accepted.Objective()
 	j.acceptedAt = now.Steady - time.Duration(max(now.Wall-accepted.Accepted, 0))*time.Millisecond
 	o.placementDue = true
 	o.jobs[accepted.ID] = j
@@ -79,6 +80,9 @@
 
 // attach adds a run to its task and its worker, and to their counters.
 func (o *Owner) attach(r *run) {
+	if len(r.task.runs) == 0 && !r.task.done {
+		r.task.step.waiting--
+	}
 	r.task.runs = append(r.task.runs, r)
 	r.task.step.liveRuns++
 	r.task.step.job.liveRuns++
@@ -91,6 +95,9 @@
 		return
 	}
 	r.task.runs = slices.Delete(r.task.runs, i, i+1)
+	if len(r.task.runs) == 0 && !r.task.done {
+		r.task.step.waiting++
+	}
 	r.task.step.liveRuns--
 	r.task.step.job.liveRuns--
 	r.worker.detach(r)
@@ -108,7 +115,7 @@
 		occ.due = now.Steady + time.Duration(at-now.Wall)*time.Millisecond
 	}
 	for n := range j.Steps {
-		s := &step{Step: &j.Steps[n], job: j, occurrence: occ, number: n, tasksLeft: j.Steps[n].Count}
+		s := &step{Step: &j.Steps[n], job: j, occurrence: occ, number: n, tasksLeft: j.Steps[n].Count, waiting: j.Steps[n].Count}
 		s.tasks = make([]*task, s.Count)
 		for i := range s.tasks {
 			s.tasks[i] = &task{id: wigeonstep.TaskID{Job: j.ID, Occurrence: number, Step: n, Index: i}, step: s, waitingSince: now.Steady}
@@ -117,6 +124,7 @@
 		o.openSteps(s).add(s)
 	}
 	j.occurrences = append(j.occurrences, occ)
+	occ.updateChains()
 	return occ
 }
 
@@ -124,21 +132,40 @@
 func (o *Owner) recount(j *job, occ *occurrence) {
 	occ.stepsLeft = 0
 	for _, s := range occ.steps {
-		s.tasksLeft = 0
+		s.tasksLeft, s.waiting = 0, 0
 		for _, t := range s.tasks {
 			if !t.done {
 				s.tasksLeft++
 			}
+			if !t.done && len(t.runs) == 0 {
+				s.waiting++
+			}
 		}
 		if s.tasksLeft > 0 {
 			occ.stepsLeft++
 		}
 	}
+	occ.updateChains()
 	if occ.stepsLeft == 0 {
 		o.finishOccurrence(j, occ)
 	}
 }
 
+// updateChains sets what follows from the steps that are done: which steps are blocked, and the latest start.
+func (occ *occurrence) updateChains() {
+	for _, s := range occ.steps {
+		s.blocked = 0
+		for _, before := range s.After {
+			if occ.steps[before].tasksLeft > 0 {
+				s.blocked++
+			}
+		}
+	}
+	if len(occ.steps) > 0 {
+		occ.latestStart = occ.due + occ.steps[0].job.objective - occ.remainingChain()
+	}
+}
+
 // createAllDueOccurrences creates the occurrences of all repeating jobs that have become due.
 func (o *Owner) createAllDueOccurrences(now Timestamp) {
 	for _, j := range o.repeatingJobs {
@@ -256,6 +283,9 @@
 			continue
 		}
 		member.done = true
+		if len(member.runs) == 0 {
+			s.waiting--
+		}
 		o.setCrashes(member, nil)
 		s.tasksLeft--
 		if s.Gang {
@@ -265,6 +295,7 @@
 		}
 	}
 	if s.tasksLeft == 0 {
+		s.occurrence.updateChains()
 		s.occurrence.stepsLeft--
 		if s.occurrence.stepsLeft == 0 {
 			o.finishOccurrence(s.job, s.occurrence)
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -36,6 +36,8 @@
 	finished       []int
 	// dirty is set while the progress differs from the newest record that was handed to an append.
 	dirty bool
+	// objective is the target time from the due time of an occurrence to its end.
+	objective time.Duration
 	// acceptedAt is the time at which the job was accepted, on the steady clock.
 	acceptedAt time.Duration
 	// liveRuns counts the runs of all tasks.
@@ -61,6 +63,8 @@
 	// stepsLeft counts the steps with tasks that are not done.
 	stepsLeft int
 	due       time.Duration
+	// latestStart is the latest time at which the longest remaining chain of steps may begin for the objective to be met.
+	latestStart time.Duration
 }
 
 type step struct {
@@ -71,6 +75,10 @@
 	tasks      []*task
 	// tasksLeft counts the tasks that are not done.
 	tasksLeft int
+	// waiting counts the tasks that are not done and have no run.
+	waiting int
+	// blocked counts the steps in After with tasks that are not done.
+	blocked int
 	// liveRuns counts the runs of all tasks of the step.
 	liveRuns int
 	// suspects counts the tasks whose crash history is suspicious.
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -181,19 +181,12 @@
 }
 
 // ready reports whether all tasks of the steps in After are done.
-func (s *step) ready() bool {
-	for _, before := range s.After {
-		if s.occurrence.steps[before].tasksLeft > 0 {
-			return false
-		}
-	}
-	return true
-}
+func (s *step) ready() bool { return s.blocked == 0 }
 
 // hasPlaceableTask reports whether a task of the step can be placed now. A gang is placed only while none of its members
 // has a run.
 func (s *step) hasPlaceableTask(now time.Duration) bool {
-	if s.Gang && s.liveRuns > 0 {
+	if s.waiting == 0 && !s.Speculative || s.Gang && s.liveRuns > 0 {
 		return false
 	}
 	for _, t := range s.tasks {
@@ -207,13 +200,11 @@
 // slack returns the time until the longest remaining chain has to start for the objective to be met, negative when it is
 // too late, and the urgency that follows from it.
 func (occ *occurrence) slack(now time.Duration, j *job) (time.Duration, urgency) {
-	objective := j.Objective()
-	chain := occ.remainingChain()
-	left := objective - (now - occ.due) - chain
+	left := occ.latestStart - now
 	switch {
 	case left >= 0:
 		return left, urgencyOnTime
-	case left >= -(lateFactor-1)*objective:
+	case left >= -(lateFactor-1)*j.objective:
 		return left, urgencyLate
 	}
 	return left, urgencyOverdue
@@ -265,9 +256,10 @@
 			return planned
 		}
 	}
-	held := o.placeHeldTasks(now, s, r.pool)
-	if held > 0 {
+	held := 0
+	if s.LongRunning {
 		r.order = nil
+		held = o.placeHeldTasks(now, s, r.pool)
 	}
 	if r.cannotFit(s.job.Service, reserved) {
 		return held
