--- a/wigeonshard/burst_test.go
+++ b/wigeonshard/burst_test.go
@@ -199,7 +199,7 @@
 		b.advance(8*time.Millisecond, 20)
 	}
 	waiting := len(b.owner.finiteSteps.entries)
-	looked := len(b.owner.finiteCandidates(b.now, b.owner.pool(b.now)))
+	looked := len(b.owner.finiteCandidates(b.now, newRoomOrder(b.owner.pool(b.now))))
 	c.Assert(waiting > 2000, qt.IsTrue, qt.Commentf("%d steps", waiting))
 	c.Assert(looked < waiting/10, qt.IsTrue, qt.Commentf("%d of %d steps", looked, waiting))
 }
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -60,8 +60,8 @@
 		o.placeOnCordoned(now, longRunning)
 		o.moveRuns(now, r.pool)
 	}
-	r.order = nil
-	o.placeSteps(now, o.finiteCandidates(now, r.pool), &r)
+	r.order = newRoomOrder(r.pool)
+	o.placeSteps(now, o.finiteCandidates(now, r.order), &r)
 	o.reportLongWaits(now, longRunning)
 }
 
@@ -138,12 +138,12 @@
 
 // finiteCandidates returns the finite steps with tasks to place, without those whose tasks have room on no worker of the pool, in
 // the order in which they are placed.
-func (o *Owner) finiteCandidates(now Timestamp, pool []*worker) []candidate {
+func (o *Owner) finiteCandidates(now Timestamp, pool roomOrder) []candidate {
 	var found []candidate
-	room := largestRoom(pool)
+	rooms := pool.largestRooms()
 	for _, s := range o.finiteSteps.entries {
 		// With an empty pool the steps are looked at all the same, so that another round is due.
-		if len(pool) == 0 || room.Covers(s.reserved) || s.suspects > 0 {
+		if len(pool) == 0 || s.suspects > 0 || anyCovers(rooms, s.reserved) {
 			found = appendIfPlaceable(found, now, s.step)
 		}
 	}
@@ -159,18 +159,6 @@
 	return append(found, newCandidate(now, s))
 }
 
-// largestRoom returns the largest free CPU, memory and GPU capacity of any worker, each by itself.
-func largestRoom(pool []*worker) wigeonstep.Resources {
-	var room wigeonstep.Resources
-	for _, w := range pool {
-		free := w.free()
-		room.CPU = max(room.CPU, free.CPU)
-		room.Memory = max(room.Memory, free.Memory)
-		room.GPU = max(room.GPU, free.GPU)
-	}
-	return room
-}
-
 func newCandidate(now Timestamp, s *step) candidate {
 	c := candidate{step: s, priority: s.job.Policy.Priority}
 	c.slack, c.urgency = s.occurrence.slack(now.Steady, s.job)
--- a/wigeonshard/roomorder.go
+++ b/wigeonshard/roomorder.go
@@ -63,3 +63,18 @@
 	copy(order[to+1:place+1], order[to:place])
 	order[to] = w
 }
+
+// largestRooms returns the free room of each worker that no other worker's covers. A task that fits into none of it fits nowhere.
+func (order roomOrder) largestRooms() []wigeonstep.Resources {
+	var rooms []wigeonstep.Resources
+	for _, w := range slices.Backward(order) {
+		if free := w.free(); !anyCovers(rooms, free) {
+			rooms = append(rooms, free)
+		}
+	}
+	return rooms
+}
+
+func anyCovers(rooms []wigeonstep.Resources, need wigeonstep.Resources) bool {
+	return slices.ContainsFunc(rooms, func(room wigeonstep.Resources) bool { return room.Covers(need) })
+}
