--- a/wigeonshard/roomorder_test.go
+++ b/wigeonshard/roomorder_test.go
@@ -27,7 +27,7 @@
 			place, ok := order.choose(s.step, task, s.reserved)
 			c.Assert(ok, qt.Equals, want != nil)
 			if ok {
-				c.Assert(order[place].worker.ID, qt.Equals, want.ID)
+				c.Assert(order[place].ID, qt.Equals, want.ID)
 				compared++
 			}
 		}
