--- a/wigeondaemon/partitions.go
+++ b/wigeondaemon/partitions.go
@@ -170,7 +170,7 @@
 
 // minMembers and maxMembers bound the numbers of members for which meetings counts.
 const (
-	minMembers = 2
+	minMembers = 5
 	maxMembers = 30
 )
 
