--- a/wigeondaemon/partitions.go
+++ b/wigeondaemon/partitions.go
@@ -150,51 +150,16 @@
 	return registered
 }
 
-// leastUsedPartitions returns up to n partitions with the fewest services and increments their counts in used. Among equally used
-// ones it takes those that the group would rarely give to one process together with a used one.
+// leastUsedPartitions returns up to n partitions with the fewest services and increments their counts in used.
 func (d *Daemon) leastUsedPartitions(used map[wigeonstep.Partition]int, n int) []wigeonstep.Partition {
-	var chosen []wigeonstep.Partition
-	for len(chosen) < min(n, d.config.Partitions-1) {
-		best, bestRank := wigeonstep.Partition(-1), [2]int{}
-		for part := fleetPartition + 1; int(part) < d.config.Partitions; part++ {
-			rank := [2]int{used[part], d.meetings(part, used)}
-			if !slices.Contains(chosen, part) && (best < 0 || slices.Compare(rank[:], bestRank[:]) < 0) {
-				best, bestRank = part, rank
-			}
-		}
-		chosen = append(chosen, best)
-		used[best]++
+	var all []wigeonstep.Partition
+	for part := fleetPartition + 1; int(part) < d.config.Partitions; part++ {
+		all = append(all, part)
 	}
-	return chosen
-}
-
-// minMembers and maxMembers bound the numbers of members for which meetings counts.
-const (
-	minMembers = 5
-	maxMembers = 30
-)
-
-// meetings counts how often the partition would be with a used one, or with that of the fleet, in the same process, if the group
-// dealt the partitions out one by one or in ranges among minMembers to maxMembers members.
-func (d *Daemon) meetings(part wigeonstep.Partition, used map[wigeonstep.Partition]int) int {
-	n := 0
-	for other := range wigeonstep.Partition(d.config.Partitions) {
-		if other == part || other != fleetPartition && used[other] == 0 {
-			continue
-		}
-		for members := wigeonstep.Partition(minMembers); members <= maxMembers; members++ {
-			if part%members == other%members {
-				n++
-			}
-			if sameRange(part, other, members, wigeonstep.Partition(d.config.Partitions)) {
-				n++
-			}
-		}
+	slices.SortStableFunc(all, func(a, b wigeonstep.Partition) int { return used[a] - used[b] })
+	chosen := slices.Clone(all[:min(n, len(all))])
+	for _, part := range chosen {
+		used[part]++
 	}
-	return n
-}
-
-// sameRange reports whether two of count partitions are in the same of as many ranges as there are members.
-func sameRange(a, b, members, count wigeonstep.Partition) bool {
-	return a*members/count == b*members/count
+	return chosen
 }
