--- a/wigeondaemon/loopload.go
+++ b/wigeondaemon/loopload.go
@@ -29,7 +29,7 @@
 var loopPartNames = [loopPartCount]string{"events", "owners", "reports", "fleet", "other"}
 
 const (
-	// loadInterval is the period over which the load of the event loop is measured.
+	// loadInterval is the period of each report of the load of the event loop.
 	loadInterval = time.Second
 	// minLoggedLoad is the share of the time above which the load is logged.
 	minLoggedLoad = 0.2
