Log the processor time of the whole process beside the load of its event loop

Change: loop_load carries process, the processor time of the process in the interval. Result: with it an owner's calls are process less the sum of the parts.

--- a/wigeondaemon/loopload.go
+++ b/wigeondaemon/loopload.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 )
 
 // loopPart is a part of the work of the event loop.
@@ -43,6 +44,8 @@
 	longest time.Duration
 	// gcSeconds is the processor time of the garbage collector since the start of the process, as of since.
 	gcSeconds float64
+	// processSeconds is the processor time of the whole process, as of since.
+	processSeconds float64
 }
 
 // measure runs work and adds its time to the part.
@@ -70,10 +73,12 @@
 	}
 	gcSeconds := collectorSeconds()
 	fields = append(fields, zap.String("gc", fmt.Sprintf("%.2f", (gcSeconds-l.gcSeconds)/elapsed.Seconds())))
+	processSeconds := processorSeconds()
+	fields = append(fields, zap.String("process", fmt.Sprintf("%.2f", (processSeconds-l.processSeconds)/elapsed.Seconds())))
 	if l.since != 0 && total.Seconds() > minLoggedLoad*elapsed.Seconds() {
 		d.config.Logger.Info("loop_load", fields...)
 	}
-	*l = loopLoad{since: now, gcSeconds: gcSeconds}
+	*l = loopLoad{since: now, gcSeconds: gcSeconds, processSeconds: processSeconds}
 }
 
 // collectorSeconds returns the processor time that the garbage collector has taken, as of its last cycle.
@@ -85,3 +90,13 @@
 	}
 	return sample[0].Value.Float64()
 }
+
+// processorSeconds returns the processor time that this process has taken, the calls to workers and the loop together; 0 if the
+// system doesn't tell.
+func processorSeconds() float64 {
+	var usage unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &usage); err != nil {
+		return 0
+	}
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano()).Seconds()
+}
