Let other processes send the orders of owners of large pools

Cause: callers saw jobs of a turn late or not at all. The owner of a pool of 700 workers sent 7,300 starts and heartbeats a second, each a request of its own on a goroutine of its own. They took most of its VM's processor, and 3,600 goroutines stood in one queue with the loop that decides. A few percent more or less decided whether a turn was served. Change: an owner of 150 workers or more hands its orders in frames to up to four members of the group that own no shard with workers, each for a fixed part of the workers, and gets the results in frames. Deadlines are passed on by the relay's own clock, so a frame that waits starts nothing late and acknowledges nothing. A relay that is lost or silent for 0.4 s is left; its heartbeats are sent again directly.

--- a/cmd/wigeonstep/localnode.go
+++ b/cmd/wigeonstep/localnode.go
@@ -26,6 +26,7 @@
 	clientAddress string
 	// peerAddress is the host:port for other processes and operators.
 	peerAddress string
+	metrics     *metrics.Set
 }
 
 // localVM describes the VM of a local node and the addresses of the store and the machine service that the node uses.
@@ -33,6 +34,8 @@
 	name, store, machineService string
 	// cores and linkMbps are the limits of the VM; 0 means unknown.
 	cores, linkMbps float64
+	// minRelayedWorkers is wigeondaemon.Config.MinRelayedWorkers.
+	minRelayedWorkers int
 }
 
 // startLocalNode runs a node in this process until ctx ends, on free ports. The end of ctx acts like SIGKILL: the node
@@ -60,9 +63,10 @@
 	if err != nil {
 		return localNode{}, errors.Join(err, closeListeners(opened[:]))
 	}
+	config.MinRelayedWorkers = vm.minRelayedWorkers
 	daemon := wigeondaemon.New(config)
 	listeners := nodeListeners{clients: opened[0], ready: opened[1], peers: opened[2], metrics: opened[3]}
 	serveNode(ctx, listeners, logger, daemon, &platform.Frontend{Jobs: daemon}, set)
 	go daemon.Run(ctx)
-	return localNode{daemon: daemon, clientAddress: opened[0].Addr().String(), peerAddress: s.PeerAddress()}, nil
+	return localNode{daemon: daemon, clientAddress: opened[0].Addr().String(), peerAddress: s.PeerAddress(), metrics: set}, nil
 }
--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -55,9 +55,10 @@
 func newNodeCommand(out, errOut io.Writer) *ffcli.Command {
 	flags := newFlagSet("node", errOut)
 	level := flags.String("log-level", "info", "least level of the lines that are logged")
+	relayed := flags.Int("relayed-workers", wigeondaemon.DefaultMinRelayedWorkers, "number of workers of a shard from which other processes send its orders")
 	return &ffcli.Command{
 		Name:       "node",
-		ShortUsage: "wigeonstep node [-log-level LEVEL]",
+		ShortUsage: "wigeonstep node [-log-level LEVEL] [-relayed-workers COUNT]",
 		ShortHelp:  "runs jobs on the users' platform: accepts them, places their tasks and maintains the VMs",
 		LongHelp: `Reads the settings file that the platform names in the environment (deploy/system.toml, deploy/settings.json).
 Logs one key=value line for each event to the standard output.
@@ -67,6 +68,9 @@
 			if len(args) > 0 {
 				return usagef("node: takes no arguments")
 			}
+			if *relayed < 1 {
+				return usagef("node: -relayed-workers is %d, expected 1 or more", *relayed)
+			}
 			settings, err := platform.LoadSettings()
 			if err != nil {
 				return usageError{err}
@@ -76,13 +80,14 @@
 				return usageError{err}
 			}
 			wigeontelemetry.RedirectHertz(logger)
-			return runNode(ctx, settings, logger.With(zap.String("node", settings.NodeName)))
+			return runNode(ctx, settings, *relayed, logger.With(zap.String("node", settings.NodeName)))
 		},
 	}
 }
 
-// runNode runs the node until ctx ends and then drains it within the grace period.
-func runNode(ctx context.Context, settings platform.Settings, logger *zap.Logger) error {
+// runNode runs the node until ctx ends and then drains it within the grace period. minRelayedWorkers is
+// wigeondaemon.Config.MinRelayedWorkers.
+func runNode(ctx context.Context, settings platform.Settings, minRelayedWorkers int, logger *zap.Logger) error {
 	// A SIGHUP that came before is ignored. The settings were read only shortly before.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -93,6 +98,7 @@
 	if err != nil {
 		return err
 	}
+	config.MinRelayedWorkers = minRelayedWorkers
 	daemon := wigeondaemon.New(config)
 	frontend := &platform.Frontend{Jobs: daemon, Logger: logger}
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/cmd/wigeonstep/node_test.go
+++ b/cmd/wigeonstep/node_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	qt "github.com/frankban/quicktest"
 	"go.uber.org/zap"
 
@@ -63,6 +64,7 @@
 type testNode struct {
 	clientAddress string
 	peerAddress   string
+	metrics       *metrics.Set
 	daemon        *wigeondaemon.Daemon
 	kill          context.CancelFunc
 }
@@ -82,7 +84,7 @@
 	vm.machineService = f.machineService.Address()
 	local, err := startLocalNode(ctx, vm, f.logger)
 	c.Assert(err, qt.IsNil)
-	n := &testNode{clientAddress: local.clientAddress, peerAddress: local.peerAddress, daemon: local.daemon, kill: cancel}
+	n := &testNode{clientAddress: local.clientAddress, peerAddress: local.peerAddress, metrics: local.metrics, daemon: local.daemon, kill: cancel}
 	waitFor(c, "the node is ready", n.daemon.Ready)
 	return n
 }
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -87,6 +87,9 @@
 	Member string
 	// Rate is the number of tasks a second that an owner in this process can start and track; 0 if it is unknown.
 	Rate wigeongroup.TaskRate
+	// MinRelayedWorkers is the number of workers of a shard from which its orders go through other processes,
+	// DefaultMinRelayedWorkers by default.
+	MinRelayedWorkers int
 	// MachineCallRate is the platform's limit on calls that change VMs, in calls per second; 0 if it is unknown.
 	MachineCallRate float64
 	// Partitions is the number of partitions of the job log, at least 2.
@@ -134,6 +137,7 @@
 	waveReadAt map[int]time.Duration
 	appends    appendBatcher
 	load       loopLoad
+	relays     relays
 	fleet      fleet
 	// lastReport is the time of the last reports of the owned shards to the owner of the fleet partition.
 	lastReport     time.Duration
@@ -150,6 +154,9 @@
 	if c.Retention <= 0 {
 		c.Retention = 10 * time.Minute
 	}
+	if c.MinRelayedWorkers <= 0 {
+		c.MinRelayedWorkers = DefaultMinRelayedWorkers
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Daemon{
 		ctx:        ctx,
@@ -161,6 +168,7 @@
 		waves:      map[int]wigeonstep.Wave{},
 		waveReadAt: map[int]time.Duration{},
 		fleet:      newFleet(c.MachineCallRate),
+		relays:     relays{retryAt: map[string]time.Duration{}, opening: map[string]bool{}},
 	}
 }
 
@@ -419,6 +427,7 @@
 	d.measure(partOwners, func() {
 		d.expireWorkers(now.Steady)
 		d.stepOwners(now)
+		d.stepRelays(now.Steady)
 	})
 	d.measure(partOther, func() {
 		d.sweepEndedJobs(now)
--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -12,59 +12,133 @@
 // execute executes the actions that a shard's owner returned, each at once: the owner bounds the orders in flight. Results are
 // delivered to the owner on the event loop, unless its ownership has ended by then.
 func (d *Daemon) execute(sh *shard, a wigeonshard.Actions) {
-	owner, ctx, fence := sh.owner, sh.ctx, sh.fence
-	deliver := func(event func(now wigeonshard.Timestamp)) {
-		d.post(func() {
-			if ctx.Err() == nil {
-				event(d.config.Now())
-			}
-		})
-	}
+	e := execution{Daemon: d, owner: sh.owner, ctx: sh.ctx, fence: sh.fence}
 	for _, decision := range a.Decisions {
 		d.logDecision(decision)
 	}
 	if a.Append != nil {
-		d.appendFenced(sh, a.Append, func(answer appendAnswer) { owner.AppendAcknowledged(d.config.Now(), answer.sentAt) })
+		d.appendFenced(sh, a.Append, func(answer appendAnswer) { e.owner.AppendAcknowledged(d.config.Now(), answer.sentAt) })
 	}
 	for _, h := range a.Heartbeats {
-		go func() {
-			if d.config.Now().Steady >= h.AckBefore {
-				h.Request.AckedEnd = 0
-			}
-			result, err := d.config.Orders.Heartbeat(ctx, h.Worker, h.Request)
-			deliver(func(now wigeonshard.Timestamp) { owner.HeartbeatAnswered(now, h, result, err) })
-		}()
+		e.sendHeartbeat(h)
 	}
 	for _, s := range a.Stops {
-		go func() {
-			err := d.config.Orders.Stop(ctx, s.Worker, s.Run, fence)
-			deliver(func(now wigeonshard.Timestamp) { owner.StopAnswered(now, s, err) })
-		}()
+		e.sendStop(s)
 	}
 	for _, s := range a.Starts {
 		d.config.Metrics.starts.Inc()
-		go func() {
-			result := wigeonstep.StartResult{Verdict: wigeonstep.StartNotSent}
-			if d.config.Now().Steady < s.SendBefore {
-				result = d.config.Orders.Start(ctx, s.Worker, s.Order)
-			}
-			deliver(func(now wigeonshard.Timestamp) { owner.StartAnswered(now, s, result) })
-		}()
+		e.sendStart(s)
 	}
 	for _, t := range a.Throttles {
-		go func() {
-			err := d.config.Orders.Throttle(ctx, t.Worker, t.Run, t.Percent, fence)
-			deliver(func(now wigeonshard.Timestamp) { owner.ThrottleAnswered(now, t, err) })
-		}()
+		e.sendThrottle(t)
 	}
 	for _, request := range a.AdviceRequests {
 		go func() {
-			advice, err := d.advise(ctx, request)
-			deliver(func(now wigeonshard.Timestamp) { owner.AdviceAnswered(now, request, advice, err) })
+			advice, err := d.advise(e.ctx, request)
+			e.post(func() { e.owner.AdviceAnswered(d.config.Now(), request, advice, err) })
 		}()
 	}
 }
 
+// execution sends the orders of one ownership of a shard. An order goes through a relay, whose result arrives on the event
+// loop, or on a goroutine of its own.
+type execution struct {
+	*Daemon
+	owner *wigeonshard.Owner
+	// ctx ends with the ownership.
+	ctx   context.Context
+	fence wigeonstep.FencingToken
+}
+
+// post delivers an event on the event loop unless the ownership has ended by then.
+func (e execution) post(event func()) {
+	e.Daemon.post(func() { e.deliver(event) })
+}
+
+func (e execution) deliver(event func()) {
+	if e.ctx.Err() == nil {
+		event()
+	}
+}
+
+// sendHeartbeat sends a heartbeat. If the relay fails, or the worker did not answer the one before, it is sent directly, so that
+// a relay that can't reach a worker does not make it look lost.
+func (e execution) sendHeartbeat(h wigeonshard.Heartbeat) {
+	if h.Retry {
+		e.sendHeartbeatDirectly(h)
+		return
+	}
+	relay := e.relayFor(e.owner, h.Worker.ID)
+	if relay == nil {
+		e.sendHeartbeatDirectly(h)
+		return
+	}
+	relay.Heartbeat(h.Worker, h.Request, h.AckBefore, func(result wigeonstep.HeartbeatResult, acked bool, err error) {
+		e.deliver(func() {
+			if err != nil {
+				e.sendHeartbeatDirectly(h)
+				return
+			}
+			if !acked {
+				h.Request.AckedEnd = 0
+			}
+			e.owner.HeartbeatAnswered(e.config.Now(), h, result, nil)
+		})
+	})
+}
+
+func (e execution) sendHeartbeatDirectly(h wigeonshard.Heartbeat) {
+	go func() {
+		if e.config.Now().Steady >= h.AckBefore {
+			h.Request.AckedEnd = 0
+		}
+		result, err := e.config.Orders.Heartbeat(e.ctx, h.Worker, h.Request)
+		e.post(func() { e.owner.HeartbeatAnswered(e.config.Now(), h, result, err) })
+	}()
+}
+
+func (e execution) sendStop(s wigeonshard.Stop) {
+	if relay := e.relayFor(e.owner, s.Worker.ID); relay != nil {
+		relay.Stop(s.Worker, s.Run, e.fence, func(err error) {
+			e.deliver(func() { e.owner.StopAnswered(e.config.Now(), s, err) })
+		})
+		return
+	}
+	go func() {
+		err := e.config.Orders.Stop(e.ctx, s.Worker, s.Run, e.fence)
+		e.post(func() { e.owner.StopAnswered(e.config.Now(), s, err) })
+	}()
+}
+
+func (e execution) sendStart(s wigeonshard.Start) {
+	if relay := e.relayFor(e.owner, s.Worker.ID); relay != nil {
+		relay.Start(s.Worker, s.Order, s.SendBefore, func(result wigeonstep.StartResult) {
+			e.deliver(func() { e.owner.StartAnswered(e.config.Now(), s, result) })
+		})
+		return
+	}
+	go func() {
+		result := wigeonstep.StartResult{Verdict: wigeonstep.StartNotSent}
+		if e.config.Now().Steady < s.SendBefore {
+			result = e.config.Orders.Start(e.ctx, s.Worker, s.Order)
+		}
+		e.post(func() { e.owner.StartAnswered(e.config.Now(), s, result) })
+	}()
+}
+
+func (e execution) sendThrottle(t wigeonshard.Throttle) {
+	if relay := e.relayFor(e.owner, t.Worker.ID); relay != nil {
+		relay.Throttle(t.Worker, t.Run, t.Percent, e.fence, func(err error) {
+			e.deliver(func() { e.owner.ThrottleAnswered(e.config.Now(), t, err) })
+		})
+		return
+	}
+	go func() {
+		err := e.config.Orders.Throttle(e.ctx, t.Worker, t.Run, t.Percent, e.fence)
+		e.post(func() { e.owner.ThrottleAnswered(e.config.Now(), t, err) })
+	}()
+}
+
 func (d *Daemon) advise(ctx context.Context, request wigeonshard.AdviceRequest) (wigeonstep.Advice, error) {
 	if d.config.Advisor == nil {
 		return wigeonstep.Advice{}, wigeonstep.ErrUnavailable
--- a/wigeondaemon/group.go
+++ b/wigeondaemon/group.go
@@ -67,6 +67,8 @@
 	// participates is set while the process is, or tries to be, in the group.
 	participates     bool
 	nextHoldersCheck time.Duration
+	// nextRelayCheck is the time at which the relays are chosen again.
+	nextRelayCheck time.Duration
 	// joinAt is the earliest time at which a small process joins that should; 0 while it should not.
 	joinAt time.Duration
 	// failing is set while requests to the group fail.
@@ -95,6 +97,7 @@
 		}
 		if m.participates {
 			d.renewMembership(ctx, &m)
+			d.checkRelays(ctx, &m)
 		}
 		select {
 		case <-ctx.Done():
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -16,6 +16,8 @@
 	appendRetries *metrics.Counter
 	peerFailures  *metrics.Counter
 	panics        *metrics.Counter
+	// relayedOrders counts the orders to workers that went through a relay, directOrders the others.
+	relayedOrders, directOrders *metrics.Counter
 	// loopSeconds counts the time that each part of the event loop's work took.
 	loopSeconds [loopPartCount]*metrics.FloatCounter
 }
@@ -28,6 +30,8 @@
 		appendRetries: set.NewCounter("wigeonstep_log_append_retries_total"),
 		peerFailures:  set.NewCounter("wigeonstep_peer_failures_total"),
 		panics:        set.NewCounter("wigeonstep_panics_total"),
+		relayedOrders: set.NewCounter(`wigeonstep_worker_orders_total{path="relay"}`),
+		directOrders:  set.NewCounter(`wigeonstep_worker_orders_total{path="direct"}`),
 	}
 	for part, name := range loopPartNames {
 		m.loopSeconds[part] = set.NewFloatCounter(fmt.Sprintf(`wigeonstep_loop_seconds_total{part=%q}`, name))
--- a/wigeonpeer/server.go
+++ b/wigeonpeer/server.go
@@ -234,6 +234,9 @@
 	_ = stream.SetReadDeadline(time.Time{})
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if h, ok := s.handler.(StreamHandler); ok && h.HandleStream(ctx, request, &Stream{inner: stream}) {
+		return nil
+	}
 	// The peer sends nothing after its request, so the read returns when the call of the peer ends or the stream closes.
 	go func() {
 		_, _ = stream.Read(make([]byte, 1))
--- a/wigeonshard/action.go
+++ b/wigeonshard/action.go
@@ -36,7 +36,9 @@
 	// AckBefore is the time from which the request must not acknowledge ends any more: the caller sets its AckedEnd to 0, in
 	// the Heartbeat that it passes to HeartbeatAnswered as well.
 	AckBefore time.Duration
-	Request   wigeonstep.HeartbeatRequest
+	// Retry is set if the worker did not answer the heartbeat before.
+	Retry   bool
+	Request wigeonstep.HeartbeatRequest
 }
 
 // Throttle is an order that limits a best-effort run to a percentage of its full speed. The caller reports the answer with
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -48,7 +48,7 @@
 		w.pendingHeartbeat, w.heartbeatSentAt = o.heartbeatCount, now.Steady
 		w.pendingWait, w.overdue, w.askAtOnce = request.Wait, false, false
 		o.out.Heartbeats = append(o.out.Heartbeats, Heartbeat{
-			Worker: w.ref(), Number: o.heartbeatCount, SentAt: now.Steady, Request: request, AckBefore: w.sameProcessUntil(),
+			Worker: w.ref(), Number: o.heartbeatCount, SentAt: now.Steady, Request: request, AckBefore: w.sameProcessUntil(), Retry: w.failures > 0,
 		})
 	}
 }
