Soak owners that send their orders through other processes

Cause: the pools of the soak are too small for relays, so that it would never reach them. Change: the flag -soak.relays and TestSoakWithRelays start the processes with -relayed-workers 1, with the faults of PlanLives.

--- a/wigeonsoak/process.go
+++ b/wigeonsoak/process.go
@@ -56,7 +56,7 @@
 }
 
 // newProcess writes the settings file of a process and creates its log file. It does not start the process.
-func newProcess(binary, directory, name, ip, store, machineService string, h *history) (*process, error) {
+func newProcess(binary, directory, name, ip, store, machineService string, arguments []string, h *history) (*process, error) {
 	addresses, err := freeAddresses(ip, 4)
 	if err != nil {
 		return nil, err
@@ -74,7 +74,7 @@
 		return nil, fmt.Errorf("create log: %w", err)
 	}
 	command := func() *exec.Cmd {
-		c := exec.Command(binary, "node") //nolint:gosec,noctx // the soak ends its processes with the signals of its plan
+		c := exec.Command(binary, append([]string{"node"}, arguments...)...) //nolint:gosec,noctx // the soak ends its processes with the signals of its plan
 		c.Env = append(os.Environ(), environment)
 		c.Stdout, c.Stderr = output, output
 		return c
--- a/wigeonsoak/soak.go
+++ b/wigeonsoak/soak.go
@@ -56,6 +56,8 @@
 	Crashes bool
 	// StopsOnly replaces all faults by the planned work of PlanStops.
 	StopsOnly bool
+	// Relays lets owners send their orders to workers through other processes, however few workers there are.
+	Relays bool
 	// Processes and Workers are the numbers of processes and of workers, at least 2 each.
 	Processes, Workers int
 }
@@ -197,7 +199,11 @@
 		if err != nil {
 			return err
 		}
-		p, err := newProcess(s.settings.Binary, s.settings.Directory, fmt.Sprintf("n-%d", i), loopbackIP(s.settings.Seed, i), link.Address(), machineService.Address(), s.history)
+		var arguments []string
+		if s.settings.Relays {
+			arguments = []string{"-relayed-workers", "1"}
+		}
+		p, err := newProcess(s.settings.Binary, s.settings.Directory, fmt.Sprintf("n-%d", i), loopbackIP(s.settings.Seed, i), link.Address(), machineService.Address(), arguments, s.history)
 		if err != nil {
 			return err
 		}
--- a/wigeonsoak/soak_test.go
+++ b/wigeonsoak/soak_test.go
@@ -22,6 +22,7 @@
 	lives         = flag.Bool("soak.lives", false, "add the faults of PlanLives, for the seeds from -soak.first on")
 	stopsOnly     = flag.Bool("soak.stops", false, "play only the planned work of PlanStops, for the seeds from -soak.first on")
 	crashes       = flag.Bool("soak.crashes", false, "play the faults of PlanCrashes beside jobs that crash their workers, for the seeds from -soak.first on")
+	relays        = flag.Bool("soak.relays", false, "let owners send their orders through other processes, for the seeds from -soak.first on")
 	processCount  = flag.Int("soak.processes", 4, "number of processes")
 	workerCount   = flag.Int("soak.workers", 5, "number of workers")
 	faultPeriod   = flag.Duration("soak.period", 8*time.Second, "period over which faults are planned")
@@ -38,7 +39,7 @@
 // repeatedly and all at once: an accepted job stays known and completes, a refused job never runs, no task runs twice, a
 // long-running job runs until it is cancelled, and a process exits only after a signal.
 func TestSoak(t *testing.T) {
-	runSeeds(t, selectedSeeds(t), Settings{PacketLoss: *packetLoss, Lives: *lives, StopsOnly: *stopsOnly, Crashes: *crashes})
+	runSeeds(t, selectedSeeds(t), Settings{PacketLoss: *packetLoss, Lives: *lives, StopsOnly: *stopsOnly, Crashes: *crashes, Relays: *relays})
 }
 
 // Guards against the same violations while links lose packets besides, so that data stalls and arrives late.
@@ -64,6 +65,12 @@
 	runSeeds(t, readSeeds(t, "crashes_seeds.txt"), Settings{Crashes: true})
 }
 
+// Guards against the same violations while owners send their orders to workers through other processes, which are killed, paused
+// and cut off as well.
+func TestSoakWithRelays(t *testing.T) {
+	runSeeds(t, readSeeds(t, "relays_seeds.txt"), Settings{Lives: true, Relays: true})
+}
+
 // runSeeds plays the seeds with the given faults.
 func runSeeds(t *testing.T, selected []uint64, faults Settings) {
 	t.Helper()
