--- a/wigeondaemon/relays.go
+++ b/wigeondaemon/relays.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -36,16 +37,15 @@
 	errRelaySilent = errors.New("it is silent")
 	errRelayFull   = errors.New("the connection takes no more orders")
 	errRelayUnused = errors.New("it is no longer used")
-	errRelayClosed = errors.New("the connection ended")
 )
 
 // relays is the state of the event loop about the relays of this process.
 type relays struct {
 	// chosen holds the addresses of the processes that should be the relays.
 	chosen []string
-	// links holds the open links, sorted by address; addresses holds the addresses of those that are chosen, in the same order as
-	// usable.
-	links     []*wigeonrelay.Link
+	// links holds the open links, sorted by address. One that is no longer chosen is kept until its last order has a result.
+	links []*wigeonrelay.Link
+	// usable holds the open links to chosen relays, which get new orders, and addresses their addresses in the same order.
 	usable    []*wigeonrelay.Link
 	addresses []string
 	// retryAt holds the earliest time at which a relay is opened again.
@@ -131,21 +131,8 @@
 
 // openRelay opens a relay and receives its frames until the connection ends.
 func (d *Daemon) openRelay(address string) {
-	ctx, cancel := context.WithTimeout(d.ctx, relayOpenTimeout)
-	stream, err := d.config.Peers.Open(ctx, address, &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Relay{Relay: &wigeonwire.RelayOpen{}}})
-	cancel()
-	var first wigeonwire.RelayResults
-	if err == nil {
-		timer := time.AfterFunc(relayOpenTimeout, stream.Close)
-		err = stream.Receive(&first)
-		if !timer.Stop() && err == nil {
-			err = errRelaySilent
-		}
-	}
+	stream, first, err := d.dialRelay(address)
 	if err != nil {
-		if stream != nil {
-			stream.Close()
-		}
 		d.post(func() {
 			delete(d.relays.opening, address)
 			d.relays.retryAt[address] = d.config.Now().Steady + relayRetryDelay
@@ -155,24 +142,45 @@
 	}
 	defer stream.Close()
 	defer context.AfterFunc(d.ctx, stream.Close)()
-	opened, ok := queryLoop(d.ctx, d, func() *wigeonrelay.Link { return d.addRelay(address, &first, stream) })
+	l, ok := queryLoop(d.ctx, d, func() *wigeonrelay.Link { return d.addRelay(address, first, stream) })
 	if !ok {
 		return
 	}
 	for {
 		frame := &wigeonwire.RelayResults{}
 		if err := stream.Receive(frame); err != nil {
-			d.post(func() { d.closeRelay(opened, errRelayClosed) })
+			d.post(func() { d.closeRelay(l, fmt.Errorf("the connection ended: %w", err)) })
 			return
 		}
 		d.post(func() {
-			if !opened.Closed() {
-				opened.Apply(d.config.Now().Steady, frame)
+			if !l.Closed() {
+				l.Apply(d.config.Now().Steady, frame)
 			}
 		})
 	}
 }
 
+// dialRelay connects to a relay and waits for its first frame, which shows its clock.
+func (d *Daemon) dialRelay(address string) (*wigeonpeer.Stream, *wigeonwire.RelayResults, error) {
+	ctx, cancel := context.WithTimeout(d.ctx, relayOpenTimeout)
+	defer cancel()
+	stream, err := d.config.Peers.Open(ctx, address, &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Relay{Relay: &wigeonwire.RelayOpen{}}})
+	if err != nil {
+		return nil, nil, err
+	}
+	stop := context.AfterFunc(ctx, stream.Close)
+	first := &wigeonwire.RelayResults{}
+	err = stream.Receive(first)
+	if !stop() && err == nil {
+		err = errRelaySilent
+	}
+	if err != nil {
+		stream.Close()
+		return nil, nil, fmt.Errorf("wait for the first frame: %w", err)
+	}
+	return stream, first, nil
+}
+
 // addRelay adds the link to a relay that has sent its first frame.
 func (d *Daemon) addRelay(address string, first *wigeonwire.RelayResults, stream *wigeonpeer.Stream) *wigeonrelay.Link {
 	l := wigeonrelay.NewLink(address, d.config.Now().Steady, first)
