Forget the retry times of relays that are no longer chosen

Cause: the map of retry times kept each address that was ever a relay; entry VMs are replaced at new addresses. Change: choosing relays removes the times of the others. Result: tests of wigeondaemon and wigeonrelay pass; found by reading.

--- a/wigeondaemon/relays.go
+++ b/wigeondaemon/relays.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -48,7 +49,7 @@
 	// usable holds the open links to chosen relays, which get new orders, and addresses their addresses in the same order.
 	usable    []*wigeonrelay.Link
 	addresses []string
-	// retryAt holds the earliest time at which a relay is opened again.
+	// retryAt holds the earliest time at which a chosen relay that was lost is opened again.
 	retryAt map[string]time.Duration
 	// opening holds the addresses of the relays that are being opened.
 	opening  map[string]bool
@@ -92,6 +93,7 @@
 		return slices.ContainsFunc(d.sortedShards, func(sh *shard) bool { return sh.replica.Owner.Address == address })
 	})
 	d.relays.chosen = wigeonrelay.Choose(d.config.Shard.Address, candidates)
+	maps.DeleteFunc(d.relays.retryAt, func(address string, _ time.Duration) bool { return !slices.Contains(d.relays.chosen, address) })
 	d.updateUsableRelays()
 }
 
--- a/wigeonrelay/link.go
+++ b/wigeonrelay/link.go
@@ -23,8 +23,8 @@
 	maxQueuedFrames = 64
 )
 
-// Link is an owner's end of the connection to a relay. It is not safe for concurrent use. The function that an order is given
-// is called exactly once, by Apply or Fail.
+// Link is an owner's end of the connection to a relay. It is not safe for concurrent use, except that Send runs on a goroutine of
+// its own. The function that comes with an order is called exactly once, by Apply or Fail.
 type Link struct {
 	// Address is the address of the relay.
 	Address string
@@ -48,7 +48,7 @@
 	return l
 }
 
-// Send sends the frames of the link until Fail is called or the connection ends. It runs on a goroutine of its own.
+// Send sends the frames of the link until Fail is called or the connection ends.
 func (l *Link) Send(conn Conn) {
 	defer conn.Close()
 	for frame := range l.frames {
