--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -138,12 +138,12 @@
 	f.lives++
 	id := fmt.Sprintf("i-%08x", 0x7f3a0000+f.lives*7919)
 	f.mu.Unlock()
-	return f.bootAs(m, id)
+	return f.bootAs(m, id, "a", "127.0.0.1:0")
 }
 
-// bootAs starts a new life of the machine under an id.
-func (f *fleet) bootAs(m *machine, id string) *worker {
-	w := newWorker(f, m, id, m.pool)
+// bootAs starts a new life of the machine under an id, at an address.
+func (f *fleet) bootAs(m *machine, id, kind, address string) *worker {
+	w := newWorker(f, m, id, m.pool, kind, address)
 	f.mu.Lock()
 	m.worker, m.state = w, "up"
 	f.mu.Unlock()
@@ -161,14 +161,14 @@
 	time.AfterFunc(back, func() { f.boot(m) })
 }
 
-// restart ends the worker of a machine, which soon starts again under its id.
-func (f *fleet) restart(m *machine, back time.Duration) {
+// restartAs crashes the worker of a machine, which starts again under its id and at its address, as a worker of the kind.
+func (f *fleet) restartAs(m *machine, back time.Duration, kind string) {
 	f.mu.Lock()
 	w := m.worker
-	m.worker, m.state = nil, "down"
+	m.state = "down"
 	f.mu.Unlock()
 	w.crash()
-	time.AfterFunc(back, func() { f.bootAs(m, w.id) })
+	time.AfterFunc(back, func() { f.bootAs(m, w.id, kind, w.address) })
 }
 
 // cutOff makes a worker unreachable for a time; it runs on.
@@ -204,7 +204,7 @@
 		rows := []map[string]any{}
 		for _, m := range f.machines {
 			row := map[string]any{"machine": m.id, "pool": m.pool, "state": m.state, "zone": "a", "labels": []string{"a", m.rack}, "capacity": m.room, "id": ""}
-			if m.worker != nil {
+			if m.worker != nil && m.state == "up" {
 				row["id"] = m.worker.id
 			}
 			rows = append(rows, row)
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -48,6 +48,7 @@
 type worker struct {
 	f       *fleet
 	id      string
+	kind    string
 	machine *machine
 	service string
 	server  *http.Server
@@ -82,13 +83,14 @@
 	over  bool
 }
 
-func newWorker(f *fleet, m *machine, id, service string) *worker {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// newWorker starts a worker at an address; a port of 0 takes a free one.
+func newWorker(f *fleet, m *machine, id, service, kind, address string) *worker {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		fatal(err)
 	}
 	w := &worker{
-		f: f, id: id, machine: m, service: service, address: l.Addr().String(), born: time.Now(),
+		f: f, id: id, kind: kind, machine: m, service: service, address: l.Addr().String(), born: time.Now(),
 		running: map[string]*taskRun{}, highest: map[string]int{}, changed: make(chan struct{}),
 	}
 	w.server = &http.Server{Handler: w}
@@ -107,7 +109,7 @@
 		w.seq++
 		entry := map[string]any{
 			"service": w.service, "address": w.address, "zone": "a", "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
-			"capacity": w.machine.room, "labels": []string{"a", w.machine.rack}, "clock_ms": w.clock(), "seq_no": w.seq, "born": w.born.UnixMilli(),
+			"capacity": w.machine.room, "labels": []string{w.kind, w.machine.rack}, "clock_ms": w.clock(), "seq_no": w.seq, "born": w.born.UnixMilli(),
 		}
 		if !dead {
 			w.f.store.put("keyed.servers", w.id, entry)
