Ask the advice service about every worker in time

Cause: each request named the first thirty workers with room in the order of their ids, and an answer without a ticket was forgotten, so the next request named the same workers. A step also asked nobody as long as one worker with a ticket had room, although its gang or its limit of tasks per worker needed more of them, and it looked at labels only after asking.

Change: the owner keeps when a worker was asked about and whether it was refused, and names first those that no request has named. It asks as long as no task can be placed on the workers with tickets, and only about workers with the step's label. explain says how many workers the service was asked about and how many it allowed.

--- a/wigeonshard/chooseworker.go
+++ b/wigeonshard/chooseworker.go
@@ -10,15 +10,20 @@
 // eligibleWorkers returns the workers of the pool that have the label and, on queues with advice, the ticket that the step
 // requires.
 func (o *Owner) eligibleWorkers(now Timestamp, s *step, pool []*worker) []*worker {
+	if s.RequiredLabel != "" {
+		pool = labelledWorkers(pool, s.RequiredLabel)
+	}
 	if s.job.Policy.Advice != nil {
 		pool = o.workersWithTicket(now, s, pool)
 	}
-	if s.RequiredLabel == "" {
-		return pool
-	}
+	return pool
+}
+
+// labelledWorkers returns the workers of the pool that have the label.
+func labelledWorkers(pool []*worker, label wigeonstep.Label) []*worker {
 	var labelled []*worker
 	for _, w := range pool {
-		if w.hasLabel(s.RequiredLabel) {
+		if w.hasLabel(label) {
 			labelled = append(labelled, w)
 		}
 	}
@@ -48,6 +53,10 @@
 	if w.isolation != nil || !w.free().Covers(reserved) || w.Service != s.job.Service || t.runsOn(w) {
 		return false
 	}
+	return s.belowMaxPerWorker(w)
+}
+
+func (s *step) belowMaxPerWorker(w *worker) bool {
 	return s.MaxPerWorker == 0 || w.countTasks(s) < s.MaxPerWorker
 }
 
--- a/wigeonshard/explain.go
+++ b/wigeonshard/explain.go
@@ -71,8 +71,8 @@
 	if fitting == 0 {
 		return fmt.Sprintf("room for %d tasks of %d millicores and %d MB: none of %d usable workers has any", waiting, reserved.CPU, reserved.Memory, usable)
 	}
-	if a := s.advice; s.job.Policy.Advice != nil && (a == nil || len(a.tickets) == 0) {
-		return "the advice service"
+	if a := s.advice; a != nil {
+		return fmt.Sprintf("a worker that the advice service allows: it was asked about %d workers and allowed %d; %d of %d usable workers have room", len(a.workers), a.allowed(), fitting, usable)
 	}
 	return fmt.Sprintf("a worker that suits %d tasks (labels, racks, tasks per worker, gang) or the next round of placement: %d of %d usable workers have room", waiting, fitting, usable)
 }
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -227,18 +227,3 @@
 func (r *run) serving() bool {
 	return r.phase == runAccepted && !r.stopping && r.progressPercent >= fullSpeed && r.worker.failures == 0
 }
-
-// adviceState holds the tickets that the advice service gave for a step, by worker.
-type adviceState struct {
-	// requestedAt is the time at which the pending request was sent; negative when none is pending.
-	requestedAt time.Duration
-	// retryAt is the earliest time of the next request.
-	retryAt time.Duration
-	// tickets also holds expired ones.
-	tickets map[wigeonstep.WorkerID]ticketGrant
-}
-
-type ticketGrant struct {
-	ticket     wigeonstep.Ticket
-	validUntil time.Duration
-}
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -63,7 +63,7 @@
 		Checkpoint: r.task.startCheckpoint(),
 	}
 	if a := r.task.step.advice; a != nil {
-		order.Ticket = a.tickets[w.ID].ticket
+		order.Ticket = a.workers[w.ID].ticket
 	}
 	w.ordersInFlight++
 	o.out.Starts = append(o.out.Starts, Start{Worker: w.ref(), SendBefore: o.startsSafeUntil(w), Order: order})
@@ -145,7 +145,7 @@
 		o.recordRunDecision("start_refused", r, "another worker answers at the address", 0)
 	case wigeonstep.StartTicketInvalid:
 		if a := r.task.step.advice; a != nil {
-			delete(a.tickets, w.ID)
+			a.rejectTicket(w.ID)
 		}
 		o.recordRunDecision("start_refused", r, "the ticket is not valid", 0)
 	case wigeonstep.StartLeaseExpired:
