Register each job with one partition before its first start

Cause: a job is written to the partition of the service in the configuration of the process that got the request. The log orders the records of one partition only, and nothing said which of two partitions a job belongs to. A look into replicas can't mend that: a standby has none, and two requests at once, or at processes one version apart, are in no replica.

The owner of another partition marks the job as moved, starts nothing and passes cancellations on; look-ups go on to the holder, and 410 needs the partitions of all services read to their end. The registration goes out beside the append of the first runs.

--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -145,6 +145,7 @@
 	c := wigeondaemon.Config{
 		Logger:          logger,
 		Jobs:            store.Jobs(),
+		Registry:        store.Registry(settings.Store.Partitions),
 		Group:           store,
 		Operator:        store.Operator(),
 		Workers:         store.Workers(),
@@ -167,6 +168,7 @@
 			HeartbeatPause: heartbeatPause,
 			ConfirmLimit:   confirmLimit,
 			Address:        settings.PeerAddress(),
+			RegisterJobs:   true,
 		},
 		Now: clock.Now,
 	}
--- a/joblog.go
+++ b/joblog.go
@@ -59,6 +59,14 @@
 	Append(ctx context.Context, part Partition, records []KeyedRecord, fence *AppendFence) (Offset, error)
 }
 
+// JobRegistry assigns each job id to one partition for good, whatever configuration the caller has in force. A client may submit
+// a job again after its queue has moved to another service, and so to another partition.
+type JobRegistry interface {
+	// Register assigns the job to the partition, unless it is assigned already, and reports whether it is assigned to that
+	// partition. Repeated calls are harmless. Errors wrap ErrUnavailable, ErrAnswerLost or ErrRejected.
+	Register(ctx context.Context, id JobID, part Partition) (bool, error)
+}
+
 // Membership describes a member of the group among which the partitions of the job log are distributed.
 type Membership struct {
 	Member string
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -52,6 +52,8 @@
 	part  wigeonstep.Partition
 	state wigeonjob.State
 	known bool
+	// holder is the partition that holds the job instead of part; 0 if none is known to.
+	holder wigeonstep.Partition
 	// owned is set if this process owns the shard, so that the state is authoritative.
 	owned bool
 	// loaded and nextOffset are those of the shard; ownerAddress is from its newest owner record.
@@ -69,14 +71,15 @@
 		}
 		v := jobLookup{part: part, loaded: sh.loaded, nextOffset: sh.nextOffset, ownerAddress: sh.replica.Owner.Address}
 		if e := sh.replica.Find(id); e != nil {
-			v.state, v.known = e.State(), true
+			v.state, v.known, v.holder = e.State(), true, e.Progress.Holder
 		}
 		if sh.owner != nil {
 			if state, known := sh.owner.JobState(id); known {
-				v.state, v.known = state, true
+				v.state, v.known, v.holder = state, true, sh.owner.JobHolder(id)
 			}
 			v.owned = true
 		}
+		v.known = v.known && v.state != wigeonjob.StateMoved
 		return v
 	})
 }
@@ -85,7 +88,10 @@
 // may change its service between two requests with the same id, and the job is then in a shard of the former service.
 func (d *Daemon) findPartition(ctx context.Context, id wigeonstep.JobID) (wigeonstep.Partition, bool) {
 	found, _ := queryLoop(ctx, d, func() *shard {
-		i := slices.IndexFunc(d.sortedShards, func(sh *shard) bool { return sh.replica.Find(id) != nil })
+		i := slices.IndexFunc(d.sortedShards, func(sh *shard) bool {
+			e := sh.replica.Find(id)
+			return e != nil && e.State() != wigeonjob.StateMoved
+		})
 		if i < 0 {
 			return nil
 		}
@@ -100,8 +106,11 @@
 // lookUpAnywhere looks a job up in the shard of the partition and, if it is not known there, in the shard that holds it.
 func (d *Daemon) lookUpAnywhere(ctx context.Context, part wigeonstep.Partition, id wigeonstep.JobID) (jobLookup, bool) {
 	v, ok := d.lookUpLocal(ctx, part, id)
-	if !ok || v.known {
+	switch {
+	case !ok || v.known:
 		return v, ok
+	case v.holder != 0:
+		return d.lookUpLocal(ctx, v.holder, id)
 	}
 	if other, found := d.findPartition(ctx, id); found {
 		return d.lookUpLocal(ctx, other, id)
@@ -167,7 +176,7 @@
 	if v.known {
 		return v, responseDone
 	}
-	return d.lookUpAtLogEnd(ctx, id, v)
+	return d.lookUpAtLogEnds(ctx, id, v)
 }
 
 // queryOwner asks the shard's owner at address for the state of a job. The second result is false if the peer fails, is
@@ -231,15 +240,35 @@
 	absent := false
 	if !v.known && v.loaded && query.GetReadLog() {
 		var response wigeonstep.Response
-		v, response = d.lookUpAtLogEnd(ctx, id, v)
+		v, response = d.lookUpAtLogEnds(ctx, id, v)
 		absent = response.Status == http.StatusGone
 	}
 	status := &wigeonwire.JobStatus{Owner: v.owned, Known: v.known, State: wigeonwire.ProgressState(v.state), Absent: absent}
 	return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Job{Job: status}}
 }
 
-// lookUpAtLogEnd reads the partition of v to its end while looking for the job. A job that is not found by then does not
-// exist.
+// lookUpAtLogEnds reads the partition of v to its end while looking for the job, and then those that the job has under other
+// services, one of which its queue may have had before. A job that is not found by then does not exist.
+func (d *Daemon) lookUpAtLogEnds(ctx context.Context, id wigeonstep.JobID, v jobLookup) (jobLookup, wigeonstep.Response) {
+	parts := d.jobPartitions(v.part, id)
+	v, response := d.lookUpAtLogEnd(ctx, id, v)
+	for _, part := range parts[1:] {
+		if response.Status != http.StatusGone {
+			break
+		}
+		other, ok := d.lookUpLocal(ctx, part, id)
+		if !ok {
+			return v, wigeonstep.UnknownResponse(true, "the process is busy", "look up", "process")
+		}
+		if other.known {
+			return other, responseDone
+		}
+		v, response = d.lookUpAtLogEnd(ctx, id, other)
+	}
+	return v, response
+}
+
+// lookUpAtLogEnd reads the partition of v to its end while looking for the job. A job that is not found by then is not in it.
 func (d *Daemon) lookUpAtLogEnd(ctx context.Context, id wigeonstep.JobID, v jobLookup) (jobLookup, wigeonstep.Response) {
 	part := v.part
 	const maxReads = 8
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -68,10 +68,12 @@
 	SetWaveState(ctx context.Context, wave int, completed bool) error
 }
 
-// Config configures a Daemon. Advisor, Rate and Retention are optional, all other fields are required.
+// Config configures a Daemon. Registry, Advisor, Rate and Retention are optional, all other fields are required.
 type Config struct {
-	Logger   *zap.Logger
-	Jobs     wigeonstep.JobLog
+	Logger *zap.Logger
+	Jobs   wigeonstep.JobLog
+	// Registry is nil if Shard.RegisterJobs is not set.
+	Registry wigeonstep.JobRegistry
 	Group    wigeonstep.Group
 	Operator wigeonstep.KeyedLog
 	Workers  wigeonstep.KeyedLog
@@ -136,9 +138,11 @@
 	// waveReadAt holds the time at which each wave was first read.
 	waveReadAt map[int]time.Duration
 	appends    appendBatcher
-	load       loopLoad
-	relays     relays
-	fleet      fleet
+	// registrySlots bounds the calls to the registry in flight.
+	registrySlots chan struct{}
+	load          loopLoad
+	relays        relays
+	fleet         fleet
 	// lastReport is the time of the last reports of the owned shards to the owner of the fleet partition.
 	lastReport     time.Duration
 	reportInFlight bool
@@ -159,16 +163,17 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	return &Daemon{
-		ctx:        ctx,
-		cancel:     cancel,
-		config:     c,
-		events:     make(chan func(), eventQueueSize),
-		shards:     map[wigeonstep.Partition]*shard{},
-		assigned:   map[wigeonstep.Partition]bool{},
-		waves:      map[int]wigeonstep.Wave{},
-		waveReadAt: map[int]time.Duration{},
-		fleet:      newFleet(c.MachineCallRate),
-		relays:     relays{retryAt: map[string]time.Duration{}, opening: map[string]bool{}},
+		ctx:           ctx,
+		cancel:        cancel,
+		config:        c,
+		events:        make(chan func(), eventQueueSize),
+		shards:        map[wigeonstep.Partition]*shard{},
+		assigned:      map[wigeonstep.Partition]bool{},
+		waves:         map[int]wigeonstep.Wave{},
+		waveReadAt:    map[int]time.Duration{},
+		fleet:         newFleet(c.MachineCallRate),
+		registrySlots: make(chan struct{}, maxRegistryCalls),
+		relays:        relays{retryAt: map[string]time.Duration{}, opening: map[string]bool{}},
 	}
 }
 
--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -32,6 +32,12 @@
 	for _, t := range a.Throttles {
 		e.sendThrottle(t)
 	}
+	for _, id := range a.Registrations {
+		e.register(sh.part, id)
+	}
+	for _, c := range a.ForwardedCancels {
+		e.forwardCancel(c)
+	}
 	for _, request := range a.AdviceRequests {
 		go func() {
 			advice, err := d.advise(e.ctx, request)
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -15,7 +15,9 @@
 	starts        *metrics.Counter
 	appendRetries *metrics.Counter
 	peerFailures  *metrics.Counter
-	panics        *metrics.Counter
+	// registryRetries counts the registrations of jobs that failed and are repeated.
+	registryRetries *metrics.Counter
+	panics          *metrics.Counter
 	// relayedOrders counts the orders to workers that went through a relay, directOrders the others.
 	relayedOrders, directOrders *metrics.Counter
 	// loopSeconds counts the time that each part of the event loop's work took.
@@ -25,13 +27,14 @@
 // NewMetrics returns metrics that are registered in the set.
 func NewMetrics(set *metrics.Set) *Metrics {
 	m := &Metrics{
-		set:           set,
-		starts:        set.NewCounter("wigeonstep_task_starts_total"),
-		appendRetries: set.NewCounter("wigeonstep_log_append_retries_total"),
-		peerFailures:  set.NewCounter("wigeonstep_peer_failures_total"),
-		panics:        set.NewCounter("wigeonstep_panics_total"),
-		relayedOrders: set.NewCounter(`wigeonstep_worker_orders_total{path="relay"}`),
-		directOrders:  set.NewCounter(`wigeonstep_worker_orders_total{path="direct"}`),
+		set:             set,
+		starts:          set.NewCounter("wigeonstep_task_starts_total"),
+		appendRetries:   set.NewCounter("wigeonstep_log_append_retries_total"),
+		registryRetries: set.NewCounter("wigeonstep_registry_retries_total"),
+		peerFailures:    set.NewCounter("wigeonstep_peer_failures_total"),
+		panics:          set.NewCounter("wigeonstep_panics_total"),
+		relayedOrders:   set.NewCounter(`wigeonstep_worker_orders_total{path="relay"}`),
+		directOrders:    set.NewCounter(`wigeonstep_worker_orders_total{path="direct"}`),
 	}
 	for part, name := range loopPartNames {
 		m.loopSeconds[part] = set.NewFloatCounter(fmt.Sprintf(`wigeonstep_loop_seconds_total{part=%q}`, name))
--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -23,6 +23,9 @@
 	StateFailed
 	// StateCancelled means that a client cancelled the job.
 	StateCancelled
+	// StateMoved means that another partition holds the job, which was submitted again after its queue got another service.
+	// Clients never see it.
+	StateMoved
 )
 
 // String returns the lower-case name of the state, which clients receive.
@@ -38,13 +41,15 @@
 		return "failed"
 	case StateCancelled:
 		return "cancelled"
+	case StateMoved:
+		return "moved"
 	}
 	return "unknown"
 }
 
-// Terminal reports whether a job never leaves the state.
+// Terminal reports whether a job never leaves the state in its partition.
 func (s State) Terminal() bool {
-	return s == StateCompleted || s == StateFailed || s == StateCancelled
+	return s == StateCompleted || s == StateFailed || s == StateCancelled || s == StateMoved
 }
 
 // LiveRun is a planned run whose end is not known, whether or not it has started.
@@ -100,6 +105,8 @@
 	Ended wigeonstep.UnixMillis
 	// Cause says why the job failed; empty in other states.
 	Cause string
+	// Holder is the partition that holds the job in StateMoved, and 0 in other states.
+	Holder wigeonstep.Partition
 	// Finished lists the numbers of the occurrences whose tasks are all done; empty once the state is terminal.
 	Finished []int
 	// Tasks lists the progress of tasks in other occurrences; empty once the state is terminal.
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -120,7 +120,7 @@
 
 // EncodeProgress returns the record of a job's progress.
 func EncodeProgress(p *Progress) ([]byte, error) {
-	r := &wigeonwire.ProgressRecord{State: wigeonwire.ProgressState(p.State), EndedUnixMs: int64(p.Ended), Cause: p.Cause}
+	r := &wigeonwire.ProgressRecord{State: wigeonwire.ProgressState(p.State), EndedUnixMs: int64(p.Ended), Cause: p.Cause, Holder: uint32(p.Holder)} //nolint:gosec // a partition number is small
 	for _, k := range p.Finished {
 		r.Finished = append(r.Finished, uint32(k))
 	}
@@ -168,7 +168,7 @@
 	if err := proto.Unmarshal(value, &r); err != nil {
 		return nil, fmt.Errorf("decode record of a job's progress: %w", err)
 	}
-	p := &Progress{State: State(r.GetState()), Ended: wigeonstep.UnixMillis(r.GetEndedUnixMs()), Cause: r.GetCause()}
+	p := &Progress{State: State(r.GetState()), Ended: wigeonstep.UnixMillis(r.GetEndedUnixMs()), Cause: r.GetCause(), Holder: wigeonstep.Partition(r.GetHolder())}
 	for _, k := range r.GetFinished() {
 		p.Finished = append(p.Finished, int(k))
 	}
--- a/wigeonshard/action.go
+++ b/wigeonshard/action.go
@@ -59,6 +59,12 @@
 	SentAt time.Duration
 }
 
+// ForwardedCancel is the cancellation of a job that another partition holds.
+type ForwardedCancel struct {
+	Job    wigeonstep.JobID
+	Holder wigeonstep.Partition
+}
+
 // Decision is a decision of the owner that the caller logs.
 type Decision struct {
 	Event  string
@@ -86,5 +92,9 @@
 	Heartbeats     []Heartbeat
 	Throttles      []Throttle
 	AdviceRequests []AdviceRequest
-	Decisions      []Decision
+	// Registrations holds the jobs to register; each is answered with JobRegistered or JobMoved.
+	Registrations []wigeonstep.JobID
+	// ForwardedCancels holds the cancellations to append to other partitions.
+	ForwardedCancels []ForwardedCancel
+	Decisions        []Decision
 }
--- a/wigeonshard/advice.go
+++ b/wigeonshard/advice.go
@@ -137,7 +137,7 @@
 	}
 	slices.SortFunc(renewed, oldestFirst)
 	slices.SortFunc(others, oldestFirst)
-	asked := append(renewed[:min(len(renewed), maxRenewed)], others...)
+	asked := slices.Concat(renewed[:min(len(renewed), maxRenewed)], others)
 	return asked[:min(len(asked), maxAdvised)]
 }
 
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -112,7 +112,7 @@
 
 // encodeProgress returns the record of a job's progress and the planned runs that the record makes durable.
 func (o *Owner) encodeProgress(now Timestamp, j *job) ([]byte, []*run) {
-	p := wigeonjob.Progress{State: j.state, Ended: j.ended, Cause: j.cause}
+	p := wigeonjob.Progress{State: j.state, Ended: j.ended, Cause: j.cause, Holder: j.holder}
 	var planned []*run
 	if !j.state.Terminal() {
 		p.Finished = j.finished
@@ -209,6 +209,6 @@
 func (o *Owner) removeIfEnded(j *job) {
 	if j.durableState.Terminal() && j.liveRuns == 0 && !j.dirty {
 		delete(o.jobs, j.ID)
-		o.ended[j.ID] = endedJob{state: j.durableState, cause: j.cause}
+		o.ended[j.ID] = endedJob{state: j.durableState, cause: j.cause, holder: j.holder}
 	}
 }
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -16,7 +16,10 @@
 		return
 	}
 	if progress.State.Terminal() {
-		o.ended[accepted.ID] = endedJob{state: progress.State, cause: progress.Cause}
+		o.ended[accepted.ID] = endedJob{state: progress.State, cause: progress.Cause, holder: progress.Holder}
+		if cancelled {
+			o.forwardCancel(accepted.ID, progress.Holder)
+		}
 		return
 	}
 	j := &job{Job: accepted, state: progress.State, durableState: progress.State, finished: slices.Clone(progress.Finished)}
@@ -37,6 +40,7 @@
 	if j.state == wigeonjob.StatePending {
 		o.recordArrival(now, j)
 	}
+	o.register(j)
 	if cancelled {
 		o.CancelJob(now, accepted.ID)
 	}
@@ -195,15 +199,23 @@
 	o.markDirty(j)
 }
 
-// CancelJob stops the runs of a job and makes it cancelled. It has no effect on a job that has ended.
+// CancelJob stops the runs of a job and makes it cancelled, or passes the cancellation on to the partition that holds the job. It
+// has no effect on a job that has ended.
 func (o *Owner) CancelJob(now Timestamp, id wigeonstep.JobID) {
 	j := o.jobs[id]
-	if j == nil || j.state.Terminal() {
+	if j == nil {
+		o.forwardCancel(id, o.ended[id].holder)
+		return
+	}
+	if j.state.Terminal() {
+		o.forwardCancel(id, j.holder)
 		return
 	}
 	j.cancelled = true
 	o.stopJob(now, j)
-	o.setFinalState(j, wigeonjob.StateCancelled)
+	if j.registered {
+		o.setFinalState(j, wigeonjob.StateCancelled)
+	}
 }
 
 // markBegun records that the worker has begun the run, which makes a pending job a running one.
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -34,6 +34,10 @@
 	// nextOccurrence is the number of the first occurrence that was not yet due.
 	nextOccurrence int
 	finished       []int
+	// registered is set once the job is known to be assigned to this shard; no run starts before.
+	registered bool
+	// holder is the partition that holds the job in StateMoved, and 0 in other states.
+	holder wigeonstep.Partition
 	// dirty is set while the progress differs from the newest record that was handed to an append.
 	dirty bool
 	// objective is the target time from the due time of an occurrence to its end.
@@ -55,6 +59,8 @@
 	state wigeonjob.State
 	// cause says why the job failed; empty in other states.
 	cause string
+	// holder is the partition that holds the job in StateMoved, and 0 in other states.
+	holder wigeonstep.Partition
 }
 
 type occurrence struct {
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -241,6 +241,7 @@
 			case r.phase == runDurable && (r.stopping || !mayStart || r.mustStartElsewhere()):
 				unwanted = append(unwanted, r)
 			case w.ordersInFlight >= maxOrdersInFlight:
+			case r.phase == runDurable && !r.task.step.job.registered:
 			case r.phase == runDurable && safe && starts < maxStartsPerStep:
 				o.sendFirstStart(now, r)
 				if starts++; starts == maxStartsPerStep {
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -25,6 +25,8 @@
 	ConfirmLimit time.Duration
 	// Address is the address at which peers reach this process.
 	Address string
+	// RegisterJobs is set if the first run of a job starts only after JobRegistered.
+	RegisterJobs bool
 }
 
 // Owner makes the decisions for one shard. It is not safe for concurrent use.
