Record the progress of large jobs in bounded records

Cause: the progress of a job was one record, of some 390,000 bytes here, and the store accepts 262,144. Each owner of the shard was refused and dropped it.

Change: a job of more than 128 tasks has records of 128 neighbouring tasks each, of which only the changed ones are written, and one record with its state. They may go out with several appends in an order that any next owner reads rightly: a run starts only after its own record is durable, the tasks of a step are recorded before those that depend on them, a gang together, the state of the job last. A checkpoint above 512 bytes is not recorded. A job of more than 32,768 tasks is refused at once with the reason; its tasks take 37 MB of its owner.

TestSeededFaultsWithSmallRecords plays the seeded faults with two tasks a record and an append for every 100 bytes.

--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -237,7 +237,7 @@
 		return
 	}
 	now := d.config.Now()
-	sh.owner.AddJob(now, e.Job, e.Progress, e.Cancelled)
+	sh.owner.AddJob(now, e.Job, e.FullProgress(), e.Cancelled)
 	if e.Cancelled {
 		sh.owner.CancelJob(now, job)
 	}
@@ -331,7 +331,7 @@
 	}
 	for _, id := range sortedJobs(sh) {
 		if e := sh.replica.Find(id); e != nil {
-			sh.owner.AddJob(now, e.Job, e.Progress, e.Cancelled)
+			sh.owner.AddJob(now, e.Job, e.FullProgress(), e.Cancelled)
 		}
 	}
 	d.pushWorkersTo(sh, now)
--- a/wigeonjob/job.go
+++ b/wigeonjob/job.go
@@ -13,7 +13,9 @@
 const (
 	maxSteps        = 256
 	maxTasksPerStep = 4096
-	maxRepeats      = 10_000
+	// maxTasks bounds the memory that the tasks of a job take in its owner, about a kilobyte each.
+	maxTasks   = 32_768
+	maxRepeats = 10_000
 	// maxDuration bounds the estimates, the target and the interval, so that sums of them don't overflow.
 	maxDuration = 366 * 24 * time.Hour
 	// maxUnixTime bounds the due times of a scheduled job, so that their distance from now is a valid duration.
@@ -153,9 +155,21 @@
 			return fmt.Errorf("step %d: %w", i, err)
 		}
 	}
+	if n := j.TaskCount(); n > maxTasks {
+		return fmt.Errorf("the job has %d tasks; the limit is %d", n, maxTasks)
+	}
 	return nil
 }
 
+// TaskCount returns the number of tasks of one occurrence.
+func (j *Job) TaskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 func (s *Step) validate(number int) error {
 	if s.Count < 1 || s.Count > maxTasksPerStep {
 		return fmt.Errorf("count is %d; it must be 1 to %d", s.Count, maxTasksPerStep)
--- a/wigeonjob/key.go
+++ b/wigeonjob/key.go
@@ -1,6 +1,7 @@
 package wigeonjob
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/wigeonstep/wigeonstep"
@@ -13,6 +14,7 @@
 const (
 	KindJob         Kind = 'j'
 	KindProgress    Kind = 'p'
+	KindTasks       Kind = 't'
 	KindCancel      Kind = 'c'
 	KindOwner       Kind = 'o'
 	KindMaintenance Kind = 'u'
@@ -26,6 +28,27 @@
 	return string(kind) + "/" + string(id)
 }
 
+// TasksID identifies a record of KindTasks: it holds the progress of the tasks of a step whose index divided by
+// TasksPerRecord is Number.
+type TasksID struct {
+	Job        wigeonstep.JobID
+	Occurrence int
+	Step       int
+	Number     int
+}
+
+// Key returns the key of the record.
+func (id TasksID) Key() string {
+	return Key(KindTasks, fmt.Sprintf("%s.%d.%d.%d", id.Job, id.Occurrence, id.Step, id.Number))
+}
+
+// ParseTasksID parses the id in the key of a record of KindTasks.
+func ParseTasksID(text string) (TasksID, bool) {
+	// It has the form of a task id.
+	id, ok := ParseTaskID(text)
+	return TasksID{Job: id.Job, Occurrence: id.Occurrence, Step: id.Step, Number: id.Index}, ok
+}
+
 // SplitKey returns the kind and the id of a key; ok is false when the key has another form.
 func SplitKey(key string) (kind Kind, id string, ok bool) {
 	if len(key) < 2 || key[1] != '/' {
--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -109,10 +109,19 @@
 	Holder wigeonstep.Partition
 	// Finished lists the numbers of the occurrences whose tasks are all done; empty once the state is terminal.
 	Finished []int
-	// Tasks lists the progress of tasks in other occurrences; empty once the state is terminal.
+	// Tasks lists the progress of tasks in other occurrences; empty once the state is terminal. In the record of a job with more
+	// than TasksPerRecord tasks it is empty, and the tasks are in records of KindTasks.
 	Tasks []TaskProgress
 }
 
+const (
+	// TasksPerRecord bounds the tasks in one record, so that it is smaller than the log accepts even if each task has its largest
+	// progress, about 1.5 KB.
+	TasksPerRecord = 128
+	// MaxCheckpointBytes is the size above which a checkpoint is not recorded.
+	MaxCheckpointBytes = 512
+)
+
 // OrderPhase is the phase of an order to change a VM.
 type OrderPhase int
 
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -125,30 +125,59 @@
 		r.Finished = append(r.Finished, uint32(k))
 	}
 	for i := range p.Tasks {
-		t := &p.Tasks[i]
-		task := &wigeonwire.TaskProgress{
-			Occurrence: uint32(t.Occurrence),
-			Step:       uint32(t.Step),
-			Index:      uint32(t.Index),
-			LastRun:    uint32(t.LastRun),
-			Failures:   uint32(t.Failures),
-			Done:       t.Done,
-			Checkpoint: string(t.Checkpoint),
-		}
-		for _, run := range t.Runs {
-			task.Runs = append(task.Runs, &wigeonwire.RunProgress{Run: uint32(run.Number), Worker: string(run.Worker), PlannedUnixMs: int64(run.PlannedAt)})
-		}
-		for _, number := range t.LostRuns {
-			task.LostRuns = append(task.LostRuns, uint32(number))
-		}
-		for _, c := range t.Crashes {
-			task.Crashes = append(task.Crashes, encodeCrash(c))
-		}
-		r.Tasks = append(r.Tasks, task)
+		r.Tasks = append(r.Tasks, encodeTask(&p.Tasks[i]))
 	}
 	return encode(r)
 }
 
+// EncodeTasks returns a record of KindTasks.
+func EncodeTasks(tasks []TaskProgress) ([]byte, error) {
+	r := &wigeonwire.TasksRecord{}
+	for i := range tasks {
+		r.Tasks = append(r.Tasks, encodeTask(&tasks[i]))
+	}
+	return encode(r)
+}
+
+// DecodeTasks decodes a record of KindTasks and the id in its key.
+func DecodeTasks(id string, value []byte) (TasksID, []TaskProgress, error) {
+	tasksID, ok := ParseTasksID(id)
+	if !ok {
+		return TasksID{}, nil, fmt.Errorf("decode record of tasks: invalid id %q", id)
+	}
+	var r wigeonwire.TasksRecord
+	if err := proto.Unmarshal(value, &r); err != nil {
+		return TasksID{}, nil, fmt.Errorf("decode record of tasks %s: %w", id, err)
+	}
+	var tasks []TaskProgress
+	for _, t := range r.GetTasks() {
+		tasks = append(tasks, decodeTask(t))
+	}
+	return tasksID, tasks, nil
+}
+
+func encodeTask(t *TaskProgress) *wigeonwire.TaskProgress {
+	task := &wigeonwire.TaskProgress{
+		Occurrence: uint32(t.Occurrence),
+		Step:       uint32(t.Step),
+		Index:      uint32(t.Index),
+		LastRun:    uint32(t.LastRun),
+		Failures:   uint32(t.Failures),
+		Done:       t.Done,
+		Checkpoint: string(t.Checkpoint),
+	}
+	for _, run := range t.Runs {
+		task.Runs = append(task.Runs, &wigeonwire.RunProgress{Run: uint32(run.Number), Worker: string(run.Worker), PlannedUnixMs: int64(run.PlannedAt)})
+	}
+	for _, number := range t.LostRuns {
+		task.LostRuns = append(task.LostRuns, uint32(number))
+	}
+	for _, c := range t.Crashes {
+		task.Crashes = append(task.Crashes, encodeCrash(c))
+	}
+	return task
+}
+
 func encodeCrash(c WorkerCrash) *wigeonwire.WorkerCrash {
 	return &wigeonwire.WorkerCrash{
 		Run: uint32(c.Run), Worker: string(c.Worker), RunAgeMs: c.RunAge.Milliseconds(), Ended: c.Ended, Likely: c.Likely, Sole: c.Sole, Explained: c.Explained,
@@ -173,29 +202,33 @@
 		p.Finished = append(p.Finished, int(k))
 	}
 	for _, t := range r.GetTasks() {
-		task := TaskProgress{
-			Occurrence: int(t.GetOccurrence()),
-			Step:       int(t.GetStep()),
-			Index:      int(t.GetIndex()),
-			LastRun:    wigeonstep.RunNumber(t.GetLastRun()),
-			Failures:   int(t.GetFailures()),
-			Done:       t.GetDone(),
-			Checkpoint: wigeonstep.Checkpoint(t.GetCheckpoint()),
-		}
-		for _, run := range t.GetRuns() {
-			task.Runs = append(task.Runs, LiveRun{Number: wigeonstep.RunNumber(run.GetRun()), Worker: wigeonstep.WorkerID(run.GetWorker()), PlannedAt: wigeonstep.UnixMillis(run.GetPlannedUnixMs())})
-		}
-		for _, number := range t.GetLostRuns() {
-			task.LostRuns = append(task.LostRuns, wigeonstep.RunNumber(number))
-		}
-		for _, c := range t.GetCrashes() {
-			task.Crashes = append(task.Crashes, decodeCrash(c))
-		}
-		p.Tasks = append(p.Tasks, task)
+		p.Tasks = append(p.Tasks, decodeTask(t))
 	}
 	return p, nil
 }
 
+func decodeTask(t *wigeonwire.TaskProgress) TaskProgress {
+	task := TaskProgress{
+		Occurrence: int(t.GetOccurrence()),
+		Step:       int(t.GetStep()),
+		Index:      int(t.GetIndex()),
+		LastRun:    wigeonstep.RunNumber(t.GetLastRun()),
+		Failures:   int(t.GetFailures()),
+		Done:       t.GetDone(),
+		Checkpoint: wigeonstep.Checkpoint(t.GetCheckpoint()),
+	}
+	for _, run := range t.GetRuns() {
+		task.Runs = append(task.Runs, LiveRun{Number: wigeonstep.RunNumber(run.GetRun()), Worker: wigeonstep.WorkerID(run.GetWorker()), PlannedAt: wigeonstep.UnixMillis(run.GetPlannedUnixMs())})
+	}
+	for _, number := range t.GetLostRuns() {
+		task.LostRuns = append(task.LostRuns, wigeonstep.RunNumber(number))
+	}
+	for _, c := range t.GetCrashes() {
+		task.Crashes = append(task.Crashes, decodeCrash(c))
+	}
+	return task
+}
+
 // EncodeCancel returns the record of a cancellation.
 func EncodeCancel(at wigeonstep.UnixMillis) ([]byte, error) {
 	return encode(&wigeonwire.CancelRecord{CancelledUnixMs: int64(at)})
--- a/wigeonreplica/replica.go
+++ b/wigeonreplica/replica.go
@@ -3,6 +3,7 @@
 package wigeonreplica
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -15,7 +16,24 @@
 	// Job is nil until the record of the job itself has been read. The job's cancellation or progress may be read first.
 	Job       *wigeonjob.Job
 	Cancelled bool
-	Progress  wigeonjob.Progress
+	// Progress is the job's progress, without the tasks that are in records of their own.
+	Progress wigeonjob.Progress
+
+	// tasks holds the tasks in records of their own, by the record's id.
+	tasks map[wigeonjob.TasksID][]wigeonjob.TaskProgress
+}
+
+// FullProgress returns the progress of the job with all its tasks.
+func (e *JobEntry) FullProgress() wigeonjob.Progress {
+	full := e.Progress
+	full.Tasks = slices.Clone(full.Tasks)
+	for _, tasks := range e.tasks {
+		full.Tasks = append(full.Tasks, tasks...)
+	}
+	slices.SortFunc(full.Tasks, func(a, b wigeonjob.TaskProgress) int {
+		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step), cmp.Compare(a.Index, b.Index))
+	})
+	return full
 }
 
 // State returns the state of the job that clients see: a cancelled job counts as cancelled before its tasks have stopped,
@@ -83,6 +101,8 @@
 	switch kind {
 	case wigeonjob.KindJob, wigeonjob.KindProgress, wigeonjob.KindCancel:
 		return r.applyJob(kind, wigeonstep.JobID(id), record.Value)
+	case wigeonjob.KindTasks:
+		return r.applyTasks(id, record.Value)
 	case wigeonjob.KindOwner:
 		owner, err := wigeonjob.DecodeOwner(record.Value)
 		if err != nil {
@@ -159,6 +179,20 @@
 	return nil
 }
 
+// applyTasks sets the progress of tasks that have a record of their own.
+func (r *Replica) applyTasks(id string, value []byte) error {
+	tasksID, tasks, err := wigeonjob.DecodeTasks(id, value)
+	if err != nil {
+		return err
+	}
+	e := r.ensureEntry(tasksID.Job)
+	if e.tasks == nil {
+		e.tasks = map[wigeonjob.TasksID][]wigeonjob.TaskProgress{}
+	}
+	e.tasks[tasksID] = tasks
+	return nil
+}
+
 // Expired returns the first limit ids, in ascending order, of the jobs that ended before the given time.
 func (r *Replica) Expired(before wigeonstep.UnixMillis, limit int) []wigeonstep.JobID {
 	var expired []wigeonstep.JobID
@@ -193,6 +227,7 @@
 	e.Job = &wigeonjob.Job{ID: e.Job.ID, Queue: e.Job.Queue, Service: e.Job.Service}
 	e.Progress.Tasks = nil
 	e.Progress.Finished = nil
+	e.tasks = nil
 }
 
 // deleteKey removes the state of a key that was deleted from the log. The deletion of a job's key also removes the job's
@@ -201,6 +236,10 @@
 	switch kind {
 	case wigeonjob.KindJob:
 		delete(r.jobs, wigeonstep.JobID(id))
+	case wigeonjob.KindTasks:
+		if tasksID, ok := wigeonjob.ParseTasksID(id); ok && r.jobs[tasksID.Job] != nil {
+			delete(r.jobs[tasksID.Job].tasks, tasksID)
+		}
 	case wigeonjob.KindMaintenance:
 		delete(r.MaintenanceOrders, wigeonstep.VMID(id))
 	case wigeonjob.KindMove:
--- a/wigeonshard/clustermodel_test.go
+++ b/wigeonshard/clustermodel_test.go
@@ -22,14 +22,18 @@
 // acknowledged, no worker exceeds its capacity, no step starts before its dependencies are done, and no task starts more than
 // maxStartsAfterCrashes times after workers have crashed under it maxTaskCrashes times.
 type clusterModel struct {
-	t       *testing.T
-	random  *rand.Rand
-	now     time.Duration
-	queue   events
-	nextSeq int
-
-	workers  map[wigeonstep.WorkerID]*fakeWorker
-	log      wigeonreplica.Replica
+	t      *testing.T
+	random *rand.Rand
+	now    time.Duration
+	// settings are those of the owners.
+	settings Settings
+	queue    events
+	nextSeq  int
+
+	workers map[wigeonstep.WorkerID]*fakeWorker
+	log     wigeonreplica.Replica
+	// logKeys holds the keys of the records in the log.
+	logKeys  map[string]bool
 	epoch    wigeonstep.FencingToken
 	sequence uint64
 	logDown  bool
@@ -45,6 +49,8 @@
 	lateAnswerRate float64
 	// slowAppends is set while an append takes 0.3 to 2 s.
 	slowAppends bool
+	// largestRecord and largestAppend are the sizes of the largest record and of the largest append.
+	largestRecord, largestAppend int
 	// heartbeatsWait makes workers delay the answers to heartbeats until a run ends, as the heartbeats ask.
 	heartbeatsWait bool
 	reportedLosses map[lossKey]bool
@@ -127,8 +133,8 @@
 func newClusterModel(t *testing.T, seed uint64, workers int) *clusterModel {
 	t.Helper()
 	m := &clusterModel{
-		t: t, random: rand.New(rand.NewPCG(seed, seed)), now: time.Hour,
-		workers:  map[wigeonstep.WorkerID]*fakeWorker{},
+		t: t, random: rand.New(rand.NewPCG(seed, seed)), now: time.Hour, settings: testSettings,
+		workers: map[wigeonstep.WorkerID]*fakeWorker{}, logKeys: map[string]bool{},
 		liveRuns: map[wigeonstep.TaskID]int{}, acknowledged: map[wigeonstep.TaskID]time.Duration{}, doneTasks: map[wigeonstep.TaskID]bool{},
 		history:       map[wigeonstep.TaskID][]string{},
 		crashingTasks: map[wigeonstep.TaskID]time.Duration{}, crashes: map[wigeonstep.TaskID]int{}, startsAfterCrashes: map[wigeonstep.TaskID]int{},
@@ -181,7 +187,7 @@
 func (m *clusterModel) addOwner() *fakeOwner {
 	m.epoch++
 	m.sequence = 0
-	o := &fakeOwner{Owner: NewOwner(testSettings, m.epoch, m.eventTime(), m.log.Owner), epoch: m.epoch, unreachable: map[wigeonstep.WorkerID]bool{}}
+	o := &fakeOwner{Owner: NewOwner(m.settings, m.epoch, m.eventTime(), m.log.Owner), epoch: m.epoch, unreachable: map[wigeonstep.WorkerID]bool{}}
 	for _, r := range m.log.Releases {
 		o.AddRelease(r)
 	}
@@ -192,7 +198,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		e := m.log.Find(id)
-		o.AddJob(m.eventTime(), e.Job, e.Progress, e.Cancelled)
+		o.AddJob(m.eventTime(), e.Job, e.FullProgress(), e.Cancelled)
 	}
 	o.SetWorkers(m.eventTime(), m.listed)
 	o.SetCordons(m.cordons)
@@ -300,6 +306,10 @@
 }
 
 func (m *clusterModel) applyRecord(record wigeonstep.KeyedRecord) {
+	m.logKeys[record.Key] = true
+	if len(record.Value) == 0 {
+		delete(m.logKeys, record.Key)
+	}
 	qt.Assert(m.t, m.log.Apply(record), qt.IsNil)
 }
 
@@ -347,6 +357,7 @@
 // records are applied once.
 func (m *clusterModel) appendRecords(o *fakeOwner, records []wigeonstep.KeyedRecord) {
 	sequence, sentAt := o.sequence, m.now
+	m.observeSizes(records)
 	duration := time.Duration(2+m.random.IntN(6)) * time.Millisecond
 	if m.slowAppends {
 		duration = 300*time.Millisecond + time.Duration(m.random.IntN(1700))*time.Millisecond
@@ -388,6 +399,16 @@
 	})
 }
 
+func (m *clusterModel) observeSizes(records []wigeonstep.KeyedRecord) {
+	total := 0
+	for _, r := range records {
+		size := len(r.Key) + len(r.Value)
+		m.largestRecord = max(m.largestRecord, size)
+		total += size
+	}
+	m.largestAppend = max(m.largestAppend, total)
+}
+
 // callWorker sends an order to the address of a worker. The answer may be lost, and the order may take effect seconds later.
 func (m *clusterModel) callWorker(o *fakeOwner, ref wigeonstep.WorkerRef, handle func(*fakeWorker, func(any)), onAnswer func(any)) {
 	const timeout = 400 * time.Millisecond
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -168,7 +168,7 @@
 	if h.suspicious() {
 		t.step.suspects++
 	}
-	o.markDirty(t.step.job)
+	o.markTaskDirty(t)
 }
 
 // judge gives the job up when its task has crashed enough workers. Otherwise it withdraws the runs of a suspected task that have
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -1,6 +1,7 @@
 package wigeonshard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,8 +9,9 @@
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
 )
 
-// maxFlushBytes limits the progress records of one append, which may exceed it by one record. The log accepts 2 MB.
-const maxFlushBytes = 512 << 10
+// defaultFlushBytes is the default of Settings.FlushBytes. An append may exceed it by the records of one gang, or by one record.
+// The log accepts 2 MB.
+const defaultFlushBytes = 512 << 10
 
 // flush is the state that becomes durable with one append.
 type flush struct {
@@ -58,24 +60,25 @@
 		records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindRelease, id)})
 	}
 	o.expiredReleases = nil
-	size := 0
+	e := progressEncoder{owner: o, now: now, space: cmp.Or(o.settings.FlushBytes, defaultFlushBytes)}
+	var unfinished []*job
 	flushedJobs := 0
 	for _, j := range o.dirtyJobs {
-		if size > maxFlushBytes {
+		if e.full() {
 			break
 		}
 		flushedJobs++
-		if j.state.Terminal() && j.ended == 0 {
-			j.ended = now.Wall
+		if !e.encodeJob(j) {
+			// The other jobs come before the rest of a large one.
+			unfinished = append(unfinished, j)
+			continue
 		}
-		value, runs := o.encodeProgress(now, j)
-		size += len(value)
-		records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindProgress, j.ID), Value: value})
 		f.jobs = append(f.jobs, flushedJob{job: j, state: j.state})
-		f.runs = append(f.runs, runs...)
 		j.dirty = false
 	}
-	o.dirtyJobs = slices.Delete(o.dirtyJobs, 0, flushedJobs)
+	o.dirtyJobs = append(slices.Delete(o.dirtyJobs, 0, flushedJobs), unfinished...)
+	records = append(records, e.records...)
+	f.runs = e.runs
 	if len(o.dirtyJobs) == 0 {
 		// This append leaves no job dirty, so it holds the effects of all ends so far.
 		for _, w := range o.sortedWorkers {
@@ -110,36 +113,6 @@
 	return wigeonstep.KeyedRecord{Key: wigeonjob.OwnerKey, Value: value}
 }
 
-// encodeProgress returns the record of a job's progress and the planned runs that the record makes durable.
-func (o *Owner) encodeProgress(now Timestamp, j *job) ([]byte, []*run) {
-	p := wigeonjob.Progress{State: j.state, Ended: j.ended, Cause: j.cause, Holder: j.holder}
-	var planned []*run
-	if !j.state.Terminal() {
-		p.Finished = j.finished
-	}
-	for _, occ := range j.occurrences {
-		for _, s := range occ.steps {
-			for _, t := range s.tasks {
-				for _, r := range t.runs {
-					if r.phase == runPlanned {
-						r.phase, r.plannedWall = runWriting, now.Wall
-						planned = append(planned, r)
-					}
-				}
-				if !j.state.Terminal() && t.lastRun > 0 {
-					p.Tasks = append(p.Tasks, t.progress())
-				}
-			}
-		}
-	}
-	value, err := wigeonjob.EncodeProgress(&p)
-	if err != nil {
-		// Only a string that is not UTF-8 fails to encode; checkpoints and worker ids come decoded from JSON.
-		return nil, planned
-	}
-	return value, planned
-}
-
 func (t *task) progress() wigeonjob.TaskProgress {
 	p := wigeonjob.TaskProgress{
 		Occurrence: t.id.Occurrence,
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -266,7 +266,7 @@
 		t.lostRuns = slices.Delete(t.lostRuns, lost, lost+1)
 	}
 	if t.done || lost >= 0 {
-		o.markDirty(t.step.job)
+		o.markTaskDirty(t)
 	}
 }
 
@@ -350,9 +350,7 @@
 		o.recordRunDecision("run_kept", r, "it has begun, although its starts were not answered", now.Steady-r.startSentAt)
 		r.stopping, r.unanswered = false, false
 	}
-	if report.Checkpoint != "" {
-		r.task.checkpoint = report.Checkpoint
-	}
+	r.task.setCheckpoint(report.Checkpoint)
 	if report.ProgressPercent > r.progressPercent {
 		r.progressedAt = now.Steady
 	}
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -23,6 +23,7 @@
 		return
 	}
 	j := &job{Job: accepted, state: progress.State, durableState: progress.State, finished: slices.Clone(progress.Finished)}
+	j.recordsTasks = accepted.TaskCount()*accepted.Occurrences() > o.settings.tasksPerRecord()
 	j.objective = accepted.Objective()
 	j.acceptedAt = now.Steady - time.Duration(max(now.Wall-accepted.Accepted, 0))*time.Millisecond
 	o.placementDue = true
@@ -55,6 +56,9 @@
 	t := o.ensureOccurrence(now, j, p.Occurrence).steps[p.Step].tasks[p.Index]
 	t.lastRun, t.failures, t.done, t.checkpoint = p.LastRun, p.Failures, p.Done, p.Checkpoint
 	t.lostRuns = slices.Clone(p.LostRuns)
+	if r := o.recordOf(t); r != nil {
+		r.written = true
+	}
 	o.restoreCrashes(t, p.Crashes)
 	for _, live := range p.Runs {
 		w := o.ensureWorker(now, live.Worker)
@@ -124,6 +128,9 @@
 		for i := range s.tasks {
 			s.tasks[i] = &task{id: wigeonstep.TaskID{Job: j.ID, Occurrence: number, Step: n, Index: i}, step: s, waitingSince: now.Steady}
 		}
+		if j.recordsTasks {
+			s.records = make([]tasksRecord, (s.Count+o.settings.tasksPerRecord()-1)/o.settings.tasksPerRecord())
+		}
 		occ.steps = append(occ.steps, s)
 		o.openSteps(s).add(s)
 	}
@@ -192,6 +199,7 @@
 // finishOccurrence removes an occurrence whose tasks are all done, and completes the job when it was the last one.
 func (o *Owner) finishOccurrence(j *job, occ *occurrence) {
 	j.occurrences = slices.DeleteFunc(j.occurrences, func(other *occurrence) bool { return other == occ })
+	j.removedRecords = append(j.removedRecords, occ.writtenRecords()...)
 	j.finished = append(j.finished, occ.number)
 	if len(j.finished) == j.Occurrences() && !j.state.Terminal() {
 		o.setFinalState(j, wigeonjob.StateCompleted)
@@ -259,18 +267,14 @@
 // endRun removes a run that has certainly ended, or never started, and applies the cause of its end to its task.
 func (o *Owner) endRun(now Timestamp, r *run, cause wigeonstep.EndCause, checkpoint wigeonstep.Checkpoint) {
 	t := r.task
-	s := t.step
-	j := s.job
 	o.detach(r)
 	if r.isolated() {
 		o.dropIsolation(t)
 	}
 	r.phase = runEnded
 	t.waitingSince = now.Steady
-	if checkpoint != "" {
-		t.checkpoint = checkpoint
-	}
-	o.markDirty(j)
+	t.setCheckpoint(checkpoint)
+	o.markTaskDirty(t)
 	switch cause {
 	case wigeonstep.EndDone:
 		r.worker.backoff.recordSuccess()
@@ -337,6 +341,7 @@
 	s := t.step
 	counted := t.counter()
 	counted.failures++
+	o.markTaskDirty(counted)
 	if s.LongRunning || t.done {
 		return
 	}
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -38,6 +38,10 @@
 	registered bool
 	// holder is the partition that holds the job in StateMoved, and 0 in other states.
 	holder wigeonstep.Partition
+	// recordsTasks is set if the tasks are in records of their own, because the job has too many for one record.
+	recordsTasks bool
+	// removedRecords holds the records of tasks to remove from the log with the next record of the job.
+	removedRecords []wigeonjob.TasksID
 	// dirty is set while the progress differs from the newest record that was handed to an append.
 	dirty bool
 	// objective is the target time from the due time of an occurrence to its end.
@@ -89,6 +93,8 @@
 	liveRuns int
 	// suspects counts the tasks whose crash history is suspicious.
 	suspects int
+	// records holds the state of the records of the tasks, in the order of the tasks; empty unless job.recordsTasks is set.
+	records []tasksRecord
 	// advice is nil until the step is first considered for placement on a queue with advice.
 	advice *adviceState
 }
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -27,6 +27,11 @@
 	Address string
 	// RegisterJobs is set if the first run of a job starts only after JobRegistered.
 	RegisterJobs bool
+	// TasksPerRecord is the number of tasks in one record, wigeonjob.TasksPerRecord by default.
+	TasksPerRecord int
+	// FlushBytes is the size of the progress records of one append above which further ones wait for the next append,
+	// defaultFlushBytes by default.
+	FlushBytes int
 }
 
 // Owner makes the decisions for one shard. It is not safe for concurrent use.
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -224,6 +224,18 @@
 // Guards against tasks that run twice at the same time, are lost, or start after their end was acknowledged, while owners
 // replace each other, calls are lost or delayed, workers crash and restart, and the log is unavailable.
 func TestSeededFaults(t *testing.T) {
+	playSeededFaults(t, testSettings)
+}
+
+// Guards against the same when the progress of a job is in several records, which go out with several appends.
+func TestSeededFaultsWithSmallRecords(t *testing.T) {
+	settings := testSettings
+	settings.TasksPerRecord, settings.FlushBytes = 2, 100
+	playSeededFaults(t, settings)
+}
+
+func playSeededFaults(t *testing.T, settings Settings) {
+	t.Helper()
 	seeds := 150
 	if testing.Short() {
 		seeds = 20
@@ -232,6 +244,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			c := qt.New(t)
 			m := newClusterModel(t, uint64(seed), 6)
+			m.settings = settings
 			m.lostAnswerRate, m.lateCallRate = 0.03, 0.02
 			m.addOwner()
 			for i := range 40 {
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -353,7 +353,7 @@
 func (o *Owner) commitRun(r *run) {
 	r.task.lastRun = r.number
 	r.task.needsCopy = false
-	o.markDirty(r.task.step.job)
+	o.markTaskDirty(r.task)
 }
 
 // smallestFittingRack returns the workers of the rack that has room for all remaining tasks of the step and, among those,
