Give up one job, not its shard, when the log rejects a record

Cause: a refusal that no repetition changes (400) was taken for the loss of the ownership. The next owner writes the same record, so the shard went round all nodes for as long as the job was in the log.

Change: the owner appends the halves of a rejected append by themselves, job by job in the end. A job whose records are rejected alone becomes failed with the reason, and its planned runs never start. If a record that changes nothing is rejected too, or a record that belongs to no job, the shard is dropped as before: a store that rejects everything makes no job fail.

--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -17,7 +17,7 @@
 		d.logDecision(decision)
 	}
 	if a.Append != nil {
-		d.appendFenced(sh, a.Append, func(answer appendAnswer) { e.owner.AppendAcknowledged(d.config.Now(), answer.sentAt) })
+		e.appendProgress(sh, a.Append)
 	}
 	for _, h := range a.Heartbeats {
 		e.sendHeartbeat(h)
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -17,6 +17,8 @@
 	peerFailures  *metrics.Counter
 	// registryRetries counts the registrations of jobs that failed and are repeated.
 	registryRetries *metrics.Counter
+	// rejectedRecords counts the records of jobs that the log rejected.
+	rejectedRecords *metrics.Counter
 	panics          *metrics.Counter
 	// relayedOrders counts the orders to workers that went through a relay, directOrders the others.
 	relayedOrders, directOrders *metrics.Counter
@@ -32,6 +34,7 @@
 		appendRetries:   set.NewCounter("wigeonstep_log_append_retries_total"),
 		registryRetries: set.NewCounter("wigeonstep_registry_retries_total"),
 		peerFailures:    set.NewCounter("wigeonstep_peer_failures_total"),
+		rejectedRecords: set.NewCounter("wigeonstep_records_rejected_total"),
 		panics:          set.NewCounter("wigeonstep_panics_total"),
 		relayedOrders:   set.NewCounter(`wigeonstep_worker_orders_total{path="relay"}`),
 		directOrders:    set.NewCounter(`wigeonstep_worker_orders_total{path="direct"}`),
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -389,36 +389,62 @@
 // appendFenced appends records with the fencing token of the ownership and calls onWritten on the event loop when they are
 // written. It retries until then, until the log refuses the records, which drops the shard, or until the ownership ends.
 func (d *Daemon) appendFenced(sh *shard, records []wigeonstep.KeyedRecord, onWritten func(appendAnswer)) {
-	sh.sequence++
-	fence := wigeonstep.AppendFence{Epoch: sh.fence, Sequence: sh.sequence}
-	ctx := sh.ctx
+	a := d.newFencedAppender(sh)
 	go func() {
-		delay := minAppendDelay
-		for ctx.Err() == nil {
-			sentAt := d.config.Now().Steady
-			end, err := d.config.Jobs.Append(ctx, sh.part, records, &fence)
-			switch {
-			case err == nil:
-				d.post(func() {
-					if ctx.Err() == nil {
-						onWritten(appendAnswer{end: end, sentAt: sentAt})
-					}
-				})
-				return
-			case errors.Is(err, wigeonstep.ErrFenced), errors.Is(err, wigeonstep.ErrRejected):
-				d.post(func() {
-					if ctx.Err() != nil {
-						return
-					}
-					d.config.Logger.Warn("append_refused", zap.Int("partition", int(sh.part)), zap.Uint64("epoch", uint64(fence.Epoch)), zap.Error(err))
-					d.dropShard(sh, "the log refused an append")
-					sh.retryClaimAt = d.config.Now().Steady + claimRetryDelay
-				})
-				return
-			}
-			d.config.Metrics.appendRetries.Inc()
-			sleep(ctx, delay/2+rand.N(delay))
-			delay = min(2*delay, maxAppendDelay)
-		}
+		answer, err := a.append(records)
+		a.finish(sh, err, func() { onWritten(answer) })
 	}()
 }
+
+// fencedAppender makes the appends of one ownership. Its sequence numbers are handed back by finish, so that no other append is
+// made meanwhile.
+type fencedAppender struct {
+	*Daemon
+	// ctx ends with the ownership.
+	ctx  context.Context
+	part wigeonstep.Partition
+	// fence has the sequence number of the next append.
+	fence wigeonstep.AppendFence
+}
+
+func (d *Daemon) newFencedAppender(sh *shard) *fencedAppender {
+	return &fencedAppender{Daemon: d, ctx: sh.ctx, part: sh.part, fence: wigeonstep.AppendFence{Epoch: sh.fence, Sequence: sh.sequence + 1}}
+}
+
+// append appends the records. It retries until they are written, until the log refuses them, or until the ownership ends. The
+// error then wraps ErrFenced or ErrRejected, or is that of the context.
+func (a *fencedAppender) append(records []wigeonstep.KeyedRecord) (appendAnswer, error) {
+	delay := minAppendDelay
+	for a.ctx.Err() == nil {
+		sentAt := a.config.Now().Steady
+		end, err := a.config.Jobs.Append(a.ctx, a.part, records, &a.fence)
+		switch {
+		case err == nil:
+			a.fence.Sequence++
+			return appendAnswer{end: end, sentAt: sentAt}, nil
+		case errors.Is(err, wigeonstep.ErrFenced), errors.Is(err, wigeonstep.ErrRejected):
+			return appendAnswer{}, err
+		}
+		a.config.Metrics.appendRetries.Inc()
+		sleep(a.ctx, delay/2+rand.N(delay))
+		delay = min(2*delay, maxAppendDelay)
+	}
+	return appendAnswer{}, a.ctx.Err()
+}
+
+// finish calls onWritten on the event loop if err is nil, and otherwise drops the shard, unless the ownership has ended.
+func (a *fencedAppender) finish(sh *shard, err error, onWritten func()) {
+	a.post(func() {
+		if a.ctx.Err() != nil {
+			return
+		}
+		sh.sequence = a.fence.Sequence - 1
+		if err == nil {
+			onWritten()
+			return
+		}
+		a.config.Logger.Warn("append_refused", zap.Int("partition", int(sh.part)), zap.Uint64("epoch", uint64(a.fence.Epoch)), zap.Error(err))
+		a.dropShard(sh, "the log refused an append")
+		sh.retryClaimAt = a.config.Now().Steady + claimRetryDelay
+	})
+}
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -137,8 +137,8 @@
 // AppendAcknowledged marks the state of the pending append as durable; the next Step sends the starts that depend on it. The
 // caller reports only acknowledged appends, and repeats an append without an answer. sentAt is the time at which the
 // acknowledged attempt was sent: the log confirms the ownership of that time, and the answer may have waited in a paused
-// process.
-func (o *Owner) AppendAcknowledged(now Timestamp, sentAt time.Duration) {
+// process. The records of the rejected jobs were not written, because the log does not accept them; these jobs are given up.
+func (o *Owner) AppendAcknowledged(now Timestamp, sentAt time.Duration, rejected ...wigeonstep.JobID) {
 	f := o.flush
 	if f == nil {
 		return
@@ -157,8 +157,16 @@
 		o.released[r.Worker] = true
 	}
 	o.pendingReleases = slices.Delete(o.pendingReleases, 0, f.releases)
-	for _, w := range f.workers {
-		w.durableEnd = max(w.durableEnd, w.flushingEnd)
+	for _, id := range rejected {
+		if j := o.jobs[id]; j != nil {
+			o.giveUpUnrecorded(now, j, f)
+		}
+	}
+	if len(rejected) == 0 {
+		// Otherwise the next append records the ends of the rejected jobs.
+		for _, w := range f.workers {
+			w.durableEnd = max(w.durableEnd, w.flushingEnd)
+		}
 	}
 	for _, fj := range f.jobs {
 		if fj.state.Terminal() && !fj.job.durableState.Terminal() {
@@ -177,6 +185,28 @@
 	}
 }
 
+// giveUpUnrecorded gives up a job whose records the log rejects, and removes it from the flush. Its planned runs never start. A job
+// whose last record is rejected has ended all the same.
+func (o *Owner) giveUpUnrecorded(now Timestamp, j *job, f *flush) {
+	if j.state.Terminal() {
+		return
+	}
+	f.jobs = slices.DeleteFunc(f.jobs, func(fj flushedJob) bool { return fj.job == j })
+	f.runs = slices.DeleteFunc(f.runs, func(r *run) bool {
+		if r.task.step.job != j {
+			return false
+		}
+		if r.phase == runWriting {
+			r.phase = runPlanned
+		}
+		return true
+	})
+	j.cause = "the log rejects the records of its progress"
+	o.recordJobDecision("job_given_up", j, j.cause, now.Steady-j.acceptedAt)
+	o.stopJob(now, j)
+	o.setFinalState(j, wigeonjob.StateFailed)
+}
+
 // removeIfEnded removes a job from memory if its final state is durable and it has no run left. The end of its last run makes it
 // dirty, so it is considered after each append with its record.
 func (o *Owner) removeIfEnded(j *job) {
