Refuse a job whose record the log can't take, and bound batches

Callers would see: a job whose own record is above the store's limit was refused only after its append was, with 503 as if a repetition could help, and all requests whose records shared the append were refused with it. A batch of 128 records could exceed the size of an append, with the same effect.

Cause: record_bytes was decoded and used nowhere, call_bytes not at all.

Change: Submit answers 400 at once with the size and the limit, records of peers are checked too, and a batch ends before the size that the platform's settings give for an append.

Evidence: TestJobWithTooLargeRecordIsRefusedAtOnce and TestBatchesAreBounded; on the code before the first gets to the append.

--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -158,6 +158,8 @@
 		Member:          wigeongroup.MemberName(settings.NodeName, time.Now().UnixNano(), settings.PeerAddress(), rate),
 		Rate:            rate,
 		Partitions:      settings.Store.Partitions,
+		MaxRecordBytes:  settings.Store.RecordBytes,
+		MaxAppendBytes:  settings.Store.AppendBytes,
 		MachineCallRate: settings.MachineService.ChangesPerSecond,
 		Retention:       retentionFactor * settings.JobRetention(),
 		MemberTTL:       max(defaultMemberTTL, settings.MinMemberTTL()),
--- a/wigeondaemon/appendbatch.go
+++ b/wigeondaemon/appendbatch.go
@@ -13,6 +13,11 @@
 	batchAppendTimeout = 2 * time.Second
 	// maxBatchRecords bounds the records of one append.
 	maxBatchRecords = 128
+	// defaultRecordBytes and defaultAppendBytes are the defaults of Config.MaxRecordBytes and Config.MaxAppendBytes.
+	defaultRecordBytes = 256 << 10
+	defaultAppendBytes = 2 << 20
+	// recordOverhead bounds what the encoding of a record adds to its key and value.
+	recordOverhead = 8
 )
 
 // appendBatcher batches the records of concurrent requests into one append for each partition. A partition processes
@@ -28,8 +33,25 @@
 	result chan error
 }
 
-// appendBatched writes a record in a batch with the records of concurrent requests and waits for the result.
+// recordSize returns an upper bound of the size of the encoded record.
+func recordSize(record wigeonstep.KeyedRecord) int {
+	return len(record.Key) + len(record.Value) + recordOverhead
+}
+
+// checkRecordSize returns an error that wraps ErrRejected if the log does not accept the record because of its size.
+func (d *Daemon) checkRecordSize(record wigeonstep.KeyedRecord) error {
+	if size := recordSize(record); size > d.config.MaxRecordBytes {
+		return fmt.Errorf("the record of the job has %d bytes; the limit is %d: %w", size, d.config.MaxRecordBytes, wigeonstep.ErrRejected)
+	}
+	return nil
+}
+
+// appendBatched writes a record in a batch with the records of concurrent requests and waits for the result. A record that is too
+// large is rejected at once, since the log would reject the whole batch.
 func (d *Daemon) appendBatched(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord) error {
+	if err := d.checkRecordSize(record); err != nil {
+		return err
+	}
 	queued := queuedRecord{record: record, result: make(chan error, 1)}
 	enqueue := func() bool {
 		d.enqueueAppend(part, queued)
@@ -58,8 +80,20 @@
 	}
 }
 
-// appendNextBatch appends up to maxBatchRecords of the queued records of the partition, and the next ones after that append
-// has ended.
+// batchLength returns the number of the queued records that fit into one append, at least one.
+func batchLength(queued []queuedRecord, maxBytes int) int {
+	size := 0
+	for i, q := range queued {
+		size += recordSize(q.record)
+		if i > 0 && (size > maxBytes || i == maxBatchRecords) {
+			return i
+		}
+	}
+	return len(queued)
+}
+
+// appendNextBatch appends the queued records of the partition that fit into one append, and the next ones after that append has
+// ended.
 func (d *Daemon) appendNextBatch(part wigeonstep.Partition) {
 	a := &d.appends
 	batch := a.queued[part]
@@ -67,7 +101,7 @@
 	if len(batch) == 0 {
 		return
 	}
-	rest := batch[min(len(batch), maxBatchRecords):]
+	rest := batch[batchLength(batch, d.config.MaxAppendBytes):]
 	batch = batch[:len(batch)-len(rest)]
 	a.queued[part] = append([]queuedRecord(nil), rest...)
 	records := make([]wigeonstep.KeyedRecord, len(batch))
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -131,6 +131,11 @@
 		return wigeonstep.NotRunResponse(http.StatusBadRequest, err.Error(), "encode", "client", 0)
 	}
 	record := wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindJob, job.ID), Value: value}
+	if err := d.checkRecordSize(record); err != nil {
+		response := wigeonstep.NotRunResponse(http.StatusBadRequest, err.Error(), "encode", "client", 0)
+		d.logRequest("submit", job.ID, queue, response, time.Since(began))
+		return response
+	}
 	part, known := d.jobPartition(job.Service, job.ID)
 	if !known {
 		return responseNoPartitions
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -6,6 +6,7 @@
 package wigeondaemon
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync/atomic"
@@ -68,7 +69,7 @@
 	SetWaveState(ctx context.Context, wave int, completed bool) error
 }
 
-// Config configures a Daemon. Registry, Advisor, Rate and Retention are optional, all other fields are required.
+// Config configures a Daemon. Registry, Advisor, Rate, MaxRecordBytes, MaxAppendBytes and Retention are optional, all other fields are required.
 type Config struct {
 	Logger *zap.Logger
 	Jobs   wigeonstep.JobLog
@@ -96,6 +97,9 @@
 	MachineCallRate float64
 	// Partitions is the number of partitions of the job log, at least 2.
 	Partitions int
+	// MaxRecordBytes is the size of the largest record that the job log accepts, 256 KB by default, and MaxAppendBytes that of the
+	// records of one append, 2 MB by default.
+	MaxRecordBytes, MaxAppendBytes int
 	// Retention is the time for which the state of an ended job is kept, 10 min by default.
 	Retention time.Duration
 	// MemberTTL is the time after the last renewal at which a membership in the group expires.
@@ -158,6 +162,8 @@
 	if c.Retention <= 0 {
 		c.Retention = 10 * time.Minute
 	}
+	c.MaxRecordBytes = cmp.Or(c.MaxRecordBytes, defaultRecordBytes)
+	c.MaxAppendBytes = cmp.Or(c.MaxAppendBytes, defaultAppendBytes)
 	if c.MinRelayedWorkers <= 0 {
 		c.MinRelayedWorkers = DefaultMinRelayedWorkers
 	}
