Count waiting jobs of a queue in all shards

Cause: the count went through the partitions of the queue's present service only.

Change: it goes through all shards of the process. Each replica keeps the count of each queue, in place of a search through all jobs for each request.

Evidence: TestWaitingJobsOfFormerServiceAreCounted fails on (0, wanted 1). TestPendingCountFollowsTheRecords compares the count with a search after each of 2,000 records.

A route that comes back under another name is still counted as another queue.

--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -335,20 +335,22 @@
 	return n, responseDone
 }
 
-// countPendingJobs counts the waiting jobs of a queue in the partitions. It returns -1 while there are no partitions, or the
-// replica of one of them is not loaded.
+// countPendingJobs counts the waiting jobs of a queue, which has the partitions now, in all shards: jobs that were accepted
+// while the queue had another service are in others. It returns -1 while there are no partitions, or the replica of one of
+// them is not loaded.
 func (d *Daemon) countPendingJobs(parts []wigeonstep.Partition, queue wigeonstep.QueueName) int {
-	n := 0
 	for _, part := range parts {
-		sh := d.shards[part]
-		if sh == nil || !sh.loaded {
+		if sh := d.shards[part]; sh == nil || !sh.loaded {
 			return -1
 		}
-		n += sh.replica.CountPending(queue)
 	}
 	if len(parts) == 0 {
 		return -1
 	}
+	n := 0
+	for _, sh := range d.sortedShards {
+		n += sh.replica.CountPending(queue)
+	}
 	return n
 }
 
--- a/wigeondaemon/movedqueue_test.go
+++ b/wigeondaemon/movedqueue_test.go
@@ -64,3 +64,16 @@
 	c.Assert(query(movedPartition, false).GetKnown(), qt.IsFalse)
 	c.Assert(query(listedPartition, false).GetKnown(), qt.IsTrue)
 }
+
+// Guards against jobs that are not counted as waiting because their queue got another service after they were accepted.
+func TestWaitingJobsOfFormerServiceAreCounted(t *testing.T) {
+	c := qt.New(t)
+	d, queue, _ := newMovedQueueDaemon(c, t)
+	n, response := d.CountWaiting(t.Context(), queue)
+	c.Assert(response.Status, qt.Equals, http.StatusOK)
+	c.Assert(n, qt.Equals, 1)
+	answer := d.HandlePeer(t.Context(), &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Count{
+		Count: &wigeonwire.CountQuery{Queue: string(queue.Name), Partitions: []uint32{uint32(movedPartition)}},
+	}})
+	c.Assert(answer.GetCount().GetWaiting(), qt.Equals, uint32(1))
+}
--- a/wigeonreplica/replica.go
+++ b/wigeonreplica/replica.go
@@ -59,6 +59,8 @@
 	Releases map[wigeonstep.WorkerID]wigeonjob.Release
 
 	jobs map[wigeonstep.JobID]*JobEntry
+	// pending counts the jobs in StatePending of each queue.
+	pending map[wigeonstep.QueueName]int
 }
 
 // Jobs returns the entries of all jobs, also of those whose own record has not been read. The map is not a copy.
@@ -78,13 +80,18 @@
 // CountPending returns the number of jobs of a queue that are in StatePending: no run is known to have begun, and they are
 // not cancelled.
 func (r *Replica) CountPending(queue wigeonstep.QueueName) int {
-	n := 0
-	for _, e := range r.jobs {
-		if e.Job != nil && e.Job.Queue == queue && e.State() == wigeonjob.StatePending {
-			n++
-		}
+	return r.pending[queue]
+}
+
+// addPending adds n to the count of pending jobs if the job is one of them.
+func (r *Replica) addPending(e *JobEntry, n int) {
+	if e == nil || e.Job == nil || e.State() != wigeonjob.StatePending {
+		return
+	}
+	if r.pending == nil {
+		r.pending = map[wigeonstep.QueueName]int{}
 	}
-	return n
+	r.pending[e.Job.Queue] += n
 }
 
 // Apply updates the state from the next record of the partition. A record without a value deletes its key. An error means
@@ -152,6 +159,8 @@
 }
 
 func (r *Replica) applyJob(kind wigeonjob.Kind, id wigeonstep.JobID, value []byte) error {
+	r.addPending(r.jobs[id], -1)
+	defer func() { r.addPending(r.jobs[id], 1) }()
 	switch kind {
 	case wigeonjob.KindJob:
 		e := r.ensureEntry(id)
@@ -235,6 +244,7 @@
 func (r *Replica) deleteKey(kind wigeonjob.Kind, id string) {
 	switch kind {
 	case wigeonjob.KindJob:
+		r.addPending(r.jobs[wigeonstep.JobID(id)], -1)
 		delete(r.jobs, wigeonstep.JobID(id))
 	case wigeonjob.KindTasks:
 		if tasksID, ok := wigeonjob.ParseTasksID(id); ok && r.jobs[tasksID.Job] != nil {
--- a/wigeonreplica/replica_test.go
+++ b/wigeonreplica/replica_test.go
@@ -1,6 +1,8 @@
 package wigeonreplica
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -88,3 +90,37 @@
 	c.Assert(err, qt.IsNil)
 	c.Assert(*read, qt.DeepEquals, progress)
 }
+
+// Guards against a count of waiting jobs that differs from the jobs after records in any order.
+func TestPendingCountFollowsTheRecords(t *testing.T) {
+	c := qt.New(t)
+	random := rand.New(rand.NewPCG(1, 41))
+	running, err := wigeonjob.EncodeProgress(&wigeonjob.Progress{State: wigeonjob.StateRunning})
+	c.Assert(err, qt.IsNil)
+	ended, err := wigeonjob.EncodeProgress(&wigeonjob.Progress{State: wigeonjob.StateMoved, Holder: 2})
+	c.Assert(err, qt.IsNil)
+	cancel, err := wigeonjob.EncodeCancel(5)
+	var r Replica
+	for range 2000 {
+		id := fmt.Sprint(random.IntN(20))
+		switch random.IntN(6) {
+		case 0, 1:
+			c.Assert(r.Apply(jobRecord(c, id, "x")), qt.IsNil)
+		case 2:
+			c.Assert(r.Apply(record(c, wigeonjob.KindProgress, id, running, err)), qt.IsNil)
+		case 3:
+			c.Assert(r.Apply(record(c, wigeonjob.KindProgress, id, ended, err)), qt.IsNil)
+		case 4:
+			c.Assert(r.Apply(record(c, wigeonjob.KindCancel, id, cancel, err)), qt.IsNil)
+		case 5:
+			c.Assert(r.Apply(record(c, wigeonjob.KindJob, id, nil, err)), qt.IsNil)
+		}
+		want := 0
+		for _, e := range r.Jobs() {
+			if e.Job != nil && e.State() == wigeonjob.StatePending {
+				want++
+			}
+		}
+		c.Assert(r.CountPending("q"), qt.Equals, want)
+	}
+}
