Count no crash at the start of a run that never began

Cause: a start without an answer is stopped. The worker answers a stop of a run that it doesn't have like any other, and the owner took the answer for a proof that the run had begun then. The next crash of the worker counted as a confirmed one at its start.

Change: a run counts as begun only if its worker accepted the start or listed the run.

--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		counted = append(counted, t)
-		if r.phase == runAccepted && !r.inherited {
+		if r.begun() && !r.inherited {
 			// The run may have outlived earlier crashes without a report that shows it.
 			o.setCrashes(t, t.crashes.outlived(w.seenAt-r.startKnownAt))
 		}
@@ -106,7 +106,7 @@
 	upAt, newestPlan := w.seenAt, time.Duration(math.MinInt64)
 	for _, r := range lost {
 		switch {
-		case r.phase == runAccepted:
+		case r.begun():
 			upAt = max(upAt, r.startSentAt)
 		case r.inherited:
 			newestPlan = max(newestPlan, r.plannedAt)
@@ -117,7 +117,7 @@
 	}
 	// The least age that a run may have had at the crash.
 	age := func(r *run) time.Duration {
-		if r.phase != runAccepted {
+		if !r.begun() {
 			return 0
 		}
 		return max(upAt-r.startKnownAt, 0)
@@ -127,13 +127,13 @@
 		youngest = min(youngest, age(r))
 	}
 	for _, r := range lost {
-		plannedEarly := r.phase != runAccepted && r.inherited && newestPlan-r.plannedAt > promptCrashAge
+		plannedEarly := !r.begun() && r.inherited && newestPlan-r.plannedAt > promptCrashAge
 		tooOld := w.loss.prompt && r.ageWhenLost() > promptCrashAge
 		if r.task.suspected() || age(r) <= suspectAgeFactor*youngest+suspectAgeMargin && !plannedEarly && !tooOld {
 			likely = append(likely, r)
 		}
 	}
-	return likely, ofOneTask(likely) && !slices.ContainsFunc(likely, func(r *run) bool { return r.phase != runAccepted })
+	return likely, ofOneTask(likely) && !slices.ContainsFunc(likely, func(r *run) bool { return !r.begun() })
 }
 
 // ofOneTask reports whether there are runs and all belong to one task or gang.
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -228,7 +228,7 @@
 
 // markBegun records that the worker has begun the run, which makes a pending job a running one.
 func (o *Owner) markBegun(now Timestamp, r *run) {
-	r.phase = runAccepted
+	r.phase, r.onlyStopAnswered = runAccepted, false
 	r.startKnownAt = now.Steady
 	if j := r.task.step.job; j.state == wigeonjob.StatePending {
 		j.state = wigeonjob.StateRunning
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -173,6 +173,8 @@
 	unanswered bool
 	// onCordoned is set if the worker was cordoned when the run was planned.
 	onCordoned bool
+	// onlyStopAnswered is set if the worker has acknowledged a stop of the run, and nothing shows that the run had begun.
+	onlyStopAnswered bool
 	// stopSentAt is the time at which the newest stop was sent; zero when none was sent or the newest one failed.
 	stopSentAt time.Duration
 	// stopTries counts the stops that failed, startTries the starts that got no answer.
@@ -225,10 +227,13 @@
 	return r.startKnownAt
 }
 
+// begun reports whether the worker has shown that it has begun the run.
+func (r *run) begun() bool { return r.phase == runAccepted && !r.onlyStopAnswered }
+
 // ageWhenLost returns the time since which the run was known to have begun when its worker was found not to answer, at least a
 // millisecond; 0 if it is not known to have begun.
 func (r *run) ageWhenLost() time.Duration {
-	if r.phase != runAccepted {
+	if !r.begun() {
 		return 0
 	}
 	return max(r.worker.loss.noticedAt-r.begunAt(), time.Millisecond)
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -208,7 +208,8 @@
 	}
 	if err == nil {
 		if r.startKnownAt < 0 || r.phase != runAccepted {
-			r.phase = runAccepted
+			// The worker answers alike if it does not have the run.
+			r.phase, r.onlyStopAnswered = runAccepted, true
 			r.startKnownAt = now.Steady
 		}
 		return
