Let a suspect's siblings run, and end weak suspicions

Cause: after a crash the tasks with runs about as young as the youngest are suspected, and each waits for a worker of its own, without a limit; the other tasks of the step wait with them.

Change: the other tasks of the step start at once. A suspect at which nothing points more than at others starts like any other after 2 s. One that was the only likely cause of a crash, or a likely cause of two, still starts only isolated.

Evidence: TestTasksBesideASuspectStartAtOnce fails on (1 start, wanted 3); TestWeakSuspicionEndsByItself.

--- a/wigeonshard/crashhistory.go
+++ b/wigeonshard/crashhistory.go
@@ -53,6 +53,21 @@
 	return starts >= 1 || likely >= 2 || h.sameAge() >= suspiciousSameAge
 }
 
+// points reports whether a suspicious history points at the task more than at others that were lost with it: it is the only likely
+// cause of a crash, or a likely cause of several.
+func (h crashHistory) points() bool {
+	likely := 0
+	for _, c := range h {
+		if !c.Likely || c.Explained {
+			continue
+		}
+		if likely++; c.Sole {
+			return true
+		}
+	}
+	return likely >= 2
+}
+
 // conclusive reports whether the task has to be given up: two workers have crashed at the start of its runs, one of them with no
 // other likely cause; or more that way soon after the start, or under runs of nearly the same age; or maxCrashes were lost with the
 // task as a likely cause.
--- a/wigeonshard/isolation.go
+++ b/wigeonshard/isolation.go
@@ -14,6 +14,8 @@
 	maxIsolatedShare = 2
 	// maxIsolation is the time after which a worker that is kept for a suspected task gets other runs again.
 	maxIsolation = time.Second
+	// maxIsolationWait is the time for which a task waits for a worker of its own if nothing points at it more than at others.
+	maxIsolationWait = 2 * time.Second
 	// maxGangIsolationWait is the time after which a suspected gang starts although some of its workers have young runs.
 	maxGangIsolationWait = 2 * time.Second
 	// survivalCheckInterval is the time between two requests for a report about an isolated run that may have outlived the
@@ -39,18 +41,26 @@
 	return r.task.isolation != nil && r.task.isolation.run == r
 }
 
-// placeSuspects plans isolated runs for the suspected tasks of a step. done is set if nothing else of the step is to be placed: the
-// tasks of a gang run together, and the other finite tasks are of use only if the suspected ones succeed.
-func (o *Owner) placeSuspects(now Timestamp, s *step, pool []*worker) (planned int, done bool) {
+// mustIsolate reports whether the task may only start isolated. A task that was merely lost together with others that may have
+// crashed their worker as well starts like any other after maxIsolationWait: most of them are innocent, and a second crash tells
+// more.
+func (t *task) mustIsolate(now time.Duration) bool {
+	h := t.counter().crashes
+	return h.suspicious() && (t.isolation != nil || h.points() || now-t.waitingSince < maxIsolationWait)
+}
+
+// placeSuspects plans isolated runs for the suspected tasks of a step, or a run of a suspected gang, and returns their number.
+func (o *Owner) placeSuspects(now Timestamp, s *step, pool []*worker) int {
 	if s.Gang {
-		return o.placeSuspectGang(now, s, pool), true
+		return o.placeSuspectGang(now, s, pool)
 	}
+	planned := 0
 	for _, t := range s.tasks {
-		if t.suspected() && t.needsRun() && now.Steady >= t.retryAt {
+		if t.mustIsolate(now.Steady) && t.needsRun() && now.Steady >= t.retryAt {
 			planned += o.placeSuspect(now, t, pool)
 		}
 	}
-	return planned, !s.LongRunning
+	return planned
 }
 
 // placeSuspect plans an isolated run of a suspected task, and returns the number of planned runs. It first keeps a worker for the
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -240,9 +240,11 @@
 	reserved := s.Reserved()
 	if s.suspects > 0 {
 		r.order = nil
-		if planned, done := o.placeSuspects(now, s, r.pool); done {
+		planned := o.placeSuspects(now, s, r.pool)
+		if s.Gang {
 			return planned
 		}
+		r.pool = slices.DeleteFunc(slices.Clone(r.pool), func(w *worker) bool { return w.isolation != nil })
 	}
 	held := 0
 	if s.LongRunning {
@@ -265,7 +267,7 @@
 	}
 	planned := held
 	for _, t := range s.tasks {
-		if !t.needsRun() || now.Steady < t.retryAt || t.suspected() {
+		if !t.needsRun() || now.Steady < t.retryAt || t.mustIsolate(now.Steady) {
 			continue
 		}
 		w := s.chooseWorker(t, pool, reserved)
@@ -286,7 +288,7 @@
 	reserved := s.Reserved()
 	planned := 0
 	for _, t := range s.tasks {
-		if !t.needsRun() || now.Steady < t.retryAt || t.suspected() {
+		if !t.needsRun() || now.Steady < t.retryAt || t.mustIsolate(now.Steady) {
 			continue
 		}
 		if r.order == nil {
--- a/wigeonshard/suspicion_test.go
+++ b/wigeonshard/suspicion_test.go
@@ -7,8 +7,43 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
 )
 
+// sharedCrash is a crash of which the task is one of several likely causes.
+var sharedCrash = wigeonjob.WorkerCrash{Run: 1, Worker: "gone", RunAge: 20 * time.Millisecond, Ended: true, Likely: true}
+
+// Guards against a job without a run because one of its tasks waits for a worker of its own: the other tasks start at once.
+func TestTasksBesideASuspectStartAtOnce(t *testing.T) {
+	c := qt.New(t)
+	o := newAdvisedOwner(2)
+	o.AddJob(o.now, testJob("job", testStep(3)), wigeonjob.Progress{Tasks: []wigeonjob.TaskProgress{{LastRun: 1, Crashes: []wigeonjob.WorkerCrash{sharedCrash}}}}, false)
+	o.advance(60 * time.Millisecond)
+	c.Assert(o.started, qt.HasLen, 3)
+	c.Assert(o.running["w000"], qt.HasLen, 1, qt.Commentf("the suspect has a worker of its own"))
+}
+
+// Guards against innocent tasks that wait for ever in the queue for workers of their own after a series of crashes: a task at which
+// no more points than at the others that were lost with it starts like any other in the end.
+func TestWeakSuspicionEndsByItself(t *testing.T) {
+	c := qt.New(t)
+	sole, other := sharedCrash, sharedCrash
+	sole.Sole, other.Run, other.Worker = true, 2, "also gone"
+	for _, test := range []struct {
+		name    string
+		crashes crashHistory
+		want    bool
+	}{
+		{"one of several likely causes", crashHistory{sharedCrash}, false},
+		{"the only likely cause", crashHistory{sole}, true},
+		{"a likely cause twice", crashHistory{sharedCrash, other}, true},
+	} {
+		suspect := &task{step: &step{Step: &wigeonjob.Step{}}, crashes: test.crashes, waitingSince: time.Hour}
+		c.Check(suspect.mustIsolate(time.Hour), qt.IsTrue, qt.Commentf("%s", test.name))
+		c.Check(suspect.mustIsolate(time.Hour+maxIsolationWait), qt.Equals, test.want, qt.Commentf("%s", test.name))
+	}
+}
+
 // Guards against a run that never began and is counted as a crash at its start: its worker answers a stop of a run that it doesn't
 // have like any other.
 func TestStoppedRunThatNeverBeganIsNoEvidence(t *testing.T) {
