Take losses of many workers at once for a common cause

Cause: workers that were lost at the same moment counted each by itself against the runs on it, although no run can have crashed the other workers.

Change: if three workers of a service are lost within 0.1 s, the first such loss raises no suspicion against a task; from the second on it does, since tasks that crash their workers start again together.

Evidence: TestLossesAtOnceRaiseSuspicionOnlyTheSecondTime fails on (9 suspects, wanted 0).

--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -19,8 +19,22 @@
 	suspectAgeMargin = 50 * time.Millisecond
 	// maxStepGap is the time since the last step after which an owner may have been paused.
 	maxStepGap = 250 * time.Millisecond
+	// commonLossWindow is the time within which commonLossWorkers of a service have to be lost for their losses to have a common
+	// cause, such as the power of a rack, and not one in their runs.
+	commonLossWindow  = 100 * time.Millisecond
+	commonLossWorkers = 3
+	// lossRetention is the time for which a loss is kept to find others with the same cause. It is decided within seconds whether a
+	// lost worker has crashed.
+	lossRetention = 10 * time.Second
 )
 
+// serviceLoss is the loss of a worker of a service.
+type serviceLoss struct {
+	service   wigeonstep.ServiceName
+	worker    wigeonstep.WorkerID
+	noticedAt time.Duration
+}
+
 // workerLoss is what an owner knows of the moment at which a worker stopped answering. The zero value is a worker that answers.
 type workerLoss struct {
 	// noticedAt is the time of the first heartbeat without an answer since the worker last answered.
@@ -34,6 +48,19 @@
 // recordLoss stores the moment at which the worker was found not to answer.
 func (o *Owner) recordLoss(now Timestamp, w *worker, connectionClosed bool) {
 	w.loss = workerLoss{noticedAt: now.Steady, prompt: connectionClosed && now.Steady-o.lastStep < maxStepGap}
+	o.recentLosses = slices.DeleteFunc(o.recentLosses, func(l serviceLoss) bool { return now.Steady-l.noticedAt > lossRetention })
+	o.recentLosses = append(o.recentLosses, serviceLoss{service: w.Service, worker: w.ID, noticedAt: now.Steady})
+}
+
+// lostTogether returns the number of workers of the service that were lost at about the same time as the worker, which counts too.
+func (o *Owner) lostTogether(w *worker) int {
+	lost := map[wigeonstep.WorkerID]bool{w.ID: true}
+	for _, l := range o.recentLosses {
+		if l.service == w.Service && max(l.noticedAt, w.loss.noticedAt)-min(l.noticedAt, w.loss.noticedAt) <= commonLossWindow {
+			lost[l.worker] = true
+		}
+	}
+	return len(lost)
 }
 
 // processEnded counts the end of the worker's process against those of its runs that may have caused it. ended is set if the process
@@ -71,7 +98,16 @@
 		event = "worker_given_up"
 	}
 	cause := fmt.Sprintf("%d of its runs may have crashed it", len(suspects))
+	together := o.lostTogether(w)
+	common := together >= commonLossWorkers && !suspects[0].isolated()
+	if common {
+		cause = fmt.Sprintf("%d workers of its service were lost at once, so none of its runs has crashed it", together)
+	}
 	o.out.Decisions = append(o.out.Decisions, Decision{Event: event, Cause: cause, Worker: w.ID, Runs: len(lost), RunAge: w.youngestRunAge()})
+	if common {
+		o.countCommonLoss(now, w, lost, suspects, ended)
+		return
+	}
 	var counted []*task
 	for _, r := range lost {
 		r.crashCounted = true
@@ -97,6 +133,23 @@
 	}
 }
 
+// countCommonLoss counts the end of a worker's process, which was lost together with others, against its likely causes. The first
+// such loss raises no suspicion. But tasks that crash their workers may do so together, time after time, so the next one does.
+func (o *Owner) countCommonLoss(now Timestamp, w *worker, lost, suspects []*run, ended bool) {
+	for _, r := range lost {
+		r.crashCounted = true
+		t := r.task.counter()
+		if !slices.Contains(suspects, r) || t.done || t.crashes.has(r.number, w.ID) {
+			continue
+		}
+		first := !slices.ContainsFunc(t.crashes, func(c wigeonjob.WorkerCrash) bool { return c.Explained })
+		crash := wigeonjob.WorkerCrash{Run: r.number, Worker: w.ID, RunAge: r.ageWhenLost(), Ended: ended, Likely: true, Explained: first}
+		o.setCrashes(t, append(slices.Clone(t.crashes), crash))
+		o.crashedTasks[w.ID] = append(o.crashedTasks[w.ID], t)
+		o.judge(now, t)
+	}
+}
+
 // likelyCauses returns those of the lost runs that most likely crashed their worker; sole is set if they belong to one task or
 // gang and are known to have begun. An isolated run is the only likely cause. Otherwise the likely causes are the youngest runs,
 // those whose starts were not answered, and those of tasks that were suspected before. Of the runs that the worker never reported to
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -96,6 +96,8 @@
 	isolations []*isolation
 	// crashedTasks holds the tasks whose crash history names a worker, or has done so.
 	crashedTasks map[wigeonstep.WorkerID][]*task
+	// recentLosses holds the losses of workers in the last lossRetention.
+	recentLosses []serviceLoss
 	// flush is the state in the pending append; nil when none is pending.
 	flush *flush
 	// out collects the actions that the next Step returns.
--- a/wigeonshard/suspicion_test.go
+++ b/wigeonshard/suspicion_test.go
@@ -1,6 +1,7 @@
 package wigeonshard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -76,3 +77,28 @@
 	}
 	c.Assert(crashes.suspicious(), qt.IsFalse)
 }
+
+// Guards against suspicion of the tasks on workers that were lost at once, such as with the power of a rack, and against tasks that
+// crash their workers together and are never suspected.
+func TestLossesAtOnceRaiseSuspicionOnlyTheSecondTime(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 12, 9)
+	m.vmList = true
+	m.outcome = func(wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) { return time.Second, wigeonstep.EndDone }
+	o := m.addOwner()
+	m.submitJob(testJob("job", testStep(20)))
+	m.advance(100 * time.Millisecond)
+	suspects := func() int { return o.jobs["job"].occurrences[0].steps[0].suspects }
+	for n := range commonLossWorkers {
+		m.crash(wigeonstep.WorkerID(fmt.Sprintf("w%02d", n)), false)
+	}
+	m.advance(900 * time.Millisecond)
+	c.Assert(suspects(), qt.Equals, 0)
+	m.advance(20 * time.Second)
+	c.Assert(m.violations, qt.HasLen, 0)
+	c.Assert(m.unfinishedJobs(), qt.HasLen, 0)
+
+	twice := crashHistory{{Run: 1, Worker: "a", Likely: true, Explained: true, Ended: true, RunAge: time.Millisecond}, sharedCrash}
+	c.Assert(twice[:1].suspicious(), qt.IsFalse)
+	c.Assert(twice.suspicious(), qt.IsTrue)
+}
