Give up the task of a long-running job, not its sound tasks

Cause: giving a task up ended its job, and so all runs of it.

Change: in a job with long-running steps only the task is given up, or its gang. The others run on, also under the next owner, until the job is cancelled. The log has the state degraded; clients see failed.

--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -149,10 +149,10 @@
 	return response
 }
 
-// Status returns the state of a job.
+// Status returns the state of a job that clients see.
 func (d *Daemon) Status(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue) (wigeonjob.State, wigeonstep.Response) {
 	v, response := d.lookUpJob(ctx, id, queue)
-	return v.state, response
+	return v.state.ForClients(), response
 }
 
 // lookUpJob returns the newest available state of a job: from the shard's owner, else from the replica, else from the
--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -26,6 +26,9 @@
 	// StateMoved means that another partition holds the job, which was submitted again after its queue got another service.
 	// Clients never see it.
 	StateMoved
+	// StateDegraded means that a task of a long-running job was given up, and the others run until the job is cancelled. Clients
+	// see a failed job.
+	StateDegraded
 )
 
 // String returns the lower-case name of the state, which clients receive.
@@ -43,10 +46,20 @@
 		return "cancelled"
 	case StateMoved:
 		return "moved"
+	case StateDegraded:
+		return "degraded"
 	}
 	return "unknown"
 }
 
+// ForClients returns the state that clients see.
+func (s State) ForClients() State {
+	if s == StateDegraded {
+		return StateFailed
+	}
+	return s
+}
+
 // Terminal reports whether a job never leaves the state in its partition.
 func (s State) Terminal() bool {
 	return s == StateCompleted || s == StateFailed || s == StateCancelled || s == StateMoved
@@ -96,6 +109,8 @@
 	// Crashes holds the newest crashes of workers under runs of the task, the oldest first, since a run last survived for so
 	// long that they count no more. A gang counts them at its first task.
 	Crashes []WorkerCrash
+	// GivenUp is set if the task of a long-running job has crashed its workers, so that it gets no run any more.
+	GivenUp bool
 }
 
 // Progress is the durable progress of a job. It is appended to the log before the start orders of its runs are sent.
@@ -103,7 +118,7 @@
 	State State
 	// Ended is 0 until the state is terminal.
 	Ended wigeonstep.UnixMillis
-	// Cause says why the job failed; empty in other states.
+	// Cause says why the job failed or is degraded; empty in other states.
 	Cause string
 	// Holder is the partition that holds the job in StateMoved, and 0 in other states.
 	Holder wigeonstep.Partition
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -165,6 +165,7 @@
 		Failures:   uint32(t.Failures),
 		Done:       t.Done,
 		Checkpoint: string(t.Checkpoint),
+		GivenUp:    t.GivenUp,
 	}
 	for _, run := range t.Runs {
 		task.Runs = append(task.Runs, &wigeonwire.RunProgress{Run: uint32(run.Number), Worker: string(run.Worker), PlannedUnixMs: int64(run.PlannedAt)})
@@ -216,6 +217,7 @@
 		Failures:   int(t.GetFailures()),
 		Done:       t.GetDone(),
 		Checkpoint: wigeonstep.Checkpoint(t.GetCheckpoint()),
+		GivenUp:    t.GetGivenUp(),
 	}
 	for _, run := range t.GetRuns() {
 		task.Runs = append(task.Runs, LiveRun{Number: wigeonstep.RunNumber(run.GetRun()), Worker: wigeonstep.WorkerID(run.GetWorker()), PlannedAt: wigeonstep.UnixMillis(run.GetPlannedUnixMs())})
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -224,16 +224,20 @@
 	o.markTaskDirty(t)
 }
 
-// judge gives the job up when its task has crashed enough workers. Otherwise it withdraws the runs of a suspected task that have
+// judge gives the job up when its task has crashed enough workers, or the task alone in a long-running job. Otherwise it withdraws the runs of a suspected task that have
 // not been sent, such as a copy, so that the task starts isolated.
 func (o *Owner) judge(now Timestamp, t *task) {
 	j := t.step.job
 	switch {
-	case j.state.Terminal() || t.done:
+	case j.state.Terminal() || t.done || t.givenUp:
 	case t.crashes.conclusive():
 		j.cause = fmt.Sprintf("task %s crashed its workers: %s", t.id.Path(), t.crashes)
-		o.recordJobDecision("job_given_up", j, j.cause, now.Steady-j.acceptedAt)
 		o.clearOthers(t)
+		if j.LongRunning() {
+			o.giveUpTask(now, t)
+			return
+		}
+		o.recordJobDecision("job_given_up", j, j.cause, now.Steady-j.acceptedAt)
 		o.stopJob(now, j)
 		o.setFinalState(j, wigeonjob.StateFailed)
 	case t.suspected():
@@ -241,6 +245,23 @@
 	}
 }
 
+// giveUpTask ends a task, or a gang, of a long-running job. The other tasks run on: they serve users, and may not all be stopped
+// at once.
+func (o *Owner) giveUpTask(now Timestamp, t *task) {
+	members := []*task{t}
+	if t.step.Gang {
+		members = t.step.tasks
+	}
+	o.recordRunDecision("task_given_up", &run{task: t, number: t.lastRun}, t.step.job.cause, 0)
+	for _, member := range members {
+		member.givenUp = true
+		o.dropIsolation(member)
+		o.stopTask(now, member)
+		o.markTaskDirty(member)
+	}
+	t.step.job.state = wigeonjob.StateDegraded
+}
+
 // clearOthers lifts the suspicion from the other tasks that were lost with the workers that the task has crashed.
 func (o *Owner) clearOthers(culprit *task) {
 	for _, c := range culprit.crashes {
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -121,6 +121,7 @@
 		LastRun:    t.lastRun,
 		Failures:   t.failures,
 		Done:       t.done,
+		GivenUp:    t.givenUp,
 	}
 	if !t.done {
 		p.Checkpoint = t.checkpoint
--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -77,7 +77,7 @@
 // needed reports whether the task still waits or has to leave its worker, and the worker of the hold is in the pool and can have the
 // room.
 func (h *roomHold) needed(pool []*worker) bool {
-	if !slices.Contains(pool, h.worker) || !h.possible() || h.task.done || h.task.step.job.state.Terminal() {
+	if !slices.Contains(pool, h.worker) || !h.possible() || h.task.done || h.task.givenUp || h.task.step.job.state.Terminal() {
 		return false
 	}
 	return !slices.ContainsFunc(h.task.runs, func(r *run) bool { return !r.stopping && !r.worker.leaving() })
@@ -118,7 +118,7 @@
 
 // needsRoom reports whether the task has no run, can be placed now and has no room kept for it.
 func (t *task) needsRoom(now time.Duration) bool {
-	return !t.done && len(t.runs) == 0 && t.hold == nil && now >= t.retryAt && !t.suspected()
+	return !t.done && !t.givenUp && len(t.runs) == 0 && t.hold == nil && now >= t.retryAt && !t.suspected()
 }
 
 // placeHeldTasks plans runs for the waiting tasks of a step whose kept room is free, and returns their number.
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -22,7 +22,7 @@
 		}
 		return
 	}
-	j := &job{Job: accepted, state: progress.State, durableState: progress.State, finished: slices.Clone(progress.Finished)}
+	j := &job{Job: accepted, state: progress.State, durableState: progress.State, cause: progress.Cause, finished: slices.Clone(progress.Finished)}
 	j.recordsTasks = accepted.TaskCount()*accepted.Occurrences() > o.settings.tasksPerRecord()
 	j.objective = accepted.Objective()
 	j.acceptedAt = now.Steady - time.Duration(max(now.Wall-accepted.Accepted, 0))*time.Millisecond
@@ -55,7 +55,7 @@
 	}
 	t := o.ensureOccurrence(now, j, p.Occurrence).steps[p.Step].tasks[p.Index]
 	t.lastRun, t.failures, t.done, t.checkpoint = p.LastRun, p.Failures, p.Done, p.Checkpoint
-	t.lostRuns = slices.Clone(p.LostRuns)
+	t.lostRuns, t.givenUp = slices.Clone(p.LostRuns), p.GivenUp
 	if r := o.recordOf(t); r != nil {
 		r.written = true
 	}
--- a/wigeonshard/lastresort.go
+++ b/wigeonshard/lastresort.go
@@ -46,7 +46,7 @@
 
 // needsLastResort reports whether the task has waited for lastResortDelay and can be placed now.
 func (t *task) needsLastResort(now time.Duration) bool {
-	return !t.done && len(t.runs) == 0 && now >= t.retryAt && !t.suspected() && now-t.waitingSince >= lastResortDelay
+	return !t.done && !t.givenUp && len(t.runs) == 0 && now >= t.retryAt && !t.suspected() && now-t.waitingSince >= lastResortDelay
 }
 
 // hasStayingRun reports whether the worker has a long-running run that is not being stopped.
--- a/wigeonshard/missingworkers.go
+++ b/wigeonshard/missingworkers.go
@@ -71,7 +71,7 @@
 	n := 0
 	for _, t := range s.tasks {
 		switch {
-		case t.hold != nil:
+		case t.hold != nil, t.givenUp:
 		case len(t.runs) == 0, t.runs[0].worker.leaving() && !t.runs[0].stopping:
 			n++
 		}
--- a/wigeonshard/waiting.go
+++ b/wigeonshard/waiting.go
@@ -18,7 +18,7 @@
 func (o *Owner) reportLongWaits(now Timestamp, longRunning []candidate) {
 	for _, c := range longRunning {
 		for _, t := range c.step.tasks {
-			if len(t.runs) == 0 && now.Steady-t.waitingSince >= longWait && now.Steady >= t.nextWaitReportAt {
+			if len(t.runs) == 0 && !t.givenUp && now.Steady-t.waitingSince >= longWait && now.Steady >= t.nextWaitReportAt {
 				o.reportLongWait(now, t)
 			}
 		}
