Count only early crashes against long-running tasks

Cause: each loss of a worker counted alike, whatever the age of the run. A run that has served for seconds is more likely the victim of a crash than its cause.

Change: a long-running task is given up only for losses in the first second of its runs, or of unknown age. Later ones still make it a suspect, which starts isolated.

Evidence: TestLongRunningTaskIsGivenUpOnlyForEarlyCrashes (four cases).

--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -230,7 +230,7 @@
 	j := t.step.job
 	switch {
 	case j.state.Terminal() || t.done || t.givenUp:
-	case t.crashes.conclusive():
+	case t.evidence().conclusive():
 		j.cause = fmt.Sprintf("task %s crashed its workers: %s", t.id.Path(), t.crashes)
 		o.clearOthers(t)
 		if j.LongRunning() {
@@ -245,6 +245,15 @@
 	}
 }
 
+// evidence returns the crashes that count towards giving the task up. The run of a long-running task that has served for a while
+// is more likely the victim of a crash than its cause, and its task has to be restarted however its runs end.
+func (t *task) evidence() crashHistory {
+	if !t.step.LongRunning {
+		return t.crashes
+	}
+	return slices.DeleteFunc(slices.Clone(t.crashes), func(c wigeonjob.WorkerCrash) bool { return c.RunAge > promptCrashAge })
+}
+
 // giveUpTask ends a task, or a gang, of a long-running job. The other tasks run on: they serve users, and may not all be stopped
 // at once.
 func (o *Owner) giveUpTask(now Timestamp, t *task) {
--- a/wigeonshard/suspicion_test.go
+++ b/wigeonshard/suspicion_test.go
@@ -102,3 +102,29 @@
 	c.Assert(twice[:1].suspicious(), qt.IsFalse)
 	c.Assert(twice.suspicious(), qt.IsTrue)
 }
+
+// Guards against a long-running task that is given up because workers crash at a steady pace, each time the one below it, although
+// its runs have served for seconds; and against one that crashes its workers at the start and is started without end.
+func TestLongRunningTaskIsGivenUpOnlyForEarlyCrashes(t *testing.T) {
+	c := qt.New(t)
+	history := func(age time.Duration) crashHistory {
+		var h crashHistory
+		for n := range wigeonstep.RunNumber(maxCrashes) {
+			h = append(h, wigeonjob.WorkerCrash{Run: n, Worker: wigeonstep.WorkerID(fmt.Sprint(n)), RunAge: age, Ended: true, Likely: true, Sole: true})
+		}
+		return h
+	}
+	for _, test := range []struct {
+		longRunning bool
+		age         time.Duration
+		want        bool
+	}{
+		{longRunning: true, age: 5 * time.Second, want: false},
+		{longRunning: true, age: 10 * time.Millisecond, want: true},
+		{longRunning: true, age: 0, want: true},
+		{longRunning: false, age: 5 * time.Second, want: true},
+	} {
+		lasting := &task{step: &step{Step: &wigeonjob.Step{LongRunning: test.longRunning}}, crashes: history(test.age)}
+		c.Check(lasting.evidence().conclusive(), qt.Equals, test.want, qt.Commentf("%+v", test))
+	}
+}
