Limit the tasks of new jobs only, and forget outlived crashes

The limit on the tasks of a job was checked for records in the log too, so a job that an earlier version had accepted could not be read. A loss of several workers at once was counted beside earlier crashes that the lost run had outlived.

Change: the limit is checked on submission only; both ways of counting a loss first remove what the run has outlived.

--- a/wigeonjob/job.go
+++ b/wigeonjob/job.go
@@ -155,6 +155,11 @@
 			return fmt.Errorf("step %d: %w", i, err)
 		}
 	}
+	return nil
+}
+
+// CheckTaskCount returns an error if a new job has too many tasks. An accepted job is run whatever its size.
+func (j *Job) CheckTaskCount() error {
 	if n := j.TaskCount(); n > maxTasks {
 		return fmt.Errorf("the job has %d tasks; the limit is %d", n, maxTasks)
 	}
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -117,10 +117,7 @@
 			continue
 		}
 		counted = append(counted, t)
-		if r.begun() && !r.inherited {
-			// The run may have outlived earlier crashes without a report that shows it.
-			o.setCrashes(t, t.crashes.outlived(w.seenAt-r.startKnownAt))
-		}
+		o.removeOutlived(r)
 		crash := wigeonjob.WorkerCrash{Run: r.number, Worker: w.ID, RunAge: r.ageWhenLost(), Ended: ended, Likely: likely, Sole: sole}
 		if likely {
 			o.recordRunDecision("crash_suspected", r, "its worker crashed", 0)
@@ -133,6 +130,13 @@
 	}
 }
 
+// removeOutlived removes the crashes that a lost run had outlived, which no report may have shown.
+func (o *Owner) removeOutlived(r *run) {
+	if t := r.task.counter(); r.begun() && !r.inherited {
+		o.setCrashes(t, t.crashes.outlived(r.worker.seenAt-r.startKnownAt))
+	}
+}
+
 // countCommonLoss counts the end of a worker's process, which was lost together with others, against its likely causes. The first
 // such loss raises no suspicion. But tasks that crash their workers may do so together, time after time, so the next one does.
 func (o *Owner) countCommonLoss(now Timestamp, w *worker, lost, suspects []*run, ended bool) {
@@ -142,6 +146,7 @@
 		if !slices.Contains(suspects, r) || t.done || t.crashes.has(r.number, w.ID) {
 			continue
 		}
+		o.removeOutlived(r)
 		first := !slices.ContainsFunc(t.crashes, func(c wigeonjob.WorkerCrash) bool { return c.Explained })
 		crash := wigeonjob.WorkerCrash{Run: r.number, Worker: w.ID, RunAge: r.ageWhenLost(), Ended: ended, Likely: true, Explained: first}
 		o.setCrashes(t, append(slices.Clone(t.crashes), crash))
@@ -224,8 +229,8 @@
 	o.markTaskDirty(t)
 }
 
-// judge gives the job up when its task has crashed enough workers, or the task alone in a long-running job. Otherwise it withdraws the runs of a suspected task that have
-// not been sent, such as a copy, so that the task starts isolated.
+// judge gives the job up when its task has crashed enough workers, or the task alone in a long-running job. Otherwise it withdraws
+// the runs of a suspected task that have not been sent, such as a copy, so that the task starts isolated.
 func (o *Owner) judge(now Timestamp, t *task) {
 	j := t.step.job
 	switch {
