--- a/configuration.go
+++ b/configuration.go
@@ -39,7 +39,9 @@
 	Service ServiceName
 	// Timeout bounds the handling of a client's request.
 	Timeout time.Duration
-	Policy  QueuePolicy
+	// Public is set if calls on the queue need no credential. Its jobs belong to no team.
+	Public bool
+	Policy QueuePolicy
 }
 
 // PoolService is a service in the configuration: a pool of VMs.
@@ -56,6 +58,9 @@
 	Version  ConfigVersion
 	Queues   []Queue
 	Services []PoolService
+	// Teams holds the teams in the order of the operator's record; empty if the deployment has none.
+	Teams        []Team
+	ClientLimits ClientLimits
 }
 
 // Wave is the operator's request for the maintenance of a list of VMs.
--- a/wigeondaemon/operator.go
+++ b/wigeondaemon/operator.go
@@ -63,6 +63,11 @@
 		return
 	}
 	d.routes.Store(newRouteTable(c))
+	for _, sh := range d.sortedShards {
+		if sh.owner != nil {
+			sh.owner.SetTeams(c.Teams)
+		}
+	}
 	d.config.Logger.Info("configuration_in_force", zap.Uint64("version", uint64(c.Version)), zap.Int("queues", len(c.Queues)), zap.Int("services", len(c.Services)))
 	d.updateReady()
 }
--- a/wigeondaemon/routes.go
+++ b/wigeondaemon/routes.go
@@ -13,10 +13,11 @@
 	spare        map[wigeonstep.ServiceName]bool
 	// services holds the names in the order of the configuration.
 	services []wigeonstep.ServiceName
+	teams    []wigeonstep.Team
 }
 
 func newRouteTable(c *wigeonstep.Configuration) *routeTable {
-	t := &routeTable{version: c.Version, queuesByHost: map[string][]wigeonstep.Queue{}, spare: map[wigeonstep.ServiceName]bool{}}
+	t := &routeTable{version: c.Version, queuesByHost: map[string][]wigeonstep.Queue{}, spare: map[wigeonstep.ServiceName]bool{}, teams: c.Teams}
 	for _, q := range c.Queues {
 		host := strings.ToLower(q.Host)
 		t.queuesByHost[host] = append(t.queuesByHost[host], q)
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -326,6 +326,9 @@
 		return
 	}
 	sh.owner = wigeonshard.NewOwner(d.config.Shard, sh.fence, now, sh.replica.Owner)
+	if table := d.routes.Load(); table != nil {
+		sh.owner.SetTeams(table.teams)
+	}
 	for _, r := range sh.replica.Releases {
 		sh.owner.AddRelease(r)
 	}
--- a/wigeonjob/job.go
+++ b/wigeonjob/job.go
@@ -75,8 +75,10 @@
 	ID      wigeonstep.JobID
 	Queue   wigeonstep.QueueName
 	Service wigeonstep.ServiceName
-	Spec    string
-	Steps   []Step
+	// Team is the team that submitted the job; empty for a job of a public queue, or of a deployment without teams.
+	Team  wigeonstep.TeamName
+	Spec  string
+	Steps []Step
 	// Repeats is the number of occurrences of a scheduled job, the first one included: it is due at StartAt, and each
 	// further one Interval after the one before. 0 means a job that is not scheduled: it has one occurrence, due at once.
 	Repeats  int
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -15,6 +15,7 @@
 	r := &wigeonwire.JobRecord{
 		Queue:          string(j.Queue),
 		Service:        string(j.Service),
+		Team:           string(j.Team),
 		Spec:           j.Spec,
 		Repeats:        uint32(j.Repeats),
 		StartUnixMs:    int64(j.StartAt),
@@ -70,6 +71,7 @@
 		ID:       id,
 		Queue:    wigeonstep.QueueName(r.GetQueue()),
 		Service:  wigeonstep.ServiceName(r.GetService()),
+		Team:     wigeonstep.TeamName(r.GetTeam()),
 		Spec:     r.GetSpec(),
 		Repeats:  int(r.GetRepeats()),
 		StartAt:  wigeonstep.UnixMillis(r.GetStartUnixMs()),
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -23,6 +23,9 @@
 		return
 	}
 	j := &job{Job: accepted, state: progress.State, durableState: progress.State, cause: progress.Cause, finished: slices.Clone(progress.Finished)}
+	if accepted.Team != "" {
+		j.team = o.ensureTeam(accepted.Team)
+	}
 	j.recordsTasks = accepted.TaskCount()*accepted.Occurrences() > o.settings.tasksPerRecord()
 	j.objective = accepted.Objective()
 	j.acceptedAt = now.Steady - time.Duration(max(now.Wall-accepted.Accepted, 0))*time.Millisecond
@@ -94,6 +97,9 @@
 	r.task.runs = append(r.task.runs, r)
 	r.task.step.liveRuns++
 	r.task.step.job.liveRuns++
+	if team := r.task.step.job.team; team != nil {
+		team.use = team.use.Add(r.task.step.Required)
+	}
 	r.worker.attach(r)
 }
 
@@ -108,6 +114,9 @@
 	}
 	r.task.step.liveRuns--
 	r.task.step.job.liveRuns--
+	if team := r.task.step.job.team; team != nil {
+		team.use = team.use.Sub(r.task.step.Required)
+	}
 	r.worker.detach(r)
 }
 
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -23,6 +23,8 @@
 // job is an accepted job that has runs left or whose final state is not durable.
 type job struct {
 	*wigeonjob.Job
+	// team is nil if the job belongs to no team.
+	team      *team
 	cancelled bool
 	state     wigeonjob.State
 	// durableState is the newest state that is in the log. JobState returns no other, except for a cancellation, which it
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -63,6 +63,8 @@
 	absentSince map[wigeonstep.WorkerID]time.Duration
 	// lastSweep is the time of the last search for old releases and crashes.
 	lastSweep time.Duration
+	// teams holds the teams of the configuration and those of jobs.
+	teams map[wigeonstep.TeamName]*team
 	// arrivals holds the rate of the work that arrives at each service.
 	arrivals map[wigeonstep.ServiceName]*arrivalRate
 
@@ -123,6 +125,7 @@
 		released:        map[wigeonstep.WorkerID]bool{},
 		absentSince:     map[wigeonstep.WorkerID]time.Duration{},
 		arrivals:        map[wigeonstep.ServiceName]*arrivalRate{},
+		teams:           map[wigeonstep.TeamName]*team{},
 		crashedTasks:    map[wigeonstep.WorkerID][]*task{},
 	}
 }
--- /dev/null
+++ b/wigeonshard/teams.go
@@ -0,0 +1,36 @@
+package wigeonshard
+
+import "github.com/wigeonstep/wigeonstep"
+
+// defaultTeamWeight is the weight of a team that the configuration does not hold.
+const defaultTeamWeight = 1
+
+// team is a team whose jobs this owner holds, or that the configuration names.
+type team struct {
+	// Team is as in the configuration in force; without credentials, with defaultTeamWeight and without a limit if that does
+	// not hold the team.
+	wigeonstep.Team
+	// use is what the tasks require that have a run, once for each run that has not certainly ended.
+	use wigeonstep.Resources
+}
+
+// SetTeams replaces the teams of the configuration in force.
+func (o *Owner) SetTeams(configured []wigeonstep.Team) {
+	for name, t := range o.teams {
+		t.Team = wigeonstep.Team{Name: name, Weight: defaultTeamWeight}
+	}
+	for _, c := range configured {
+		o.ensureTeam(c.Name).Team = c
+	}
+	o.placementDue = true
+}
+
+// ensureTeam returns the team with the name, and creates it when it does not exist.
+func (o *Owner) ensureTeam(name wigeonstep.TeamName) *team {
+	t := o.teams[name]
+	if t == nil {
+		t = &team{Team: wigeonstep.Team{Name: name, Weight: defaultTeamWeight}}
+		o.teams[name] = t
+	}
+	return t
+}
