--- a/wigeonsoak/process_test.go
+++ b/wigeonsoak/process_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"syscall"
 	"testing"
@@ -47,6 +48,10 @@
 // Guards against a check of exits that misses one that a signal did not cause, or reports one that came before the process
 // could act on the signal.
 func TestCheckExit(t *testing.T) {
+	// A child inherits an ignored SIGHUP, for instance under nohup, but not a handled one.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(hangups) })
 	const silent, logs = "kill -%d $$", "echo started; kill -%d $$"
 	for _, test := range []struct {
 		name, script     string
