--- a/cmd/wigeonstep/localnode.go
+++ b/cmd/wigeonstep/localnode.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"go.uber.org/zap"
@@ -36,6 +37,10 @@
 	cores, linkMbps float64
 	// minRelayedWorkers is wigeondaemon.Config.MinRelayedWorkers.
 	minRelayedWorkers int
+	// contracts is platform.Settings.Contracts.
+	contracts []string
+	// revokeAfter is the time without the store after which calls that need a credential are refused; 0 for never.
+	revokeAfter time.Duration
 }
 
 // startLocalNode runs a node in this process until ctx ends, on free ports. The end of ctx acts like SIGKILL: the node
@@ -58,6 +63,8 @@
 	s.Store.Address, s.Store.Partitions, s.Store.MinMemberTTLMS = vm.store, localPartitions, 1000
 	s.MachineService.Address = vm.machineService
 	s.Limits.Cores, s.Limits.LinkMbps = vm.cores, vm.linkMbps
+	s.Contracts = vm.contracts
+	s.Bounds.FailClosed, s.Bounds.RevokeMS = vm.revokeAfter > 0, float64(vm.revokeAfter.Milliseconds())
 	set := metrics.NewSet()
 	config, err := nodeConfig(s, logger, set)
 	if err != nil {
--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -172,7 +172,9 @@
 			Address:        settings.PeerAddress(),
 			RegisterJobs:   true,
 		},
-		Now: clock.Now,
+		RequireCredentials: settings.RequiresCredentials(),
+		RevokeAfter:        settings.RevokeAfter(),
+		Now:                clock.Now,
 	}
 	if settings.AdviceAddress != "" {
 		if c.Advisor, err = platform.NewAdvisor(settings.AdviceAddress); err != nil {
--- a/configuration.go
+++ b/configuration.go
@@ -82,6 +82,8 @@
 // Decoder decodes the records that the operator and the workers write.
 type Decoder interface {
 	DecodeOperator(record KeyedRecord) (OperatorRecord, error)
+	// DecodeConfiguration decodes the value of a record in which DecodeOperator finds a configuration.
+	DecodeConfiguration(value []byte) (*Configuration, error)
 	// DecodeWorker returns the worker in a record. An error means that the record describes no worker that can be used.
 	DecodeWorker(record KeyedRecord) (ListedWorker, error)
 }
--- a/wigeondaemon/appendbatch_test.go
+++ b/wigeondaemon/appendbatch_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonteam"
 )
 
 // sizedRecord returns a queued record of the given size.
@@ -44,7 +45,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	step := wigeonjob.Step{Count: 1, RequiredLabel: wigeonstep.Label(strings.Repeat("x", defaultRecordBytes))}
-	response := d.Submit(ctx, &wigeonjob.Job{ID: listedJob, Steps: []wigeonjob.Step{step}}, listedQueue)
+	response := d.Submit(ctx, &wigeonjob.Job{ID: listedJob, Steps: []wigeonjob.Step{step}}, listedQueue, wigeonteam.Caller{})
 	c.Assert(response.Status, qt.Equals, http.StatusBadRequest)
 	c.Assert(response.Outcome, qt.Equals, wigeonstep.OutcomeNotRun)
 	c.Assert(response.Refusal.Reason, qt.Contains, "the limit is 262144")
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -12,6 +11,7 @@
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
 	"github.com/wigeonstep/wigeonstep/wigeontail"
+	"github.com/wigeonstep/wigeonstep/wigeonteam"
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
@@ -52,6 +52,9 @@
 	part  wigeonstep.Partition
 	state wigeonjob.State
 	known bool
+	// team and queue are those of a known job, and empty otherwise.
+	team  wigeonstep.TeamName
+	queue wigeonstep.QueueName
 	// holder is the partition that holds the job instead of part; 0 if none is known to.
 	holder wigeonstep.Partition
 	// owned is set if this process owns the shard, so that the state is authoritative.
@@ -72,10 +75,13 @@
 		v := jobLookup{part: part, loaded: sh.loaded, nextOffset: sh.nextOffset, ownerAddress: sh.replica.Owner.Address}
 		if e := sh.replica.Find(id); e != nil {
 			v.state, v.known, v.holder = e.State(), true, e.Progress.Holder
+			v.team, v.queue = e.Job.Team, e.Job.Queue
 		}
 		if sh.owner != nil {
 			if state, known := sh.owner.JobState(id); known {
 				v.state, v.known, v.holder = state, true, sh.owner.JobHolder(id)
+				// The replica may not hold the job while the log is listed anew.
+				v.team, v.queue = sh.owner.JobTeam(id)
 			}
 			v.owned = true
 		}
@@ -84,23 +90,18 @@
 	})
 }
 
-// findPartition returns the partition of the replica that holds the job; the second result is false if none does. A queue
-// may change its service between two requests with the same id, and the job is then in a shard of the former service.
-func (d *Daemon) findPartition(ctx context.Context, id wigeonstep.JobID) (wigeonstep.Partition, bool) {
-	found, _ := queryLoop(ctx, d, func() *shard {
-		i := slices.IndexFunc(d.sortedShards, func(sh *shard) bool {
-			e := sh.replica.Find(id)
-			return e != nil && e.State() != wigeonjob.StateMoved
-		})
-		if i < 0 {
-			return nil
+// findJob returns the partition, the team and the queue of the job in the replica that holds it; the second result is false if none
+// does. A queue may change its service between two requests with the same id, and the job is then in a shard of the former service.
+func (d *Daemon) findJob(ctx context.Context, id wigeonstep.JobID) (jobLookup, bool) {
+	v, _ := queryLoop(ctx, d, func() jobLookup {
+		for _, sh := range d.sortedShards {
+			if e := sh.replica.Find(id); e != nil && e.State() != wigeonjob.StateMoved {
+				return jobLookup{part: sh.part, known: true, team: e.Job.Team, queue: e.Job.Queue}
+			}
 		}
-		return d.sortedShards[i]
+		return jobLookup{}
 	})
-	if found == nil {
-		return 0, false
-	}
-	return found.part, true
+	return v, v.known
 }
 
 // lookUpAnywhere looks a job up in the shard of the partition and, if it is not known there, in the shard that holds it.
@@ -112,19 +113,20 @@
 	case v.holder != 0:
 		return d.lookUpLocal(ctx, v.holder, id)
 	}
-	if other, found := d.findPartition(ctx, id); found {
-		return d.lookUpLocal(ctx, other, id)
+	if other, found := d.findJob(ctx, id); found {
+		return d.lookUpLocal(ctx, other.part, id)
 	}
 	return v, true
 }
 
-// Submit writes a job to the job log. A job that a replica in this process already holds is accepted without a second record.
-func (d *Daemon) Submit(ctx context.Context, job *wigeonjob.Job, queue wigeonstep.Queue) wigeonstep.Response {
+// Submit writes a job of the caller to the job log. A job that a replica in this process already holds is accepted without a second
+// record if the caller may access it, and refused otherwise.
+func (d *Daemon) Submit(ctx context.Context, job *wigeonjob.Job, queue wigeonstep.Queue, caller wigeonteam.Caller) wigeonstep.Response {
 	began := time.Now()
-	job.Queue, job.Service, job.Policy = queue.Name, queue.Service, queue.Policy
+	job.Queue, job.Service, job.Policy, job.Team = queue.Name, queue.Service, queue.Policy, caller.Team
 	job.Accepted = d.config.Now().Wall
-	if _, known := d.findPartition(ctx, job.ID); known {
-		return responseAccepted
+	if v, known := d.findJob(ctx, job.ID); known {
+		return d.answerKnownJob(v, job.ID, caller)
 	}
 	value, err := wigeonjob.EncodeJob(job)
 	if err != nil {
@@ -140,7 +142,10 @@
 	if !known {
 		return responseNoPartitions
 	}
-	response := d.writeRecord(ctx, part, record)
+	response, answered := d.reserveID(ctx, part, job, caller)
+	if !answered {
+		response = d.writeRecord(ctx, part, record)
+	}
 	if response.Status == http.StatusOK {
 		response = responseAccepted
 	}
@@ -149,12 +154,23 @@
 	return response
 }
 
-// Status returns the state of a job that clients see.
-func (d *Daemon) Status(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue) (wigeonjob.State, wigeonstep.Response) {
-	v, response := d.lookUpJob(ctx, id, queue)
+// Status returns the state of a job that clients see. A job that the caller may not access is answered like one that does not
+// exist.
+func (d *Daemon) Status(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue, caller wigeonteam.Caller) (wigeonjob.State, wigeonstep.Response) {
+	v, response := d.lookUpForCaller(ctx, id, queue, caller)
 	return v.state.ForClients(), response
 }
 
+// lookUpForCaller looks a job up like lookUpJob. A job that the caller may not access is answered like one that does not exist.
+func (d *Daemon) lookUpForCaller(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue, caller wigeonteam.Caller) (jobLookup, wigeonstep.Response) {
+	v, response := d.lookUpJob(ctx, id, queue)
+	if response.Status == http.StatusOK && !caller.MayAccess(v.team, v.queue) {
+		d.logForeignJob("look_up_refused", id, caller, v.team)
+		return jobLookup{}, responseNoSuchJob
+	}
+	return v, response
+}
+
 // lookUpJob returns the newest available state of a job: from the shard's owner, else from the replica, else from the
 // log read to its end.
 func (d *Daemon) lookUpJob(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue) (jobLookup, wigeonstep.Response) {
@@ -173,8 +189,11 @@
 		return v, responseDone
 	}
 	if !v.owned && v.ownerAddress != "" {
-		if state, known := d.queryOwner(ctx, v.ownerAddress, v.part, id); known {
-			v.state, v.known = state, true
+		if status, known := d.queryOwner(ctx, v.ownerAddress, v.part, id); known {
+			v.state = wigeonjob.State(status.GetState())
+			if !v.known {
+				v.known, v.team, v.queue = true, wigeonstep.TeamName(status.GetTeam()), wigeonstep.QueueName(status.GetQueue())
+			}
 			return v, responseDone
 		}
 	}
@@ -184,19 +203,19 @@
 	return d.lookUpAtLogEnds(ctx, id, v)
 }
 
-// queryOwner asks the shard's owner at address for the state of a job. The second result is false if the peer fails, is
+// queryOwner asks the shard's owner at address for the state and the team of a job. The second result is false if the peer fails, is
 // not the owner or does not know the job.
-func (d *Daemon) queryOwner(ctx context.Context, address string, part wigeonstep.Partition, id wigeonstep.JobID) (wigeonjob.State, bool) {
+func (d *Daemon) queryOwner(ctx context.Context, address string, part wigeonstep.Partition, id wigeonstep.JobID) (*wigeonwire.JobStatus, bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Job{Job: &wigeonwire.JobQuery{Partition: uint32(part), Job: string(id)}}}
 	answer, err := d.config.Peers.Call(ctx, address, request)
 	if err != nil {
 		d.config.Metrics.peerFailures.Inc()
-		return 0, false
+		return nil, false
 	}
 	status := answer.GetJob()
-	return wigeonjob.State(status.GetState()), status.GetOwner() && status.GetKnown()
+	return status, status.GetOwner() && status.GetKnown()
 }
 
 // HandlePeer answers a request of a peer. It returns nil if ctx ends first.
@@ -220,12 +239,18 @@
 	if count := request.GetCount(); count != nil {
 		return d.answerCountQuery(ctx, count)
 	}
-	if request.GetDirectory() != nil {
-		return d.answerDirectoryQuery()
+	if query := request.GetDirectory(); query != nil {
+		return d.answerDirectoryQuery(query)
+	}
+	if query := request.GetConfiguration(); query != nil {
+		return d.answerConfigurationQuery(query)
 	}
 	query := request.GetJob()
-	if query == nil {
+	switch {
+	case query == nil:
 		return &wigeonwire.PeerResponse{Error: "this process does not answer such a request"}
+	case query.GetReserve():
+		return d.answerReservation(ctx, query)
 	}
 	return d.answerJobQuery(ctx, query)
 }
@@ -248,7 +273,8 @@
 		v, response = d.lookUpAtLogEnds(ctx, id, v)
 		absent = response.Status == http.StatusGone
 	}
-	status := &wigeonwire.JobStatus{Owner: v.owned, Known: v.known, State: wigeonwire.ProgressState(v.state), Absent: absent}
+	status := v.status()
+	status.Absent = absent
 	return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Job{Job: status}}
 }
 
@@ -303,9 +329,10 @@
 }
 
 // Cancel writes a cancellation to the job log, unless the job has already ended.
-func (d *Daemon) Cancel(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue) wigeonstep.Response {
+// A job that the caller may not access is answered like one that does not exist.
+func (d *Daemon) Cancel(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue, caller wigeonteam.Caller) wigeonstep.Response {
 	began := time.Now()
-	v, response := d.lookUpJob(ctx, id, queue)
+	v, response := d.lookUpForCaller(ctx, id, queue, caller)
 	if response.Status != http.StatusOK || v.state.Terminal() {
 		d.logRequest("cancel", id, queue, response, time.Since(began))
 		return response
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeongroup"
@@ -69,7 +70,7 @@
 	SetWaveState(ctx context.Context, wave int, completed bool) error
 }
 
-// Config configures a Daemon. Registry, Advisor, Rate, MaxRecordBytes, MaxAppendBytes and Retention are optional, all other fields are required.
+// Config configures a Daemon. Registry, Advisor, Rate, MaxRecordBytes, MaxAppendBytes, Retention, RequireCredentials and RevokeAfter are optional, all other fields are required.
 type Config struct {
 	Logger *zap.Logger
 	Jobs   wigeonstep.JobLog
@@ -105,6 +106,11 @@
 	// MemberTTL is the time after the last renewal at which a membership in the group expires.
 	MemberTTL time.Duration
 	Shard     wigeonshard.Settings
+	// RequireCredentials is set if calls need a credential even while the configuration lists no team.
+	RequireCredentials bool
+	// RevokeAfter is the time after which calls that need a credential are refused if neither the operator log nor a peer that
+	// reads it confirms the version in force; 0 for never.
+	RevokeAfter time.Duration
 	// Now is the clock.
 	Now func() wigeonshard.Timestamp
 }
@@ -128,6 +134,12 @@
 	holderAddresses atomic.Pointer[map[wigeonstep.Partition]string]
 	// routes is built from the configuration in force; nil until one is read.
 	routes atomic.Pointer[routeTable]
+	// configurationAccess says how recently that configuration was known to be the newest.
+	configurationAccess configurationAccess
+	// standbys holds the addresses of the standbys that last asked for the directory.
+	standbys addressList
+	// unauthorizedLines bounds the log lines about refused credentials.
+	unauthorizedLines *rate.Limiter
 
 	// The fields below belong to the event loop.
 	shards       map[wigeonstep.Partition]*shard
@@ -180,6 +192,8 @@
 		fleet:         newFleet(c.MachineCallRate),
 		registrySlots: make(chan struct{}, maxRegistryCalls),
 		relays:        relays{retryAt: map[string]time.Duration{}, opening: map[string]bool{}},
+
+		unauthorizedLines: rate.NewLimiter(maxUnauthorizedLines, unauthorizedLineBurst),
 	}
 }
 
@@ -191,6 +205,7 @@
 		d.follow()
 	}
 	go d.tailOperator(ctx)
+	go d.followPeerConfigurations(ctx)
 	go d.maintainMembership(ctx)
 	timer := time.NewTimer(stepInterval)
 	defer timer.Stop()
--- a/wigeondaemon/listing_test.go
+++ b/wigeondaemon/listing_test.go
@@ -14,6 +14,7 @@
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeontail"
+	"github.com/wigeonstep/wigeonstep/wigeonteam"
 )
 
 const (
@@ -138,7 +139,7 @@
 		}
 		return wigeonstep.KeyedRead{Records: records[from-9:], Next: 11, End: 11}
 	}
-	state, response := d.Status(t.Context(), listedJob, listedQueue)
+	state, response := d.Status(t.Context(), listedJob, listedQueue, wigeonteam.Caller{})
 	c.Assert(response.Status, qt.Equals, http.StatusOK)
 	c.Assert(state, qt.Equals, wigeonjob.StatePending)
 }
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -20,6 +20,10 @@
 	// rejectedRecords counts the records of jobs that the log rejected.
 	rejectedRecords *metrics.Counter
 	panics          *metrics.Counter
+	// unauthorized counts the calls that were refused for their credentials, by reason.
+	unauthorized map[string]*metrics.Counter
+	// outdatedRefusals counts the calls that were refused because the configuration in force may be outdated.
+	outdatedRefusals *metrics.Counter
 	// relayedOrders counts the orders to workers that went through a relay, directOrders the others.
 	relayedOrders, directOrders *metrics.Counter
 	// loopSeconds counts the time that each part of the event loop's work took.
@@ -38,6 +42,12 @@
 		panics:          set.NewCounter("wigeonstep_panics_total"),
 		relayedOrders:   set.NewCounter(`wigeonstep_worker_orders_total{path="relay"}`),
 		directOrders:    set.NewCounter(`wigeonstep_worker_orders_total{path="direct"}`),
+
+		unauthorized:     map[string]*metrics.Counter{},
+		outdatedRefusals: set.NewCounter("wigeonstep_calls_refused_outdated_total"),
+	}
+	for _, reason := range unauthorizedReasons {
+		m.unauthorized[reason] = set.NewCounter(fmt.Sprintf(`wigeonstep_unauthorized_total{reason=%q}`, reason))
 	}
 	for part, name := range loopPartNames {
 		m.loopSeconds[part] = set.NewFloatCounter(fmt.Sprintf(`wigeonstep_loop_seconds_total{part=%q}`, name))
--- a/wigeondaemon/movedqueue_test.go
+++ b/wigeondaemon/movedqueue_test.go
@@ -11,6 +11,7 @@
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
 	"github.com/wigeonstep/wigeonstep/wigeontail"
+	"github.com/wigeonstep/wigeonstep/wigeonteam"
 	"github.com/wigeonstep/wigeonstep/wigeonwire"
 )
 
@@ -42,12 +43,12 @@
 	d, queue, appended := newMovedQueueDaemon(c, t)
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	state, response := d.Status(ctx, listedJob, queue)
+	state, response := d.Status(ctx, listedJob, queue, wigeonteam.Caller{})
 	c.Assert(response.Status, qt.Equals, http.StatusOK)
 	c.Assert(state, qt.Equals, wigeonjob.StatePending)
-	_, response = d.Status(ctx, "00000000000000ff", queue)
+	_, response = d.Status(ctx, "00000000000000ff", queue, wigeonteam.Caller{})
 	c.Assert(response.Status, qt.Equals, http.StatusGone)
-	c.Assert(d.Cancel(ctx, listedJob, queue).Status, qt.Equals, http.StatusOK)
+	c.Assert(d.Cancel(ctx, listedJob, queue, wigeonteam.Caller{}).Status, qt.Equals, http.StatusOK)
 	c.Assert(<-appended, qt.Equals, listedPartition)
 }
 
--- /dev/null
+++ b/wigeondaemon/reservation.go
@@ -0,0 +1,153 @@
+package wigeondaemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonteam"
+	"github.com/wigeonstep/wigeonstep/wigeonwire"
+)
+
+// This file keeps two teams from using one job id. The store keeps the newest record of a job, so a second record, of another team,
+// would replace the first one in processes that start later.
+
+// reservationTimeout bounds the time for which the submission of a job waits for its id to be reserved. Without an answer the job is
+// written all the same.
+const reservationTimeout = peerTimeout + 50*time.Millisecond
+
+// responseIDTaken answers the submission of a job under the id of a job that the caller may not access.
+var responseIDTaken = wigeonstep.NotRunResponse(http.StatusConflict, "the job id is in use", "reserve", "job log", 0)
+
+// answerKnownJob answers the submission of a job under an id that is known.
+func (d *Daemon) answerKnownJob(known jobLookup, id wigeonstep.JobID, caller wigeonteam.Caller) wigeonstep.Response {
+	if !caller.MayAccess(known.team, known.queue) {
+		d.logForeignJob("submit_refused", id, caller, known.team)
+		return responseIDTaken
+	}
+	return responseAccepted
+}
+
+// reserveID reserves the id of a job at the owner of its partition before the job is written. answered is set if the job must not be
+// written, because it is stored already or another team has the id. Without required credentials it does nothing.
+func (d *Daemon) reserveID(ctx context.Context, part wigeonstep.Partition, job *wigeonjob.Job, caller wigeonteam.Caller) (response wigeonstep.Response, answered bool) {
+	if !d.requiresCredentials(d.routes.Load()) {
+		return wigeonstep.Response{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
+	defer cancel()
+	status := d.askOwnerToReserve(ctx, &wigeonwire.JobQuery{Partition: uint32(part), Job: string(job.ID), Reserve: true, Team: string(job.Team)})
+	team := wigeonstep.TeamName(status.GetTeam())
+	switch {
+	case status.GetKnown():
+		return d.answerKnownJob(jobLookup{team: team, queue: wigeonstep.QueueName(status.GetQueue())}, job.ID, caller), true
+	case status.GetReserved() && team != job.Team:
+		d.logForeignJob("submit_refused", job.ID, caller, team)
+		return responseIDTaken, true
+	}
+	return wigeonstep.Response{}, false
+}
+
+// askOwnerToReserve asks the owner of the partition, which may be this process, to reserve an id. It returns nil without an answer.
+func (d *Daemon) askOwnerToReserve(ctx context.Context, query *wigeonwire.JobQuery) *wigeonwire.JobStatus {
+	part := wigeonstep.Partition(query.GetPartition())
+	request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Job{Job: query}}
+	if !d.following.Load() {
+		var status *wigeonwire.JobStatus
+		d.askHolders(ctx, part, request, func(response *wigeonwire.PeerResponse) bool {
+			status = response.GetJob()
+			return status.GetKnown() || status.GetOwner()
+		})
+		return status
+	}
+	v, ok := d.lookUpLocal(ctx, part, wigeonstep.JobID(query.GetJob()))
+	switch {
+	case !ok:
+		return nil
+	case v.owned:
+		return d.answerReservation(ctx, query).GetJob()
+	case v.ownerAddress == "":
+		return nil
+	}
+	answer, err := d.config.Peers.Call(ctx, v.ownerAddress, request)
+	if err != nil {
+		d.config.Metrics.peerFailures.Inc()
+		return nil
+	}
+	return answer.GetJob()
+}
+
+// answerReservation reserves the id of a job if this process owns its partition. It answers with the job if a replica here holds it,
+// and otherwise with the team that has the id.
+func (d *Daemon) answerReservation(ctx context.Context, query *wigeonwire.JobQuery) *wigeonwire.PeerResponse {
+	part, id := wigeonstep.Partition(query.GetPartition()), wigeonstep.JobID(query.GetJob())
+	type reservation struct {
+		team wigeonstep.TeamName
+		made bool
+	}
+	// The id is reserved before the look-up, so that a job whose record is read in between has one or the other.
+	r, ok := queryLoop(ctx, d, func() reservation {
+		sh := d.shards[part]
+		if sh == nil || sh.owner == nil {
+			return reservation{}
+		}
+		team, _ := sh.reservations.Reserve(d.config.Now().Steady, id, wigeonstep.TeamName(query.GetTeam()))
+		return reservation{team, true}
+	})
+	if !ok {
+		return nil
+	}
+	v, ok := d.lookUpAnywhere(ctx, part, id)
+	if !ok {
+		return nil
+	}
+	status := v.status()
+	if !v.known && r.made {
+		status.Reserved, status.Team, status.Owner = true, string(r.team), true
+	}
+	return &wigeonwire.PeerResponse{Body: &wigeonwire.PeerResponse_Job{Job: status}}
+}
+
+// status returns what a peer is told of the job.
+func (v jobLookup) status() *wigeonwire.JobStatus {
+	return &wigeonwire.JobStatus{Owner: v.owned, Known: v.known, State: wigeonwire.ProgressState(v.state), Team: string(v.team), Queue: string(v.queue)}
+}
+
+// logForeignJob logs a call about a job of another team.
+func (d *Daemon) logForeignJob(event string, id wigeonstep.JobID, caller wigeonteam.Caller, team wigeonstep.TeamName) {
+	if d.unauthorizedLines.Allow() {
+		d.config.Logger.Warn(event, zap.String("job", string(id)), zap.String("team", string(caller.Team)), zap.String("job_team", string(team)))
+	}
+}
+
+// restoreReplaced writes the records of jobs that were replaced by those of another team, if this process owns the shard: the id was
+// not reserved, because the owner did not answer or had changed.
+func (d *Daemon) restoreReplaced(sh *shard) {
+	for _, job := range sh.replica.TakeReplaced() {
+		if sh.owner == nil {
+			continue
+		}
+		value, err := wigeonjob.EncodeJob(job)
+		if err != nil {
+			d.config.Logger.Error("restore_failed", zap.String("job", string(job.ID)), zap.Error(err))
+			continue
+		}
+		d.config.Logger.Warn("job_record_restored", zap.String("job", string(job.ID)), zap.String("team", string(job.Team)))
+		ctx, part := sh.ctx, sh.part
+		record := wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindJob, job.ID), Value: value}
+		go func() {
+			for delay := minAppendDelay; ctx.Err() == nil; delay = min(2*delay, maxAppendDelay) {
+				err := d.appendBatched(ctx, part, record)
+				if err == nil || errors.Is(err, wigeonstep.ErrRejected) {
+					return
+				}
+				sleep(ctx, delay)
+			}
+		}()
+	}
+}
--- a/wigeondaemon/routes.go
+++ b/wigeondaemon/routes.go
@@ -4,20 +4,29 @@
 	"strings"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonteam"
 )
 
-// routeTable matches requests to queues. It is immutable.
+// routeTable matches requests to queues, and credentials to teams. It is immutable.
 type routeTable struct {
 	version      wigeonstep.ConfigVersion
 	queuesByHost map[string][]wigeonstep.Queue
 	spare        map[wigeonstep.ServiceName]bool
 	// services holds the names in the order of the configuration.
 	services []wigeonstep.ServiceName
-	teams    []wigeonstep.Team
+	// directory holds the valid teams, and teamFaults the faults of the others.
+	directory  *wigeonteam.Directory
+	teamFaults []wigeonteam.Fault
+	// listsTeams is set if the configuration lists teams, also if none of them is valid.
+	listsTeams bool
+	// record is the configuration as the operator wrote it, which peers may ask for. It holds the API keys of the teams, so it
+	// must not reach a log, a metric or another record.
+	record []byte
 }
 
 func newRouteTable(c *wigeonstep.Configuration) *routeTable {
-	t := &routeTable{version: c.Version, queuesByHost: map[string][]wigeonstep.Queue{}, spare: map[wigeonstep.ServiceName]bool{}, teams: c.Teams}
+	t := &routeTable{version: c.Version, queuesByHost: map[string][]wigeonstep.Queue{}, spare: map[wigeonstep.ServiceName]bool{}, listsTeams: len(c.Teams) > 0}
+	t.directory, t.teamFaults = wigeonteam.NewDirectory(c.Teams)
 	for _, q := range c.Queues {
 		host := strings.ToLower(q.Host)
 		t.queuesByHost[host] = append(t.queuesByHost[host], q)
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -17,6 +17,7 @@
 	"github.com/wigeonstep/wigeonstep/wigeonreplica"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeontail"
+	"github.com/wigeonstep/wigeonstep/wigeonteam"
 )
 
 const (
@@ -64,6 +65,8 @@
 	// claimEndOffset is the end of the partition when the log accepted the claim; 0 without an accepted claim. The
 	// ownership begins when the replica has reached it.
 	claimEndOffset wigeonstep.Offset
+	// reservations holds the ids of jobs that processes are about to write, while this process owns the shard.
+	reservations wigeonteam.Reservations
 	// retryClaimAt is the earliest time of the next claim.
 	retryClaimAt time.Duration
 	// reportedReleaseCount is the number of released workers at the last check for new ones.
@@ -183,6 +186,7 @@
 			d.config.Logger.Warn("job_record_skipped", zap.String("key", record.Key), zap.Error(err))
 		}
 	}
+	d.restoreReplaced(sh)
 	d.reapplyWritten(sh)
 	switch {
 	case sh.listing && b.Complete:
@@ -327,7 +331,7 @@
 	}
 	sh.owner = wigeonshard.NewOwner(d.config.Shard, sh.fence, now, sh.replica.Owner)
 	if table := d.routes.Load(); table != nil {
-		sh.owner.SetTeams(table.teams)
+		sh.owner.SetTeams(table.directory.Teams())
 	}
 	for _, r := range sh.replica.Releases {
 		sh.owner.AddRelease(r)
--- a/wigeondaemon/standby.go
+++ b/wigeondaemon/standby.go
@@ -73,7 +73,7 @@
 	return false
 }
 
-// lookUpAtHolders returns the state of a job as a holder knows it. A job is absent only if a holder has read the log to its
+// lookUpAtHolders returns the state and the team of a job as a holder knows them. A job is absent only if a holder has read the log to its
 // end without finding it.
 func (d *Daemon) lookUpAtHolders(ctx context.Context, part wigeonstep.Partition, id wigeonstep.JobID) (jobLookup, wigeonstep.Response) {
 	request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Job{Job: &wigeonwire.JobQuery{Partition: uint32(part), Job: string(id), ReadLog: true}}}
@@ -88,7 +88,10 @@
 	case status.GetAbsent():
 		return jobLookup{}, responseNoSuchJob
 	}
-	return jobLookup{part: part, state: wigeonjob.State(status.GetState()), known: true}, responseDone
+	return jobLookup{
+		part: part, state: wigeonjob.State(status.GetState()), known: true,
+		team: wigeonstep.TeamName(status.GetTeam()), queue: wigeonstep.QueueName(status.GetQueue()),
+	}, responseDone
 }
 
 // partitionAtHolders returns the partition in which a holder knows the job, or first if none knows it. It asks about first, the
@@ -142,7 +145,7 @@
 
 // updateDirectory reads the partitions of the services from a holder.
 func (d *Daemon) updateDirectory(ctx context.Context) {
-	request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Directory{Directory: &wigeonwire.DirectoryQuery{}}}
+	request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Directory{Directory: &wigeonwire.DirectoryQuery{Address: d.config.Shard.Address}}}
 	d.askHolders(ctx, fleetPartition, request, func(response *wigeonwire.PeerResponse) bool {
 		table := partitionTable{}
 		for _, s := range response.GetDirectory().GetServices() {
@@ -170,7 +173,8 @@
 }
 
 // answerDirectoryQuery answers a standby's query for the partitions of all services.
-func (d *Daemon) answerDirectoryQuery() *wigeonwire.PeerResponse {
+func (d *Daemon) answerDirectoryQuery(query *wigeonwire.DirectoryQuery) *wigeonwire.PeerResponse {
+	d.standbys.add(query.GetAddress())
 	directory := &wigeonwire.Directory{}
 	if table := d.partitionTable.Load(); table != nil {
 		for service, parts := range *table {
--- a/wigeonreplica/replica.go
+++ b/wigeonreplica/replica.go
@@ -59,6 +59,8 @@
 	Releases map[wigeonstep.WorkerID]wigeonjob.Release
 
 	jobs map[wigeonstep.JobID]*JobEntry
+	// replaced holds the jobs that TakeReplaced returns.
+	replaced []*wigeonjob.Job
 	// pending counts the jobs in StatePending of each queue.
 	pending map[wigeonstep.QueueName]int
 }
@@ -166,7 +168,7 @@
 		e := r.ensureEntry(id)
 		if e.Job != nil {
 			// The job was submitted twice. The first record is kept, because its tasks may have started.
-			return nil
+			return r.noteReplaced(e.Job, value)
 		}
 		job, err := wigeonjob.DecodeJob(id, value)
 		if err != nil {
@@ -188,6 +190,29 @@
 	return nil
 }
 
+// noteReplaced notes a job if its record in the log, which keeps the newest one, has been replaced by that of another team.
+func (r *Replica) noteReplaced(kept *wigeonjob.Job, value []byte) error {
+	newer, err := wigeonjob.DecodeJob(kept.ID, value)
+	if err != nil || newer.Team == kept.Team {
+		return err
+	}
+	restored := *kept
+	if len(restored.Steps) == 0 {
+		// Nothing reads the steps of an ended job, but a record needs some.
+		restored.Steps = newer.Steps
+	}
+	r.replaced = append(r.replaced, &restored)
+	return nil
+}
+
+// TakeReplaced returns the jobs whose records in the log have been replaced by those of another team since the last call. A record
+// has to be written for each of them.
+func (r *Replica) TakeReplaced() []*wigeonjob.Job {
+	replaced := r.replaced
+	r.replaced = nil
+	return replaced
+}
+
 // applyTasks sets the progress of tasks that have a record of their own.
 func (r *Replica) applyTasks(id string, value []byte) error {
 	tasksID, tasks, err := wigeonjob.DecodeTasks(id, value)
@@ -233,7 +258,7 @@
 	if e.Job == nil || !e.Progress.State.Terminal() {
 		return
 	}
-	e.Job = &wigeonjob.Job{ID: e.Job.ID, Queue: e.Job.Queue, Service: e.Job.Service}
+	e.Job = &wigeonjob.Job{ID: e.Job.ID, Queue: e.Job.Queue, Service: e.Job.Service, Team: e.Job.Team}
 	e.Progress.Tasks = nil
 	e.Progress.Finished = nil
 	e.tasks = nil
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -16,7 +16,7 @@
 		return
 	}
 	if progress.State.Terminal() {
-		o.ended[accepted.ID] = endedJob{state: progress.State, cause: progress.Cause, holder: progress.Holder}
+		o.ended[accepted.ID] = endedJob{state: progress.State, cause: progress.Cause, holder: progress.Holder, team: accepted.Team, queue: accepted.Queue}
 		if cancelled {
 			o.forwardCancel(accepted.ID, progress.Holder)
 		}
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -67,6 +67,9 @@
 	cause string
 	// holder is the partition that holds the job in StateMoved, and 0 in other states.
 	holder wigeonstep.Partition
+	// team and queue decide which callers may see the job.
+	team  wigeonstep.TeamName
+	queue wigeonstep.QueueName
 }
 
 type occurrence struct {
--- a/wigeonshard/teams.go
+++ b/wigeonshard/teams.go
@@ -34,3 +34,12 @@
 	}
 	return t
 }
+
+// JobTeam returns the team and the queue of a job that this owner holds, both empty for an unknown job.
+func (o *Owner) JobTeam(id wigeonstep.JobID) (wigeonstep.TeamName, wigeonstep.QueueName) {
+	if j := o.jobs[id]; j != nil {
+		return j.Team, j.Queue
+	}
+	ended := o.ended[id]
+	return ended.team, ended.queue
+}
--- a/wigeonsoak/client.go
+++ b/wigeonsoak/client.go
@@ -47,6 +47,8 @@
 	// stateQueryPercent is the share of requests that query the state of a job submitted before, longRunningPercent the share
 	// of submitted jobs that are long-running, and crashingPercent the share that crash their workers.
 	stateQueryPercent, longRunningPercent, crashingPercent int
+	// teams holds the keys of the client's requests; nil in a soak without teams.
+	teams *teams
 }
 
 func newClient(addresses []string, h *history, seed uint64) *client {
@@ -62,7 +64,7 @@
 	if c.connection == nil {
 		return c.send(ctx, method, id, body)
 	}
-	r, err := newRequest(ctx, c.connection.address, method, id, body)
+	r, err := newRequest(ctx, c.connection.address, c.teams.key(id), method, id, body)
 	if err != nil {
 		return 0, nil
 	}
@@ -72,7 +74,12 @@
 // send sends one request about the job with the given ID to a random process. The status is 0 if no complete response
 // arrived.
 func (c *client) send(ctx context.Context, method, id string, body []byte) (status int, answer []byte) {
-	r, err := newRequest(ctx, c.addresses[c.random.IntN(len(c.addresses))], method, id, body)
+	return c.sendWithKey(ctx, c.teams.key(id), method, id, body)
+}
+
+// sendWithKey is send with an API key, which may be empty for none.
+func (c *client) sendWithKey(ctx context.Context, key, method, id string, body []byte) (status int, answer []byte) {
+	r, err := newRequest(ctx, c.addresses[c.random.IntN(len(c.addresses))], key, method, id, body)
 	if err != nil {
 		return 0, nil
 	}
@@ -88,13 +95,16 @@
 	return response.StatusCode, answer
 }
 
-func newRequest(ctx context.Context, address, method, id string, body []byte) (*http.Request, error) {
+func newRequest(ctx context.Context, address, key, method, id string, body []byte) (*http.Request, error) {
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+address+jobPathPrefix+id, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	r.Host = jobHost
 	r.Header.Set(wigeonstandin.DeadlineHeader, fmt.Sprint(requestDeadline.Milliseconds()))
+	if key != "" {
+		r.Header.Set(wigeonstandin.CredentialHeader, key)
+	}
 	return r, nil
 }
 
--- a/wigeonsoak/history.go
+++ b/wigeonsoak/history.go
@@ -101,6 +101,8 @@
 	cutRequests    []cutRequest
 	overloads      []overload
 	disruptions    []disruption
+	// servedWithdrawals holds the calls with a withdrawn key that were served.
+	servedWithdrawals []servedWithdrawal
 	violations     []string
 	// log receives a line for each event, so that a violation can be traced; it may be nil.
 	log io.Writer
@@ -219,7 +221,8 @@
 // a task that ran more than once, "lost" an accepted job that did not reach its expected state, "refused" a refused job
 // that ran, "unrequested" a run that no client asked for, "early" a job that was reported as completed before its tasks
 // were, "cut" a request whose connection ended without an answer although there was no disruption, "crashes" a task that was
-// started too often after it had crashed workers, "capacity" a start that exceeded the capacity of a worker; "client", "process"
+// started too often after it had crashed workers, "capacity" a start that exceeded the capacity of a worker, "isolation" a call
+// that was served without a key of the job's team; "client", "process"
 // and "soak" name where an operation failed.
 func (h *history) check() []string {
 	h.mu.Lock()
@@ -246,6 +249,7 @@
 				r.sentAt.UTC().Format(timeFormat), r.endedAt.UTC().Format(timeFormat)))
 		}
 	}
+	found = append(found, h.checkWithdrawals()...)
 	found = append(found, h.checkOverloads()...)
 	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
 		j := h.jobs[id]
--- a/wigeonsoak/soak.go
+++ b/wigeonsoak/soak.go
@@ -58,6 +58,8 @@
 	StopsOnly bool
 	// Relays lets owners send their orders to workers through other processes, however few workers there are.
 	Relays bool
+	// Teams lets clients send the keys of teams, which change with the configuration, and calls that must be refused.
+	Teams bool
 	// Processes and Workers are the numbers of processes and of workers, at least 2 each.
 	Processes, Workers int
 }
@@ -80,6 +82,8 @@
 	history   *history
 	store     *wigeonstandin.Store
 	machines  *wigeonstandin.MachineService
+	// teams is nil in a soak without teams.
+	teams     *teams
 	processes []*process
 	// storeLinks holds the proxy between each process and the store, by the index of the process.
 	storeLinks []*Proxy
@@ -103,6 +107,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s := &system{settings: settings, ctx: ctx, history: newHistory()}
+	if settings.Teams {
+		s.teams = &teams{}
+	}
 	eventLog, err := os.Create(filepath.Join(settings.Directory, "events.log"))
 	if err != nil {
 		return Report{}, fmt.Errorf("create the event log: %w", err)
@@ -125,9 +132,12 @@
 	report := Report{Plan: settings.plan()}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load sync.WaitGroup
+	if settings.Teams {
+		load.Go(func() { s.probeKeys(loadCtx, s.newClient(s.clientAddresses, settings.Seed)) })
+	}
 	for i := range clientCount {
 		load.Go(func() {
-			c := newClient(s.clientAddresses, s.history, settings.Seed+uint64(i)) //nolint:gosec // i is small
+			c := s.newClient(s.clientAddresses, settings.Seed+uint64(i)) //nolint:gosec // i is small
 			if settings.Crashes {
 				c.crashingPercent = crashingPercent
 			}
@@ -135,7 +145,7 @@
 		})
 	}
 	for i, address := range s.clientAddresses {
-		c := newClient(s.clientAddresses, s.history, settings.Seed+uint64(clientCount+i)) //nolint:gosec // i is small
+		c := s.newClient(s.clientAddresses, settings.Seed+uint64(clientCount+i)) //nolint:gosec // i is small
 		c.connection = &connection{address: address, history: s.history}
 		c.stateQueryPercent, c.longRunningPercent = connectedQueryPercent, 0
 		load.Go(func() {
@@ -152,6 +162,13 @@
 	return report, nil
 }
 
+// newClient returns a client that sends the keys of the teams.
+func (s *system) newClient(addresses []string, seed uint64) *client {
+	c := newClient(addresses, s.history, seed)
+	c.teams = s.teams
+	return c
+}
+
 // plan returns the faults of the soak, sorted by start.
 func (s Settings) plan() []Fault {
 	switch {
@@ -252,6 +269,9 @@
 // storeConfiguration stores the next version of the configuration. Versions with an odd number have one more queue.
 func (s *system) storeConfiguration() error {
 	s.configurationVersion++
+	if s.teams != nil {
+		return s.teams.store(s.store, s.configurationVersion)
+	}
 	if s.configurationVersion%2 == 0 {
 		return s.store.PutQueue(s.configurationVersion, service, jobHost, jobPathPrefix)
 	}
@@ -263,7 +283,7 @@
 	timeout := startupTimeout + time.Duration(len(s.processes))*startupTimePerProcess
 	deadline := time.Now().Add(timeout)
 	for _, address := range s.clientAddresses {
-		c := newClient([]string{address}, s.history, s.settings.Seed)
+		c := s.newClient([]string{address}, s.settings.Seed)
 		for {
 			if status, _ := c.send(s.ctx, "GET", fmt.Sprintf("%016x", 0), nil); status == 410 {
 				break
@@ -295,7 +315,7 @@
 // awaitExpectedStates queries accepted jobs until every ordinary job is reported as completed and every long-running job
 // as running, for at most completionTimeout. It then cancels the long-running jobs.
 func (s *system) awaitExpectedStates() {
-	c := newClient(s.clientAddresses, s.history, s.settings.Seed)
+	c := s.newClient(s.clientAddresses, s.settings.Seed)
 	completionDeadline := time.Now().Add(completionTimeout)
 	pending := func(j clientJob) bool {
 		return !j.cancelled && j.reportedState != j.expectedState() && j.reportedState != stateFailed
--- a/wigeonsoak/soak_test.go
+++ b/wigeonsoak/soak_test.go
@@ -23,6 +23,7 @@
 	stopsOnly     = flag.Bool("soak.stops", false, "play only the planned work of PlanStops, for the seeds from -soak.first on")
 	crashes       = flag.Bool("soak.crashes", false, "play the faults of PlanCrashes beside jobs that crash their workers, for the seeds from -soak.first on")
 	relays        = flag.Bool("soak.relays", false, "let owners send their orders through other processes, for the seeds from -soak.first on")
+	withTeams     = flag.Bool("soak.teams", false, "let clients send the keys of teams, which change, for the seeds from -soak.first on")
 	processCount  = flag.Int("soak.processes", 4, "number of processes")
 	workerCount   = flag.Int("soak.workers", 5, "number of workers")
 	faultPeriod   = flag.Duration("soak.period", 8*time.Second, "period over which faults are planned")
@@ -39,7 +40,7 @@
 // repeatedly and all at once: an accepted job stays known and completes, a refused job never runs, no task runs twice, a
 // long-running job runs until it is cancelled, and a process exits only after a signal.
 func TestSoak(t *testing.T) {
-	runSeeds(t, selectedSeeds(t), Settings{PacketLoss: *packetLoss, Lives: *lives, StopsOnly: *stopsOnly, Crashes: *crashes, Relays: *relays})
+	runSeeds(t, selectedSeeds(t), Settings{PacketLoss: *packetLoss, Lives: *lives, StopsOnly: *stopsOnly, Crashes: *crashes, Relays: *relays, Teams: *withTeams})
 }
 
 // Guards against the same violations while links lose packets besides, so that data stalls and arrives late.
@@ -71,6 +72,12 @@
 	runSeeds(t, readSeeds(t, "relays_seeds.txt"), Settings{Lives: true, Relays: true})
 }
 
+// Guards against a job that another team sees or cancels, against a call that is served without a key or with one that is unknown or
+// was withdrawn, and against the loss of jobs when keys change, under the faults of the other soaks.
+func TestSoakWithTeams(t *testing.T) {
+	runSeeds(t, readSeeds(t, "teams_seeds.txt"), Settings{Lives: true, Teams: true})
+}
+
 // runSeeds plays the seeds with the given faults.
 func runSeeds(t *testing.T, selected []uint64, faults Settings) {
 	t.Helper()
