--- a/cmd/wigeonstep/teams_test.go
+++ b/cmd/wigeonstep/teams_test.go
@@ -245,6 +245,8 @@
 				link.SetFault(wigeonsoak.LinkFault{DropRequests: true, DropAnswers: true})
 			} else {
 				endpoint.Unavailable.Store(true)
+				// A read that waits for a record was let in before and would still get it.
+				link.Reset()
 			}
 			began := time.Now()
 			f.putTeams(c, 3, "key-new")
--- a/wigeondaemon/reservation.go
+++ b/wigeondaemon/reservation.go
@@ -17,9 +17,13 @@
 // This file keeps two teams from using one job id. The store keeps the newest record of a job, so a second record, of another team,
 // would replace the first one in processes that start later.
 
-// reservationTimeout bounds the time for which the submission of a job waits for its id to be reserved. Without an answer the job is
-// written all the same.
-const reservationTimeout = peerTimeout + 50*time.Millisecond
+const (
+	// reservationTimeout bounds the time for which the submission of a job waits for its id to be reserved.
+	reservationTimeout = peerTimeout + 50*time.Millisecond
+	// unreservedLookUpTimeout bounds the look-up in the log that replaces a reservation without an answer. A slow store answers a
+	// read after a quarter of a second. Without a result the job is written all the same.
+	unreservedLookUpTimeout = 600 * time.Millisecond
+)
 
 // responseIDTaken answers the submission of a job under the id of a job that the caller may not access.
 var responseIDTaken = wigeonstep.NotRunResponse(http.StatusConflict, "the job id is in use", "reserve", "job log", 0)
@@ -39,8 +43,6 @@
 	if !d.requiresCredentials(d.routes.Load()) {
 		return wigeonstep.Response{}, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
-	defer cancel()
 	status := d.askOwnerToReserve(ctx, &wigeonwire.JobQuery{Partition: uint32(part), Job: string(job.ID), Reserve: true, Team: string(job.Team)})
 	team := wigeonstep.TeamName(status.GetTeam())
 	switch {
@@ -49,12 +51,36 @@
 	case status.GetReserved() && team != job.Team:
 		d.logForeignJob("submit_refused", job.ID, caller, team)
 		return responseIDTaken, true
+	case status.GetReserved():
+		return wigeonstep.Response{}, false
+	}
+	// The partition has no owner now, or it does not answer. The end of the log tells at least of the jobs that were accepted before.
+	if v, known := d.lookUpUnreserved(ctx, part, job.ID); known {
+		return d.answerKnownJob(v, job.ID, caller), true
 	}
 	return wigeonstep.Response{}, false
 }
 
+// lookUpUnreserved looks a job up at the end of the log of its partition.
+func (d *Daemon) lookUpUnreserved(ctx context.Context, part wigeonstep.Partition, id wigeonstep.JobID) (jobLookup, bool) {
+	ctx, cancel := context.WithTimeout(ctx, unreservedLookUpTimeout)
+	defer cancel()
+	if !d.following.Load() {
+		v, _ := d.lookUpAtHolders(ctx, part, id)
+		return v, v.known
+	}
+	v, ok := d.lookUpLocal(ctx, part, id)
+	if !ok || v.known {
+		return v, v.known
+	}
+	v, _ = d.lookUpAtLogEnd(ctx, id, v)
+	return v, v.known
+}
+
 // askOwnerToReserve asks the owner of the partition, which may be this process, to reserve an id. It returns nil without an answer.
 func (d *Daemon) askOwnerToReserve(ctx context.Context, query *wigeonwire.JobQuery) *wigeonwire.JobStatus {
+	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
+	defer cancel()
 	part := wigeonstep.Partition(query.GetPartition())
 	request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Job{Job: query}}
 	if !d.following.Load() {
