--- a/wigeonsoak/history.go
+++ b/wigeonsoak/history.go
@@ -103,7 +103,7 @@
 	disruptions    []disruption
 	// servedWithdrawals holds the calls with a withdrawn key that were served.
 	servedWithdrawals []servedWithdrawal
-	violations     []string
+	violations        []string
 	// log receives a line for each event, so that a violation can be traced; it may be nil.
 	log io.Writer
 }
--- a/wigeonsoak/soak.go
+++ b/wigeonsoak/soak.go
@@ -77,11 +77,11 @@
 
 // system holds the processes, workers and stand-ins of one soak.
 type system struct {
-	settings  Settings
-	ctx       context.Context
-	history   *history
-	store     *wigeonstandin.Store
-	machines  *wigeonstandin.MachineService
+	settings Settings
+	ctx      context.Context
+	history  *history
+	store    *wigeonstandin.Store
+	machines *wigeonstandin.MachineService
 	// teams is nil in a soak without teams.
 	teams     *teams
 	processes []*process
