--- a/wigeondaemon/teams_test.go
+++ b/wigeondaemon/teams_test.go
@@ -241,7 +241,12 @@
 		// A second record of the same team is a retry.
 		d.applyShardBatch(sh, wigeontail.Batch{Records: []wigeonstep.KeyedRecord{record("one"), record("two")}, From: 2, Next: 4, Complete: true})
 		runEvents(t, d)
-		restored := <-written
+		var restored wigeonstep.KeyedRecord
+		select {
+		case restored = <-written:
+		case <-time.After(10 * time.Second):
+			c.Fatal("the record is not restored")
+		}
 		c.Assert(restored.Key, qt.Equals, records[0].Key)
 		job, err := wigeonjob.DecodeJob(listedJob, restored.Value)
 		c.Assert(err, qt.IsNil)
