--- a/cmd/wigeonstep/teams_test.go
+++ b/cmd/wigeonstep/teams_test.go
@@ -230,8 +230,15 @@
 			vm := func(name, store string, cores float64) localVM {
 				return localVM{name: name, store: store, cores: cores, linkMbps: 250 * cores}
 			}
-			kept := f.startNodeOn(t, vm("kept", f.store.Address(), tc.keepCore))
-			cut := f.startNodeOn(t, vm("cut", link.Address(), tc.cutCores))
+			var kept, cut *testNode
+			if tc.cutCores > tc.keepCore {
+				// Otherwise the log would name the other process as a former owner.
+				cut = f.startNodeOn(t, vm("cut", link.Address(), tc.cutCores))
+			}
+			kept = f.startNodeOn(t, vm("kept", f.store.Address(), tc.keepCore))
+			if cut == nil {
+				cut = f.startNodeOn(t, vm("cut", link.Address(), tc.cutCores))
+			}
 			path := "/new/" + jobID(0)
 			for _, n := range []*testNode{kept, cut} {
 				waitFor(c, "a job is accepted", func() bool {
