--- a/worker.go
+++ b/worker.go
@@ -24,6 +24,16 @@
 	return Resources{CPU: r.CPU - other.CPU, Memory: r.Memory - other.Memory, GPU: r.GPU - other.GPU}
 }
 
+// Max returns the larger of r and other, field by field.
+func (r Resources) Max(other Resources) Resources {
+	return Resources{CPU: max(r.CPU, other.CPU), Memory: max(r.Memory, other.Memory), GPU: max(r.GPU, other.GPU)}
+}
+
+// Min returns the smaller of r and other, field by field.
+func (r Resources) Min(other Resources) Resources {
+	return Resources{CPU: min(r.CPU, other.CPU), Memory: min(r.Memory, other.Memory), GPU: min(r.GPU, other.GPU)}
+}
+
 // Bounds of the capacity of a worker and of the requirement of a task.
 const (
 	maxCPU    MilliCPU  = 100_000_000
