--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -20,6 +20,7 @@
 	"github.com/wigeonstep/wigeonstep/wigeongroup"
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
+	"github.com/wigeonstep/wigeonstep/wigeonshare"
 	"github.com/wigeonstep/wigeonstep/wigeontelemetry"
 )
 
@@ -171,6 +172,7 @@
 			ConfirmLimit:   confirmLimit,
 			Address:        settings.PeerAddress(),
 			RegisterJobs:   true,
+			RateWindow:     rateWindow(&settings),
 		},
 		Now: clock.Now,
 	}
@@ -182,6 +184,15 @@
 	return c, nil
 }
 
+// rateWindow returns the window over which the jobs of a team are counted; none if the settings have no bounds of rates.
+func rateWindow(settings *platform.Settings) wigeonshare.Window {
+	return wigeonshare.Window{
+		Length:  time.Duration(settings.Bounds.QuotaWindowS * float64(time.Second)),
+		Overage: settings.Bounds.QuotaOverage,
+		Slack:   settings.Bounds.QuotaSlack,
+	}
+}
+
 // nodeListeners are the listeners of a node for clients, readiness checks, peers and metrics.
 type nodeListeners struct {
 	clients, ready, peers, metrics net.Listener
--- a/wigeonshard/bench_test.go
+++ b/wigeonshard/bench_test.go
@@ -11,8 +11,14 @@
 
 // newOwnerWithFullWorkers returns an owner with the given numbers of fully used workers and of waiting jobs.
 func newOwnerWithFullWorkers(workers, waiting int) (*Owner, Timestamp) {
+	return newOwnerWithWorkers(workers, waiting, func(*Owner) {}, func(int, *wigeonjob.Job) {})
+}
+
+// newOwnerWithWorkers is newOwnerWithFullWorkers, with a call of prepare for the new owner and of change for each job.
+func newOwnerWithWorkers(workers, waiting int, prepare func(*Owner), change func(int, *wigeonjob.Job)) (*Owner, Timestamp) {
 	now := Timestamp{Steady: time.Hour, Wall: 1_700_000_000_000}
 	o := NewOwner(testSettings, 1, now, wigeonjob.OwnerRecord{})
+	prepare(o)
 	var listed []wigeonstep.ListedWorker
 	for i := range workers {
 		id := wigeonstep.WorkerID(fmt.Sprintf("w%05d", i))
@@ -32,6 +38,7 @@
 	for i := range fill + waiting {
 		job := testJob(wigeonstep.JobID(fmt.Sprintf("%016x", i)), testStep(perJob), testStep(perJob, 0))
 		job.Accepted = now.Wall
+		change(i, job)
 		o.AddJob(now, job, wigeonjob.Progress{}, false)
 	}
 	for range 20 {
--- a/wigeonshard/explain.go
+++ b/wigeonshard/explain.go
@@ -23,6 +23,9 @@
 		return status, true
 	}
 	parts := []string{state.String(), "service " + string(j.Service), "accepted " + (now.Steady - j.acceptedAt).Round(time.Millisecond).String() + " ago"}
+	if j.team != nil && o.sharing.active {
+		parts = append(parts, o.describeTeam(j.team))
+	}
 	var waits []string
 	for _, occ := range j.occurrences {
 		for _, s := range occ.steps {
@@ -69,7 +72,7 @@
 		}
 	}
 	if fitting == 0 {
-		return fmt.Sprintf("room for %d tasks of %d millicores and %d MB: none of %d usable workers has any", waiting, reserved.CPU, reserved.Memory, usable)
+		return o.teamCause(s) + fmt.Sprintf("room for %d tasks of %d millicores and %d MB: none of %d usable workers has any", waiting, reserved.CPU, reserved.Memory, usable)
 	}
 	if a := s.advice; a != nil {
 		return fmt.Sprintf("a worker that the advice service allows: it was asked about %d workers and allowed %d; %d of %d usable workers have room", len(a.workers), a.allowed(), fitting, usable)
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -213,6 +213,9 @@
 func (o *Owner) removeIfEnded(j *job) {
 	if j.durableState.Terminal() && j.liveRuns == 0 && !j.dirty {
 		delete(o.jobs, j.ID)
+		if j.excess {
+			j.team.excessJobs--
+		}
 		o.ended[j.ID] = endedJob{state: j.durableState, cause: j.cause, holder: j.holder}
 	}
 }
--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -182,7 +182,6 @@
 	if free.Covers(request) {
 		return 0, true
 	}
-	var ending []*run
 	atMost := free
 	for _, r := range w.runs {
 		if !r.task.step.LongRunning || r.stopping {
@@ -192,7 +191,9 @@
 	if !atMost.Covers(request) {
 		return 0, false
 	}
-	// Only now, so that nothing is allocated for a worker that can't have the room.
+	// Few workers have more runs, so that nothing is allocated for most.
+	var few [32]*run
+	ending := few[:0]
 	for _, r := range w.runs {
 		if !r.task.step.LongRunning || r.stopping {
 			ending = append(ending, r)
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -15,6 +15,7 @@
 	if _, ended := o.ended[accepted.ID]; ended || o.jobs[accepted.ID] != nil {
 		return
 	}
+	excess := o.countArrival(accepted)
 	if progress.State.Terminal() {
 		o.ended[accepted.ID] = endedJob{state: progress.State, cause: progress.Cause, holder: progress.Holder}
 		if cancelled {
@@ -25,6 +26,7 @@
 	j := &job{Job: accepted, state: progress.State, durableState: progress.State, cause: progress.Cause, finished: slices.Clone(progress.Finished)}
 	if accepted.Team != "" {
 		j.team = o.ensureTeam(accepted.Team)
+		j.team.addJob(j, excess)
 	}
 	j.recordsTasks = accepted.TaskCount()*accepted.Occurrences() > o.settings.tasksPerRecord()
 	j.objective = accepted.Objective()
@@ -99,6 +101,7 @@
 	r.task.step.job.liveRuns++
 	if team := r.task.step.job.team; team != nil {
 		team.use = team.use.Add(r.task.step.Required)
+		team.share.AddUse(r.task.step.Reserved())
 	}
 	r.worker.attach(r)
 }
@@ -116,6 +119,7 @@
 	r.task.step.job.liveRuns--
 	if team := r.task.step.job.team; team != nil {
 		team.use = team.use.Sub(r.task.step.Required)
+		team.share.SubUse(r.task.step.Reserved())
 	}
 	r.worker.detach(r)
 }
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -24,7 +24,9 @@
 type job struct {
 	*wigeonjob.Job
 	// team is nil if the job belongs to no team.
-	team      *team
+	team *team
+	// excess is set if the job exceeded the rate of its team when it was accepted.
+	excess    bool
 	cancelled bool
 	state     wigeonjob.State
 	// durableState is the newest state that is in the log. JobState returns no other, except for a cancellation, which it
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonshare"
 )
 
 // Settings are the times and the address that an owner uses.
@@ -29,6 +30,8 @@
 	RegisterJobs bool
 	// TasksPerRecord is the number of tasks in one record, wigeonjob.TasksPerRecord by default.
 	TasksPerRecord int
+	// RateWindow is the window over which the jobs of a team are counted against its rate. Without it no job is excess.
+	RateWindow wigeonshare.Window
 	// FlushBytes is the size of the progress records of one append above which further ones wait for the next append,
 	// defaultFlushBytes by default.
 	FlushBytes int
@@ -65,6 +68,8 @@
 	lastSweep time.Duration
 	// teams holds the teams of the configuration and those of jobs.
 	teams map[wigeonstep.TeamName]*team
+	// sharing is the division of the room among the teams.
+	sharing sharing
 	// arrivals holds the rate of the work that arrives at each service.
 	arrivals map[wigeonstep.ServiceName]*arrivalRate
 
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -61,7 +61,11 @@
 		o.moveRuns(now, r.pool)
 	}
 	r.order = newRoomOrder(r.pool)
-	o.placeSteps(now, o.finiteCandidates(now, r.order), &r)
+	if o.sharing.active {
+		o.placeShared(now, &r)
+	} else {
+		o.placeSteps(now, o.finiteCandidates(now, r.order), &r)
+	}
 	o.reportLongWaits(now, longRunning)
 }
 
@@ -96,6 +100,8 @@
 	order roomOrder
 	// planned counts the runs that were planned in the round.
 	planned int
+	// taskLimit is the number of tasks of the current step that may be planned; 0 sets no limit. A gang is planned whole.
+	taskLimit int
 	// unplaceable holds requests for which no worker of a service has room; requests for as much or more are not tried.
 	unplaceable []unplaceableRequest
 }
@@ -105,6 +111,9 @@
 	reserved wigeonstep.Resources
 }
 
+// limitReached reports whether no further task of the current step may be planned.
+func (r *round) limitReached(planned int) bool { return r.taskLimit > 0 && planned >= r.taskLimit }
+
 // cannotFit reports whether a request that is no larger has already been found not to fit in this round.
 func (r *round) cannotFit(service wigeonstep.ServiceName, reserved wigeonstep.Resources) bool {
 	for _, f := range r.unplaceable {
@@ -270,6 +279,9 @@
 		if !t.needsRun() || now.Steady < t.retryAt || t.mustIsolate(now.Steady) {
 			continue
 		}
+		if r.limitReached(planned) {
+			break
+		}
 		w := s.chooseWorker(t, pool, reserved)
 		if w == nil {
 			if s.unrestricted() && len(t.runs) == 0 {
@@ -291,6 +303,9 @@
 		if !t.needsRun() || now.Steady < t.retryAt || t.mustIsolate(now.Steady) {
 			continue
 		}
+		if r.limitReached(planned) {
+			break
+		}
 		if r.order == nil {
 			r.order = newRoomOrder(r.pool)
 		}
--- a/wigeonshard/teams.go
+++ b/wigeonshard/teams.go
@@ -12,16 +12,20 @@
 	wigeonstep.Team
 	// use is what the tasks require that have a run, once for each run that has not certainly ended.
 	use wigeonstep.Resources
+	teamShare
 }
 
 // SetTeams replaces the teams of the configuration in force.
 func (o *Owner) SetTeams(configured []wigeonstep.Team) {
 	for name, t := range o.teams {
 		t.Team = wigeonstep.Team{Name: name, Weight: defaultTeamWeight}
+		t.configured = false
 	}
 	for _, c := range configured {
-		o.ensureTeam(c.Name).Team = c
+		t := o.ensureTeam(c.Name)
+		t.Team, t.configured = c, true
 	}
+	o.setWeights(len(configured) > 0)
 	o.placementDue = true
 }
 
@@ -31,6 +35,7 @@
 	if t == nil {
 		t = &team{Team: wigeonstep.Team{Name: name, Weight: defaultTeamWeight}}
 		o.teams[name] = t
+		o.sharing.add(t)
 	}
 	return t
 }
