--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -145,6 +145,7 @@
 	// registrySlots bounds the calls to the registry in flight.
 	registrySlots chan struct{}
 	load          loopLoad
+	teamGauges    teamGauges
 	relays        relays
 	fleet         fleet
 	// lastReport is the time of the last reports of the owned shards to the owner of the fleet partition.
@@ -367,6 +368,7 @@
 	})
 	d.measure(partReports, func() { d.reportShards(now) })
 	d.measure(partFleet, func() { d.stepFleet(now) })
+	d.updateTeamGauges(now.Steady)
 	d.reportLoad(now.Steady)
 }
 
