--- a/wigeonjob/key.go
+++ b/wigeonjob/key.go
@@ -21,6 +21,8 @@
 	KindRelease     Kind = 'r'
 	KindMove        Kind = 'm'
 	KindPartitions  Kind = 's'
+	KindAllowances  Kind = 'a'
+	KindShardEpochs Kind = 'e'
 )
 
 // Key returns the key of the record of the given kind for an id.
@@ -60,6 +62,9 @@
 // OwnerKey is the key of the owner record. A partition has one owner, so the key contains no id.
 const OwnerKey = "o/"
 
+// ShardEpochsKey is the key of the record of the shards' epochs, of which the fleet partition has one.
+const ShardEpochsKey = "e/"
+
 // ParseTaskID parses a task id of the form JOB.OCCURRENCE.STEP.INDEX.
 func ParseTaskID(text string) (wigeonstep.TaskID, bool) {
 	job, rest, _ := strings.Cut(text, ".")
--- a/wigeonreplica/replica.go
+++ b/wigeonreplica/replica.go
@@ -9,6 +9,7 @@
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonquota"
 )
 
 // JobEntry is the recorded state of one job.
@@ -55,6 +56,10 @@
 	MoveOrders map[wigeonstep.VMID]wigeonjob.MoveOrder
 	// ServicePartitions holds the partitions of each service; only the fleet partition has any.
 	ServicePartitions map[wigeonstep.ServiceName][]wigeonstep.Partition
+	// Allowances holds the newest division of each team's limit, and ShardEpochs the newest epochs of the shards that may have
+	// received an allowance; only the fleet partition has any.
+	Allowances  map[wigeonstep.TeamName]wigeonquota.Record
+	ShardEpochs map[wigeonstep.Partition]wigeonstep.FencingToken
 	// Releases holds the release of each drained worker, on which its shard starts no more runs.
 	Releases map[wigeonstep.WorkerID]wigeonjob.Release
 
@@ -134,6 +139,21 @@
 			r.ServicePartitions = map[wigeonstep.ServiceName][]wigeonstep.Partition{}
 		}
 		r.ServicePartitions[wigeonstep.ServiceName(id)] = parts
+	case wigeonjob.KindAllowances:
+		division, err := wigeonjob.DecodeAllowances(wigeonstep.TeamName(id), record.Value)
+		if err != nil {
+			return err
+		}
+		if r.Allowances == nil {
+			r.Allowances = map[wigeonstep.TeamName]wigeonquota.Record{}
+		}
+		r.Allowances[division.Team] = division
+	case wigeonjob.KindShardEpochs:
+		epochs, err := wigeonjob.DecodeShardEpochs(record.Value)
+		if err != nil {
+			return err
+		}
+		r.ShardEpochs = epochs
 	case wigeonjob.KindMove:
 		order, err := wigeonjob.DecodeMove(wigeonstep.VMID(id), record.Value)
 		if err != nil {
--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -16,6 +16,8 @@
 	// granted is set once the room is free and the old run of the task may be stopped. Granted holds and runs together never
 	// exceed the capacity of a worker; other holds may, until finite runs have ended.
 	granted bool
+	// counted is set while the hold keeps the part of the team's limit that the stopped run of its task had.
+	counted bool
 }
 
 // heldRoom holds the room that is kept on a worker. The zero value keeps none.
@@ -60,6 +62,9 @@
 		return
 	}
 	t.hold.worker.held.remove(t.hold)
+	if t.hold.counted {
+		t.step.job.team.use = t.step.job.team.use.Sub(t.step.Required)
+	}
 	t.hold = nil
 }
 
@@ -74,12 +79,15 @@
 	return free.Covers(h.task.step.Reserved())
 }
 
-// needed reports whether the task still waits or has to leave its worker, and the worker of the hold is in the pool and can have the
-// room.
+// needed reports whether the task still waits or has to leave its worker, the limit of its team lets it start, and the worker of the
+// hold is in the pool and can have the room.
 func (h *roomHold) needed(pool []*worker) bool {
 	if !slices.Contains(pool, h.worker) || !h.possible() || h.task.done || h.task.givenUp || h.task.step.job.state.Terminal() {
 		return false
 	}
+	if len(h.task.runs) == 0 && !h.counted && !h.task.step.limitAllows() {
+		return false
+	}
 	return !slices.ContainsFunc(h.task.runs, func(r *run) bool { return !r.stopping && !r.worker.leaving() })
 }
 
@@ -128,7 +136,7 @@
 		if t.hold == nil || !t.needsRun() || now.Steady < t.retryAt || t.suspected() {
 			continue
 		}
-		if w := t.hold.worker; slices.Contains(pool, w) && w.isolation == nil && t.hold.roomFree() {
+		if w := t.hold.worker; slices.Contains(pool, w) && w.isolation == nil && t.hold.roomFree() && (t.hold.counted || s.withinLimit()) {
 			o.planRun(t, w, t.lastRun+1)
 			planned++
 		}
@@ -141,7 +149,7 @@
 func (o *Owner) holdForWaitingTasks(now Timestamp, longRunning []candidate, pool []*worker) {
 	for _, c := range longRunning {
 		s := c.step
-		if s.Gang || !s.hasTaskWithoutRoom(now.Steady) {
+		if s.Gang || !s.hasTaskWithoutRoom(now.Steady) || !s.limitAllows() {
 			continue
 		}
 		eligible := o.eligibleWorkers(now, s, pool)
--- a/wigeonshard/isolation.go
+++ b/wigeonshard/isolation.go
@@ -67,6 +67,11 @@
 // task, and waits until its youngest run is old enough.
 func (o *Owner) placeSuspect(now Timestamp, t *task, pool []*worker) int {
 	s := t.step
+	if !s.withinLimit() {
+		// The worker would be kept for a task that can't start.
+		o.dropIsolation(t)
+		return 0
+	}
 	if t.isolation == nil {
 		if !o.mayIsolate(s) {
 			return 0
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -114,9 +114,7 @@
 	}
 	r.task.step.liveRuns--
 	r.task.step.job.liveRuns--
-	if team := r.task.step.job.team; team != nil {
-		team.use = team.use.Sub(r.task.step.Required)
-	}
+	r.leaveTeam()
 	r.worker.detach(r)
 }
 
--- a/wigeonshard/lastresort.go
+++ b/wigeonshard/lastresort.go
@@ -34,7 +34,7 @@
 				continue
 			}
 			w := s.chooseWorker(t, eligible, s.Reserved())
-			if w == nil {
+			if w == nil || !s.withinLimit() {
 				break
 			}
 			o.planRun(t, w, t.lastRun+1)
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonquota"
 )
 
 // Settings are the times and the address that an owner uses.
@@ -65,6 +66,8 @@
 	lastSweep time.Duration
 	// teams holds the teams of the configuration and those of jobs.
 	teams map[wigeonstep.TeamName]*team
+	// quotas holds the parts of the teams' limits that this shard may use.
+	quotas wigeonquota.Ledger
 	// arrivals holds the rate of the work that arrives at each service.
 	arrivals map[wigeonstep.ServiceName]*arrivalRate
 
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -50,6 +50,7 @@
 	o.lastPlacement, o.placementDue = now.Steady, false
 	o.longRunningSteps.cleanUp(now.Steady)
 	o.finiteSteps.cleanUp(now.Steady)
+	o.quotas.BeginRound()
 	longRunning := o.longRunningCandidates(now)
 	r := round{pool: o.pool(now)}
 	o.dropUnneededHolds(r.pool, servicesWithWaitingTasks(now, longRunning))
@@ -72,6 +73,9 @@
 			o.placementDue = true
 			return
 		}
+		if c.step.refusedAlready() {
+			continue
+		}
 		if len(r.pool) == 0 && c.step.suspects == 0 {
 			// Only a suspected task may have a worker that is kept for it.
 			o.placementDue = true
@@ -277,6 +281,9 @@
 			}
 			break
 		}
+		if !s.withinLimit() {
+			break
+		}
 		o.planRun(t, w, t.lastRun+1)
 		planned++
 	}
@@ -301,6 +308,9 @@
 			}
 			break
 		}
+		if !s.withinLimit() {
+			break
+		}
 		o.planRun(t, r.order[place].worker, t.lastRun+1)
 		r.order.reorder(place)
 		planned++
@@ -324,7 +334,7 @@
 	var members []*run
 	for _, t := range s.tasks {
 		w := s.chooseWorker(t, pool, reserved)
-		if w == nil {
+		if w == nil || !s.withinLimit() {
 			for _, r := range members {
 				o.detach(r)
 			}
--- a/wigeonshard/teams.go
+++ b/wigeonshard/teams.go
@@ -1,6 +1,9 @@
 package wigeonshard
 
-import "github.com/wigeonstep/wigeonstep"
+import (
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonquota"
+)
 
 // defaultTeamWeight is the weight of a team that the configuration does not hold.
 const defaultTeamWeight = 1
@@ -10,8 +13,11 @@
 	// Team is as in the configuration in force; without credentials, with defaultTeamWeight and without a limit if that does
 	// not hold the team.
 	wigeonstep.Team
-	// use is what the tasks require that have a run, once for each run that has not certainly ended.
+	// use is what the tasks require that have a run, once for each run that has not certainly ended, and those for which a
+	// hold keeps their part of the limit.
 	use wigeonstep.Resources
+	// allowance is nil if the team has had no limit.
+	allowance *wigeonquota.Allowance
 }
 
 // SetTeams replaces the teams of the configuration in force.
@@ -29,7 +35,7 @@
 func (o *Owner) ensureTeam(name wigeonstep.TeamName) *team {
 	t := o.teams[name]
 	if t == nil {
-		t = &team{Team: wigeonstep.Team{Name: name, Weight: defaultTeamWeight}}
+		t = &team{Team: wigeonstep.Team{Name: name, Weight: defaultTeamWeight}, allowance: o.quotas.Allowance(name)}
 		o.teams[name] = t
 	}
 	return t
--- a/wigeonshard/waiting.go
+++ b/wigeonshard/waiting.go
@@ -27,7 +27,11 @@
 
 func (o *Owner) reportLongWait(now Timestamp, t *task) {
 	t.nextWaitReportAt = now.Steady + longWaitReportInterval
-	decision := Decision{Event: "task_waiting", Cause: o.suitability(now, t.step).String(), Age: now.Steady - t.waitingSince}
+	cause := t.step.waitsForLimit()
+	if cause == "" {
+		cause = o.suitability(now, t.step).String()
+	}
+	decision := Decision{Event: "task_waiting", Cause: cause, Age: now.Steady - t.waitingSince}
 	decision.Run = wigeonstep.RunID{Task: t.id, Number: t.lastRun}
 	o.out.Decisions = append(o.out.Decisions, decision)
 }
