--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -150,6 +150,9 @@
 	// lastReport is the time of the last reports of the owned shards to the owner of the fleet partition.
 	lastReport     time.Duration
 	reportInFlight bool
+	// reachedFleetOwner is set if the owner of the fleet partition has answered the newest reports.
+	reachedFleetOwner bool
+	quotaMetrics      quotaMetrics
 	// lastSweep is the time at which ended jobs were last removed.
 	lastSweep time.Duration
 	// receivedCordons holds the cordons of the newest response of the fleet partition's owner that named any. They may
@@ -364,6 +367,7 @@
 	d.measure(partOther, func() {
 		d.sweepEndedJobs(now)
 		d.probePeersForLog(now)
+		d.updateQuotaMetrics(now.Steady)
 	})
 	d.measure(partReports, func() { d.reportShards(now) })
 	d.measure(partFleet, func() { d.stepFleet(now) })
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/wigeonstep/wigeonstep/wigeonbalance"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
 	"github.com/wigeonstep/wigeonstep/wigeonlimit"
+	"github.com/wigeonstep/wigeonstep/wigeonquota"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeonwave"
 )
@@ -64,7 +65,9 @@
 	demands      map[wigeonstep.PoolName]wigeonbalance.Demand
 	released     map[uint32]map[wigeonstep.WorkerID]bool
 	// losses holds the lost workers that the shards report, and what the VM lists say of them.
-	losses   lossTracker
+	losses lossTracker
+	// division divides the limits of the teams.
+	division *wigeonquota.Division
 	lastPlan time.Duration
 	// lastSizeLog is the time at which the pool sizes were last logged.
 	lastSizeLog time.Duration
@@ -78,6 +81,7 @@
 		wavePlanner: &wigeonwave.Planner{}, movePlanner: &wigeonbalance.Planner{}, reportedWaves: map[int]bool{}, waveReportInFlight: map[int]bool{},
 		shardDemands: map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand{},
 		demands:      map[wigeonstep.PoolName]wigeonbalance.Demand{}, released: map[uint32]map[wigeonstep.WorkerID]bool{},
+		division: wigeonquota.NewDivision(0, nil, nil),
 	}
 }
 
@@ -111,7 +115,7 @@
 		// kinds at the same time.
 		records = d.planMoves(sh, now)
 	}
-	d.writeOrders(sh, records)
+	d.writeOrders(sh, append(records, d.planAllowances(sh, now)...))
 }
 
 // movesPending reports whether a move order is not done, or the VM list does not show its result yet.
@@ -284,6 +288,7 @@
 		// The next step plans at once, because the durable orders may allow calls.
 		d.fleet.writeInFlight, d.fleet.lastPlan = false, 0
 		d.applyWritten(sh, records, answer.end)
+		d.allowancesWritten()
 		d.pushCordons()
 		d.updatePartitions()
 	})
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -45,6 +45,22 @@
 	return m
 }
 
+// setGauges sets gauges by their names with labels, and removes those of the names before that have no value any more. It returns
+// the names of those that are set.
+func (m *Metrics) setGauges(before map[string]bool, values map[string]float64) map[string]bool {
+	for name := range before {
+		if _, set := values[name]; !set {
+			m.set.UnregisterMetric(name)
+		}
+	}
+	names := make(map[string]bool, len(values))
+	for name, value := range values {
+		m.set.GetOrCreateGauge(name, nil).Set(value)
+		names[name] = true
+	}
+	return names
+}
+
 // countDecision counts a decision of an owner by its event, such as worker_lost.
 func (m *Metrics) countDecision(event string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`wigeonstep_owner_decisions_total{event=%q}`, event)).Inc()
--- a/wigeondaemon/operator.go
+++ b/wigeondaemon/operator.go
@@ -68,6 +68,7 @@
 			sh.owner.SetTeams(c.Teams)
 		}
 	}
+	d.setLimits(d.routes.Load())
 	d.config.Logger.Info("configuration_in_force", zap.Uint64("version", uint64(c.Version)), zap.Int("queues", len(c.Queues)), zap.Int("services", len(c.Services)))
 	d.updateReady()
 }
--- a/wigeondaemon/report.go
+++ b/wigeondaemon/report.go
@@ -19,7 +19,7 @@
 // reportShards sends the demands of the owned shards to the owner of the fleet partition when they are due. A report in
 // flight delays the next ones.
 func (d *Daemon) reportShards(now wigeonshard.Timestamp) {
-	if now.Steady-d.lastReport < reportInterval && !d.checkUrgentReport() || d.reportInFlight {
+	if now.Steady-d.lastReport < reportInterval && !d.checkUrgentReport() && !d.quotaReportDue(now.Steady) || d.reportInFlight {
 		return
 	}
 	var reports []*wigeonwire.ShardReport
@@ -34,8 +34,9 @@
 	d.lastReport = now.Steady
 	fleetShard := d.shards[fleetPartition]
 	if fleetShard.owned {
+		d.reachedFleetOwner = true
 		for _, r := range reports {
-			d.applyLossVerdicts(r.GetPartition(), d.handleReport(r))
+			d.applyOrders(r, d.handleReport(r))
 		}
 		return
 	}
@@ -87,9 +88,9 @@
 		}
 	}
 	d.post(func() {
-		d.reportInFlight = false
+		d.reportInFlight, d.reachedFleetOwner = false, reachedOwner
 		for _, r := range reports {
-			d.applyLossVerdicts(r.GetPartition(), answers[r.GetPartition()])
+			d.applyOrders(r, answers[r.GetPartition()])
 		}
 		if !reachedOwner {
 			// The log names the new owner of the fleet partition, which plans no moves before all shards have reported to it.
@@ -132,9 +133,16 @@
 	for _, l := range sh.owner.LostWorkers() {
 		report.Lost = append(report.Lost, &wigeonwire.LostWorker{Worker: string(l.Worker), SinceMs: l.Since.Milliseconds()})
 	}
+	report.Teams = encodeTeamUses(sh.owner.QuotaReport())
 	return report
 }
 
+// applyOrders passes the answer to a report on to the owner of the shard in this process; nil if there was none.
+func (d *Daemon) applyOrders(report *wigeonwire.ShardReport, orders *wigeonwire.ShardOrders) {
+	d.applyLossVerdicts(report.GetPartition(), orders)
+	d.applyGrants(report, orders)
+}
+
 // applyLossVerdicts passes on to the owner of a shard in this process what the VM list says of its lost workers.
 func (d *Daemon) applyLossVerdicts(partition uint32, orders *wigeonwire.ShardOrders) {
 	sh := d.shards[wigeonstep.Partition(partition)]
@@ -201,7 +209,7 @@
 	}
 	d.fleet.released[r.GetPartition()] = workerSet(r.GetReleased())
 	d.fleet.losses.report(now, r.GetPartition(), r.GetLost())
-	orders := &wigeonwire.ShardOrders{Owner: true}
+	orders := &wigeonwire.ShardOrders{Owner: true, Epoch: uint64(sh.fence), Grants: d.divideFor(r, now)}
 	orders.Ended, orders.Up = d.fleet.losses.verdicts(r.GetPartition())
 	for vm, order := range sh.replica.MaintenanceOrders {
 		orders.Cordons = appendCordon(orders.Cordons, order.Worker, vm, order.Phase)
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -322,12 +322,14 @@
 	d.config.Logger.Info("shard_owned", zap.Int("partition", int(sh.part)), zap.Uint64("epoch", uint64(sh.fence)), zap.Uint64("offset", uint64(sh.nextOffset)), zap.Int("jobs", len(sh.replica.Jobs())))
 	if sh.part == fleetPartition {
 		d.fleet = newFleet(d.config.MachineCallRate)
+		d.fleet.division = d.newDivision(sh, now)
 		d.publishOwnerAddress(sh)
 		return
 	}
 	sh.owner = wigeonshard.NewOwner(d.config.Shard, sh.fence, now, sh.replica.Owner)
 	if table := d.routes.Load(); table != nil {
 		sh.owner.SetTeams(table.teams)
+		sh.owner.SetLimits(table.version, table.teams)
 	}
 	for _, r := range sh.replica.Releases {
 		sh.owner.AddRelease(r)
--- a/wigeonquota/allowance.go
+++ b/wigeonquota/allowance.go
@@ -15,8 +15,8 @@
 	ledger *Ledger
 	// limits holds the limits that were in force here since the newest grant was computed, the last one being in force now.
 	limits []versionedLimit
-	// version is the newest version of the configuration that is in force here.
-	version wigeonstep.ConfigVersion
+	// version is the version of the configuration that is in force here, first that of the first one with a limit of the team.
+	version, first wigeonstep.ConfigVersion
 	grant   Grant
 	// cap is what the runs may require. It rises only with a newer grant, and is never above the highest allowance granted.
 	cap Resources
@@ -41,6 +41,9 @@
 // setLimit puts the limit of a newer configuration in force.
 func (a *Allowance) setLimit(version wigeonstep.ConfigVersion, limit Resources) {
 	a.version = version
+	if len(a.limits) == 0 {
+		a.first = version
+	}
 	if len(a.limits) > 0 && a.limit() == limit {
 		return
 	}
@@ -51,9 +54,10 @@
 	}
 }
 
-// apply takes over a grant unless it is outdated.
+// apply takes over a grant unless it is outdated. A grant from before the first limit that is known here is not taken over either:
+// other shards may have used a limit that was in force in between.
 func (a *Allowance) apply(g Grant, use Resources) {
-	if !g.Number.after(a.grant.Number) {
+	if !g.Number.after(a.grant.Number) || g.Version < a.first {
 		return
 	}
 	// A raise takes effect at once, a reduction as far as the use allows.
@@ -133,7 +137,7 @@
 // urgent reports whether the division waits for the report, or a task for the answer to it.
 func (a *Allowance) urgent(u Use) bool {
 	r := &a.reported
-	return !a.hasReported || u.Grant != r.Grant || (u.Next != Resources{}) != (r.Next != Resources{})
+	return !a.hasReported || u.Grant != r.Grant || u.Next != Resources{} && r.Next == Resources{}
 }
 
 // changed reports whether the report differs enough from the newest one that the division has received.
--- a/wigeonquota/divide.go
+++ b/wigeonquota/divide.go
@@ -198,7 +198,7 @@
 		if total != t.limit && t.limit == sent.Limit && sent.Total.Covers(total) && shareOf(less(sent.Total, total), t.limit) < totalStep {
 			g.Total = sent.Total
 		}
-		g.Number = sent.Number
+		g.Number, g.Version = sent.Number, sent.Version
 		if sent.Number.Counter == 0 || g != sent {
 			d.issue(h, g)
 		}
@@ -220,7 +220,7 @@
 // grant returns the grant that a partition should have, with the total and the right of the newest one.
 func (t *dividedTeam) grant(h *holder) Grant {
 	return Grant{
-		Team: t.name, Allowance: minEach(h.target, h.allowance), Limit: t.limit, Version: t.version,
+		Team: t.name, Allowance: minEach(h.target, h.allowance), Limit: t.limit,
 		Total: maxEach(h.sent.Total, t.limit), MayExceed: h.sent.MayExceed,
 	}
 }
@@ -228,6 +228,7 @@
 // issue makes the grant the newest one of the partition.
 func (d *Division) issue(h *holder, g Grant) {
 	d.counter++
+	g.Version = d.version
 	g.Number = GrantNumber{Epoch: d.fence, Counter: d.counter}
 	h.sent = g
 	h.mayExceed = h.mayExceed || g.MayExceed
--- a/wigeonquota/division.go
+++ b/wigeonquota/division.go
@@ -32,8 +32,12 @@
 type Division struct {
 	fence wigeonstep.FencingToken
 	// counter is the number of the newest grant.
-	counter    uint64
+	counter uint64
+	// firstGrant turns the order of the teams in the answers, so that each team gets its turn if there are more grants than fit.
+	firstGrant int
 	partitions []wigeonstep.Partition
+	// version is the version of the configuration in force.
+	version wigeonstep.ConfigVersion
 	// epochs holds the epoch of each shard that the log names, newEpochs those that it does not name yet.
 	epochs, newEpochs map[wigeonstep.Partition]wigeonstep.FencingToken
 	teams             map[wigeonstep.TeamName]*dividedTeam
@@ -51,9 +55,8 @@
 // dividedTeam is the division of the limit of one team.
 type dividedTeam struct {
 	name wigeonstep.TeamName
-	// limit is in force since the configuration with version.
-	limit   Resources
-	version wigeonstep.ConfigVersion
+	// limit is in force.
+	limit Resources
 	// recorded is set once the log holds a record of the team.
 	recorded bool
 	// redivide is set until the limit in force has been divided.
@@ -145,6 +148,7 @@
 
 // SetLimits puts the limits of the teams of a newer configuration in force.
 func (d *Division) SetLimits(now time.Duration, version wigeonstep.ConfigVersion, teams []wigeonstep.Team) {
+	d.version = version
 	limits := map[wigeonstep.TeamName]Resources{}
 	for _, t := range teams {
 		if _, twice := limits[t.Name]; twice {
@@ -160,17 +164,31 @@
 		if !configured {
 			limit = unlimited
 		}
-		if t := d.teams[name]; t.limit != limit {
-			t.limit, t.version, t.redivide = limit, version, true
+		t := d.teams[name]
+		if t.limit != limit {
+			t.limit, t.redivide = limit, true
 			d.divide(now, t)
 		}
+		for _, h := range t.sorted() {
+			if !d.confirmed(h) {
+				// An owner that knows only newer configurations takes over no grant with an older one.
+				d.reissue(h)
+			}
+		}
+	}
+}
+
+// reissue numbers the newest grant of the partition anew, if there is one.
+func (d *Division) reissue(h *holder) {
+	if h.sent.Number.Counter != 0 {
+		d.issue(h, h.sent)
 	}
 }
 
 // Report takes in the uses that the owner of a shard with the epoch reports, and returns the grants for it. Reports of former
 // owners are ignored, and a new owner gets its first grant once the log names its epoch.
 func (d *Division) Report(now time.Duration, part wigeonstep.Partition, epoch wigeonstep.FencingToken, uses []Use) []Grant {
-	if epoch < max(d.epochs[part], d.newEpochs[part]) {
+	if len(uses) == 0 && len(d.teams) == 0 || epoch < max(d.epochs[part], d.newEpochs[part]) {
 		return nil
 	}
 	if epoch > max(d.epochs[part], d.newEpochs[part]) {
@@ -195,10 +213,11 @@
 // grants returns the grants that the owner of a shard has not confirmed.
 func (d *Division) grants(part wigeonstep.Partition) []Grant {
 	var grants []Grant
-	for _, name := range d.names {
-		t := d.teams[name]
+	d.firstGrant++
+	for i := range d.names {
+		t := d.teams[d.names[(d.firstGrant+i)%len(d.names)]]
 		h := t.holders[part]
-		if h != nil && h.sent.Number.Counter != 0 && !d.confirmed(h) {
+		if h != nil && h.sent.Number.Counter != 0 && t.limit != unlimited && !d.confirmed(h) {
 			grants = append(grants, h.sent)
 		}
 		if len(grants) == maxGrants {
@@ -255,15 +274,12 @@
 // Written takes over the records of the newest Plan, which are durable, and returns the allowances that have changed since the ones
 // before.
 func (d *Division) Written(now time.Duration) []Change {
+	if !d.writing {
+		return nil
+	}
 	var changes []Change
 	d.writing = false
-	for part, epoch := range d.writingEpochs {
-		d.epochs[part] = epoch
-		if d.newEpochs[part] == epoch {
-			delete(d.newEpochs, part)
-		}
-	}
-	d.writingEpochs = nil
+	d.epochsWritten()
 	for _, name := range d.names {
 		t := d.teams[name]
 		if t.writing {
@@ -285,6 +301,26 @@
 	return changes
 }
 
+// epochsWritten takes over the epochs in the newest records. The owners with new ones get new grants.
+func (d *Division) epochsWritten() {
+	for _, part := range slices.Sorted(maps.Keys(d.writingEpochs)) {
+		epoch := d.writingEpochs[part]
+		if d.epochs[part] == epoch {
+			continue
+		}
+		d.epochs[part] = epoch
+		if d.newEpochs[part] == epoch {
+			delete(d.newEpochs, part)
+		}
+		for _, name := range d.names {
+			if h := d.teams[name].holders[part]; h != nil {
+				d.reissue(h)
+			}
+		}
+	}
+	d.writingEpochs = nil
+}
+
 // Allowances returns what a team's partitions hold, for operators.
 func (d *Division) Allowances(name wigeonstep.TeamName) map[wigeonstep.Partition]Resources {
 	all := map[wigeonstep.Partition]Resources{}
--- a/wigeonquota/grant.go
+++ b/wigeonquota/grant.go
@@ -29,7 +29,7 @@
 	// Allowance is what the runs of the partition may require. An owner that uses more starts nothing and keeps the rest only
 	// until its runs end.
 	Allowance Resources
-	// Limit is the limit of the team that the division had in force, since the configuration with Version.
+	// Limit is the limit of the team that the division had in force, and Version the version of its configuration.
 	Limit   Resources
 	Version wigeonstep.ConfigVersion
 	// Total bounds what all partitions together may hold, as long as no other limit than Limit comes into force; at least Limit.
