--- /dev/null
+++ b/wigeonshard/quota_test.go
@@ -0,0 +1,180 @@
+package wigeonshard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonquota"
+)
+
+const testTeam = wigeonstep.TeamName("bakers")
+
+// limitTeam limits testTeam in an owner to so many tasks of testStep, all of which the shard may use.
+func limitTeam(o *Owner, version wigeonstep.ConfigVersion, tasks int, allowance ...int) {
+	limit := wigeonstep.Resources{CPU: 1800 * wigeonstep.MilliCPU(tasks)}
+	configured := []wigeonstep.Team{{Name: testTeam, Weight: 1, Limit: limit}}
+	o.SetTeams(configured)
+	o.SetLimits(version, configured)
+	bound := func(n int) wigeonstep.Resources {
+		return wigeonstep.Resources{CPU: 1800 * wigeonstep.MilliCPU(n), Memory: wigeonquota.Unlimited, GPU: wigeonquota.Unlimited}
+	}
+	allowed := tasks
+	for _, n := range allowance {
+		allowed = n
+	}
+	o.ApplyGrants([]wigeonquota.Grant{{
+		Team: testTeam, Number: wigeonquota.GrantNumber{Epoch: 1, Counter: uint64(version)}, Version: version,
+		Allowance: bound(allowed), Limit: bound(tasks), Total: bound(tasks),
+	}})
+}
+
+func teamJob(id wigeonstep.JobID, steps ...wigeonjob.Step) *wigeonjob.Job {
+	j := testJob(id, steps...)
+	j.Team = testTeam
+	return j
+}
+
+// runningTasks returns the runs of the jobs of testTeam on the workers.
+func (m *clusterModel) runningTasks() int {
+	running := 0
+	for _, f := range m.workers {
+		for id := range f.runs {
+			if m.jobs[id.Task.Job].Team == testTeam {
+				running++
+			}
+		}
+	}
+	return running
+}
+
+// Guards against a way to plan a run that does not ask for the limit of the team: each kind of step has its own.
+func TestEachKindOfStepStaysWithinLimit(t *testing.T) {
+	const limit = 3
+	kinds := map[string]func(*wigeonjob.Step){
+		"plain":          func(*wigeonjob.Step) {},
+		"labelled":       func(s *wigeonjob.Step) { s.RequiredLabel = "a" },
+		"one rack":       func(s *wigeonjob.Step) { s.SameRack = true },
+		"best effort":    func(s *wigeonjob.Step) { s.BestEffort = true },
+		"speculative":    func(s *wigeonjob.Step) { s.Speculative = true },
+		"long-running":   func(s *wigeonjob.Step) { s.LongRunning = true },
+		"small gang":     func(s *wigeonjob.Step) { s.Gang, s.Count = true, limit },
+		"large gang":     func(s *wigeonjob.Step) { s.Gang, s.Count = true, limit+1 },
+		"suspected":      func(*wigeonjob.Step) {},
+		"suspected gang": func(s *wigeonjob.Step) { s.Gang, s.Count = true, limit },
+	}
+	for name, change := range kinds {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprintf("%s/seed=%d", name, seed), func(t *testing.T) {
+				c := qt.New(t)
+				m := newClusterModel(t, seed, 6)
+				if name == "suspected" || name == "suspected gang" {
+					m.crashingTasks[wigeonstep.TaskID{Job: "team"}] = 100 * time.Millisecond
+				}
+				o := m.addOwner()
+				s := testStep(8)
+				change(&s)
+				m.submitJob(teamJob("team", s))
+				m.submitJob(testJob("other", testStep(10)))
+				m.advance(200 * time.Millisecond)
+				c.Assert(m.runningTasks() > 0, qt.IsTrue)
+				highest := m.watchLimit(o, limit, 6*time.Second)
+				want := limit
+				if name == "large gang" {
+					want = 0
+				}
+				c.Assert(highest <= limit, qt.IsTrue, qt.Commentf("%d runs", highest))
+				if name != "suspected" && name != "suspected gang" {
+					c.Assert(highest, qt.Equals, want)
+				}
+				c.Assert(m.violations, qt.HasLen, 0)
+			})
+		}
+	}
+}
+
+// watchLimit cancels the first job of the team, submits it again with a limit, and returns the highest number of its runs.
+func (m *clusterModel) watchLimit(o *fakeOwner, limit int, d time.Duration) int {
+	limitTeam(o.Owner, 1, limit)
+	m.cancelJob("team")
+	m.advance(2 * time.Second)
+	again := *m.jobs["team"]
+	again.ID = "again"
+	if age, crashes := m.crashingTasks[wigeonstep.TaskID{Job: "team"}]; crashes {
+		m.crashingTasks[wigeonstep.TaskID{Job: "again"}] = age
+	}
+	m.submitJob(&again)
+	highest := 0
+	for until := m.now + d; m.now < until; m.advance(5 * time.Millisecond) {
+		highest = max(highest, m.runningTasks())
+		if m.now == until-d/2 {
+			// Copies of speculative tasks are planned when a worker does not answer.
+			for id := range m.workers {
+				o.unreachable[id] = id == "w00" || id == "w01"
+			}
+		}
+	}
+	return highest
+}
+
+// Guards against runs of a team without a grant, against a limit that is not in force for jobs of an earlier owner, and against a
+// limit that counts for a job without a team.
+func TestNewOwnerStartsNothingWithoutGrant(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 1, 4)
+	limited := []wigeonstep.Team{{Name: testTeam, Limit: wigeonstep.Resources{CPU: 1800 * 4}}}
+	o := m.addOwner()
+	o.SetTeams(limited)
+	o.SetLimits(1, limited)
+	m.submitJob(teamJob("team", testStep(8)))
+	m.submitJob(testJob("public", testStep(2)))
+	m.advance(2 * time.Second)
+	c.Assert(m.runningTasks(), qt.Equals, 0)
+	c.Assert(m.log.Find("public").State(), qt.Equals, wigeonjob.StateCompleted)
+	status, _ := o.Explain(m.eventTime(), "team")
+	c.Assert(status.WaitsFor, qt.Contains, "quota")
+	uses := o.QuotaReport()
+	c.Assert(uses, qt.HasLen, 1)
+	c.Assert(uses[0].Wanted, qt.Equals, wigeonstep.Resources{CPU: 8 * 1800, Memory: 8 * 1000})
+	limitTeam(o.Owner, 2, 4)
+	m.advance(150 * time.Millisecond)
+	c.Assert(m.runningTasks(), qt.Equals, 4)
+	o.crashed = true
+	o = m.addOwner()
+	o.SetTeams(limited)
+	o.SetLimits(2, limited)
+	m.advance(100 * time.Millisecond)
+	c.Assert(o.QuotaUses()[0].Use.CPU, qt.Equals, wigeonstep.MilliCPU(4*1800))
+	m.advance(4 * time.Second)
+	c.Assert(m.runningTasks(), qt.Equals, 0)
+}
+
+// Guards against a long-running task that maintenance stops and that does not start again, because the limit of its team was
+// lowered, or another task takes its part of the limit.
+func TestMovedTaskKeepsItsPartOfTheLimit(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 2, 3)
+	o := m.addOwner()
+	limitTeam(o.Owner, 1, 6)
+	s := testStep(6)
+	s.LongRunning = true
+	m.submitJob(teamJob("team", s))
+	m.advance(2 * time.Second)
+	c.Assert(m.runningTasks(), qt.Equals, 6)
+	limitTeam(o.Owner, 2, 2, 1)
+	m.submitJob(teamJob("second", testStep(3)))
+	m.cordons["w00"] = "vm0"
+	o.SetCordons(m.cordons)
+	m.advance(6 * time.Second)
+	c.Assert(o.Released(), qt.HasLen, 1)
+	c.Assert(m.runningTasks(), qt.Equals, 6)
+	c.Assert(o.teams[testTeam].use.CPU, qt.Equals, wigeonstep.MilliCPU(6*1800))
+	m.cancelJob("team")
+	m.advance(3 * time.Second)
+	c.Assert(o.teams[testTeam].use.CPU, qt.Equals, wigeonstep.MilliCPU(1800))
+	c.Assert(m.violations, qt.HasLen, 0)
+}
