--- a/cmd/wigeonstep/quota_test.go
+++ b/cmd/wigeonstep/quota_test.go
@@ -101,9 +101,8 @@
 		c.Assert(err, qt.IsNil)
 		for _, record := range page.Records {
 			c.Assert(r.Apply(record), qt.IsNil)
-			after = record.Key
 		}
-		if !page.More {
+		if after = page.NextAfter; after == "" {
 			return r
 		}
 	}
--- a/wigeonquota/allowance.go
+++ b/wigeonquota/allowance.go
@@ -35,6 +35,9 @@
 
 func (a *Allowance) limit() Resources { return a.limits[len(a.limits)-1].limit }
 
+// Limit returns the limit in force, in which a resource without one is Unlimited.
+func (a *Allowance) Limit() Resources { return a.limit() }
+
 // Limited reports whether the configuration in force limits the team.
 func (a *Allowance) Limited() bool { return a.limit() != unlimited }
 
@@ -91,10 +94,9 @@
 
 // Allows reports whether a task may be started while the runs of the team in this shard require use.
 func (a *Allowance) Allows(use, task Resources) bool {
-	a.settle(use)
-	caps, uses, tasks := fields(less(a.cap, a.excess())), fields(use), fields(task)
-	for i, l := range fields(a.limit()) {
-		if l == Unlimited || tasks[i] == 0 || uses[i]+tasks[i] <= caps[i] {
+	caps, uses, tasks := fields(a.Cap(use)), fields(use), fields(task)
+	for i := range caps {
+		if tasks[i] == 0 || uses[i]+tasks[i] <= caps[i] {
 			continue
 		}
 		if !a.grant.MayExceed || uses[i] >= caps[i] {
@@ -118,7 +120,17 @@
 // Cap returns what the runs of the team in this shard may require now.
 func (a *Allowance) Cap(use Resources) Resources {
 	a.settle(use)
-	return minEach(less(a.cap, a.excess()), a.limit())
+	caps, granted := fields(less(a.cap, a.excess())), fields(a.grant.Limit)
+	for i, l := range fields(a.limit()) {
+		switch {
+		case l == Unlimited:
+			caps[i] = Unlimited
+		case granted[i] == Unlimited:
+			// The division doesn't know the limit yet, so the other shards may use anything.
+			caps[i] = 0
+		}
+	}
+	return fromFields(caps)
 }
 
 // report returns the use of the team as the division should know it.
--- a/wigeonquota/amount.go
+++ b/wigeonquota/amount.go
@@ -5,8 +5,8 @@
 const (
 	// Unlimited is the amount of a resource that has no limit.
 	Unlimited = 1 << 50
-	// largestLimit is the largest limit that is divided. It is far above any fleet, and its product with whole fits into 64 bits.
-	largestLimit = 1 << 42
+	// largestLimit is the largest limit that is divided. It is far above any fleet, and its product with maxShare fits into 64 bits.
+	largestLimit = 1 << 39
 	// whole is the share of a whole limit, in millionths.
 	whole = 1_000_000
 	// maxShare bounds shares of amounts above the limit.
--- a/wigeonquota/divide.go
+++ b/wigeonquota/divide.go
@@ -189,7 +189,7 @@
 
 // issueGrants issues new grants to the partitions whose newest ones are out of date.
 func (d *Division) issueGrants(t *dividedTeam, holders []*holder) {
-	total := maxEach(sumHeld(holders), t.limit)
+	total := maxEach(t.limitedPart(sumHeld(holders)), t.limit)
 	for _, h := range holders {
 		g := t.grant(h)
 		g.Total = total
--- a/wigeonquota/division.go
+++ b/wigeonquota/division.go
@@ -191,10 +191,16 @@
 	if len(uses) == 0 && len(d.teams) == 0 || epoch < max(d.epochs[part], d.newEpochs[part]) {
 		return nil
 	}
+	if slices.ContainsFunc(uses, func(u Use) bool { return u.Wanted != Resources{} }) {
+		d.SetPartitions([]wigeonstep.Partition{part})
+	}
+	if !slices.Contains(d.partitions, part) {
+		// It has no service, so it needs no allowance.
+		return nil
+	}
 	if epoch > max(d.epochs[part], d.newEpochs[part]) {
 		d.newEpochs[part] = epoch
 	}
-	d.SetPartitions([]wigeonstep.Partition{part})
 	for _, u := range uses {
 		t := d.team(u.Team)
 		h := t.holders[part]
@@ -321,17 +327,6 @@
 	d.writingEpochs = nil
 }
 
-// Allowances returns what a team's partitions hold, for operators.
-func (d *Division) Allowances(name wigeonstep.TeamName) map[wigeonstep.Partition]Resources {
-	all := map[wigeonstep.Partition]Resources{}
-	if t := d.teams[name]; t != nil {
-		for part, h := range t.holders {
-			all[part] = h.allowance
-		}
-	}
-	return all
-}
-
 // sorted returns the holders in the order of their partitions.
 func (t *dividedTeam) sorted() []*holder {
 	all := make([]*holder, 0, len(t.holders))
--- a/wigeonshard/quota.go
+++ b/wigeonshard/quota.go
@@ -148,9 +148,16 @@
 		return ""
 	}
 	t, a := s.job.team, s.allowance()
-	return fmt.Sprintf("the limit of team %s (quota): a task requires %s, this shard uses %s and may use %s of the limit %s", t.Name, amounts(s.Required), amounts(t.use), amounts(a.Cap(t.use)), amounts(t.Limit))
+	return fmt.Sprintf("the limit of team %s (quota): a task requires %s, this shard uses %s and may use %s of the limit %s", t.Name, amounts(s.Required), amounts(t.use), amounts(a.Cap(t.use)), amounts(a.Limit()))
 }
 
+// amounts returns an amount as text, with "any" for a resource without a limit.
 func amounts(r wigeonstep.Resources) string {
-	return fmt.Sprintf("%d millicores/%d MB/%d GPU", r.CPU, r.Memory, r.GPU)
+	text := func(n int64, unit string) string {
+		if n == wigeonquota.Unlimited {
+			return "any " + unit
+		}
+		return fmt.Sprintf("%d %s", n, unit)
+	}
+	return text(int64(r.CPU), "millicores") + "/" + text(int64(r.Memory), "MB") + "/" + text(r.GPU, "GPU")
 }
