--- a/wigeonquota/divide.go
+++ b/wigeonquota/divide.go
@@ -13,7 +13,8 @@
 	if t.limit == unlimited {
 		return
 	}
-	holders := t.sorted()
+	t.dividedAt = now
+	holders := t.holders
 	for _, h := range holders {
 		d.takeConfirmation(t, h)
 	}
@@ -90,9 +91,9 @@
 	if len(holders) == 0 {
 		return
 	}
-	fillings := make([]*filling, len(holders))
+	fillings := make([]filling, len(holders))
 	for i, h := range holders {
-		f := &filling{holder: h, served: h.servedAt, use: shareOf(h.use.Use, t.limit)}
+		f := filling{holder: h, served: h.servedAt, use: shareOf(h.use.Use, t.limit)}
 		f.wanted = shareOf(h.use.Wanted, t.limit)
 		f.unit = min(max(shareOf(h.use.Next, t.limit), minUnit), whole)
 		if f.use > 0 {
@@ -116,22 +117,28 @@
 		left -= step
 		f.done = f.filled == f.wanted
 	}
-	receivers := slices.DeleteFunc(slices.Clone(fillings), func(f *filling) bool { return f.filled == f.wanted })
-	if len(receivers) == 0 {
-		receivers = fillings
-	}
-	for _, f := range receivers {
-		f.filled += left / int64(len(receivers))
+	unsatisfied := 0
+	for _, f := range fillings {
+		if f.filled < f.wanted {
+			unsatisfied++
+		}
 	}
 	for _, f := range fillings {
+		switch {
+		case unsatisfied == 0:
+			f.filled += left / int64(len(fillings))
+		case f.filled < f.wanted:
+			f.filled += left / int64(unsatisfied)
+		}
 		f.target = amountOf(f.filled, t.limit)
 	}
 }
 
 // nextToFill returns the filling that gets the next task; nil if all are done.
-func nextToFill(fillings []*filling) *filling {
+func nextToFill(fillings []filling) *filling {
 	var next *filling
-	for _, f := range fillings {
+	for i := range fillings {
+		f := &fillings[i]
 		if !f.done && (next == nil || cmp.Or(cmp.Compare(f.filled, next.filled), cmp.Compare(f.served, next.served), cmp.Compare(next.use, f.use)) < 0) {
 			next = f
 		}
@@ -143,6 +150,7 @@
 func (t *dividedTeam) raise(holders []*holder) {
 	t.raising = !t.recorded
 	free := t.limit.Sub(sumHeld(holders))
+	holders = slices.DeleteFunc(slices.Clone(holders), func(h *holder) bool { return h.allowance.Covers(h.target) })
 	slices.SortStableFunc(holders, func(a, b *holder) int {
 		return cmp.Compare(shareOf(a.allowance, t.limit), shareOf(b.allowance, t.limit))
 	})
--- a/wigeonquota/division.go
+++ b/wigeonquota/division.go
@@ -1,6 +1,7 @@
 package wigeonquota
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -11,6 +12,9 @@
 const (
 	// writeInterval is the minimum time between two records of raised allowances, for all teams together.
 	writeInterval = 250 * time.Millisecond
+	// divideInterval is the minimum time between two divisions of the limit of a team because of reports. At 24 shards a team may
+	// be in 400 reports a second.
+	divideInterval = 15 * time.Millisecond
 	// maxGrants bounds the grants in one answer.
 	maxGrants = 32
 )
@@ -41,6 +45,8 @@
 	// epochs holds the epoch of each shard that the log names, newEpochs those that it does not name yet.
 	epochs, newEpochs map[wigeonstep.Partition]wigeonstep.FencingToken
 	teams             map[wigeonstep.TeamName]*dividedTeam
+	// due holds the teams with reports that have come since their newest division.
+	due []*dividedTeam
 	// names holds the teams in order.
 	names []wigeonstep.TeamName
 	// writing is set while an append with records of this division is in flight.
@@ -65,7 +71,20 @@
 	writing bool
 	// raising is set if the newest division raises an allowance, so that a record is due.
 	raising bool
-	holders map[wigeonstep.Partition]*holder
+	// holders holds the partitions in order.
+	holders []*holder
+	// dividedAt is the time of the newest division; due is set while the next one is due.
+	dividedAt time.Duration
+	due       bool
+}
+
+// holder returns the holder of a partition, and adds it when it does not exist.
+func (t *dividedTeam) holder(part wigeonstep.Partition) *holder {
+	i, known := slices.BinarySearchFunc(t.holders, part, func(h *holder, part wigeonstep.Partition) int { return cmp.Compare(h.partition, part) })
+	if !known {
+		t.holders = slices.Insert(t.holders, i, &holder{partition: part})
+	}
+	return t.holders[i]
 }
 
 // holder is a partition with a part of a team's limit.
@@ -107,7 +126,7 @@
 		t.recorded = true
 		d.SetPartitions(slices.Sorted(maps.Keys(r.Allowances)))
 		for part, allowance := range r.Allowances {
-			t.holders[part] = &holder{partition: part, allowance: allowance, raised: allowance, target: allowance, logged: allowance, mayExceed: true}
+			*t.holder(part) = holder{partition: part, allowance: allowance, raised: allowance, target: allowance, logged: allowance, mayExceed: true}
 		}
 	}
 	return d
@@ -117,9 +136,9 @@
 func (d *Division) team(name wigeonstep.TeamName) *dividedTeam {
 	t := d.teams[name]
 	if t == nil {
-		t = &dividedTeam{name: name, limit: unlimited, holders: map[wigeonstep.Partition]*holder{}}
+		t = &dividedTeam{name: name, limit: unlimited}
 		for _, part := range d.partitions {
-			t.holders[part] = &holder{partition: part}
+			t.holder(part)
 		}
 		d.teams[name] = t
 		i, _ := slices.BinarySearch(d.names, name)
@@ -140,9 +159,7 @@
 		}
 		d.partitions = slices.Insert(d.partitions, i, part)
 		for _, t := range d.teams {
-			if t.holders[part] == nil {
-				t.holders[part] = &holder{partition: part}
-			}
+			t.holder(part)
 		}
 	}
 }
@@ -170,7 +187,7 @@
 			t.limit, t.redivide = limit, true
 			d.divide(now, t)
 		}
-		for _, h := range t.sorted() {
+		for _, h := range t.holders {
 			if !d.confirmed(h) {
 				// An owner that knows only newer configurations takes over no grant with an older one.
 				d.reissue(h)
@@ -204,27 +221,43 @@
 	}
 	for _, u := range uses {
 		t := d.team(u.Team)
-		h := t.holders[part]
+		h := t.holder(part)
 		h.use, h.useEpoch = u, epoch
 		if u.Use != (Resources{}) {
 			h.servedAt = now
 		}
-		d.divide(now, t)
+		if !t.due {
+			t.due = true
+			d.due = append(d.due, t)
+		}
 	}
+	d.divideDue(now)
 	if d.epochs[part] != epoch {
 		return nil
 	}
 	return d.grants(part)
 }
 
+// divideDue divides the limits of the teams with new reports, each at most once every divideInterval.
+func (d *Division) divideDue(now time.Duration) {
+	d.due = slices.DeleteFunc(d.due, func(t *dividedTeam) bool {
+		if now-t.dividedAt < divideInterval {
+			return false
+		}
+		d.divide(now, t)
+		t.due = false
+		return true
+	})
+}
+
 // grants returns the grants that the owner of a shard has not confirmed.
 func (d *Division) grants(part wigeonstep.Partition) []Grant {
 	var grants []Grant
 	d.firstGrant++
 	for i := range d.names {
 		t := d.teams[d.names[(d.firstGrant+i)%len(d.names)]]
-		h := t.holders[part]
-		if h != nil && h.sent.Number.Counter != 0 && t.limit != unlimited && !d.confirmed(h) {
+		h := t.holder(part)
+		if h.sent.Number.Counter != 0 && t.limit != unlimited && !d.confirmed(h) {
 			grants = append(grants, h.sent)
 		}
 		if len(grants) == maxGrants {
@@ -270,9 +303,9 @@
 // record returns the record of the team with the raised allowances.
 func (t *dividedTeam) record() Record {
 	r := Record{Team: t.name, Allowances: map[wigeonstep.Partition]Resources{}}
-	for part, h := range t.holders {
+	for _, h := range t.holders {
 		if h.raised != (Resources{}) {
-			r.Allowances[part] = h.raised
+			r.Allowances[h.partition] = h.raised
 		}
 	}
 	return r
@@ -291,7 +324,7 @@
 		t := d.teams[name]
 		if t.writing {
 			t.writing, t.recorded = false, true
-			for _, h := range t.sorted() {
+			for _, h := range t.holders {
 				if h.rising {
 					h.allowance, h.rising = h.raised, false
 					// A new grant, so that what the owner has confirmed before does not count as a confirmation of the raised allowance.
@@ -320,19 +353,8 @@
 			delete(d.newEpochs, part)
 		}
 		for _, name := range d.names {
-			if h := d.teams[name].holders[part]; h != nil {
-				d.reissue(h)
-			}
+			d.reissue(d.teams[name].holder(part))
 		}
 	}
 	d.writingEpochs = nil
 }
-
-// sorted returns the holders in the order of their partitions.
-func (t *dividedTeam) sorted() []*holder {
-	all := make([]*holder, 0, len(t.holders))
-	for _, part := range slices.Sorted(maps.Keys(t.holders)) {
-		all = append(all, t.holders[part])
-	}
-	return all
-}
--- a/wigeonquota/ledger.go
+++ b/wigeonquota/ledger.go
@@ -102,7 +102,7 @@
 		}
 	}
 	l.next++
-	all := append(urgent, others...)
+	all := slices.Concat(urgent, others)
 	if len(all) == 0 && l.next%refreshInterval == 0 {
 		all = l.refresh(demand)
 	}
