--- a/wigeondaemon/quota_test.go
+++ b/wigeondaemon/quota_test.go
@@ -93,9 +93,10 @@
 	d.fleet.division = d.newDivision(sh, d.config.Now())
 	d.applyConfiguration(&wigeonstep.Configuration{Version: 2, Teams: []wigeonstep.Team{{Name: quotaTestTeam, Limit: wigeonstep.Resources{CPU: 4000}}}})
 	c.Assert(d.quotaCap(), qt.Equals, wigeonstep.MilliCPU(4000))
-	now += time.Second
-	d.exchangeReport()
-	d.exchangeReport()
+	for range 3 {
+		now += reportInterval
+		d.exchangeReport()
+	}
 	c.Assert(d.quotaCap(), qt.Equals, wigeonstep.MilliCPU(4000))
 	d.updateQuotaMetrics(now)
 	c.Assert(d.quotaMetrics.gauges, qt.HasLen, 3)
--- a/wigeonquota/divide.go
+++ b/wigeonquota/divide.go
@@ -78,10 +78,20 @@
 type filling struct {
 	*holder
 	filled, wanted, unit int64
-	// served is the time at which the shard last used something; the end of time if it does now.
-	served time.Duration
-	use    int64
-	done   bool
+	use                  int64
+	done                 bool
+}
+
+// turnLength is the time for which a shard may have nothing running before its turn comes ahead of shards that run tasks. With
+// shorter turns much of the limit would be unused while parts of it pass on; a team may wait for at most 3 s.
+const turnLength = time.Second
+
+// served returns the time at which the shard last used something; the end of time if it has done so within turnLength.
+func (h *holder) served(now time.Duration) time.Duration {
+	if h.use.Use != (Resources{}) || h.servedAt != 0 && now-h.servedAt < turnLength {
+		return math.MaxInt64
+	}
+	return h.servedAt
 }
 
 // setTargets fills the limit up, a task at a time, for the shard that has the least; among equals for the one that has had
@@ -93,18 +103,15 @@
 	}
 	fillings := make([]filling, len(holders))
 	for i, h := range holders {
-		f := filling{holder: h, served: h.servedAt, use: shareOf(h.use.Use, t.limit)}
+		f := filling{holder: h, use: shareOf(h.use.Use, t.limit)}
 		f.wanted = shareOf(h.use.Wanted, t.limit)
 		f.unit = min(max(shareOf(h.use.Next, t.limit), minUnit), whole)
-		if f.use > 0 {
-			f.served = math.MaxInt64
-		}
 		f.done = f.wanted == 0
 		fillings[i] = f
 	}
 	left := int64(whole)
 	for {
-		f := nextToFill(fillings)
+		f := nextToFill(t.dividedAt, fillings)
 		if f == nil {
 			break
 		}
@@ -135,24 +142,25 @@
 }
 
 // nextToFill returns the filling that gets the next task; nil if all are done.
-func nextToFill(fillings []filling) *filling {
+func nextToFill(now time.Duration, fillings []filling) *filling {
 	var next *filling
 	for i := range fillings {
 		f := &fillings[i]
-		if !f.done && (next == nil || cmp.Or(cmp.Compare(f.filled, next.filled), cmp.Compare(f.served, next.served), cmp.Compare(next.use, f.use)) < 0) {
+		if !f.done && (next == nil || cmp.Or(cmp.Compare(f.filled, next.filled), cmp.Compare(f.served(now), next.served(now)), cmp.Compare(next.use, f.use)) < 0) {
 			next = f
 		}
 	}
 	return next
 }
 
-// raise determines the allowances that can be raised to their targets with what is free, the smallest first.
+// raise determines the allowances that can be raised to their targets with what is free: first those of the shards that have had
+// nothing running for the longest, then the smallest.
 func (t *dividedTeam) raise(holders []*holder) {
 	t.raising = !t.recorded
 	free := t.limit.Sub(sumHeld(holders))
 	holders = slices.DeleteFunc(slices.Clone(holders), func(h *holder) bool { return h.allowance.Covers(h.target) })
 	slices.SortStableFunc(holders, func(a, b *holder) int {
-		return cmp.Compare(shareOf(a.allowance, t.limit), shareOf(b.allowance, t.limit))
+		return cmp.Or(cmp.Compare(a.served(t.dividedAt), b.served(t.dividedAt)), cmp.Compare(shareOf(a.allowance, t.limit), shareOf(b.allowance, t.limit)))
 	})
 	for _, h := range holders {
 		wanted := maxEach(h.target, h.allowance)
--- a/wigeonquota/model_test.go
+++ b/wigeonquota/model_test.go
@@ -114,7 +114,7 @@
 }
 
 func (m *model) record(format string, args ...any) {
-	m.trace = append(m.trace, fmt.Sprintf(format, args...))
+	m.trace = append(m.trace, fmt.Sprintf(m.now.String()+" "+format, args...))
 }
 
 // owner returns the owner of a shard whose records the log accepts.
--- a/wigeonquota/timing_test.go
+++ b/wigeonquota/timing_test.go
@@ -176,7 +176,7 @@
 			m.advance(20*time.Second, func() bool { return false })
 			for _, s := range m.shards {
 				c.Logf("shard %d started %d", s.part, s.started)
-				c.Assert(s.started >= 5, qt.IsTrue)
+				c.Assert(s.started >= 12, qt.IsTrue)
 			}
 			c.Assert(m.violation == nil, qt.IsTrue)
 		})
