--- a/wigeondaemon/operator.go
+++ b/wigeondaemon/operator.go
@@ -135,6 +135,7 @@
 			sh.owner.SetTeams(table.directory.Teams())
 		}
 	}
+	d.setLimits(table)
 	queues := 0
 	for _, of := range table.queuesByHost {
 		queues += len(of)
--- a/wigeonshard/holdshare.go
+++ b/wigeonshard/holdshare.go
@@ -25,7 +25,7 @@
 	d := &o.sharing
 	d.held = slices.DeleteFunc(d.held, func(t *task) bool {
 		s := t.step
-		if t.hold != nil && (s.closed() || s.job.team == nil || !d.Owed(&s.job.team.share, s.Reserved())) {
+		if t.hold != nil && (s.closed() || s.job.team == nil || !s.limitAllows() || !d.Owed(&s.job.team.share, s.Reserved())) {
 			dropHold(t)
 			r.order = newRoomOrder(r.pool)
 		}
@@ -54,7 +54,7 @@
 func (o *Owner) taskToHoldFor(now Timestamp, e openStep) *task {
 	team := e.job.team
 	// A task that is no larger than one that was lent room would have got that room first.
-	if team == nil || o.sharing.lent.Covers(e.reserved) || e.job.excess || e.waiting == 0 || e.closed() || !e.ready() || !e.plain() || !o.sharing.Owed(&team.share, e.reserved) {
+	if team == nil || o.sharing.lent.Covers(e.reserved) || e.job.excess || e.waiting == 0 || e.closed() || !e.ready() || !e.plain() || !e.limitAllows() || !o.sharing.Owed(&team.share, e.reserved) {
 		return nil
 	}
 	if slices.ContainsFunc(o.sharing.held, func(t *task) bool { return t.step.job.team == team }) {
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -118,8 +118,8 @@
 	r.task.step.liveRuns--
 	r.task.step.job.liveRuns--
 	if team := r.task.step.job.team; team != nil {
-		team.use = team.use.Sub(r.task.step.Required)
 		team.share.SubUse(r.task.step.Reserved())
+		r.leaveTeam()
 	}
 	r.worker.detach(r)
 }
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -7,6 +7,7 @@
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeonjob"
+	"github.com/wigeonstep/wigeonstep/wigeonquota"
 	"github.com/wigeonstep/wigeonstep/wigeonshare"
 )
 
@@ -70,6 +71,8 @@
 	teams map[wigeonstep.TeamName]*team
 	// sharing is the division of the room among the teams.
 	sharing sharing
+	// quotas holds the parts of the teams' limits that this shard may use.
+	quotas wigeonquota.Ledger
 	// arrivals holds the rate of the work that arrives at each service.
 	arrivals map[wigeonstep.ServiceName]*arrivalRate
 
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -50,6 +50,7 @@
 	o.lastPlacement, o.placementDue = now.Steady, false
 	o.longRunningSteps.cleanUp(now.Steady)
 	o.finiteSteps.cleanUp(now.Steady)
+	o.quotas.BeginRound()
 	longRunning := o.longRunningCandidates(now)
 	r := round{pool: o.pool(now)}
 	o.dropUnneededHolds(r.pool, servicesWithWaitingTasks(now, longRunning))
@@ -76,6 +77,9 @@
 			o.placementDue = true
 			return
 		}
+		if c.step.refusedAlready() {
+			continue
+		}
 		if len(r.pool) == 0 && c.step.suspects == 0 {
 			// Only a suspected task may have a worker that is kept for it.
 			o.placementDue = true
@@ -289,6 +293,9 @@
 			}
 			break
 		}
+		if !s.withinLimit() {
+			break
+		}
 		o.planRun(t, w, t.lastRun+1)
 		planned++
 	}
@@ -316,6 +323,9 @@
 			}
 			break
 		}
+		if !s.withinLimit() {
+			break
+		}
 		o.planRun(t, r.order[place].worker, t.lastRun+1)
 		r.order.reorder(place)
 		planned++
@@ -339,7 +349,7 @@
 	var members []*run
 	for _, t := range s.tasks {
 		w := s.chooseWorker(t, pool, reserved)
-		if w == nil {
+		if w == nil || !s.withinLimit() {
 			for _, r := range members {
 				o.detach(r)
 			}
--- a/wigeonshard/sharing.go
+++ b/wigeonshard/sharing.go
@@ -266,6 +266,9 @@
 		o.placementDue = true
 		return 0
 	}
+	if s.refusedAlready() {
+		return 0
+	}
 	r.taskLimit = limit
 	planned := o.placeStep(now, s, r)
 	r.taskLimit = 0
