--- a/wigeonquota/allowance.go
+++ b/wigeonquota/allowance.go
@@ -106,6 +106,17 @@
 	return true
 }
 
+// Fits reports whether a task can be started, when the whole limit is free for it, while runs of its gang require use.
+func (a *Allowance) Fits(use Resources) bool {
+	limits, uses := fields(a.limit()), fields(use)
+	for i, l := range limits {
+		if uses[i] > 0 && uses[i] >= l {
+			return false
+		}
+	}
+	return true
+}
+
 // Refuse records that a task, or a gang, was not started because of the limit.
 func (a *Allowance) Refuse(need Resources) {
 	if a.refused == (Resources{}) {
--- a/wigeonshard/quota.go
+++ b/wigeonshard/quota.go
@@ -105,7 +105,7 @@
 	}
 	for _, list := range []*openSteps{&o.longRunningSteps, &o.finiteSteps} {
 		for _, s := range list.entries {
-			if sum, refused := ready[s.job.team]; refused && s.job.team != nil && !s.closed() && s.ready() {
+			if sum, refused := ready[s.job.team]; refused && s.job.team != nil && !s.closed() && s.ready() && s.fitsLimit() {
 				ready[s.job.team] = sum.Add(times(s.Required, s.waiting))
 			}
 		}
@@ -131,18 +131,39 @@
 	if s.limitAllows() {
 		return true
 	}
-	need := s.Required
-	if s.Gang {
-		need = times(s.Required, len(s.tasks)-s.liveRuns)
+	if s.fitsLimit() {
+		s.allowance().Refuse(s.startRequires())
 	}
-	s.allowance().Refuse(need)
 	return false
 }
 
-// limitAllows reports whether the limit of the step's team allows a run of another of its tasks.
+// startRequires returns what has to be within the limit for the step to start a task; for a gang, all its tasks.
+func (s *step) startRequires() wigeonstep.Resources {
+	if s.Gang {
+		return times(s.Required, len(s.tasks))
+	}
+	return s.Required
+}
+
+// fitsLimit reports whether the step could start if the team had nothing else running. A gang that could not must not ask for the
+// limit, which would stay unused.
+func (s *step) fitsLimit() bool {
+	a := s.allowance()
+	return a == nil || !s.Gang || a.Fits(times(s.Required, len(s.tasks)-1))
+}
+
+// limitAllows reports whether the limit of the step's team allows a run of another of its tasks; for a gang, runs of all that have
+// none.
 func (s *step) limitAllows() bool {
 	a := s.allowance()
-	return a == nil || a.Allows(s.job.team.use, s.Required)
+	if a == nil {
+		return true
+	}
+	use := s.job.team.use
+	if s.Gang {
+		use = use.Add(times(s.Required, max(len(s.tasks)-s.liveRuns-1, 0)))
+	}
+	return a.Allows(use, s.Required)
 }
 
 // refusedAlready reports whether a task that requires no more than one of the step was refused in this round.
@@ -176,7 +197,7 @@
 		return ""
 	}
 	t, a := s.job.team, s.allowance()
-	return fmt.Sprintf("the limit of team %s (quota): a task requires %s, this shard uses %s and may use %s of the limit %s", t.Name, amounts(s.Required), amounts(t.use), amounts(a.Cap(t.use)), amounts(a.Limit()))
+	return fmt.Sprintf("the limit of team %s (quota): a start requires %s, this shard uses %s and may use %s of the limit %s", t.Name, amounts(s.startRequires()), amounts(t.use), amounts(a.Cap(t.use)), amounts(a.Limit()))
 }
 
 // amounts returns an amount as text, with "any" for a resource without a limit.
--- a/wigeonshard/quota_test.go
+++ b/wigeonshard/quota_test.go
@@ -86,6 +86,7 @@
 				want := limit
 				if name == "large gang" {
 					want = 0
+					c.Assert(o.quotas.Allowance(testTeam).Refused(), qt.Equals, wigeonstep.Resources{})
 				}
 				c.Assert(highest <= limit, qt.IsTrue, qt.Commentf("%d runs", highest))
 				if name != "suspected" && name != "suspected gang" {
