--- a/wigeonshard/quota_test.go
+++ b/wigeonshard/quota_test.go
@@ -179,3 +179,82 @@
 	c.Assert(o.teams[testTeam].use, qt.Equals, wigeonstep.Resources{})
 	c.Assert(m.violations, qt.HasLen, 0)
 }
+
+// highestRunning runs the model and returns the highest number of runs of testTeam.
+func (m *clusterModel) highestRunning(d time.Duration) int {
+	highest := 0
+	for until := m.now + d; m.now < until; m.advance(5 * time.Millisecond) {
+		highest = max(highest, m.runningTasks())
+	}
+	return highest
+}
+
+// Guards against long-running tasks that exceed the limit on workers that are cordoned, or on those where room was kept for them.
+func TestLongRunningTasksWithinLimit(t *testing.T) {
+	longRunning := testStep(3)
+	longRunning.LongRunning = true
+	for name, prepare := range map[string]func(*clusterModel, *fakeOwner){
+		"last resort": func(m *clusterModel, o *fakeOwner) {
+			other := testStep(1)
+			other.LongRunning = true
+			m.submitJob(testJob("other", other))
+			m.advance(time.Second)
+			m.cordons["w00"] = "vm0"
+			o.SetCordons(m.cordons)
+		},
+		"kept room": func(m *clusterModel, _ *fakeOwner) {
+			m.outcome = func(wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) {
+				return 700 * time.Millisecond, wigeonstep.EndDone
+			}
+			m.submitJob(testJob("other", testStep(4)))
+			m.advance(100 * time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newClusterModel(t, 3, 1)
+			o := m.addOwner()
+			m.limitTeam(o.Owner, 1, 1)
+			prepare(m, o)
+			m.submitJob(teamJob("team", longRunning))
+			c.Assert(m.highestRunning(4*time.Second), qt.Equals, 1)
+		})
+	}
+}
+
+// Guards against a task that may have crashed its worker and starts on a worker of its own although its team is at its limit.
+func TestSuspectedTaskWaitsForLimit(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 4, 4)
+	o := m.addOwner()
+	longRunning := testStep(1)
+	longRunning.LongRunning = true
+	m.submitJob(teamJob("serving", longRunning))
+	m.advance(time.Second)
+	m.crashingTasks[wigeonstep.TaskID{Job: "crashing"}] = 100 * time.Millisecond
+	m.submitJob(teamJob("crashing", testStep(1)))
+	m.advance(100 * time.Millisecond)
+	c.Assert(m.runningTasks(), qt.Equals, 2)
+	m.limitTeam(o.Owner, 1, 1)
+	m.advance(200 * time.Millisecond)
+	c.Assert(m.highestRunning(8*time.Second), qt.Equals, 1)
+	c.Assert(o.isolations, qt.HasLen, 0)
+}
+
+// Guards against runs that start seconds after a limit was lowered, because the store was slow to accept their record.
+func TestUnsentRunsAreWithdrawnWhenLimitIsLowered(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 5, 4)
+	o := m.addOwner()
+	m.limitTeam(o.Owner, 1, 8)
+	m.advance(time.Second)
+	m.slowAppends = true
+	m.submitJob(teamJob("team", testStep(8)))
+	m.advance(50 * time.Millisecond)
+	c.Assert(o.teams[testTeam].use.CPU, qt.Equals, wigeonstep.MilliCPU(8*1800))
+	lowered := []wigeonstep.Team{{Name: testTeam, Limit: wigeonstep.Resources{CPU: 2 * 1800}}}
+	o.SetTeams(lowered)
+	o.SetLimits(m.eventTime(), 2, lowered)
+	c.Assert(m.highestRunning(6*time.Second), qt.Equals, 2)
+	c.Assert(m.violations, qt.HasLen, 0)
+}
