--- a/wigeonshard/explain.go
+++ b/wigeonshard/explain.go
@@ -54,6 +54,8 @@
 		return "the steps before it"
 	case retrying == waiting:
 		return "the pause after a failure"
+	case !s.limitAllows():
+		return s.waitsForLimit()
 	case s.suspects > 0:
 		return o.waitsForIsolation(s)
 	}
@@ -71,9 +73,6 @@
 	if fitting == 0 {
 		return fmt.Sprintf("room for %d tasks of %d millicores and %d MB: none of %d usable workers has any", waiting, reserved.CPU, reserved.Memory, usable)
 	}
-	if cause := s.waitsForLimit(); cause != "" {
-		return cause
-	}
 	if a := s.advice; a != nil {
 		return fmt.Sprintf("a worker that the advice service allows: it was asked about %d workers and allowed %d; %d of %d usable workers have room", len(a.workers), a.allowed(), fitting, usable)
 	}
--- a/wigeonshard/quota_test.go
+++ b/wigeonshard/quota_test.go
@@ -226,18 +226,25 @@
 func TestSuspectedTaskWaitsForLimit(t *testing.T) {
 	c := qt.New(t)
 	m := newClusterModel(t, 4, 4)
+	m.groupConfirms, m.vmList = true, true
 	o := m.addOwner()
 	longRunning := testStep(1)
 	longRunning.LongRunning = true
 	m.submitJob(teamJob("serving", longRunning))
 	m.advance(time.Second)
-	m.crashingTasks[wigeonstep.TaskID{Job: "crashing"}] = 100 * time.Millisecond
+	task := wigeonstep.TaskID{Job: "crashing"}
+	m.crashingTasks[task] = 100 * time.Millisecond
 	m.submitJob(teamJob("crashing", testStep(1)))
-	m.advance(100 * time.Millisecond)
-	c.Assert(m.runningTasks(), qt.Equals, 2)
+	// After two crashes the task is suspected and gets a worker of its own.
+	for deadline := m.now + 10*time.Second; m.crashes[task] < 2 && m.now < deadline; {
+		m.advance(10 * time.Millisecond)
+	}
+	c.Assert(m.crashes[task], qt.Equals, 2)
 	m.limitTeam(o.Owner, 1, 1)
 	m.advance(200 * time.Millisecond)
 	c.Assert(m.highestRunning(8*time.Second), qt.Equals, 1)
+	status, _ := o.Explain(m.eventTime(), "crashing")
+	c.Assert(status.WaitsFor, qt.Contains, "quota")
 	c.Assert(o.isolations, qt.HasLen, 0)
 }
 
