--- a/cmd/wigeonstep/jobdemo.go
+++ b/cmd/wigeonstep/jobdemo.go
@@ -165,13 +165,18 @@
 	return n
 }
 
-// demoRequest sends a client request for a job and returns the HTTP status and, for a successful GET, the job's state.
+// demoRequest sends a client request for a job, without a body if body is nil, and returns the HTTP status and, for a successful
+// GET, the job's state.
 func demoRequest(ctx context.Context, method, address, id string, body any) (status int, state string, err error) {
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		return 0, "", fmt.Errorf("encode job %s: %w", id, err)
+	var encoded io.Reader = http.NoBody
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return 0, "", fmt.Errorf("encode job %s: %w", id, err)
+		}
+		encoded = bytes.NewReader(text)
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+demoPrefix+id, bytes.NewReader(encoded))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+demoPrefix+id, encoded)
 	if err != nil {
 		return 0, "", fmt.Errorf("job demo: create request: %w", err)
 	}
--- a/cmd/wigeonstep/localnode.go
+++ b/cmd/wigeonstep/localnode.go
@@ -11,6 +11,7 @@
 
 	"github.com/wigeonstep/wigeonstep/platform"
 	"github.com/wigeonstep/wigeonstep/wigeondaemon"
+	"github.com/wigeonstep/wigeonstep/wigeoningress"
 )
 
 const (
@@ -66,7 +67,7 @@
 	config.MinRelayedWorkers = vm.minRelayedWorkers
 	daemon := wigeondaemon.New(config)
 	listeners := nodeListeners{clients: opened[0], ready: opened[1], peers: opened[2], metrics: opened[3]}
-	serveNode(ctx, listeners, logger, daemon, &platform.Frontend{Jobs: daemon}, set)
+	serveNode(ctx, listeners, logger, daemon, newFrontend(s, wigeoningress.Limits{}, daemon, logger, set), set)
 	go daemon.Run(ctx)
 	return localNode{daemon: daemon, clientAddress: opened[0].Addr().String(), peerAddress: s.PeerAddress(), metrics: set}, nil
 }
--- a/cmd/wigeonstep/node.go
+++ b/cmd/wigeonstep/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/wigeonstep/wigeonstep/platform"
 	"github.com/wigeonstep/wigeonstep/wigeondaemon"
 	"github.com/wigeonstep/wigeonstep/wigeongroup"
+	"github.com/wigeonstep/wigeonstep/wigeoningress"
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeontelemetry"
@@ -47,6 +49,8 @@
 	// flight.
 	maxDrainFraction  = 0.85
 	drainPollInterval = 20 * time.Millisecond
+	// heapFraction is the fraction of the VM's memory from which on the collector runs more often.
+	heapFraction = 0.8
 	// retentionFactor multiplies the minimum retention of ended jobs in the settings. The margin covers clock errors and
 	// late retries of the submission.
 	retentionFactor = 3
@@ -54,11 +58,13 @@
 
 func newNodeCommand(out, errOut io.Writer) *ffcli.Command {
 	flags := newFlagSet("node", errOut)
+	var limits wigeoningress.Limits
+	limits.AddFlags(flags)
 	level := flags.String("log-level", "info", "least level of the lines that are logged")
 	relayed := flags.Int("relayed-workers", wigeondaemon.DefaultMinRelayedWorkers, "number of workers of a shard from which other processes send its orders")
 	return &ffcli.Command{
 		Name:       "node",
-		ShortUsage: "wigeonstep node [-log-level LEVEL] [-relayed-workers COUNT]",
+		ShortUsage: "wigeonstep node [-log-level LEVEL] [-relayed-workers COUNT] [limits of clients]",
 		ShortHelp:  "runs jobs on the users' platform: accepts them, places their tasks and maintains the VMs",
 		LongHelp: `Reads the settings file that the platform names in the environment (deploy/system.toml, deploy/settings.json).
 Logs one key=value line for each event to the standard output.
@@ -80,14 +86,14 @@
 				return usageError{err}
 			}
 			wigeontelemetry.RedirectHertz(logger)
-			return runNode(ctx, settings, *relayed, logger.With(zap.String("node", settings.NodeName)))
+			return runNode(ctx, settings, *relayed, limits, logger.With(zap.String("node", settings.NodeName)))
 		},
 	}
 }
 
 // runNode runs the node until ctx ends and then drains it within the grace period. minRelayedWorkers is
 // wigeondaemon.Config.MinRelayedWorkers.
-func runNode(ctx context.Context, settings platform.Settings, minRelayedWorkers int, logger *zap.Logger) error {
+func runNode(ctx context.Context, settings platform.Settings, minRelayedWorkers int, limits wigeoningress.Limits, logger *zap.Logger) error {
 	// A SIGHUP that came before is ignored. The settings were read only shortly before.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -100,7 +106,8 @@
 	}
 	config.MinRelayedWorkers = minRelayedWorkers
 	daemon := wigeondaemon.New(config)
-	frontend := &platform.Frontend{Jobs: daemon, Logger: logger}
+	limitHeap(settings)
+	frontend := newFrontend(settings, limits, daemon, logger, set)
 	runCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	listeners, err := listenNode(ctx, settings)
@@ -127,6 +134,21 @@
 	return nil
 }
 
+// limitHeap makes the garbage collector work harder before the process reaches the memory of its VM.
+func limitHeap(settings platform.Settings) {
+	if settings.Limits.MemoryMB > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(heapFraction * float64(settings.Limits.MemoryMB) * (1 << 20)))
+	}
+}
+
+// newFrontend returns the server for the clients of the daemon.
+func newFrontend(settings platform.Settings, limits wigeoningress.Limits, daemon *wigeondaemon.Daemon, logger *zap.Logger, set *metrics.Set) *platform.Frontend {
+	gate := wigeoningress.NewGate(wigeoningress.Settings{
+		MemoryBytes: int64(settings.Limits.MemoryMB) << 20, MaxDescriptors: settings.Limits.MaxFDs, Logger: logger, Metrics: set,
+	})
+	return &platform.Frontend{Jobs: daemon, Logger: logger, Gate: gate, Limits: limits, ClientLimits: daemon.ClientLimits}
+}
+
 func nodeConfig(settings platform.Settings, logger *zap.Logger, set *metrics.Set) (wigeondaemon.Config, error) {
 	store, err := platform.NewStoreClient(settings.Store.Address)
 	if err != nil {
@@ -209,7 +231,8 @@
 	go func() { failed <- peers.Serve() }()
 	context.AfterFunc(ctx, func() { _ = peers.Close() })
 	admin := &wigeontelemetry.Admin{Metrics: set, Ready: daemon.Ready}
-	go func() { failed <- admin.Serve(ctx, platform.RetryingListener{Listener: listeners.metrics}) }()
+	bounded := frontend.Gate.Listen(listeners.metrics, wigeoningress.ListenerSettings{Limits: wigeoningress.CheckLimits()})
+	go func() { failed <- admin.Serve(ctx, platform.RetryingListener{Listener: bounded}) }()
 	return failed
 }
 
--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -35,6 +35,15 @@
 	return queue, found, nil
 }
 
+// ClientLimits returns the bounds of the configuration in force on the requests of clients.
+func (d *Daemon) ClientLimits() wigeonstep.ClientLimits {
+	table := d.routes.Load()
+	if table == nil {
+		return wigeonstep.ClientLimits{}
+	}
+	return table.clientLimits
+}
+
 // Ready reports whether the load balancer may send new connections to this process.
 func (d *Daemon) Ready() bool { return d.ready.Load() && !d.logAccess.cutOff.Load() }
 
--- a/wigeondaemon/routes.go
+++ b/wigeondaemon/routes.go
@@ -14,10 +14,12 @@
 	// services holds the names in the order of the configuration.
 	services []wigeonstep.ServiceName
 	teams    []wigeonstep.Team
+	// clientLimits bounds the requests of clients.
+	clientLimits wigeonstep.ClientLimits
 }
 
 func newRouteTable(c *wigeonstep.Configuration) *routeTable {
-	t := &routeTable{version: c.Version, queuesByHost: map[string][]wigeonstep.Queue{}, spare: map[wigeonstep.ServiceName]bool{}, teams: c.Teams}
+	t := &routeTable{version: c.Version, queuesByHost: map[string][]wigeonstep.Queue{}, spare: map[wigeonstep.ServiceName]bool{}, teams: c.Teams, clientLimits: c.ClientLimits}
 	for _, q := range c.Queues {
 		host := strings.ToLower(q.Host)
 		t.queuesByHost[host] = append(t.queuesByHost[host], q)
--- /dev/null
+++ b/wigeoningress/conn.go
@@ -0,0 +1,233 @@
+package wigeoningress
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// phase is the part of a connection's life, as the choice of a victim sees it.
+type phase = int32
+
+const (
+	// phaseFresh: nothing has been received.
+	phaseFresh phase = iota
+	// phaseIdle: the last request has been answered.
+	phaseIdle
+	// phaseCollecting: a request has begun.
+	phaseCollecting
+	// phaseHandling: the request is complete; its response is not written yet.
+	phaseHandling
+	// phaseEnding: the connection has to end.
+	phaseEnding
+)
+
+// requestCounter is implemented by connections that count requests in progress. Such a connection takes a Read as the start of a
+// request and a Write as its response, which isn't true in the cases of these methods.
+type requestCounter interface {
+	// BeginRequest begins a request whose bytes were read with those of an earlier one.
+	BeginRequest()
+	// WriteInterim writes a response that is not the last one to its request.
+	WriteInterim(b []byte) (int, error)
+}
+
+// Conn is a connection of a client. Read returns only bytes of complete requests, and never those of two requests at once. It
+// must not be called concurrently; neither may Write.
+type Conn struct {
+	net.Conn
+	listener *Listener
+	address  netip.Addr
+
+	phase  atomic.Int32
+	charge atomic.Int64
+	// since is the start of the phase, in nanoseconds since 1970.
+	since atomic.Int64
+	// endReason is why the connection has to end. It is set before phaseEnding.
+	endReason atomic.Int32
+	// reclaimed is charge at the time at which the connection was told to end. mu of the gate protects it.
+	reclaimed int64
+	closed    atomic.Bool
+
+	collector
+	// out holds the bytes of the current request that Read has not returned yet.
+	out [2][]byte
+	// rest holds bytes behind the current request.
+	rest []byte
+	// refused is set when the connection takes no further request.
+	refused bool
+}
+
+func newConn(inner net.Conn, l *Listener) *Conn {
+	c := &Conn{Conn: inner, listener: l}
+	if a, ok := inner.RemoteAddr().(*net.TCPAddr); ok {
+		c.address = a.AddrPort().Addr().Unmap()
+	}
+	c.since.Store(time.Now().UnixNano())
+	return c
+}
+
+// sender returns the connection as the choice of a victim sees it.
+func (c *Conn) sender(now time.Time) sender {
+	p := c.phase.Load()
+	return sender{
+		charge: c.charge.Load(), age: time.Duration(now.UnixNano() - c.since.Load()),
+		unfinished: p == phaseFresh || p == phaseCollecting, kept: p == phaseHandling || p == phaseEnding,
+	}
+}
+
+// end tells the connection to end. It returns false if a request is being handled, or if the connection ends already.
+func (c *Conn) end(reason Reason) bool {
+	p := c.phase.Load()
+	if p == phaseHandling || p == phaseEnding {
+		return false
+	}
+	c.endReason.Store(int32(reason)) //nolint:gosec // one of a few constants
+	if !c.phase.CompareAndSwap(p, phaseEnding) {
+		return false
+	}
+	// The deadline ends the read that is in progress.
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// enter begins a phase. It returns false if the connection has to end.
+func (c *Conn) enter(next phase, now time.Time) bool {
+	p := c.phase.Load()
+	if p == phaseEnding {
+		return false
+	}
+	c.since.Store(now.UnixNano())
+	return p == next || c.phase.CompareAndSwap(p, next)
+}
+
+// Read returns bytes of the current request, or waits until the next request is complete. It returns io.EOF when the connection
+// takes no further request; the refusal has then been written.
+func (c *Conn) Read(p []byte) (int, error) {
+	if len(c.out[0])+len(c.out[1]) > 0 {
+		return c.handOver(p), nil
+	}
+	if c.refused || len(p) == 0 {
+		return 0, io.EOF
+	}
+	n, reason := c.receive(p)
+	if reason != None {
+		c.refuse(reason)
+		return 0, io.EOF
+	}
+	if n > 0 {
+		return n, nil
+	}
+	return c.handOver(p), nil
+}
+
+// handOver copies bytes of the current request to p, and lets go of the buffer after the last one.
+func (c *Conn) handOver(p []byte) int {
+	n := 0
+	for i := range c.out {
+		copied := copy(p[n:], c.out[i])
+		c.out[i] = c.out[i][copied:]
+		n += copied
+	}
+	if len(c.out[0])+len(c.out[1]) == 0 {
+		c.out = [2][]byte{}
+		c.freeBuffer()
+	}
+	return n
+}
+
+// failure returns why the connection ends after a read without bytes. timeout is the reason if its deadline has passed.
+func (c *Conn) failure(err error, timeout Reason) Reason {
+	if c.phase.Load() == phaseEnding {
+		return Reason(c.endReason.Load())
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return timeout
+	}
+	return Disconnected
+}
+
+// setReadDeadline sets the deadline of the next read unless the connection has to end.
+func (c *Conn) setReadDeadline(t time.Time) {
+	_ = c.Conn.SetReadDeadline(t)
+	if c.phase.Load() == phaseEnding {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+const (
+	// refusalTimeout bounds the writing of a refusal, and lingerTimeout the time for which a refused connection is read and what
+	// arrives is thrown away: a connection that is closed with unread bytes is reset, which may take the refusal from the client.
+	refusalTimeout = time.Second
+	lingerTimeout  = 500 * time.Millisecond
+	lingerBytes    = 1 << 20
+)
+
+// refuse answers the unfinished request with a refusal, and ends the sending side of the connection.
+func (c *Conn) refuse(reason Reason) {
+	c.refused = true
+	c.out, c.rest = [2][]byte{}, nil
+	c.freeBuffer()
+	if reason == Disconnected {
+		return
+	}
+	c.listener.gate.count(reason, c)
+	if !c.begun {
+		return
+	}
+	response := reason.response()
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	if _, err := c.Conn.Write(response); err != nil {
+		return
+	}
+	if closer, ok := c.Conn.(interface{ CloseWrite() error }); !ok || closer.CloseWrite() != nil {
+		return
+	}
+	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	var scratch [minReadBytes]byte
+	for read := 0; read < lingerBytes; {
+		n, err := c.Conn.Read(scratch[:])
+		if err != nil {
+			return
+		}
+		read += n
+	}
+}
+
+// Write writes bytes of a response within the time limit.
+func (c *Conn) Write(b []byte) (int, error) {
+	if c.refused {
+		return 0, syscall.EPIPE
+	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.listener.limits().WriteTimeout))
+	n, err := c.Conn.Write(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.refused = true
+		c.listener.gate.count(WriteTimeout, c)
+		// The library logs other errors than this one, without a bound.
+		return n, syscall.EPIPE
+	}
+	return n, err
+}
+
+// SetReadDeadline does nothing. The connection sets its deadlines itself, by the part of a request that it waits for.
+func (c *Conn) SetReadDeadline(time.Time) error { return nil }
+
+// SetDeadline does nothing, as SetReadDeadline.
+func (c *Conn) SetDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline does nothing, as SetReadDeadline.
+func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
+
+// Close closes the connection and gives back what it holds of the budget.
+func (c *Conn) Close() error {
+	err := c.Conn.Close()
+	if !c.closed.Swap(true) {
+		c.listener.gate.forget(c)
+	}
+	return err
+}
--- /dev/null
+++ b/wigeoningress/gate_test.go
@@ -0,0 +1,172 @@
+package wigeoningress
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+// accept returns the connection that a gate's listener makes of inner.
+func accept(t *testing.T, l *Listener, inner net.Conn) (*Conn, error) {
+	t.Helper()
+	scripted := l.Listener.(*scriptedListener)
+	scripted.conns = append(scripted.conns, inner)
+	c, err := l.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return c.(*Conn), nil
+}
+
+func newConns(t *testing.T, l *Listener, count int) []*Conn {
+	t.Helper()
+	var conns []*Conn
+	for range count {
+		c, err := accept(t, l, &scriptedConn{})
+		qt.Assert(t, err, qt.IsNil)
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Guards against a budget that is exceeded, that ends a request that is being handled, or that refuses an ordinary caller while a
+// costlier sender could give way.
+func TestBudgetEndsTheCostliestSender(t *testing.T) {
+	const total = 1 << 20
+	g := NewGate(Settings{MemoryBytes: memoryFraction * total})
+	conns := newConns(t, g.Listen(&scriptedListener{}, ListenerSettings{}), 4)
+	handled, hostile, small, ordinary := conns[0], conns[1], conns[2], conns[3]
+	long := time.Now().Add(-time.Second)
+	qt.Assert(t, handled.enter(phaseHandling, long), qt.IsTrue)
+	qt.Assert(t, hostile.enter(phaseCollecting, long), qt.IsTrue)
+	qt.Assert(t, small.enter(phaseCollecting, long), qt.IsTrue)
+	qt.Assert(t, ordinary.enter(phaseCollecting, time.Now()), qt.IsTrue)
+	qt.Assert(t, g.take(handled, total/4), qt.IsTrue)
+	qt.Assert(t, g.take(hostile, total/2), qt.IsTrue)
+	qt.Assert(t, g.take(ordinary, total/4), qt.IsTrue)
+	qt.Assert(t, hostile.phase.Load(), qt.Equals, phaseEnding)
+	qt.Assert(t, Reason(hostile.endReason.Load()), qt.Equals, BudgetExhausted)
+	qt.Assert(t, small.phase.Load(), qt.Equals, phaseCollecting)
+
+	// The hostile connection has not given anything back yet, and the overdraft is bounded.
+	qt.Assert(t, g.take(ordinary, total/4), qt.IsFalse)
+	qt.Assert(t, hostile.Close(), qt.IsNil)
+	qt.Assert(t, ordinary.Close(), qt.IsNil)
+	qt.Assert(t, g.reclaiming, qt.Equals, int64(0))
+	qt.Assert(t, g.take(small, total/8), qt.IsTrue)
+	qt.Assert(t, small.phase.Load(), qt.Equals, phaseCollecting)
+	// Nobody else can give way, so the sender itself has to.
+	qt.Assert(t, g.take(small, total), qt.IsFalse)
+	qt.Assert(t, handled.phase.Load(), qt.Equals, phaseHandling)
+	qt.Assert(t, small.Close(), qt.IsNil)
+	qt.Assert(t, handled.Close(), qt.IsNil)
+	qt.Assert(t, g.used.Load(), qt.Equals, int64(0))
+	qt.Assert(t, g.peak.Load() > total, qt.IsTrue)
+}
+
+// Guards against silent connections that keep out all others, and against a limit that ends requests in progress.
+func TestConnectionLimits(t *testing.T) {
+	for _, limits := range []Limits{{Connections: 4, AddressConnections: 9}, {Connections: 9, AddressConnections: 4}} {
+		g := NewGate(Settings{})
+		l := g.Listen(&scriptedListener{}, ListenerSettings{Limits: limits})
+		conns := newConns(t, l, 4)
+		for _, c := range conns[1:] {
+			c.phase.Store(phaseHandling)
+		}
+		conns = append(conns, newConns(t, l, 1)...)
+		qt.Assert(t, conns[0].phase.Load(), qt.Equals, phaseEnding)
+		qt.Assert(t, conns[0].Close(), qt.IsNil)
+		conns[4].phase.Store(phaseHandling)
+		_, err := accept(t, l, &scriptedConn{})
+		qt.Assert(t, err, qt.Equals, net.ErrClosed, qt.Commentf("the connection is closed, and the listener accepts the next"))
+		for _, c := range conns[1:] {
+			qt.Assert(t, c.phase.Load(), qt.Equals, phaseHandling)
+			qt.Assert(t, c.Close(), qt.IsNil)
+		}
+		qt.Assert(t, g.used.Load(), qt.Equals, int64(0))
+		qt.Assert(t, l.open, qt.Equals, 0)
+		qt.Assert(t, l.byAddress, qt.HasLen, 0)
+	}
+}
+
+// Guards against a sender that keeps its connection for ever, and against a refusal that doesn't say what happened.
+func TestTimeLimits(t *testing.T) {
+	limits := Limits{HeadTimeout: 20 * time.Millisecond, BodyGrace: 20 * time.Millisecond, IdleTimeout: 20 * time.Millisecond, WriteTimeout: 20 * time.Millisecond}
+	for _, test := range []struct {
+		input  string
+		reason Reason
+	}{
+		{"", Disconnected}, {get, HeadTimeout}, {"\r\n", HeadTimeout}, {post + "Content-Length: 5\r\n\r\nab", BodyTimeout}, {chunked + "5\r\nab", BodyTimeout},
+	} {
+		client, server := net.Pipe()
+		c, err := accept(t, NewGate(Settings{}).Listen(&scriptedListener{}, ListenerSettings{Limits: limits}), server)
+		qt.Assert(t, err, qt.IsNil)
+		go func() {
+			_, _ = c.Read(make([]byte, 4096))
+			_ = c.Close()
+		}()
+		_, err = io.WriteString(client, test.input)
+		qt.Assert(t, err, qt.IsNil)
+		answer, err := io.ReadAll(client)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(answer), qt.Equals, string(test.reason.response()), qt.Commentf("%q", test.input))
+	}
+	_, server := net.Pipe()
+	c, err := accept(t, NewGate(Settings{}).Listen(&scriptedListener{}, ListenerSettings{Limits: limits}), server)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.WriteString(c, "unread")
+	qt.Assert(t, err, qt.IsNotNil)
+	qt.Assert(t, c.listener.gate.counters[WriteTimeout].unlogged.Load(), qt.Equals, int64(1))
+}
+
+// Guards against a victim that waits for its deadline before it gives way, or that is told nothing.
+func TestVictimIsToldAtOnce(t *testing.T) {
+	client, server := net.Pipe()
+	c, err := accept(t, NewGate(Settings{}).Listen(&scriptedListener{}, ListenerSettings{}), server)
+	qt.Assert(t, err, qt.IsNil)
+	go func() {
+		_, _ = c.Read(make([]byte, 4096))
+		_ = c.Close()
+	}()
+	_, err = io.WriteString(client, get)
+	qt.Assert(t, err, qt.IsNil)
+	for !c.end(BudgetExhausted) {
+		runtime.Gosched()
+	}
+	answer, err := io.ReadAll(client)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, strings.Contains(string(answer), "HTTP/1.1 503 Service Unavailable\r\n"), qt.IsTrue)
+	qt.Assert(t, strings.Contains(string(answer), "\r\nRetry-After: 1\r\n"), qt.IsTrue)
+}
+
+// Guards against limits of a configuration that are not used, that are used although they make no sense, or that leave a client
+// at the limit too little time.
+func TestConfiguredLimits(t *testing.T) {
+	var configured wigeonstep.ClientLimits
+	g := NewGate(Settings{MemoryBytes: 184 << 20, MaxDescriptors: 4100})
+	l := g.Listen(&scriptedListener{}, ListenerSettings{Configured: func() wigeonstep.ClientLimits { return configured }})
+	qt.Assert(t, *l.limits(), qt.Equals, Limits{
+		HeadBytes: 16384, RequestLineBytes: 16384, Fields: 1024, EmptyLines: 4, BodyBytes: 1 << 20, ChunkLineBytes: 256, Chunks: 1 << 20, FramingRatio: 8,
+		TrailerBytes: 4096, PipelinedBytes: 4096, HeadTimeout: 3 * time.Second, IdleTimeout: time.Minute, WriteTimeout: 10 * time.Second,
+		BodyGrace: 5 * time.Second, BodyRate: 1000, Connections: 981, AddressConnections: 735,
+	})
+	configured = wigeonstep.ClientLimits{HeaderBytes: 8000, BodyBytes: 262144, HeaderTimeoutMS: 2000, IdleTimeoutMS: 15000}
+	limits := l.limits()
+	qt.Assert(t, limits.HeadBytes, qt.Equals, 8000)
+	qt.Assert(t, limits.RequestLineBytes, qt.Equals, 8000)
+	qt.Assert(t, limits.BodyBytes, qt.Equals, 262144)
+	qt.Assert(t, limits.HeadTimeout, qt.Equals, 2500*time.Millisecond)
+	qt.Assert(t, limits.IdleTimeout, qt.Equals, 15500*time.Millisecond)
+	configured = wigeonstep.ClientLimits{HeaderBytes: 1 << 40, BodyBytes: 1 << 40, HeaderTimeoutMS: 1 << 62, IdleTimeoutMS: -1}
+	limits = l.limits()
+	qt.Assert(t, limits.HeadBytes, qt.Equals, maxHeadBytes)
+	qt.Assert(t, limits.BodyBytes, qt.Equals, g.MaxBodyBytes())
+	qt.Assert(t, limits.HeadTimeout > 0 && limits.IdleTimeout == time.Minute, qt.IsTrue)
+}
