--- a/cmd/wigeonstep/ingress_test.go
+++ b/cmd/wigeonstep/ingress_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -50,6 +51,8 @@
 	tail        string
 	// spread is set if the clients have addresses of their own in the loopback range.
 	spread bool
+	// address is the listener that they attack; empty for that for clients.
+	address string
 }
 
 // fill returns the text as often as it fits into a block, at least once.
@@ -58,7 +61,7 @@
 // attackedNode is a node in a process of its own with the limits of these tests.
 type attackedNode struct {
 	*program
-	clientAddress string
+	clientAddress, readyAddress, metricsAddress string
 	// connections holds the connections of hostile clients, which stay open until the test ends.
 	mu          sync.Mutex
 	connections []net.Conn
@@ -81,7 +84,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	name, value, _ := strings.Cut(environment, "=")
 	t.Setenv(name, value)
-	n := &attackedNode{program: startProgram(t, "node", binary, "node"), clientAddress: addresses[0]}
+	n := &attackedNode{program: startProgram(t, "node", binary, "node"), clientAddress: addresses[0], readyAddress: addresses[1], metricsAddress: addresses[3]}
 	t.Cleanup(func() {
 		for _, c := range n.connections {
 			_ = c.Close()
@@ -185,7 +188,7 @@
 			if input.spread {
 				dialer.LocalAddr = &net.TCPAddr{IP: net.IPv4(127, 1, byte(i/200), byte(1+i%200))}
 			}
-			conn, err := dialer.Dial("tcp", n.clientAddress)
+			conn, err := dialer.Dial("tcp", cmp.Or(input.address, n.clientAddress))
 			if err != nil {
 				return
 			}
@@ -281,6 +284,18 @@
 // TestSilentConnections guards against clients that use up the descriptors, so that none is left for the store and the workers.
 func TestSilentConnections(t *testing.T) { testHostileInput(t, silentConnections) }
 
+// TestHostileChecks guards against clients that exhaust the process through its listeners for readiness checks and metrics.
+func TestHostileChecks(t *testing.T) {
+	n := startAttackedNode(t)
+	for _, address := range []string{n.readyAddress, n.metricsAddress} {
+		for _, input := range []hostileInput{endlessField, shortBodies, {connections: 300}} {
+			input.address = address
+			n.attack(input)
+		}
+	}
+	n.checkBounds(t)
+}
+
 // TestHostileMixBesideCallers guards against inputs that are harmless alone and exhaust the process together, while ordinary
 // callers submit jobs.
 func TestHostileMixBesideCallers(t *testing.T) {
--- a/wigeoningress/collect.go
+++ b/wigeoningress/collect.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"sync"
 	"time"
 )
 
@@ -18,6 +19,21 @@
 	grownCharge = 2 * smallBytes
 )
 
+// pooledBytes is the size of the first buffer of a request. Most requests that don't arrive in one read fit into it.
+const pooledBytes = 8 << 10
+
+var bufferPool = sync.Pool{New: func() any { return new([pooledBytes]byte) }}
+
+// newBuffer returns an empty buffer of the given capacity.
+func newBuffer(size int) []byte {
+	if size == pooledBytes {
+		if pooled, ok := bufferPool.Get().(*[pooledBytes]byte); ok {
+			return pooled[:0]
+		}
+	}
+	return make([]byte, 0, size)
+}
+
 // collector is the request that a connection collects.
 type collector struct {
 	// begun is set from the first byte of the request on.
@@ -89,12 +105,14 @@
 		return Reason(c.endReason.Load())
 	}
 	// Nearly all requests that don't arrive in one read have announced their length by now.
-	size := max(len(first), min(c.head.end+min(c.head.length, l.BodyBytes), smallBytes))
+	size := max(pooledBytes, len(first), min(c.head.end+min(c.head.length, l.BodyBytes), smallBytes))
 	if !c.takeBuffer(size) {
 		return BudgetExhausted
 	}
-	c.buffer = append(make([]byte, 0, size), first...)
-	c.setReadDeadline(now.Add(l.HeadTimeout))
+	c.buffer = append(newBuffer(size), first...)
+	if c.head.end == 0 {
+		c.setReadDeadline(now.Add(l.HeadTimeout))
+	}
 	if reason := c.collectHead(l); reason != None {
 		return reason
 	}
@@ -240,6 +258,9 @@
 
 // freeBuffer lets go of the buffer and gives back what it holds.
 func (c *Conn) freeBuffer() {
+	if cap(c.buffer) == pooledBytes {
+		bufferPool.Put((*[pooledBytes]byte)(c.buffer[:pooledBytes]))
+	}
 	c.buffer = nil
 	c.listener.gate.release(c, c.bufferCharge)
 	c.bufferCharge = 0
--- a/wigeoningress/conn.go
+++ b/wigeoningress/conn.go
@@ -23,6 +23,8 @@
 	phaseCollecting
 	// phaseHandling: the request is complete; its response is not written yet.
 	phaseHandling
+	// phaseWriting: bytes of the response are being written.
+	phaseWriting
 	// phaseEnding: the connection has to end.
 	phaseEnding
 )
@@ -73,10 +75,10 @@
 
 // sender returns the connection as the choice of a victim sees it.
 func (c *Conn) sender(now time.Time) sender {
-	p := c.phase.Load()
+	p, age := c.phase.Load(), time.Duration(now.UnixNano()-c.since.Load())
 	return sender{
-		charge: c.charge.Load(), age: time.Duration(now.UnixNano() - c.since.Load()),
-		unfinished: p == phaseFresh || p == phaseCollecting, kept: p == phaseHandling || p == phaseEnding,
+		charge: c.charge.Load(), age: age, unfinished: p == phaseFresh || p == phaseCollecting || p == phaseWriting,
+		kept: p == phaseHandling || p == phaseEnding || p == phaseWriting && age <= stalledAge,
 	}
 }
 
@@ -90,8 +92,12 @@
 	if !c.phase.CompareAndSwap(p, phaseEnding) {
 		return false
 	}
-	// The deadline ends the read that is in progress.
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	// The deadline ends the read or write that is in progress.
+	if p == phaseWriting {
+		_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
+	} else {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 	return true
 }
 
@@ -198,22 +204,54 @@
 	}
 }
 
+const (
+	// stalledAge is the time after which a response that is not read may be ended to make room for others.
+	stalledAge = time.Second
+	// coveredBytes is the size up to which a response is covered by connectionCharge.
+	coveredBytes = 4 << 10
+)
+
 // Write writes bytes of a response within the time limit.
 func (c *Conn) Write(b []byte) (int, error) {
-	if c.refused {
+	now := time.Now()
+	if c.refused || !c.enter(phaseWriting, now) {
 		return 0, syscall.EPIPE
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(c.listener.limits().WriteTimeout))
-	n, err := c.Conn.Write(b)
+	_ = c.Conn.SetWriteDeadline(now.Add(c.listener.limits().WriteTimeout))
+	var n int
+	var err error
+	if len(b) <= coveredBytes {
+		n, err = c.Conn.Write(b)
+	} else {
+		n, err = c.writeCharged(b)
+	}
+	if !c.phase.CompareAndSwap(phaseWriting, phaseHandling) && err != nil {
+		return n, c.abandon(Reason(c.endReason.Load()))
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		c.refused = true
-		c.listener.gate.count(WriteTimeout, c)
-		// The library logs other errors than this one, without a bound.
-		return n, syscall.EPIPE
+		return n, c.abandon(WriteTimeout)
 	}
 	return n, err
 }
 
+// writeCharged writes bytes that the budget holds until they are written.
+func (c *Conn) writeCharged(b []byte) (int, error) {
+	g := c.listener.gate
+	defer g.release(c, int64(len(b)))
+	if !g.take(c, int64(len(b))) {
+		return 0, c.abandon(BudgetExhausted)
+	}
+	return c.Conn.Write(b)
+}
+
+// abandon ends the connection in the middle of a response. The library logs other errors than the one that is returned, without a
+// bound.
+func (c *Conn) abandon(reason Reason) error {
+	c.refused = true
+	c.listener.gate.count(reason, c)
+	return syscall.EPIPE
+}
+
 // SetReadDeadline does nothing. The connection sets its deadlines itself, by the part of a request that it waits for.
 func (c *Conn) SetReadDeadline(time.Time) error { return nil }
 
--- a/wigeoningress/gate.go
+++ b/wigeoningress/gate.go
@@ -171,15 +171,11 @@
 	l := c.listener
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if l.byAddress[c.address] >= l.base.AddressConnections && g.endVictim(c.address, TooManyAddressConnections, nil) == nil {
-		return TooManyAddressConnections
+	if reason := g.checkCount(l.byAddress[c.address], l.base.AddressConnections, c.address, TooManyAddressConnections); reason != None {
+		return reason
 	}
-	if l.open >= l.base.Connections && g.endVictim(netip.Addr{}, TooManyConnections, nil) == nil {
-		return TooManyConnections
-	}
-	// Connections that were told to end may still be open; their number is bounded too.
-	if overdraft := l.base.Connections / overdraftFraction; l.open >= l.base.Connections+max(overdraft, 1) {
-		return TooManyConnections
+	if reason := g.checkCount(l.open, l.base.Connections, netip.Addr{}, TooManyConnections); reason != None {
+		return reason
 	}
 	g.conns[c] = struct{}{}
 	l.open++
@@ -187,6 +183,18 @@
 	return None
 }
 
+// checkCount makes room for one more connection beside count others. Connections that were told to end are still open for a while,
+// so the limit may be exceeded by a quarter. mu is held.
+func (g *Gate) checkCount(count, limit int, address netip.Addr, reason Reason) Reason {
+	switch {
+	case count < limit:
+		return None
+	case count >= limit+max(limit/overdraftFraction, 1), g.endVictim(address, reason, nil) == nil:
+		return reason
+	}
+	return None
+}
+
 // ListenerSettings are the bounds of one listener.
 type ListenerSettings struct {
 	Limits Limits
--- a/wigeoningress/gate_test.go
+++ b/wigeoningress/gate_test.go
@@ -3,8 +3,9 @@
 import (
 	"io"
 	"net"
-	"runtime"
+	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -82,9 +83,13 @@
 		}
 		conns = append(conns, newConns(t, l, 1)...)
 		qt.Assert(t, conns[0].phase.Load(), qt.Equals, phaseEnding)
+		// The connection that was told to end is still open, and so many more are too many.
+		_, err := accept(t, l, &scriptedConn{})
+		qt.Assert(t, err, qt.Equals, net.ErrClosed)
+		qt.Assert(t, conns[4].phase.Load(), qt.Equals, phaseFresh)
 		qt.Assert(t, conns[0].Close(), qt.IsNil)
 		conns[4].phase.Store(phaseHandling)
-		_, err := accept(t, l, &scriptedConn{})
+		_, err = accept(t, l, &scriptedConn{})
 		qt.Assert(t, err, qt.Equals, net.ErrClosed, qt.Commentf("the connection is closed, and the listener accepts the next"))
 		for _, c := range conns[1:] {
 			qt.Assert(t, c.phase.Load(), qt.Equals, phaseHandling)
@@ -129,23 +134,52 @@
 // Guards against a victim that waits for its deadline before it gives way, or that is told nothing.
 func TestVictimIsToldAtOnce(t *testing.T) {
 	client, server := net.Pipe()
-	c, err := accept(t, NewGate(Settings{}).Listen(&scriptedListener{}, ListenerSettings{}), server)
+	c, err := accept(t, NewGate(Settings{}).Listen(&scriptedListener{}, ListenerSettings{Limits: Limits{HeadTimeout: time.Hour}}), server)
 	qt.Assert(t, err, qt.IsNil)
 	go func() {
 		_, _ = c.Read(make([]byte, 4096))
 		_ = c.Close()
 	}()
-	_, err = io.WriteString(client, get)
-	qt.Assert(t, err, qt.IsNil)
-	for !c.end(BudgetExhausted) {
-		runtime.Gosched()
+	// The connection waits for more once it has taken the second write.
+	for _, text := range []string{get, "X: y\r\n"} {
+		_, err = io.WriteString(client, text)
+		qt.Assert(t, err, qt.IsNil)
 	}
+	qt.Assert(t, c.end(BudgetExhausted), qt.IsTrue)
+	qt.Assert(t, client.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
 	answer, err := io.ReadAll(client)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, strings.Contains(string(answer), "HTTP/1.1 503 Service Unavailable\r\n"), qt.IsTrue)
 	qt.Assert(t, strings.Contains(string(answer), "\r\nRetry-After: 1\r\n"), qt.IsTrue)
 }
 
+// Guards against clients that keep out others by leaving their responses unread, and against a response that is cut although its
+// client reads it.
+func TestUnreadResponseGivesWay(t *testing.T) {
+	client, server := net.Pipe()
+	g := NewGate(Settings{})
+	c, err := accept(t, g.Listen(&scriptedListener{}, ListenerSettings{Limits: Limits{WriteTimeout: time.Hour}}), server)
+	qt.Assert(t, err, qt.IsNil)
+	written := make(chan error)
+	go func() {
+		_, err := c.Write(make([]byte, 2*coveredBytes))
+		written <- err
+	}()
+	_, err = client.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, g.used.Load(), qt.Equals, int64(connectionCharge+2*coveredBytes))
+	g.mu.Lock()
+	victim := g.endVictim(netip.Addr{}, TooManyConnections, nil)
+	c.since.Store(time.Now().Add(-2 * stalledAge).UnixNano())
+	later := g.endVictim(netip.Addr{}, TooManyConnections, nil)
+	g.mu.Unlock()
+	qt.Assert(t, victim, qt.IsNil)
+	qt.Assert(t, later, qt.Equals, c)
+	qt.Assert(t, <-written, qt.Equals, error(syscall.EPIPE))
+	qt.Assert(t, c.Close(), qt.IsNil)
+	qt.Assert(t, g.used.Load(), qt.Equals, int64(0))
+}
+
 // Guards against limits of a configuration that are not used, that are used although they make no sense, or that leave a client
 // at the limit too little time.
 func TestConfiguredLimits(t *testing.T) {
