--- a/wigeoningress/collect.go
+++ b/wigeoningress/collect.go
@@ -15,8 +15,9 @@
 	// handlingFactor times the size of a request is what it holds of the budget while it is handled: the library's buffer and its
 	// copy of the body, and the decoded job.
 	handlingFactor = 3
-	// grownCharge is what a connection holds in addition once the library's buffers have grown for a small request.
-	grownCharge = 2 * smallBytes
+	// grownFactor times the size of the largest small request is what its connection holds until it is closed, in the library's
+	// buffers.
+	grownFactor = 2
 )
 
 // pooledBytes is the size of the first buffer of a request. Most requests that don't arrive in one read fit into it.
@@ -44,8 +45,8 @@
 	buffer []byte
 	// bufferCharge is what the buffers hold of the budget, handlingCharge what the request holds that is being handled.
 	bufferCharge, handlingCharge int64
-	// grown is set when grownCharge is taken.
-	grown bool
+	// grown is the size of the largest small request for which the connection holds something until it is closed.
+	grown int
 }
 
 // receive waits for the next request. If it arrives whole in the first read and needs no change, its bytes are in p and their
@@ -290,9 +291,9 @@
 	}
 	charge := int64(handlingFactor * len(c.buffer))
 	c.handlingCharge = charge
-	if !c.grown {
-		c.grown = true
-		charge += grownCharge
+	if n := min(len(c.buffer), smallBytes); n > c.grown {
+		charge += int64(grownFactor * (n - c.grown))
+		c.grown = n
 	}
 	if !c.listener.gate.take(c, charge) {
 		return BudgetExhausted
