--- a/wigeondaemon/routes.go
+++ b/wigeondaemon/routes.go
@@ -22,10 +22,12 @@
 	// record is the configuration as the operator wrote it, which peers may ask for. It holds the API keys of the teams, so it
 	// must not reach a log, a metric or another record.
 	record []byte
+	// clientLimits bounds the requests of clients.
+	clientLimits wigeonstep.ClientLimits
 }
 
 func newRouteTable(c *wigeonstep.Configuration) *routeTable {
-	t := &routeTable{version: c.Version, queuesByHost: map[string][]wigeonstep.Queue{}, spare: map[wigeonstep.ServiceName]bool{}, listsTeams: len(c.Teams) > 0}
+	t := &routeTable{version: c.Version, queuesByHost: map[string][]wigeonstep.Queue{}, spare: map[wigeonstep.ServiceName]bool{}, listsTeams: len(c.Teams) > 0, clientLimits: c.ClientLimits}
 	t.directory, t.teamFaults = wigeonteam.NewDirectory(c.Teams)
 	for _, q := range c.Queues {
 		host := strings.ToLower(q.Host)
