--- a/wigeonquota/divide.go
+++ b/wigeonquota/divide.go
@@ -18,8 +18,9 @@
 	for _, h := range holders {
 		d.takeConfirmation(t, h)
 	}
-	if !t.recorded && !t.writing || t.redivide || t.over(holders) || slices.ContainsFunc(holders, t.short) {
-		t.redivide = false
+	movesReserve := now-t.reserveMovedAt >= reserveInterval && slices.ContainsFunc(holders, t.nearlyShort)
+	if !t.recorded && !t.writing || t.redivide || t.over(holders) || slices.ContainsFunc(holders, t.short) || movesReserve {
+		t.redivide, t.reserveMovedAt = false, now
 		t.setTargets(holders)
 	}
 	if !t.writing {
@@ -47,6 +48,20 @@
 	return !h.allowance.Covers(minEach(h.use.Wanted, t.limit))
 }
 
+const (
+	// reserveDivisor is the divisor of a shard's use that gives the reserve below which it is nearly short.
+	reserveDivisor = 4
+	// reserveInterval is the minimum time between two divisions for the sake of reserves, which change with each report.
+	reserveInterval = 100 * time.Millisecond
+)
+
+// nearlyShort reports whether the shard uses most of its allowance. What no shard wants then moves to it before a task has to
+// wait, because the work of a queue rises faster than an allowance moves.
+func (t *dividedTeam) nearlyShort(h *holder) bool {
+	reserve := Resources{CPU: h.use.Use.CPU / reserveDivisor, Memory: h.use.Use.Memory / reserveDivisor, GPU: h.use.Use.GPU / reserveDivisor}
+	return !h.allowance.Covers(minEach(h.use.Use.Add(reserve), t.limit))
+}
+
 // over reports whether the partitions hold more than the limit.
 func (t *dividedTeam) over(holders []*holder) bool {
 	return !t.limit.Covers(t.limitedPart(sumHeld(holders)))
@@ -96,7 +111,7 @@
 
 // setTargets fills the limit up, a task at a time, for the shard that has the least; among equals for the one that has had
 // nothing running for the longest, then for the one that uses most, so that no task has to end without need. What is left goes to
-// the shards that still want some of it; if none does, to all.
+// the shards that still want some of it; if none does, half of it goes to all alike and half by what they use.
 func (t *dividedTeam) setTargets(holders []*holder) {
 	if len(holders) == 0 {
 		return
@@ -124,16 +139,19 @@
 		left -= step
 		f.done = f.filled == f.wanted
 	}
-	unsatisfied := 0
+	unsatisfied, used := 0, int64(0)
 	for _, f := range fillings {
+		used += f.use
 		if f.filled < f.wanted {
 			unsatisfied++
 		}
 	}
 	for _, f := range fillings {
 		switch {
-		case unsatisfied == 0:
+		case unsatisfied == 0 && used == 0:
 			f.filled += left / int64(len(fillings))
+		case unsatisfied == 0:
+			f.filled += left/2/int64(len(fillings)) + left/2*f.use/used
 		case f.filled < f.wanted:
 			f.filled += left / int64(unsatisfied)
 		}
--- a/wigeonquota/division.go
+++ b/wigeonquota/division.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// writeInterval is the minimum time between two records of raised allowances, for all teams together.
-	writeInterval = 250 * time.Millisecond
+	// writeInterval is the minimum time between two records of raised allowances, for all teams together. A task that waits for
+	// a raise waits this long at most on top of the reports.
+	writeInterval = 40 * time.Millisecond
 	// divideInterval is the minimum time between two divisions of the limit of a team because of reports. At 24 shards a team may
 	// be in 400 reports a second.
 	divideInterval = 15 * time.Millisecond
@@ -76,6 +77,8 @@
 	// dividedAt is the time of the newest division; due is set while the next one is due.
 	dividedAt time.Duration
 	due       bool
+	// reserveMovedAt is the time at which the targets were last set.
+	reserveMovedAt time.Duration
 }
 
 // holder returns the holder of a partition, and adds it when it does not exist.
