--- a/wigeondaemon/operator.go
+++ b/wigeondaemon/operator.go
@@ -19,7 +19,7 @@
 	// configuration is the newest one in the batch; nil if there is none that is newer than the one in force.
 	configuration *routeTable
 	waves         []wigeonstep.Wave
-	// complete is set if the batch reaches the end of the log, as it was at about readAt.
+	// complete is set if no configuration before about readAt is newer than those of this and earlier batches.
 	complete bool
 	readAt   time.Duration
 }
@@ -62,7 +62,8 @@
 
 // decodeOperatorBatch decodes the records of a batch. Records that can't be decoded are skipped.
 func (d *Daemon) decodeOperatorBatch(b wigeontail.Batch) operatorBatch {
-	decoded := operatorBatch{complete: b.Complete, readAt: d.config.Now().Steady}
+	// A listing holds the newest records of the time at which it began. The read after it waits for a record, so it doesn't end soon.
+	decoded := operatorBatch{complete: b.Complete || b.Reset, readAt: d.config.Now().Steady}
 	for _, record := range b.Records {
 		if len(record.Value) == 0 {
 			continue
--- a/wigeondaemon/teams_test.go
+++ b/wigeondaemon/teams_test.go
@@ -217,6 +217,10 @@
 	c.Assert(status(listedQueue), qt.Equals, http.StatusServiceUnavailable)
 	d.configurationAccess.confirm(now)
 	c.Assert(status(listedQueue), qt.Equals, http.StatusOK)
+	now += time.Minute
+	// A process that starts is ready after a listing.
+	d.applyOperatorBatch(d.decodeOperatorBatch(wigeontail.Batch{Reset: true}))
+	c.Assert(status(listedQueue), qt.Equals, http.StatusOK)
 }
 
 // Guards against a job that is lost, or belongs to another team, in processes that start later: a second record of another team
