--- a/wigeonsoak/client.go
+++ b/wigeonsoak/client.go
@@ -131,17 +131,24 @@
 	outcomeUnknown := false
 	send := c.sendFirst
 	for range submitAttempts {
+		sentAt := time.Now()
 		status, answer := send(ctx, http.MethodPost, id, encoded)
 		send = c.send
-		switch status {
-		case http.StatusOK:
-			c.history.update(id, func(j *clientJob) { j.acceptedAt = time.Now() })
-			return
-		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		refused := status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+		if c.teams != nil && status == http.StatusUnauthorized {
+			c.keyRefused(id, sentAt)
+			refused = true
+		}
+		if refused {
 			if !outcomeUnknown {
 				c.history.update(id, func(j *clientJob) { j.refusedAt = time.Now() })
 			}
 			return
+		}
+		switch status {
+		case http.StatusOK:
+			c.history.update(id, func(j *clientJob) { j.acceptedAt = time.Now() })
+			return
 		case 0, http.StatusBadGateway, http.StatusGatewayTimeout:
 			outcomeUnknown = true
 		default:
--- a/wigeonsoak/history.go
+++ b/wigeonsoak/history.go
@@ -97,13 +97,12 @@
 	// rooms holds the capacity and the use of each process of a worker.
 	rooms map[workerProcess]*room
 	// leaseExpiredAt holds the time at which the lease of a worker last expired.
-	leaseExpiredAt map[workerProcess]time.Time
-	cutRequests    []cutRequest
-	overloads      []overload
-	disruptions    []disruption
-	// servedWithdrawals holds the calls with a withdrawn key that were served.
-	servedWithdrawals []servedWithdrawal
-	violations        []string
+	leaseExpiredAt  map[workerProcess]time.Time
+	cutRequests     []cutRequest
+	overloads       []overload
+	disruptions     []disruption
+	outdatedAnswers []outdatedAnswer
+	violations      []string
 	// log receives a line for each event, so that a violation can be traced; it may be nil.
 	log io.Writer
 }
@@ -222,7 +221,7 @@
 // that ran, "unrequested" a run that no client asked for, "early" a job that was reported as completed before its tasks
 // were, "cut" a request whose connection ended without an answer although there was no disruption, "crashes" a task that was
 // started too often after it had crashed workers, "capacity" a start that exceeded the capacity of a worker, "isolation" a call
-// that was served without a key of the job's team; "client", "process"
+// that was served without a key of the job's team, or refused with one; "client", "process"
 // and "soak" name where an operation failed.
 func (h *history) check() []string {
 	h.mu.Lock()
@@ -249,7 +248,7 @@
 				r.sentAt.UTC().Format(timeFormat), r.endedAt.UTC().Format(timeFormat)))
 		}
 	}
-	found = append(found, h.checkWithdrawals()...)
+	found = append(found, h.checkOutdatedAnswers()...)
 	found = append(found, h.checkOverloads()...)
 	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
 		j := h.jobs[id]
--- a/wigeonsoak/teams.go
+++ b/wigeonsoak/teams.go
@@ -15,14 +15,14 @@
 	// teamCount is the number of teams of a soak with teams. Job IDs with an even client number belong to the first one.
 	teamCount = 2
 	// keysInForce is the number of keys of a team in each version of the configuration, which adds one and withdraws one. Clients use
-	// the one that is clientKeyAge versions old, so that processes may be that many versions ahead, or behind by the others.
+	// the one that is clientKeyAge versions old, so that most processes know it when they read a version late.
 	keysInForce  = 4
 	clientKeyAge = 2
 	// probeInterval is the time between two calls that must be refused.
 	probeInterval = 120 * time.Millisecond
-	// keyWithdrawalTime is the time after the acknowledgement of a configuration within which a key that it withdraws is refused by
-	// all processes, unless there is a disruption.
-	keyWithdrawalTime = 3 * time.Second
+	// configurationTime is the time after the acknowledgement of a configuration within which it is in force in all processes, unless
+	// there is a disruption.
+	configurationTime = 3 * time.Second
 )
 
 // teams holds the API keys of a soak with teams. A nil *teams stands for a soak without.
@@ -30,8 +30,8 @@
 	mu sync.Mutex
 	// version is the version of the configuration that was stored last.
 	version int
-	// withdrawnAt is the time at which that version, which withdrew a key of each team, was acknowledged.
-	withdrawnAt time.Time
+	// storedAt holds the time at which each version was acknowledged, from version 1 on.
+	storedAt []time.Time
 }
 
 // teamKey returns the key of a team that a version of the configuration adds.
@@ -52,7 +52,7 @@
 	if err := store.PutTeams(version, service, jobHost, jobPathPrefix, addedPathPrefix, settings...); err != nil {
 		return err
 	}
-	t.version, t.withdrawnAt = version, time.Now()
+	t.version, t.storedAt = version, append(t.storedAt, time.Now())
 	return nil
 }
 
@@ -79,13 +79,20 @@
 func (t *teams) withdrawn(team int) (string, time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return teamKey(team, t.version-keysInForce), t.withdrawnAt
+	return teamKey(team, t.version-keysInForce), t.storedAt[t.version-1]
 }
 
-// servedWithdrawal is a call with a withdrawn key that was not refused.
-type servedWithdrawal struct {
-	description          string
-	withdrawnAt, endedAt time.Time
+// validSince returns the time since which the key of the clients is in the configuration.
+func (t *teams) validSince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.storedAt[max(t.version-clientKeyAge, 1)-1]
+}
+
+// outdatedAnswer is an answer to a call that follows from an older configuration than the one stored at changedAt.
+type outdatedAnswer struct {
+	description        string
+	changedAt, endedAt time.Time
 }
 
 // probeKeys sends calls that must be refused until ctx ends.
@@ -116,8 +123,8 @@
 			key, withdrawnAt := s.teams.withdrawn(teamOf(id))
 			sentAt := time.Now()
 			status, _ := c.sendWithKey(s.ctx, key, http.MethodGet, id, nil)
-			if status != http.StatusUnauthorized && !unanswered(status) && sentAt.Sub(withdrawnAt) > keyWithdrawalTime {
-				s.history.recordServedWithdrawal(servedWithdrawal{fmt.Sprintf("GET of job %s with key %q got status %d", id, key, status), withdrawnAt, time.Now()})
+			if status != http.StatusUnauthorized && !unanswered(status) && sentAt.Sub(withdrawnAt) > configurationTime {
+				s.history.recordOutdated(outdatedAnswer{fmt.Sprintf("GET of job %s with withdrawn key %q got status %d", id, key, status), withdrawnAt, time.Now()})
 			}
 		}
 	}
@@ -128,21 +135,28 @@
 	return status == 0 || status == http.StatusServiceUnavailable || status == http.StatusBadGateway || status == http.StatusGatewayTimeout
 }
 
-func (h *history) recordServedWithdrawal(w servedWithdrawal) {
+func (h *history) recordOutdated(a outdatedAnswer) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.servedWithdrawals = append(h.servedWithdrawals, w)
-	h.writeLog(w.endedAt, "withdrawn key: %s", w.description)
+	h.outdatedAnswers = append(h.outdatedAnswers, a)
+	h.writeLog(a.endedAt, "outdated: %s", a.description)
 }
 
-// checkWithdrawals returns a violation for each call with a withdrawn key that was served although no disruption kept the
-// configuration from the process. The caller holds h.mu.
-func (h *history) checkWithdrawals() []string {
+// checkOutdatedAnswers returns a violation for each outdated answer although no disruption kept the configuration from the process.
+// The caller holds h.mu.
+func (h *history) checkOutdatedAnswers() []string {
 	var found []string
-	for _, w := range h.servedWithdrawals {
-		if h.calm(w.withdrawnAt.Add(-calmBefore), w.endedAt) {
-			found = append(found, fmt.Sprintf("isolation: %s, which was withdrawn at %s", w.description, w.withdrawnAt.UTC().Format(timeFormat)))
+	for _, a := range h.outdatedAnswers {
+		if h.calm(a.changedAt.Add(-calmBefore), a.endedAt) {
+			found = append(found, fmt.Sprintf("isolation: %s; the configuration was stored at %s", a.description, a.changedAt.UTC().Format(timeFormat)))
 		}
 	}
 	return found
 }
+
+// keyRefused records a submission that was refused although the key of the client was valid when it was sent.
+func (c *client) keyRefused(id string, sentAt time.Time) {
+	if validSince := c.teams.validSince(); sentAt.Sub(validSince) > configurationTime {
+		c.history.recordOutdated(outdatedAnswer{fmt.Sprintf("submission of job %s with a valid key got status 401", id), validSince, time.Now()})
+	}
+}
