--- a/wigeondaemon/reservation.go
+++ b/wigeondaemon/reservation.go
@@ -61,9 +61,18 @@
 	return wigeonstep.Response{}, false
 }
 
+// leaveTime returns the limit, or a quarter of the time until the client's deadline if that is less: the job has to be written in
+// the rest.
+func leaveTime(ctx context.Context, limit time.Duration) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return min(limit, time.Until(deadline)/4)
+	}
+	return limit
+}
+
 // lookUpUnreserved looks a job up at the end of the log of its partition.
 func (d *Daemon) lookUpUnreserved(ctx context.Context, part wigeonstep.Partition, id wigeonstep.JobID) (jobLookup, bool) {
-	ctx, cancel := context.WithTimeout(ctx, unreservedLookUpTimeout)
+	ctx, cancel := context.WithTimeout(ctx, leaveTime(ctx, unreservedLookUpTimeout))
 	defer cancel()
 	if !d.following.Load() {
 		v, _ := d.lookUpAtHolders(ctx, part, id)
@@ -79,7 +88,7 @@
 
 // askOwnerToReserve asks the owner of the partition, which may be this process, to reserve an id. It returns nil without an answer.
 func (d *Daemon) askOwnerToReserve(ctx context.Context, query *wigeonwire.JobQuery) *wigeonwire.JobStatus {
-	ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
+	ctx, cancel := context.WithTimeout(ctx, leaveTime(ctx, reservationTimeout))
 	defer cancel()
 	part := wigeonstep.Partition(query.GetPartition())
 	request := &wigeonwire.PeerRequest{Body: &wigeonwire.PeerRequest_Job{Job: query}}
