--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -382,4 +382,5 @@
 			sh.retryClaimAt = now.Steady + claimRetryDelay
 		}
 	}
+	d.countPairs()
 }
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -22,6 +22,8 @@
 	panics          *metrics.Counter
 	// relayedOrders counts the orders to workers that went through a relay, directOrders the others.
 	relayedOrders, directOrders *metrics.Counter
+	// observedPairs and suspectedPairs are the numbers of pairs of images of which one may slow the other down.
+	observedPairs, suspectedPairs *metrics.Gauge
 	// loopSeconds counts the time that each part of the event loop's work took.
 	loopSeconds [loopPartCount]*metrics.FloatCounter
 }
@@ -38,6 +40,9 @@
 		panics:          set.NewCounter("wigeonstep_panics_total"),
 		relayedOrders:   set.NewCounter(`wigeonstep_worker_orders_total{path="relay"}`),
 		directOrders:    set.NewCounter(`wigeonstep_worker_orders_total{path="direct"}`),
+
+		observedPairs:  set.NewGauge(`wigeonstep_interference_pairs{state="observed"}`, nil),
+		suspectedPairs: set.NewGauge(`wigeonstep_interference_pairs{state="suspected"}`, nil),
 	}
 	for part, name := range loopPartNames {
 		m.loopSeconds[part] = set.NewFloatCounter(fmt.Sprintf(`wigeonstep_loop_seconds_total{part=%q}`, name))
--- /dev/null
+++ b/wigeoninterference/model.go
@@ -0,0 +1,312 @@
+// Package wigeoninterference estimates by pairs of images how much best-effort tasks slow down the serving tasks beside them on
+// a worker. The effects of load, of bad workers and of time are told apart from that of a neighbour by comparing tasks of one
+// image on several workers at about the same time.
+//
+// It is deterministic: it reads no clock or random source, and does not depend on the iteration order of a map.
+package wigeoninterference
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/wigeonstep/wigeonstep"
+)
+
+const (
+	// maxImages and maxPairs bound the state of a model. Further images and pairs are left out until others are forgotten.
+	maxImages = 64
+	maxPairs  = 1024
+	// maxRecent is the number of workers whose newest reports of an image are kept for comparison.
+	maxRecent = 16
+	// matchWindow is the age up to which a report of another worker is compared with a new one. A worker reports about every
+	// 0.8 s.
+	matchWindow = time.Second
+	// minMatched is the number of other workers with a report in matchWindow below which a report is no evidence.
+	minMatched = 2
+	// maxDeviation bounds the logarithm of a tail relative to those of other workers, a factor of 4.5, so that single outliers
+	// count no more.
+	maxDeviation = 1.5
+	// maxNameBytes is the length up to which the names of images are kept. Clients choose the names.
+	maxNameBytes = 256
+	// imageRetention is the time after its last observation at which an image without pairs is forgotten.
+	imageRetention = time.Minute
+)
+
+// Observation is the tail of one serving task, with what ran beside it for the whole time that the tail covers.
+type Observation struct {
+	At     time.Duration
+	Worker wigeonstep.WorkerID
+	Victim wigeonstep.ImageName
+	// Tail is the tail latency of the task.
+	Tail time.Duration
+	// Neighbours holds the images of the best-effort runs on the worker, each once.
+	Neighbours []Neighbour
+}
+
+// Neighbour is what a worker runs of one image.
+type Neighbour struct {
+	Image wigeonstep.ImageName
+	// Exposure is the sum of the speeds of the runs, 1 for one run at full speed.
+	Exposure float64
+}
+
+// Model learns the effects from observations. The zero value has observed nothing. It is not safe for concurrent use.
+type Model struct {
+	// images holds the images in the order of their first observation, as victims or neighbours.
+	images []*image
+	byName map[wigeonstep.ImageName]*image
+	// pairCount and suspectedCount count the pairs of all images.
+	pairCount, suspectedCount int
+	version                   uint64
+	changes                   []Change
+}
+
+// image is what the model knows of one image.
+type image struct {
+	name wigeonstep.ImageName
+	// seenAt is the time of the newest observation with the image.
+	seenAt time.Duration
+	// recent holds the newest report of each worker about a task of the image, oldest first.
+	recent []report
+	// pairs holds the pairs with the image as the victim.
+	pairs []*pair
+}
+
+// report is the level of a task: the logarithm of its tail, less the estimated effects of its neighbours.
+type report struct {
+	worker wigeonstep.WorkerID
+	at     time.Duration
+	level  float64
+}
+
+// Change says that a pair is suspected from now on, or no longer.
+type Change struct {
+	Effect
+	Suspected bool
+}
+
+// Effect is the estimated effect of a neighbour on a victim.
+type Effect struct {
+	Victim, Neighbour wigeonstep.ImageName
+	// Slowdown is the factor by which one run of the neighbour at full speed raises the tail of the victim.
+	Slowdown float64
+	// Confidence that the neighbour slows the victim down is between 0, for no evidence, and 1.
+	Confidence float64
+	// Workers is the number of workers from which there is evidence.
+	Workers int
+}
+
+// Observe learns from a report. The tails that the caller passes for one task cover disjoint times.
+func (m *Model) Observe(ob Observation) {
+	if ob.Tail <= 0 || ob.Victim == "" {
+		return
+	}
+	v := m.ensureImage(ob.At, ob.Victim)
+	if v == nil {
+		return
+	}
+	tail := math.Log(ob.Tail.Seconds())
+	level, matched := v.commonLevel(ob.At, ob.Worker)
+	known := v.knownEffect(ob.Neighbours)
+	if matched {
+		m.compare(v, ob, min(max(tail-level, -maxDeviation), maxDeviation))
+	}
+	v.remember(report{worker: ob.Worker, at: ob.At, level: tail - known})
+}
+
+// compare counts the deviation of a report from the common level as evidence for each pair of the victim. The part that the
+// other neighbours explain is left out.
+func (m *Model) compare(v *image, ob Observation, deviation float64) {
+	for _, n := range ob.Neighbours {
+		if n.Exposure > 0 {
+			m.ensurePair(ob.At, v, n.Image)
+		}
+	}
+	known := v.knownEffect(ob.Neighbours)
+	for _, p := range v.pairs {
+		exposure := exposureTo(ob.Neighbours, p.neighbour)
+		own := p.knownEffect() * exposure
+		p.observe(ob.At, ob.Worker, exposure, deviation-(known-own))
+		m.judge(p)
+	}
+}
+
+func exposureTo(neighbours []Neighbour, image wigeonstep.ImageName) float64 {
+	for _, n := range neighbours {
+		if n.Image == image {
+			return min(n.Exposure, maxExposure)
+		}
+	}
+	return 0
+}
+
+// commonLevel returns the median level of the image on other workers now. ok is false when fewer than minMatched have reported.
+func (v *image) commonLevel(now time.Duration, worker wigeonstep.WorkerID) (level float64, ok bool) {
+	var few [maxRecent]float64
+	levels := few[:0]
+	for _, r := range v.recent {
+		if r.worker != worker && (now-r.at).Abs() <= matchWindow {
+			levels = append(levels, r.level)
+		}
+	}
+	n := len(levels)
+	if n < minMatched {
+		return 0, false
+	}
+	slices.Sort(levels)
+	return (levels[(n-1)/2] + levels[n/2]) / 2, true
+}
+
+// knownEffect returns the estimated effect of all neighbours together, as a logarithm.
+func (v *image) knownEffect(neighbours []Neighbour) float64 {
+	sum := 0.0
+	for _, p := range v.pairs {
+		sum += p.knownEffect() * exposureTo(neighbours, p.neighbour)
+	}
+	return sum
+}
+
+// remember keeps the newest report of a worker, in place of its last one or of the oldest.
+func (v *image) remember(r report) {
+	old := slices.IndexFunc(v.recent, func(other report) bool { return other.worker == r.worker })
+	if old < 0 && len(v.recent) == maxRecent {
+		old = 0
+	}
+	if old >= 0 {
+		v.recent = slices.Delete(v.recent, old, old+1)
+	}
+	v.recent = append(v.recent, r)
+}
+
+// ensureImage returns the image, and adds it when it is not known; nil when there are maxImages others or its name is too long.
+func (m *Model) ensureImage(now time.Duration, name wigeonstep.ImageName) *image {
+	i := m.byName[name]
+	if i == nil {
+		if len(m.images) == maxImages || len(name) > maxNameBytes {
+			return nil
+		}
+		if m.byName == nil {
+			m.byName = map[wigeonstep.ImageName]*image{}
+		}
+		i = &image{name: name}
+		m.byName[name] = i
+		m.images = append(m.images, i)
+	}
+	i.seenAt = now
+	return i
+}
+
+// ensurePair adds the pair unless it is known or there are maxPairs others.
+func (m *Model) ensurePair(now time.Duration, v *image, neighbour wigeonstep.ImageName) {
+	if m.ensureImage(now, neighbour) == nil || v.findPair(neighbour) != nil || m.pairCount == maxPairs {
+		return
+	}
+	v.pairs = append(v.pairs, &pair{victim: v.name, neighbour: neighbour, at: now})
+	m.pairCount++
+}
+
+func (v *image) findPair(neighbour wigeonstep.ImageName) *pair {
+	for _, p := range v.pairs {
+		if p.neighbour == neighbour {
+			return p
+		}
+	}
+	return nil
+}
+
+// judge updates whether the pair is suspected.
+func (m *Model) judge(p *pair) {
+	suspected := p.confidence >= suspectConfidence || p.suspected && p.confidence >= clearConfidence
+	if suspected == p.suspected {
+		return
+	}
+	p.suspected = suspected
+	m.suspectedCount--
+	if suspected {
+		m.suspectedCount += 2
+	}
+	m.version++
+	m.changes = append(m.changes, Change{Effect: p.effectOf(), Suspected: suspected})
+}
+
+// Decay lets evidence lose weight with its age, and forgets what has none left. The caller calls it every second or so.
+func (m *Model) Decay(now time.Duration) {
+	for _, v := range m.images {
+		v.recent = slices.DeleteFunc(v.recent, func(r report) bool { return now-r.at > matchWindow })
+		v.pairs = slices.DeleteFunc(v.pairs, func(p *pair) bool {
+			p.decay(now)
+			p.fit()
+			m.judge(p)
+			if len(p.evidence) == 0 {
+				m.pairCount--
+				return true
+			}
+			m.keepImage(p.neighbour, v, now)
+			return false
+		})
+	}
+	m.images = slices.DeleteFunc(m.images, func(i *image) bool {
+		forgotten := now-i.seenAt > imageRetention && len(i.pairs) == 0
+		if forgotten {
+			delete(m.byName, i.name)
+		}
+		return forgotten
+	})
+	m.version++
+}
+
+// keepImage prevents that the neighbour of a known pair is forgotten before the pair.
+func (m *Model) keepImage(neighbour wigeonstep.ImageName, victim *image, now time.Duration) {
+	if i := m.byName[neighbour]; i != nil && i != victim {
+		i.seenAt = now
+	}
+}
+
+// Empty reports whether the model holds nothing.
+func (m *Model) Empty() bool { return len(m.images) == 0 }
+
+// Effect returns the estimated slowdown of a victim by one run of the neighbour at full speed, and the confidence in it; 1 and 0
+// when nothing is known.
+func (m *Model) Effect(victim, neighbour wigeonstep.ImageName) (slowdown, confidence float64) {
+	if v := m.byName[victim]; v != nil {
+		if p := v.findPair(neighbour); p != nil {
+			e := p.effectOf()
+			return e.Slowdown, e.Confidence
+		}
+	}
+	return 1, 0
+}
+
+// Suspected returns the suspected pairs with the image as victim or neighbour, strongest first.
+func (m *Model) Suspected(name wigeonstep.ImageName) []Effect {
+	if m.suspectedCount == 0 {
+		return nil
+	}
+	var found []Effect
+	for _, v := range m.images {
+		for _, p := range v.pairs {
+			if p.suspected && (p.victim == name || p.neighbour == name) {
+				found = append(found, p.effectOf())
+			}
+		}
+	}
+	slices.SortStableFunc(found, func(a, b Effect) int {
+		return cmp.Or(-cmp.Compare(a.Slowdown, b.Slowdown), cmp.Compare(a.Victim, b.Victim), cmp.Compare(a.Neighbour, b.Neighbour))
+	})
+	return found
+}
+
+// PairCounts returns the number of pairs about which there is evidence, and of those that are suspected.
+func (m *Model) PairCounts() (known, suspected int) { return m.pairCount, m.suspectedCount }
+
+// Version changes whenever the results of Suspected may have changed.
+func (m *Model) Version() uint64 { return m.version }
+
+// TakeChanges returns the changes since the last call.
+func (m *Model) TakeChanges() []Change {
+	changes := m.changes
+	m.changes = nil
+	return changes
+}
--- a/wigeonshard/chooseworker.go
+++ b/wigeonshard/chooseworker.go
@@ -71,6 +71,8 @@
 	avoided int
 	// offRack is 1 when the data of the step, or the other tasks of a SameRack step, are on another rack.
 	offRack int
+	// slowdown is the sum of the slowdowns, in percent, by the suspected pairs of images that the task would make on the worker.
+	slowdown int
 	// interference counts the runs on the worker that would compete with the task for processor time: the best-effort
 	// runs for a serving task, all runs for a best-effort task, and none for other tasks.
 	interference int
@@ -80,7 +82,7 @@
 }
 
 func (a score) less(b score) bool {
-	return cmp.Or(cmp.Compare(a.avoided, b.avoided), cmp.Compare(a.offRack, b.offRack), cmp.Compare(a.interference, b.interference), cmp.Compare(a.spareCPU, b.spareCPU)) < 0
+	return cmp.Or(cmp.Compare(a.avoided, b.avoided), cmp.Compare(a.offRack, b.offRack), cmp.Compare(a.slowdown, b.slowdown), cmp.Compare(a.interference, b.interference), cmp.Compare(a.spareCPU, b.spareCPU)) < 0
 }
 
 func (s *step) score(t *task, w *worker, reserved wigeonstep.Resources) score {
@@ -97,6 +99,7 @@
 	if s.BestEffort || s.Target > 0 {
 		// Best-effort and serving tasks compete for processor time, so they are spread.
 		sc.spareCPU = -sc.spareCPU
+		sc.slowdown = s.slowdownOn(w)
 		sc.interference = w.bestEffort
 		if s.BestEffort {
 			sc.interference = len(w.runs)
--- a/wigeonshard/explain.go
+++ b/wigeonshard/explain.go
@@ -27,6 +27,7 @@
 	for _, occ := range j.occurrences {
 		for _, s := range occ.steps {
 			parts = append(parts, fmt.Sprintf("step %d.%d: %d of %d tasks done, %d runs", occ.number, s.number, len(s.tasks)-s.tasksLeft, len(s.tasks), s.liveRuns))
+			parts = append(parts, o.explainPairs(s)...)
 			if cause := o.waitsFor(now, s); cause != "" {
 				waits = append(waits, fmt.Sprintf("step %d.%d: %s", occ.number, s.number, cause))
 			}
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -167,6 +167,7 @@
 	} else {
 		w.nextHeartbeatAt = now.Steady + o.heartbeatPause()
 	}
+	o.observeTails(now, w)
 	o.adjustThrottle(now, w)
 	o.checkProgress(now, w)
 }
@@ -357,64 +358,3 @@
 	r.progressPercent, r.tailLatency, r.cpu, r.reportedAt = report.ProgressPercent, report.TailLatency, report.CPU, now.Steady
 	o.checkSurvival(r)
 }
-
-const (
-	// slowDownShare and speedUpShare are shares of the target response time: best-effort runs are slowed down while the
-	// tail of a serving task on their worker is above the first, and sped up while all tails are below the second.
-	slowDownShare = 0.75
-	speedUpShare  = 0.5
-	// slowDownPause and speedUpPause are the minimum times since the last change. The tails that a worker reports cover half
-	// a second, so an earlier change would act on figures from before the last one.
-	slowDownPause = 500 * time.Millisecond
-	speedUpPause  = 900 * time.Millisecond
-	// speedStep is the increase of the speed in one adjustment, in percent of the full speed.
-	speedStep = 15
-	fullSpeed = 100
-)
-
-// adjustThrottle halves the speed of the best-effort runs on a worker while the tail latency of a serving task there is above
-// slowDownShare of its target, and raises the speed by speedStep while that of every serving task is below speedUpShare.
-func (o *Owner) adjustThrottle(now Timestamp, w *worker) {
-	if w.bestEffort == 0 {
-		return
-	}
-	worst := 0.0
-	for _, r := range w.runs {
-		if target := r.task.step.Target; target > 0 && r.serving() && !r.task.step.BestEffort {
-			worst = max(worst, float64(r.tailLatency)/float64(target))
-		}
-	}
-	switch {
-	case worst > slowDownShare && now.Steady-w.speedChangedAt >= slowDownPause:
-		o.setSpeed(now, w, func(p int) int { return p / 2 })
-	case worst < speedUpShare && now.Steady-w.speedChangedAt >= speedUpPause:
-		o.setSpeed(now, w, func(p int) int { return min(p+speedStep, fullSpeed) })
-	}
-}
-
-func (o *Owner) setSpeed(now Timestamp, w *worker, change func(int) int) {
-	w.speedChangedAt = now.Steady
-	for _, r := range w.runs {
-		if r.task.step.BestEffort {
-			r.speed = change(r.speed)
-		}
-	}
-}
-
-// ThrottleAnswered applies the answer to a throttle; one that failed is sent again after throttleRetryDelay.
-func (o *Owner) ThrottleAnswered(now Timestamp, sent Throttle, err error) {
-	w := o.workers[sent.Worker.ID]
-	if w == nil {
-		return
-	}
-	w.ordersInFlight--
-	w.settled = false
-	if errors.Is(err, wigeonstep.ErrFenced) {
-		o.deposed = true
-		return
-	}
-	if r := w.findRun(sent.Run); r != nil && err != nil {
-		r.sentSpeed = -1
-		r.throttleRetryAt = now.Steady + throttleRetryDelay
-	}
-}
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -101,6 +101,7 @@
 		team.use = team.use.Add(r.task.step.Required)
 	}
 	r.worker.attach(r)
+	o.interference.attached(r)
 }
 
 func (o *Owner) detach(r *run) {
@@ -118,6 +119,7 @@
 		team.use = team.use.Sub(r.task.step.Required)
 	}
 	r.worker.detach(r)
+	o.interference.detached(r)
 }
 
 // ensureOccurrence returns an occurrence of a job, and creates it when it does not exist.
@@ -133,6 +135,7 @@
 	}
 	for n := range j.Steps {
 		s := &step{Step: &j.Steps[n], job: j, occurrence: occ, number: n, tasksLeft: j.Steps[n].Count, waiting: j.Steps[n].Count}
+		s.interference = o.interferenceOf(s.Step)
 		s.tasks = make([]*task, s.Count)
 		for i := range s.tasks {
 			s.tasks[i] = &task{id: wigeonstep.TaskID{Job: j.ID, Occurrence: number, Step: n, Index: i}, step: s, waitingSince: now.Steady}
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -97,6 +97,11 @@
 	suspects int
 	// records holds the state of the records of the tasks, in the order of the tasks; empty unless job.recordsTasks is set.
 	records []tasksRecord
+	// interference is nil if nothing is learned about tasks of the step. partners holds the suspected pairs of its image as of
+	// partnersVersion.
+	interference    *interference
+	partners        []partner
+	partnersVersion uint64
 	// advice is nil until the step is first considered for placement on a queue with advice.
 	advice *adviceState
 }
@@ -209,6 +214,11 @@
 	// was sent to the worker.
 	speed     int
 	sentSpeed int
+	// speedSince is the time from which on the worker is known to have the newest throttle; negative while that is not known, and
+	// 0 for a run without a throttle.
+	speedSince time.Duration
+	// observedAt is the end of the time that the last tail covered from which the owner has learned; 0 if there was none.
+	observedAt time.Duration
 	// throttleRetryAt is the earliest time at which a throttle that failed is repeated.
 	throttleRetryAt time.Duration
 }
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -257,7 +257,7 @@
 				r.stopSentAt = now.Steady
 				o.sendStop(w, Stop{Worker: w.ref(), Run: r.id(), SentAt: now.Steady})
 			case r.phase == runAccepted && !r.stopping && r.speed != r.sentSpeed && now.Steady >= r.throttleRetryAt && r.task.step.BestEffort:
-				r.sentSpeed = r.speed
+				r.sentSpeed, r.speedSince = r.speed, -1
 				w.ordersInFlight++
 				o.out.Throttles = append(o.out.Throttles, Throttle{Worker: w.ref(), Run: r.id(), Percent: r.speed})
 			}
--- a/wigeonshard/orders_test.go
+++ b/wigeonshard/orders_test.go
@@ -90,7 +90,7 @@
 	o.answerStarts(100_000)
 	o.submit("cancelled", 1)
 	o.answerStarts(100_000)
-	o.setSpeed(o.now, o.workers[onlyWorker], func(int) int { return fullSpeed / 2 })
+	o.setSpeed(o.now, o.workers[onlyWorker], func(*run) int { return fullSpeed / 2 })
 	o.CancelJob(o.now, "cancelled")
 
 	sent := 0
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -68,6 +68,9 @@
 	// arrivals holds the rate of the work that arrives at each service.
 	arrivals map[wigeonstep.ServiceName]*arrivalRate
 
+	// interference is what the owner has learned of tasks that slow each other down on a worker.
+	interference interference
+
 	// nextToStart is the index in sortedWorkers at which the next Step begins to send orders.
 	nextToStart int
 
@@ -336,6 +339,7 @@
 		o.checkIsolations(now)
 		o.releaseWorkers()
 		o.sweep(now)
+		o.decayInterference(now)
 		o.placeTasks(now)
 		o.sendRunOrders(now)
 		o.sendHeartbeats(now)
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -40,6 +40,11 @@
 	bestEffort int
 	// speedChangedAt is the time at which the speed of the best-effort runs last changed.
 	speedChangedAt time.Duration
+	// targeted is the state of throttling that concerns the runs of one image.
+	targeted targetedThrottle
+	// neighbourEnded is set when a best-effort run has ended, until the next answer sets neighbourEndedAt.
+	neighbourEnded   bool
+	neighbourEndedAt time.Duration
 	// unexpected counts the runs in the worker's last answer that this owner does not expect there.
 	unexpected int
 
@@ -238,6 +243,7 @@
 	w.used = w.used.Sub(r.task.step.Reserved())
 	if r.task.step.BestEffort {
 		w.bestEffort--
+		w.neighbourEnded = true
 	}
 }
 
