--- a/wigeoninterference/pair.go
+++ b/wigeoninterference/pair.go
@@ -11,14 +11,15 @@
 const (
 	// maxWorkersPerPair bounds the workers whose evidence is kept for a pair.
 	maxWorkersPerPair = 12
-	// halfLife is the time in which evidence loses half of its weight.
-	halfLife = 20 * time.Second
 	// minWeight is the weight of the evidence of a worker below which it is forgotten.
-	minWeight = 0.05
+	minWeight = 0.025
 	// maxExposure bounds the exposure that is counted, so that a crowd of runs on one worker does not outweigh all others.
 	maxExposure = 4
 	// observationWeight is the weight of one report. The reports of a task that follow each other are not independent.
-	observationWeight = 0.5
+	observationWeight = 0.35
+	// minReports is the number of reports with exposure from which on a worker counts. A change of load that comes with a neighbour
+	// shows in the reports of some workers one round before those of others.
+	minReports = 3
 	// suspectConfidence and clearConfidence are the confidences from which on a pair is suspected, and below which it is cleared.
 	suspectConfidence = 0.998
 	clearConfidence   = 0.8
@@ -33,9 +34,9 @@
 	// effectSpread is that of the effects of one pair on different workers. It also covers what happens to a worker at the time at
 	// which a neighbour starts or ends, without any connection between them.
 	effectSpread = 0.2
-	// priorNoise is that of the reports of one task, until there are residuals; these count from priorNoiseWeight reports on.
+	// priorNoise is that of the reports of one task, until there are residuals; it has the weight priorNoiseWeight.
 	priorNoise       = 0.3
-	priorNoiseWeight = 4.0
+	priorNoiseWeight = 2.0
 )
 
 // minEffect is the logarithm of the slowdown that is of interest, 10%.
@@ -44,33 +45,45 @@
 // pair is what is known of the effect of a neighbour on a victim.
 type pair struct {
 	victim, neighbour wigeonstep.ImageName
-	// evidence holds that of each worker on which the neighbour was beside the victim, as of the time at.
+	// evidence holds that of each worker on which the exposure differed from that of others, as of the time at.
 	evidence []evidence
 	at       time.Duration
 	// noise is the variance of the residuals; 0 before the first fit.
 	noise float64
 	// effect is the expected effect of one run at full speed, as a logarithm.
-	effect     float64
+	effect float64
+	// confidence is the probability that the effect is above minEffect, scaled so that even odds and less are 0.
 	confidence float64
 	suspected  bool
 }
 
-// evidence holds the decayed sums over the reports of one worker: their weight, and those of the exposure x and the deviation y.
+// evidence holds the decayed sums over the reports of one worker: their weight, and those of the exposure x and the tail y, both
+// relative to the workers in the middle.
 type evidence struct {
 	worker              wigeonstep.WorkerID
 	n, x, xx, y, xy, yy float64
+	// reports is the number of reports with exposure.
+	reports int
 }
 
-// observe adds a report of a worker. Workers without exposure so far are left out.
-func (p *pair) observe(now time.Duration, worker wigeonstep.WorkerID, exposure, deviation float64) {
-	if exposure == 0 && p.evidenceOf(worker, false) == nil {
+// observe adds a report of a worker, with the exposure and the tail relative to other workers. Workers whose exposure has not
+// differed so far are left out; when that of one does, its reports before count as well.
+func (p *pair) observe(now time.Duration, worker wigeonstep.WorkerID, exposure, deviation float64, before history) {
+	if exposure == 0 && p.evidenceOf(worker) == nil {
 		return
 	}
 	p.decay(now)
-	e := p.evidenceOf(worker, exposure > 0)
+	e := p.evidenceOf(worker)
+	if e == nil && len(p.evidence) < maxWorkersPerPair {
+		p.evidence = append(p.evidence, evidence{worker: worker, n: before.n, y: before.y, yy: before.yy})
+		e = &p.evidence[len(p.evidence)-1]
+	}
 	if e == nil {
 		return
 	}
+	if exposure != 0 {
+		e.reports++
+	}
 	x, w := exposure, observationWeight
 	e.n += w
 	e.x += w * x
@@ -81,19 +94,14 @@
 	p.fit()
 }
 
-// evidenceOf returns the evidence of the worker, and adds it if asked to and there are fewer than maxWorkersPerPair; nil if there is
-// none.
-func (p *pair) evidenceOf(worker wigeonstep.WorkerID, add bool) *evidence {
+// evidenceOf returns the evidence of the worker; nil if there is none.
+func (p *pair) evidenceOf(worker wigeonstep.WorkerID) *evidence {
 	for i := range p.evidence {
 		if p.evidence[i].worker == worker {
 			return &p.evidence[i]
 		}
 	}
-	if !add || len(p.evidence) == maxWorkersPerPair {
-		return nil
-	}
-	p.evidence = append(p.evidence, evidence{worker: worker})
-	return &p.evidence[len(p.evidence)-1]
+	return nil
 }
 
 // decay lets the evidence lose weight up to the given time, and forgets that of workers with too little.
@@ -101,7 +109,7 @@
 	if now <= p.at {
 		return
 	}
-	left := math.Exp2(-float64(now-p.at) / float64(halfLife))
+	left := remaining(now - p.at)
 	p.at = now
 	forget := false
 	for i := range p.evidence {
@@ -132,12 +140,14 @@
 		each, total = append(each, c), total.add(c)
 	}
 	p.effect = total.effect()
-	p.confidence = 0
-	for i, c := range each {
+	lowest := math.Inf(1)
+	for _, c := range each {
 		// The confidence must not rest on one worker, which may have become slow at that time for another reason.
-		if without := total.sub(c).confidence(); i == 0 || without < p.confidence {
-			p.confidence = without
-		}
+		lowest = min(lowest, total.sub(c).standardised())
+	}
+	p.confidence = 0
+	if len(each) > 0 {
+		p.confidence = max(math.Erf(lowest/math.Sqrt2), 0)
 	}
 	p.noise = p.residualVariance()
 }
@@ -155,9 +165,9 @@
 
 func (c contribution) effect() float64 { return c.weighted / c.information }
 
-// confidence returns the probability that the effect is above minEffect, scaled so that even odds and less are 0.
-func (c contribution) confidence() float64 {
-	return max(math.Erf((c.effect()-minEffect)*math.Sqrt(c.information/2)), 0)
+// standardised returns the distance of the effect from minEffect in standard deviations.
+func (c contribution) standardised() float64 {
+	return (c.effect() - minEffect) * math.Sqrt(c.information)
 }
 
 // contribution estimates the effect from one worker by generalised least squares: y is an unknown constant of the worker with the
@@ -166,7 +176,7 @@
 	const spread = workerSpread * workerSpread
 	shrink := spread / (noise + spread*e.n)
 	information := (e.xx - shrink*e.x*e.x) / noise
-	if information <= 0 {
+	if e.reports < minReports || information <= 0 {
 		return contribution{}
 	}
 	estimate := (e.xy - shrink*e.x*e.y) / noise / information
--- a/wigeonshard/interference.go
+++ b/wigeonshard/interference.go
@@ -44,10 +44,11 @@
 // interferenceOf returns the owner's interference for steps about whose tasks something is learned: best-effort and serving tasks with an
 // image. It returns nil for others.
 func (o *Owner) interferenceOf(s *wigeonjob.Step) *interference {
-	if s.Image == "" || !s.BestEffort && !(s.LongRunning && s.Target > 0) {
-		return nil
+	serving := s.LongRunning && s.Target > 0
+	if s.Image != "" && (s.BestEffort || serving) {
+		return &o.interference
 	}
-	return &o.interference
+	return nil
 }
 
 func (i *interference) attached(r *run) {
--- a/wigeonshard/throttle.go
+++ b/wigeonshard/throttle.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
@@ -29,8 +30,8 @@
 		return
 	}
 	worst, slowest := w.worstTail()
-	if worst <= slowDownShare {
-		w.targeted.image = ""
+	if worst <= slowDownShare && w.targeted.image != "" && now.Steady-w.speedChangedAt >= slowDownPause {
+		o.speedUpOthers(now, w)
 	}
 	switch {
 	case worst > slowDownShare && now.Steady-w.speedChangedAt >= slowDownPause:
@@ -60,46 +61,74 @@
 	return float64(r.tailLatency) / float64(s.Target)
 }
 
-// targetedPause is the minimum time between two adjustments on a worker that slow down the runs of one image alone. A serving
-// task is harmed by 4.5 s over its target without a break, so at most one adjustment of that time is lost to a wrong suspicion.
+// targetedPause is the minimum time between two adjustments on a worker that are targeted at one image. A serving task is harmed by
+// 4.5 s over its target without a break, so a wrong suspicion delays at most one adjustment of that time.
 const targetedPause = 5 * time.Second
 
-// targetedThrottle is the state of a worker on which the runs of one image are slowed down alone.
+// targetedThrottle is the state of a worker on which the runs of one image are slowed down more than the others.
 type targetedThrottle struct {
-	// image is that of the runs that the last adjustment slowed down alone, as long as no tail has been low again; empty
-	// otherwise.
+	// image is that of the runs at which the last adjustment was targeted, until the tails are low and the other runs have their
+	// speed back; empty otherwise.
 	image wigeonstep.ImageName
+	// halved is set if that adjustment halved the speed of the other runs.
+	halved bool
 	// nextAt is the earliest time of the next such adjustment.
 	nextAt time.Duration
 }
 
-// slowDown slows down the runs of the image that disturbs the slowest run most, if it is known and the estimate says that this
-// suffices, and halves the speed of all best-effort runs otherwise. If slowing down one image did not suffice, the others are put
-// where halving twice would have put them.
+// slowDown slows down the best-effort runs on a worker whose slowest serving run has the tail worst, as a share of its target. If
+// the image that disturbs that run most is known and the estimate says that slowing it down suffices, only its runs are slowed
+// down. While the tail is above the target the speed of the others is halved all the same, and raised again when the tail is
+// low. Without such an image all speeds are halved. From the second adjustment in a row on no speed is above that of halving all each time.
 func (o *Owner) slowDown(now Timestamp, w *worker, worst float64, slowest *run) {
-	if failed := w.targeted.image; failed != "" {
-		w.targeted.image = ""
+	t := &w.targeted
+	if failed, halved := t.image, t.halved; failed != "" {
+		t.image = ""
 		o.setSpeed(now, w, func(r *run) int {
-			if r.task.step.Image == failed {
+			if halved || r.task.step.Image == failed {
 				return r.speed / 2
 			}
 			return r.speed / 4
 		})
 		return
 	}
-	if now.Steady >= w.targeted.nextAt {
-		if image, share, ok := o.findDisturber(w, worst, slowest); ok {
-			w.targeted = targetedThrottle{image: image, nextAt: now.Steady + targetedPause}
-			o.setSpeed(now, w, func(r *run) int {
-				if r.task.step.Image == image {
-					return int(float64(r.speed) * share)
-				}
-				return r.speed
-			})
-			return
+	image, share, found := wigeonstep.ImageName(""), 0.0, false
+	if now.Steady >= t.nextAt {
+		image, share, found = o.findDisturber(w, worst, slowest)
+	}
+	if !found {
+		o.setSpeed(now, w, func(r *run) int { return r.speed / 2 })
+		return
+	}
+	*t = targetedThrottle{image: image, halved: worst > 1, nextAt: now.Steady + targetedPause}
+	o.setSpeed(now, w, func(r *run) int {
+		switch {
+		case r.task.step.Image == image:
+			return int(float64(r.speed) * share)
+		case t.halved:
+			return r.speed / 2
 		}
+		return r.speed
+	})
+}
+
+// speedUpOthers raises the speed of the runs that a targeted adjustment halved besides, now that all tails are low, and ends the
+// adjustment when none is left.
+func (o *Owner) speedUpOthers(now Timestamp, w *worker) {
+	t := &w.targeted
+	slowed := func(r *run) bool {
+		return r.task.step.BestEffort && r.task.step.Image != t.image && r.speed < fullSpeed
+	}
+	if !t.halved || !slices.ContainsFunc(w.runs, slowed) {
+		t.image = ""
+		return
 	}
-	o.setSpeed(now, w, func(r *run) int { return r.speed / 2 })
+	o.setSpeed(now, w, func(r *run) int {
+		if slowed(r) {
+			return min(r.speed+speedStep, fullSpeed)
+		}
+		return r.speed
+	})
 }
 
 // sufficientShare is the share of its target to which the tail of the slowest run is to fall when one image is slowed down alone.
