--- a/wigeoninterference/model_test.go
+++ b/wigeoninterference/model_test.go
@@ -115,6 +115,15 @@
 			}
 			return 40, nil
 		},
+		"the load rises when the neighbour starts on four workers, and the others report no longer": func(w, round int) (float64, []wigeoninterference.Neighbour) {
+			switch {
+			case round <= 10:
+				return 10, nil
+			case w < 4:
+				return 40, beside("mill")
+			}
+			return 0, nil
+		},
 		"single reports are far off": func(w, round int) (float64, []wigeoninterference.Neighbour) {
 			tail := 10.0
 			if (round*8+w)%37 == 0 {
@@ -141,10 +150,14 @@
 	var m wigeoninterference.Model
 	long := wigeonstep.ImageName(strings.Repeat("x", 1<<10))
 	observe(&m, 0, 400, func(w, round int) (float64, []wigeoninterference.Neighbour) {
-		return 10, append(beside(long), beside(wigeonstep.ImageName(fmt.Sprintf("i%d", round*8+w)))...)
+		own := beside(wigeonstep.ImageName(fmt.Sprintf("i%d", round*8+w)))
+		if comesAndGoes(w, round) {
+			return 30, append(own, beside(long)...)
+		}
+		return 10, own
 	})
 	known, _ := m.PairCounts()
 	c.Assert(known > 0 && known < 64, qt.IsTrue, qt.Commentf("%d pairs of one victim", known))
-	_, confidence := m.Effect("cure", long)
-	c.Assert(confidence, qt.Equals, 0.0)
+	slowdown, _ := m.Effect("cure", long)
+	c.Assert(slowdown, qt.Equals, 1.0)
 }
--- a/wigeonshard/interference_test.go
+++ b/wigeonshard/interference_test.go
@@ -214,9 +214,12 @@
 	status, _ = o.Explain(o.now, "other")
 	o.c.Assert(strings.Contains(status.State, "apart"), qt.IsFalse)
 	// Where every worker with room runs a victim, the task starts all the same.
-	o.add("tied", "mill", 1, true, "w03")
+	tied := testStep(1)
+	tied.Image, tied.BestEffort, tied.RequiredLabel = "mill", true, "w03"
+	o.AddJob(o.now, testJob("tied", tied), wigeonjob.Progress{}, false)
 	o.advance(200 * time.Millisecond)
 	o.c.Assert(o.starts[len(o.starts)-1], qt.Equals, "tied on w03")
+	o.c.Assert(o.jobs["tied"].occurrences[0].steps[0].slowdownOn(o.workers["w03"]) > 0, qt.IsTrue)
 }
 
 // Guards against noise that changes placement: with noise alone every task starts where it would start if no task had an image.
@@ -323,6 +326,31 @@
 	}
 }
 
+// Guards against runs of one image that are slowed down alone although that is not enough for the task, or not for a task of another
+// image beside it.
+func TestGeneralRuleWhereOneImageIsNotEnough(t *testing.T) {
+	for _, tails := range []map[wigeonstep.JobID]time.Duration{
+		{"cure": 20 * testTarget},
+		{"cure": testTarget, "press": testTarget * 9 / 10},
+	} {
+		o := newDisturbedOwner(t, 1, nil)
+		o.teach("cure", "dry", 10)
+		o.add("cure", "cure", 1, false, "")
+		o.add("press", "press", 1, false, "")
+		o.add("mill", "mill", 1, true, "")
+		o.add("dry", "dry", 1, true, "")
+		o.advance(time.Second)
+		w := o.sortedWorkers[0]
+		for _, r := range w.runs {
+			r.tailLatency = tails[r.task.id.Job]
+		}
+		o.now.Steady += slowDownPause
+		o.adjustThrottle(o.now, w)
+		o.c.Check(o.speedOf("mill"), qt.Equals, fullSpeed/2)
+		o.c.Check(o.speedOf("dry"), qt.Equals, fullSpeed/2)
+	}
+}
+
 // Guards against innocent runs that stay slow after they were slowed down together with the one that disturbs.
 func TestOthersGetTheirSpeedBack(t *testing.T) {
 	o := newDisturbedOwner(t, 1, map[wigeonstep.ImageName]float64{"mill": 4.5})
