--- a/cmd/wigeonstep/main.go
+++ b/cmd/wigeonstep/main.go
@@ -87,6 +87,7 @@
 			newWaveCommand(out, errOut),
 			newStatusCommand(out, errOut),
 			newExplainCommand(out, errOut),
+			newWhereCommand(out, errOut),
 			newReplayCommand(out, errOut),
 		},
 		Exec: func(_ context.Context, args []string) error {
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -16,6 +16,7 @@
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeongroup"
+	"github.com/wigeonstep/wigeonstep/wigeonlimit"
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeontail"
@@ -139,6 +140,8 @@
 	leaving bool
 	workers workerRegistry
 	waves   map[int]wigeonstep.Wave
+	// whereLimit bounds the questions where a job would be placed.
+	whereLimit wigeonlimit.Limiter
 	// waveReadAt holds the time at which each wave was first read.
 	waveReadAt map[int]time.Duration
 	appends    appendBatcher
--- a/wigeondaemon/explain.go
+++ b/wigeondaemon/explain.go
@@ -19,11 +19,17 @@
 // explain answers an operator's status query about a job. A process that does not own the job's shard forwards the query
 // to the owner. If the owner does not respond, the answer comes from the replica.
 func (d *Daemon) explain(ctx context.Context, view string) *wigeonwire.PeerResponse {
+	if question, isWhere := strings.CutPrefix(view, whereView); isWhere {
+		return d.answerWhere(ctx, question, false)
+	}
+	if question, isWhere := strings.CutPrefix(view, ownedWhereView); isWhere {
+		return d.answerWhere(ctx, question, true)
+	}
 	id, owned := strings.CutPrefix(view, ownedJobView)
 	if !owned {
 		var isJob bool
 		if id, isJob = strings.CutPrefix(view, jobView); !isJob {
-			return &wigeonwire.PeerResponse{Error: "a node explains jobs only; its other decisions are in its log"}
+			return &wigeonwire.PeerResponse{Error: "a node explains jobs and where they would be placed; its other decisions are in its log"}
 		}
 	}
 	type answer struct {
--- /dev/null
+++ b/wigeondaemon/wheretext.go
@@ -0,0 +1,62 @@
+package wigeondaemon
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonshard"
+)
+
+// WriteText writes the answer for a person.
+func (a WhereAnswer) WriteText(out io.Writer) error {
+	var b strings.Builder
+	if a.Refusal != "" {
+		fmt.Fprintf(&b, "queue %s: the job would be refused with %s\n", a.Queue, a.Refusal)
+	} else {
+		fmt.Fprintf(&b, "queue %s, service %s, partition %d, owner %s\n", a.Queue, a.Service, a.Partition, a.Owner)
+	}
+	if a.Placement != nil {
+		writePlacement(&b, a.Placement)
+	}
+	_, err := io.WriteString(out, b.String())
+	return err
+}
+
+func writePlacement(b *strings.Builder, p *wigeonshard.Placement) {
+	if t := p.Team; t != nil {
+		fmt.Fprintf(b, "team %s, weight %g: %s in use in this shard, limit %s\n", t.Name, t.Weight, resourcesText(t.Use), resourcesText(t.Limit))
+	}
+	for _, s := range p.Steps {
+		fmt.Fprintf(b, "step %d, %d tasks\n", s.Step, s.Tasks)
+		if s.WaitsFor != "" {
+			fmt.Fprintf(b, "  waits for %s\n", s.WaitsFor)
+		}
+		if s.Suitable > 0 {
+			fmt.Fprintf(b, "  %d workers could take one now, best first:\n", s.Suitable)
+		}
+		for i, w := range s.Workers {
+			fmt.Fprintf(b, "  %d. %s, free %s", i+1, w.Worker, resourcesText(w.Free))
+			if w.Against != "" {
+				fmt.Fprintf(b, "; %s", w.Against)
+			}
+			b.WriteByte('\n')
+		}
+		for _, u := range s.Unsuitable {
+			fmt.Fprintf(b, "  not %d workers, %s: %s\n", u.Count, u.Reason, workersText(u))
+		}
+	}
+}
+
+func resourcesText(r wigeonstep.Resources) string {
+	return fmt.Sprintf("%d millicores, %d MB, %d GPUs", r.CPU, r.Memory, r.GPU)
+}
+
+func workersText(u wigeonshard.UnsuitableWorkers) string {
+	text := strings.Join(workerStrings(u.Workers), " ")
+	if more := u.Count - len(u.Workers); more > 0 {
+		text += fmt.Sprintf(" and %d more", more)
+	}
+	return text
+}
