--- a/cmd/wigeonstep/where_test.go
+++ b/cmd/wigeonstep/where_test.go
@@ -25,6 +25,9 @@
 		status, _ := a.request(c, http.MethodPost, "/new/"+jobID(0), wigeonstandin.Job("short"))
 		return status == http.StatusOK && a.jobState(c, jobID(0)) == "completed"
 	})
+	var shown bytes.Buffer
+	a.metrics.WritePrometheus(&shown)
+	c.Assert(shown.String(), qt.Contains, `wigeonstep_interference_pairs{state="suspected"} 0`)
 	b := f.startNode(t, "b")
 	file := filepath.Join(t.TempDir(), "job.json")
 	encoded, err := json.Marshal(wigeonstandin.Job("short"))
--- a/wigeonshard/throttle.go
+++ b/wigeonshard/throttle.go
@@ -27,6 +27,7 @@
 // slowDownShare of its target, and raises their speed by speedStep while that of every serving task is below speedUpShare.
 func (o *Owner) adjustThrottle(now Timestamp, w *worker) {
 	if w.bestEffort == 0 {
+		w.targeted.image = ""
 		return
 	}
 	worst, slowest := w.worstTail()
@@ -78,8 +79,9 @@
 
 // slowDown slows down the best-effort runs on a worker whose slowest serving run has the tail worst, as a share of its target. If
 // the image that disturbs that run most is known and the estimate says that slowing it down suffices, only its runs are slowed
-// down. While the tail is above the target the speed of the others is halved all the same, and raised again when the tail is
-// low. Without such an image all speeds are halved. From the second adjustment in a row on no speed is above that of halving all each time.
+// down. While the tail is above the target the speed of the others is halved all the same, and raised again when the tail is low.
+// Without such an image all speeds are halved. From the second adjustment in a row on no speed is above that of halving all each
+// time.
 func (o *Owner) slowDown(now Timestamp, w *worker, worst float64, slowest *run) {
 	t := &w.targeted
 	if failed, halved := t.image, t.halved; failed != "" {
