--- a/wigeonshard/interference.go
+++ b/wigeonshard/interference.go
@@ -41,12 +41,29 @@
 	linesSince time.Duration
 }
 
-// interferenceOf returns the owner's interference for steps about whose tasks something is learned: best-effort and serving tasks with an
-// image. It returns nil for others.
-func (o *Owner) interferenceOf(s *wigeonjob.Step) *interference {
+// workerNeighbours is what concerns the best-effort runs on a worker.
+type workerNeighbours struct {
+	// targeted is the state of throttling that concerns the runs of one image.
+	targeted targetedThrottle
+	// ended is set when a run has ended, until the next answer sets endedAt.
+	ended   bool
+	endedAt time.Duration
+}
+
+// stepInterference is the view of the owner's interference from a step.
+type stepInterference struct {
+	*interference
+	// partners holds the suspected pairs of the image as of partnersVersion.
+	partners        []partner
+	partnersVersion uint64
+}
+
+// interferenceOf returns the view from a step about whose tasks something is learned: best-effort and serving tasks with an image.
+// It returns nil for others.
+func (o *Owner) interferenceOf(s *wigeonjob.Step) *stepInterference {
 	serving := s.LongRunning && s.Target > 0
 	if s.Image != "" && (s.BestEffort || serving) {
-		return &o.interference
+		return &stepInterference{interference: &o.interference}
 	}
 	return nil
 }
@@ -66,8 +83,8 @@
 // observeTails learns from the tails of the serving tasks in the answer of a worker. A tail counts only if it covers no change of
 // what runs beside the task and no time that an earlier one covered.
 func (o *Owner) observeTails(now Timestamp, w *worker) {
-	if w.neighbourEnded {
-		w.neighbourEnded, w.neighbourEndedAt = false, now.Steady
+	if n := w.neighbours; n != nil && n.ended {
+		n.ended, n.endedAt = false, now.Steady
 	}
 	if o.interference.neighbours == 0 || w.unexpected > 0 {
 		return
@@ -101,7 +118,7 @@
 // exposuresOn returns the images of the best-effort runs on the worker with their exposures. ok is false when these may have
 // changed in the time that a tail covers which was reported at the given time, or are not known.
 func (o *Owner) exposuresOn(w *worker, at time.Duration) (exposures []wigeoninterference.Neighbour, ok bool) {
-	if w.neighbourEndedAt != 0 && at-w.neighbourEndedAt < settleTime {
+	if n := w.neighbours; n != nil && n.endedAt != 0 && at-n.endedAt < settleTime {
 		return nil, false
 	}
 	exposures = o.interference.exposures[:0]
@@ -177,20 +194,21 @@
 
 // suspectedPartners returns the partners of the step.
 func (s *step) suspectedPartners() []partner {
-	if s.interference == nil {
+	i := s.interference
+	if i == nil {
 		return nil
 	}
-	if version := s.interference.Version(); s.partnersVersion != version {
-		s.partnersVersion, s.partners = version, s.partners[:0]
+	if version := i.Version(); i.partnersVersion != version {
+		i.partnersVersion, i.partners = version, i.partners[:0]
 		for _, e := range s.pairs() {
 			other := e.Neighbour
 			if s.BestEffort {
 				other = e.Victim
 			}
-			s.partners = append(s.partners, partner{image: other, percent: int(math.Round((e.Slowdown - 1) * 100))})
+			i.partners = append(i.partners, partner{image: other, percent: int(math.Round((e.Slowdown - 1) * 100))})
 		}
 	}
-	return s.partners
+	return i.partners
 }
 
 // pairs returns the suspected pairs in which the tasks of the step are the victims or, for best-effort tasks, the neighbours.
--- a/wigeonshard/interference_test.go
+++ b/wigeonshard/interference_test.go
@@ -385,16 +385,16 @@
 		"throttle failed":       func() { mill.sentSpeed = -1 },
 		"run just started":      func() { mill.startKnownAt = at - tailWindow },
 		"run without an answer": func() { mill.phase = runUnknown },
-		"neighbour just ended":  func() { w.neighbourEndedAt = at - tailWindow },
+		"neighbour just ended":  func() { w.neighbours.endedAt = at - tailWindow },
 	} {
-		savedRun, savedEnd := *mill, w.neighbourEndedAt
+		savedRun, savedEnd := *mill, w.neighbours.endedAt
 		change()
 		o.c.Check(settled(), qt.IsFalse, qt.Commentf("%s", name))
-		*mill, w.neighbourEndedAt = savedRun, savedEnd
+		*mill, w.neighbours.endedAt = savedRun, savedEnd
 	}
 	o.CancelJob(o.now, "mill")
 	o.endRun(o.now, mill, wigeonstep.EndStopped, "")
-	o.c.Assert(w.neighbourEnded, qt.IsTrue)
+	o.c.Assert(w.neighbours.ended, qt.IsTrue)
 	o.c.Assert(o.interference.neighbours, qt.Equals, 0)
 }
 
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -97,11 +97,8 @@
 	suspects int
 	// records holds the state of the records of the tasks, in the order of the tasks; empty unless job.recordsTasks is set.
 	records []tasksRecord
-	// interference is nil if nothing is learned about tasks of the step. partners holds the suspected pairs of its image as of
-	// partnersVersion.
-	interference    *interference
-	partners        []partner
-	partnersVersion uint64
+	// interference is nil if nothing is learned about tasks of the step.
+	interference *stepInterference
 	// advice is nil until the step is first considered for placement on a queue with advice.
 	advice *adviceState
 }
@@ -164,7 +161,8 @@
 	runEnded
 )
 
-// run is one execution of a task on a worker.
+// run is one execution of a task on a worker. An owner goes over all runs of a worker for each event about it, so the size of a run
+// counts: it fills three cache lines of 64 bytes, with the flags beside each other.
 type run struct {
 	task   *task
 	number wigeonstep.RunNumber
@@ -184,6 +182,10 @@
 	onCordoned bool
 	// onlyStopAnswered is set if the worker has acknowledged a stop of the run, and nothing shows that the run had begun.
 	onlyStopAnswered bool
+	// inherited is set for runs of an earlier owner.
+	inherited bool
+	// crashCounted is set once the end of the worker's process was counted against the run, or found not to be its fault.
+	crashCounted bool
 	// stopSentAt is the time at which the newest stop was sent; zero when none was sent or the newest one failed.
 	stopSentAt time.Duration
 	// stopTries counts the stops that failed, startTries the starts that got no answer.
@@ -194,14 +196,10 @@
 	// startSentAt is the time at which the first start was sent; for runs of an earlier owner, the time at which this
 	// owner read them from the log.
 	startSentAt time.Duration
-	// inherited is set for runs of an earlier owner.
-	inherited bool
 	// plannedWall is the time at which the record of the run was first written, plannedAt the same time on this process's steady
 	// clock for an inherited run.
 	plannedWall wigeonstep.UnixMillis
 	plannedAt   time.Duration
-	// crashCounted is set once the end of the worker's process was counted against the run, or found not to be its fault.
-	crashCounted bool
 	// progressPercent, tailLatency and cpu are from the newest report of the worker, which arrived at
 	// reportedAt.
 	progressPercent int
--- a/wigeonshard/throttle.go
+++ b/wigeonshard/throttle.go
@@ -27,11 +27,10 @@
 // slowDownShare of its target, and raises their speed by speedStep while that of every serving task is below speedUpShare.
 func (o *Owner) adjustThrottle(now Timestamp, w *worker) {
 	if w.bestEffort == 0 {
-		w.targeted.image = ""
 		return
 	}
 	worst, slowest := w.worstTail()
-	if worst <= slowDownShare && w.targeted.image != "" && now.Steady-w.speedChangedAt >= slowDownPause {
+	if worst <= slowDownShare && w.neighbours.targeted.image != "" && now.Steady-w.speedChangedAt >= slowDownPause {
 		o.speedUpOthers(now, w)
 	}
 	switch {
@@ -83,7 +82,7 @@
 // Without such an image all speeds are halved. From the second adjustment in a row on no speed is above that of halving all each
 // time.
 func (o *Owner) slowDown(now Timestamp, w *worker, worst float64, slowest *run) {
-	t := &w.targeted
+	t := &w.neighbours.targeted
 	if failed, halved := t.image, t.halved; failed != "" {
 		t.image = ""
 		o.setSpeed(now, w, func(r *run) int {
@@ -117,7 +116,7 @@
 // speedUpOthers raises the speed of the runs that a targeted adjustment halved besides, now that all tails are low, and ends the
 // adjustment when none is left.
 func (o *Owner) speedUpOthers(now Timestamp, w *worker) {
-	t := &w.targeted
+	t := &w.neighbours.targeted
 	slowed := func(r *run) bool {
 		return r.task.step.BestEffort && r.task.step.Image != t.image && r.speed < fullSpeed
 	}
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -40,11 +40,6 @@
 	bestEffort int
 	// speedChangedAt is the time at which the speed of the best-effort runs last changed.
 	speedChangedAt time.Duration
-	// targeted is the state of throttling that concerns the runs of one image.
-	targeted targetedThrottle
-	// neighbourEnded is set when a best-effort run has ended, until the next answer sets neighbourEndedAt.
-	neighbourEnded   bool
-	neighbourEndedAt time.Duration
 	// unexpected counts the runs in the worker's last answer that this owner does not expect there.
 	unexpected int
 
@@ -84,6 +79,8 @@
 	released bool
 
 	backoff workerBackoff
+	// neighbours is nil until a best-effort run is on the worker.
+	neighbours *workerNeighbours
 }
 
 // workerProcess is what the owner knows of the current process of a worker. Clock and end numbers start again with each
@@ -230,6 +227,9 @@
 	w.used = w.used.Add(r.task.step.Reserved())
 	if r.task.step.BestEffort {
 		w.bestEffort++
+		if w.neighbours == nil {
+			w.neighbours = &workerNeighbours{}
+		}
 	}
 }
 
@@ -243,7 +243,10 @@
 	w.used = w.used.Sub(r.task.step.Reserved())
 	if r.task.step.BestEffort {
 		w.bestEffort--
-		w.neighbourEnded = true
+		w.neighbours.ended = true
+		if w.bestEffort == 0 {
+			w.neighbours.targeted.image = ""
+		}
 	}
 }
 
