--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -17,6 +17,7 @@
 
 	"github.com/wigeonstep/wigeonstep"
 	"github.com/wigeonstep/wigeonstep/wigeongroup"
+	"github.com/wigeonstep/wigeonstep/wigeonlimit"
 	"github.com/wigeonstep/wigeonstep/wigeonpeer"
 	"github.com/wigeonstep/wigeonstep/wigeonshard"
 	"github.com/wigeonstep/wigeonstep/wigeontail"
@@ -151,6 +152,8 @@
 	leaving bool
 	workers workerRegistry
 	waves   map[int]wigeonstep.Wave
+	// whereLimit bounds the questions where a job would be placed.
+	whereLimit wigeonlimit.Limiter
 	// waveReadAt holds the time at which each wave was first read.
 	waveReadAt map[int]time.Duration
 	appends    appendBatcher
@@ -403,4 +406,5 @@
 			sh.retryClaimAt = now.Steady + claimRetryDelay
 		}
 	}
+	d.countPairs()
 }
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -26,6 +26,8 @@
 	outdatedRefusals *metrics.Counter
 	// relayedOrders counts the orders to workers that went through a relay, directOrders the others.
 	relayedOrders, directOrders *metrics.Counter
+	// observedPairs and suspectedPairs are the numbers of pairs of images of which one may slow the other down.
+	observedPairs, suspectedPairs *metrics.Gauge
 	// loopSeconds counts the time that each part of the event loop's work took.
 	loopSeconds [loopPartCount]*metrics.FloatCounter
 }
@@ -45,6 +47,8 @@
 
 		unauthorized:     map[string]*metrics.Counter{},
 		outdatedRefusals: set.NewCounter("wigeonstep_calls_refused_outdated_total"),
+		observedPairs:    set.NewGauge(`wigeonstep_interference_pairs{state="observed"}`, nil),
+		suspectedPairs:   set.NewGauge(`wigeonstep_interference_pairs{state="suspected"}`, nil),
 	}
 	for _, reason := range unauthorizedReasons {
 		m.unauthorized[reason] = set.NewCounter(fmt.Sprintf(`wigeonstep_unauthorized_total{reason=%q}`, reason))
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -102,6 +102,8 @@
 	suspects int
 	// records holds the state of the records of the tasks, in the order of the tasks; empty unless job.recordsTasks is set.
 	records []tasksRecord
+	// interference is nil if nothing is learned about tasks of the step.
+	interference *stepInterference
 	// advice is nil until the step is first considered for placement on a queue with advice.
 	advice *adviceState
 }
@@ -164,7 +166,8 @@
 	runEnded
 )
 
-// run is one execution of a task on a worker.
+// run is one execution of a task on a worker. An owner goes over all runs of a worker for each event about it, so the size of a run
+// counts: it fills three cache lines of 64 bytes, with the flags beside each other.
 type run struct {
 	task   *task
 	number wigeonstep.RunNumber
@@ -184,6 +187,10 @@
 	onCordoned bool
 	// onlyStopAnswered is set if the worker has acknowledged a stop of the run, and nothing shows that the run had begun.
 	onlyStopAnswered bool
+	// inherited is set for runs of an earlier owner.
+	inherited bool
+	// crashCounted is set once the end of the worker's process was counted against the run, or found not to be its fault.
+	crashCounted bool
 	// stopSentAt is the time at which the newest stop was sent; zero when none was sent or the newest one failed.
 	stopSentAt time.Duration
 	// stopTries counts the stops that failed, startTries the starts that got no answer.
@@ -194,14 +201,10 @@
 	// startSentAt is the time at which the first start was sent; for runs of an earlier owner, the time at which this
 	// owner read them from the log.
 	startSentAt time.Duration
-	// inherited is set for runs of an earlier owner.
-	inherited bool
 	// plannedWall is the time at which the record of the run was first written, plannedAt the same time on this process's steady
 	// clock for an inherited run.
 	plannedWall wigeonstep.UnixMillis
 	plannedAt   time.Duration
-	// crashCounted is set once the end of the worker's process was counted against the run, or found not to be its fault.
-	crashCounted bool
 	// progressPercent, tailLatency and cpu are from the newest report of the worker, which arrived at
 	// reportedAt.
 	progressPercent int
@@ -214,6 +217,11 @@
 	// was sent to the worker.
 	speed     int
 	sentSpeed int
+	// speedSince is the time from which on the worker is known to have the newest throttle; negative while that is not known, and
+	// 0 for a run without a throttle.
+	speedSince time.Duration
+	// observedAt is the end of the time that the last tail covered from which the owner has learned; 0 if there was none.
+	observedAt time.Duration
 	// throttleRetryAt is the earliest time at which a throttle that failed is repeated.
 	throttleRetryAt time.Duration
 }
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -79,6 +79,8 @@
 	released bool
 
 	backoff workerBackoff
+	// neighbours is nil until a best-effort run is on the worker.
+	neighbours *workerNeighbours
 }
 
 // workerProcess is what the owner knows of the current process of a worker. Clock and end numbers start again with each
@@ -225,6 +227,9 @@
 	w.used = w.used.Add(r.task.step.Reserved())
 	if r.task.step.BestEffort {
 		w.bestEffort++
+		if w.neighbours == nil {
+			w.neighbours = &workerNeighbours{}
+		}
 	}
 }
 
@@ -238,6 +243,10 @@
 	w.used = w.used.Sub(r.task.step.Reserved())
 	if r.task.step.BestEffort {
 		w.bestEffort--
+		w.neighbours.ended = true
+		if w.bestEffort == 0 {
+			w.neighbours.targeted.image = ""
+		}
 	}
 }
 
