--- a/cmd/wigeonstep/where_test.go
+++ b/cmd/wigeonstep/where_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -51,12 +53,18 @@
 		answer, err := ask(a, "other")
 		return err == nil && answer.Refusal == "404: no such queue"
 	})
-	bounded := false
+	// Asked at once, so that a slow machine doesn't spread the questions over many seconds.
+	var asked sync.WaitGroup
+	var refused atomic.Int64
 	for range 200 {
-		_, err := ask(a, "other")
-		bounded = bounded || err != nil
+		asked.Go(func() {
+			if _, err := ask(a, "other"); err != nil {
+				refused.Add(1)
+			}
+		})
 	}
-	c.Assert(bounded, qt.IsTrue, qt.Commentf("200 questions in a row were answered"))
+	asked.Wait()
+	c.Assert(refused.Load() > 0, qt.IsTrue, qt.Commentf("200 questions at once were answered"))
 	status, _ := a.request(c, http.MethodGet, "/new/"+jobID(1), nil)
 	c.Assert(status, qt.Equals, http.StatusGone)
 	for _, w := range f.workers {
--- a/wigeondaemon/where.go
+++ b/wigeondaemon/where.go
@@ -112,6 +112,9 @@
 	if !found {
 		return refused(question.Queue, http.StatusNotFound, "no such queue"), nil
 	}
+	if !queue.Public && d.requiresCredentials(table) && !table.directory.Has(question.Team) {
+		return refused(question.Queue, http.StatusUnauthorized, "the queue isn't public, and the configuration in force has no such team"), nil
+	}
 	job, err := wigeonjob.DecodeJob(question.ID, question.Job)
 	if err == nil {
 		err = job.CheckTaskCount()
--- a/wigeondaemon/wheretext.go
+++ b/wigeondaemon/wheretext.go
@@ -26,7 +26,8 @@
 
 func writePlacement(b *strings.Builder, p *wigeonshard.Placement) {
 	if t := p.Team; t != nil {
-		fmt.Fprintf(b, "team %s, weight %g: %s in use in this shard, limit %s\n", t.Name, t.Weight, resourcesText(t.Use), resourcesText(t.Limit))
+		fmt.Fprintf(b, "team %s, weight %g: share %.1f%% of this shard, fair share %.1f%%, %s in use here, limit of all shards %s (0 for none)\n",
+			t.Name, t.Weight, 100*t.Share, 100*t.FairShare, resourcesText(t.Use), resourcesText(t.Limit))
 	}
 	for _, s := range p.Steps {
 		fmt.Fprintf(b, "step %d, %d tasks\n", s.Step, s.Tasks)
--- a/wigeonshard/where.go
+++ b/wigeonshard/where.go
@@ -24,6 +24,9 @@
 	Weight float64              `json:"weight"`
 	Limit  wigeonstep.Resources `json:"limit"`
 	Use    wigeonstep.Resources `json:"use"`
+	// Share and FairShare are those of TeamStatus.
+	Share     float64 `json:"share"`
+	FairShare float64 `json:"fair_share"`
 }
 
 // StepPlacement says where the first task of a step would be placed.
@@ -59,11 +62,15 @@
 // or to the advice service.
 func (o *Owner) Where(now Timestamp, accepted *wigeonjob.Job) Placement {
 	var p Placement
-	if t := o.teams[accepted.Team]; t != nil && accepted.Team != "" {
-		p.Team = &TeamShare{Name: t.Name, Weight: t.Weight, Limit: t.Limit, Use: t.use}
-	}
 	pool := o.pool(now)
 	j := &job{Job: accepted}
+	if t := o.teams[accepted.Team]; t != nil && accepted.Team != "" {
+		j.team = t
+		p.Team = &TeamShare{
+			Name: t.Name, Weight: t.Weight, Limit: t.Limit, Use: t.use,
+			Share: o.sharing.Share(&t.share), FairShare: o.sharing.FairShare(&t.share),
+		}
+	}
 	occ := &occurrence{due: now.Steady}
 	for n := range accepted.Steps {
 		s := &step{Step: &accepted.Steps[n], job: j, occurrence: occ, number: n, tasksLeft: accepted.Steps[n].Count, waiting: accepted.Steps[n].Count}
@@ -195,6 +202,9 @@
 
 // wouldWaitFor returns what the tasks of a new step would wait for.
 func (s *step) wouldWaitFor(suitable []ratedWorker) string {
+	if limit := s.waitsForLimit(); limit != "" {
+		return limit
+	}
 	if len(suitable) == 0 {
 		return fmt.Sprintf("a worker for tasks of %d millicores, %d MB and %d GPUs", s.Reserved().CPU, s.Reserved().Memory, s.Reserved().GPU)
 	}
--- a/wigeonshard/where_test.go
+++ b/wigeonshard/where_test.go
@@ -83,3 +83,16 @@
 	o.c.Assert(err, qt.IsNil)
 	goldie.New(t, goldie.WithFixtureDir("testdata")).Assert(t, "where", append(encoded, '\n'))
 }
+
+// Guards against an answer that leaves out the limit of the team: a new owner may start nothing of a team with a limit before the
+// division has granted it a part.
+func TestWhereNamesTheLimit(t *testing.T) {
+	o := newDisturbedOwner(t, 2, nil)
+	teams := []wigeonstep.Team{{Name: "team", Weight: 2, Limit: wigeonstep.Resources{CPU: 4000}}}
+	o.SetTeams(teams)
+	o.SetLimits(o.now, 1, teams)
+	job := testJob("asked", testStep(1))
+	o.c.Assert(o.Where(o.now, job).Steps[0].WaitsFor, qt.Equals, "")
+	job.Team = "team"
+	o.c.Assert(o.Where(o.now, job).Steps[0].WaitsFor, qt.Contains, "the limit of team team (quota)")
+}
--- a/wigeonteam/directory.go
+++ b/wigeonteam/directory.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"github.com/wigeonstep/wigeonstep"
 )
@@ -113,6 +114,11 @@
 	return d.teams
 }
 
+// Has reports whether a valid team has the name.
+func (d *Directory) Has(name wigeonstep.TeamName) bool {
+	return slices.ContainsFunc(d.Teams(), func(t wigeonstep.Team) bool { return t.Name == name })
+}
+
 // Authenticate returns the team to which the credentials in the head of a call belong. The error is one of the reasons of this
 // package.
 func (d *Directory) Authenticate(credentials [][]byte) (wigeonstep.TeamName, error) {
