--- a/wigeoningress/gate.go
+++ b/wigeoningress/gate.go
@@ -116,7 +116,7 @@
 	}
 	goal := g.total - g.total/slackFraction
 	for g.used.Load()-g.reclaiming > goal {
-		victim := g.endVictim(netip.Addr{}, BudgetExhausted, c)
+		victim := g.endVictim(nil, netip.Addr{}, BudgetExhausted, c)
 		if victim == nil {
 			return g.used.Load()-g.reclaiming <= g.total
 		}
@@ -127,13 +127,13 @@
 	return g.used.Load() <= g.total+g.total/overdraftFraction
 }
 
-// endVictim tells a connection to end and returns it; nil if there is none. If address is valid, only connections from it are
-// considered. self, which may be nil, is returned without being told. mu is held.
-func (g *Gate) endVictim(address netip.Addr, reason Reason, self *Conn) *Conn {
+// endVictim tells a connection to end and returns it; nil if there is none. Only connections of l are considered, or all if l is
+// nil, and only those from address if it is valid. self, which may be nil, is returned without being told. mu is held.
+func (g *Gate) endVictim(l *Listener, address netip.Addr, reason Reason, self *Conn) *Conn {
 	now := time.Now()
 	g.senders, g.candidates = g.senders[:0], g.candidates[:0]
 	for c := range g.conns {
-		if !address.IsValid() || c.address == address {
+		if (l == nil || c.listener == l) && (!address.IsValid() || c.address == address) {
 			g.senders, g.candidates = append(g.senders, c.sender(now)), append(g.candidates, c)
 		}
 	}
@@ -171,11 +171,20 @@
 	l := c.listener
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if reason := g.checkCount(l.byAddress[c.address], l.base.AddressConnections, c.address, TooManyAddressConnections); reason != None {
-		return reason
-	}
-	if reason := g.checkCount(l.open, l.base.Connections, netip.Addr{}, TooManyConnections); reason != None {
-		return reason
+	count, limits := l.byAddress[c.address], &l.base
+	// Both counts are checked before a victim is told to end, so that none ends for a connection that is not admitted.
+	switch {
+	case count >= withOverdraft(limits.AddressConnections):
+		return TooManyAddressConnections
+	case l.open >= withOverdraft(limits.Connections):
+		return TooManyConnections
+	case count >= limits.AddressConnections:
+		// A victim with this address makes room within both limits.
+		if g.endVictim(l, c.address, TooManyAddressConnections, nil) == nil {
+			return TooManyAddressConnections
+		}
+	case l.open >= limits.Connections && g.endVictim(l, netip.Addr{}, TooManyConnections, nil) == nil:
+		return TooManyConnections
 	}
 	g.conns[c] = struct{}{}
 	l.open++
@@ -183,17 +192,9 @@
 	return None
 }
 
-// checkCount makes room for one more connection beside count others. Connections that were told to end are still open for a while,
-// so the limit may be exceeded by a quarter. mu is held.
-func (g *Gate) checkCount(count, limit int, address netip.Addr, reason Reason) Reason {
-	switch {
-	case count < limit:
-		return None
-	case count >= limit+max(limit/overdraftFraction, 1), g.endVictim(address, reason, nil) == nil:
-		return reason
-	}
-	return None
-}
+// withOverdraft returns the number of connections that may be open at a limit. Those that were told to end are still open for a
+// while, so the limit may be exceeded by a quarter.
+func withOverdraft(limit int) int { return limit + max(limit/overdraftFraction, 1) }
 
 // ListenerSettings are the bounds of one listener.
 type ListenerSettings struct {
--- a/wigeoningress/refusal.go
+++ b/wigeoningress/refusal.go
@@ -41,6 +41,8 @@
 )
 
 // refusals holds for each reason its name, the status of the response, which is 0 if there is none, and a text for the client.
+// TooManyConnections and TooManyAddressConnections answer a victim that has begun a request. A new connection that is not admitted
+// is closed without a response.
 var refusals = [reasonCount]struct {
 	name   string
 	status int
