--- a/cmd/wigeonstep/ingress_test.go
+++ b/cmd/wigeonstep/ingress_test.go
@@ -86,6 +86,8 @@
 	t.Setenv(name, value)
 	n := &attackedNode{program: startProgram(t, "node", binary, "node"), clientAddress: addresses[0], readyAddress: addresses[1], metricsAddress: addresses[3]}
 	t.Cleanup(func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
 		for _, c := range n.connections {
 			_ = c.Close()
 		}
--- a/wigeoningress/gate_test.go
+++ b/wigeoningress/gate_test.go
@@ -101,9 +101,49 @@
 	}
 }
 
+// Guards against a listener at its limit that ends connections of another listener of the process.
+func TestConnectionLimitsEndOnlyOwnConnections(t *testing.T) {
+	for _, limits := range []Limits{{Connections: 2, AddressConnections: 9}, {Connections: 9, AddressConnections: 2}} {
+		g := NewGate(Settings{})
+		others := newConns(t, g.Listen(&scriptedListener{}, ListenerSettings{}), 3)
+		for _, c := range others {
+			c.since.Store(time.Now().Add(-time.Hour).UnixNano())
+		}
+		small := g.Listen(&scriptedListener{}, ListenerSettings{Limits: limits})
+		own := newConns(t, small, 3)
+		ended := 0
+		for _, c := range own {
+			if c.phase.Load() == phaseEnding {
+				ended++
+			}
+		}
+		qt.Assert(t, ended, qt.Equals, 1)
+		_, err := accept(t, small, &scriptedConn{})
+		qt.Assert(t, err, qt.Equals, net.ErrClosed)
+		for _, c := range others {
+			qt.Assert(t, c.phase.Load(), qt.Equals, phaseFresh)
+		}
+	}
+}
+
+// Guards against a connection that is ended for the limit of its address in favour of one that the listener's limit refuses.
+func TestNoVictimForARefusedConnection(t *testing.T) {
+	g := NewGate(Settings{})
+	l := g.Listen(&scriptedListener{}, ListenerSettings{Limits: Limits{Connections: 4, AddressConnections: 4}})
+	conns := newConns(t, l, 4)
+	// Another address has used up the overdraft of the listener.
+	l.open = withOverdraft(4)
+	_, err := accept(t, l, &scriptedConn{})
+	qt.Assert(t, err, qt.Equals, net.ErrClosed)
+	for _, c := range conns {
+		qt.Assert(t, c.phase.Load(), qt.Equals, phaseFresh)
+	}
+	qt.Assert(t, g.counters[TooManyConnections].unlogged.Load(), qt.Equals, int64(1))
+}
+
 // Guards against a sender that keeps its connection for ever, and against a refusal that doesn't say what happened.
 func TestTimeLimits(t *testing.T) {
-	limits := Limits{HeadTimeout: 20 * time.Millisecond, BodyGrace: 20 * time.Millisecond, IdleTimeout: 20 * time.Millisecond, WriteTimeout: 20 * time.Millisecond}
+	limits := Limits{HeadTimeout: 20 * time.Millisecond, BodyGrace: 20 * time.Millisecond, WriteTimeout: 20 * time.Millisecond}
 	for _, test := range []struct {
 		input  string
 		reason Reason
@@ -111,14 +151,21 @@
 		{"", Disconnected}, {get, HeadTimeout}, {"\r\n", HeadTimeout}, {post + "Content-Length: 5\r\n\r\nab", BodyTimeout}, {chunked + "5\r\nab", BodyTimeout},
 	} {
 		client, server := net.Pipe()
+		// The server must not close before the input is written, however slow the machine is.
+		limits.IdleTimeout = time.Hour
+		if test.input == "" {
+			limits.IdleTimeout = 20 * time.Millisecond
+		}
 		c, err := accept(t, NewGate(Settings{}).Listen(&scriptedListener{}, ListenerSettings{Limits: limits}), server)
 		qt.Assert(t, err, qt.IsNil)
 		go func() {
 			_, _ = c.Read(make([]byte, 4096))
 			_ = c.Close()
 		}()
-		_, err = io.WriteString(client, test.input)
-		qt.Assert(t, err, qt.IsNil)
+		if test.input != "" {
+			_, err = io.WriteString(client, test.input)
+			qt.Assert(t, err, qt.IsNil)
+		}
 		answer, err := io.ReadAll(client)
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, string(answer), qt.Equals, string(test.reason.response()), qt.Commentf("%q", test.input))
@@ -169,9 +216,11 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, g.used.Load(), qt.Equals, int64(connectionCharge+2*coveredBytes))
 	g.mu.Lock()
-	victim := g.endVictim(netip.Addr{}, TooManyConnections, nil)
+	// The response counts as unread for less than stalledAge, however slow the machine is.
+	c.since.Store(time.Now().Add(time.Hour).UnixNano())
+	victim := g.endVictim(nil, netip.Addr{}, TooManyConnections, nil)
 	c.since.Store(time.Now().Add(-2 * stalledAge).UnixNano())
-	later := g.endVictim(netip.Addr{}, TooManyConnections, nil)
+	later := g.endVictim(nil, netip.Addr{}, TooManyConnections, nil)
 	g.mu.Unlock()
 	qt.Assert(t, victim, qt.IsNil)
 	qt.Assert(t, later, qt.Equals, c)
