--- a/wigeoningress/conn.go
+++ b/wigeoningress/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -51,9 +52,13 @@
 	since atomic.Int64
 	// endReason is why the connection has to end. It is set before phaseEnding.
 	endReason atomic.Int32
-	// reclaimed is charge at the time at which the connection was told to end. mu of the gate protects it.
+	// reclaimed is what the connection still holds of its charge at the time at which it was told to end. mu of the gate
+	// protects it.
 	reclaimed int64
 	closed    atomic.Bool
+	// deadlines is held while a deadline is set, and by end from the change of the phase on, so that end doesn't replace a
+	// deadline that was set because of that change.
+	deadlines sync.Mutex
 
 	collector
 	// out holds the bytes of the current request that Read has not returned yet.
@@ -88,6 +93,8 @@
 	if p == phaseHandling || p == phaseEnding {
 		return false
 	}
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
 	c.endReason.Store(int32(reason)) //nolint:gosec // one of a few constants
 	if !c.phase.CompareAndSwap(p, phaseEnding) {
 		return false
@@ -159,10 +166,22 @@
 
 // setReadDeadline sets the deadline of the next read unless the connection has to end.
 func (c *Conn) setReadDeadline(t time.Time) {
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
+	if c.phase.Load() == phaseEnding {
+		t = time.Unix(1, 0)
+	}
 	_ = c.Conn.SetReadDeadline(t)
+}
+
+// setWriteDeadline sets the deadline of the next write of a response unless the connection has to end.
+func (c *Conn) setWriteDeadline(t time.Time) {
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
 	if c.phase.Load() == phaseEnding {
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		t = time.Unix(1, 0)
 	}
+	_ = c.Conn.SetWriteDeadline(t)
 }
 
 const (
@@ -186,14 +205,18 @@
 		return
 	}
 	response := reason.response()
+	c.deadlines.Lock()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	c.deadlines.Unlock()
 	if _, err := c.Conn.Write(response); err != nil {
 		return
 	}
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); !ok || closer.CloseWrite() != nil {
 		return
 	}
+	c.deadlines.Lock()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.deadlines.Unlock()
 	var scratch [minReadBytes]byte
 	for read := 0; read < lingerBytes; {
 		n, err := c.Conn.Read(scratch[:])
@@ -217,7 +240,7 @@
 	if c.refused || !c.enter(phaseWriting, now) {
 		return 0, syscall.EPIPE
 	}
-	_ = c.Conn.SetWriteDeadline(now.Add(c.listener.limits().WriteTimeout))
+	c.setWriteDeadline(now.Add(c.listener.limits().WriteTimeout))
 	var n int
 	var err error
 	if len(b) <= coveredBytes {
--- a/wigeoningress/gate.go
+++ b/wigeoningress/gate.go
@@ -57,7 +57,7 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
-	// reclaiming is what connections hold that have been told to end.
+	// reclaiming is what connections still hold that have been told to end, as far as they held it then.
 	reclaiming int64
 	// senders and candidates are reused by endVictim.
 	senders    []sender
@@ -103,7 +103,18 @@
 		return
 	}
 	c.charge.Add(-n)
+	if c.phase.Load() != phaseEnding {
+		g.used.Add(-n)
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.used.Add(-n)
+	// What is given back before the connection is closed is no longer to come. endVictim may have seen the charge without it.
+	if left := c.charge.Load(); left < c.reclaimed {
+		g.reclaiming -= c.reclaimed - left
+		c.reclaimed = left
+	}
 }
 
 // makeRoom ends connections until what the others hold is within the budget. It returns false if c has to end itself: nobody else
@@ -161,6 +172,7 @@
 	g.mu.Lock()
 	delete(g.conns, c)
 	g.reclaiming -= c.reclaimed
+	c.reclaimed = 0
 	c.listener.forget(c)
 	g.mu.Unlock()
 	g.release(c, c.charge.Load())
--- a/wigeoningress/gate_test.go
+++ b/wigeoningress/gate_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -178,6 +179,69 @@
 	qt.Assert(t, c.listener.gate.counters[WriteTimeout].unlogged.Load(), qt.Equals, int64(1))
 }
 
+// Guards against bytes that count as still to come after a victim has given them back, so that nobody else gives way.
+func TestReclaimingEndsWithRelease(t *testing.T) {
+	const total = 1 << 20
+	g := NewGate(Settings{MemoryBytes: memoryFraction * total})
+	conns := newConns(t, g.Listen(&scriptedListener{}, ListenerSettings{}), 3)
+	first, second, ordinary := conns[0], conns[1], conns[2]
+	for _, c := range conns[:2] {
+		qt.Assert(t, c.enter(phaseCollecting, time.Now().Add(-time.Second)), qt.IsTrue)
+	}
+	qt.Assert(t, first.takeBuffer(total/2), qt.IsTrue)
+	qt.Assert(t, g.take(ordinary, total/2), qt.IsTrue)
+	qt.Assert(t, first.phase.Load(), qt.Equals, phaseEnding)
+	first.freeBuffer()
+	qt.Assert(t, g.reclaiming, qt.Equals, int64(connectionCharge))
+	qt.Assert(t, second.takeBuffer(total/4), qt.IsTrue)
+	// The buffer of the first connection is free already, so the second one has to give way.
+	qt.Assert(t, g.take(ordinary, total/4), qt.IsTrue)
+	qt.Assert(t, second.phase.Load(), qt.Equals, phaseEnding)
+	for _, c := range conns {
+		qt.Assert(t, c.Close(), qt.IsNil)
+	}
+	qt.Assert(t, g.reclaiming, qt.Equals, int64(0))
+	qt.Assert(t, g.used.Load(), qt.Equals, int64(0))
+}
+
+// slowDeadlineConn holds the setting of its first read deadline in the past until resume is closed, and records its last deadlines.
+type slowDeadlineConn struct {
+	scriptedConn
+	started, resume chan struct{}
+	mu              sync.Mutex
+	read            time.Time
+}
+
+func (c *slowDeadlineConn) SetReadDeadline(t time.Time) error {
+	if t.Before(time.Now()) {
+		close(c.started)
+		<-c.resume
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.read = t
+	return nil
+}
+
+func (c *slowDeadlineConn) CloseWrite() error { return nil }
+
+// Guards against a victim whose refusal is lost because the deadline that wakes it replaces the one of its last reads.
+func TestWakingKeepsTheDeadlineOfARefusal(t *testing.T) {
+	inner := &slowDeadlineConn{started: make(chan struct{}), resume: make(chan struct{})}
+	c, err := accept(t, NewGate(Settings{}).Listen(&scriptedListener{}, ListenerSettings{}), inner)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.enter(phaseCollecting, time.Now()), qt.IsTrue)
+	c.begun = true
+	var work sync.WaitGroup
+	work.Go(func() { c.end(BudgetExhausted) })
+	<-inner.started
+	work.Go(func() { c.refuse(BudgetExhausted) })
+	<-time.After(20 * time.Millisecond)
+	close(inner.resume)
+	work.Wait()
+	qt.Assert(t, inner.read.After(time.Unix(1, 0)), qt.IsTrue)
+}
+
 // Guards against a victim that waits for its deadline before it gives way, or that is told nothing.
 func TestVictimIsToldAtOnce(t *testing.T) {
 	client, server := net.Pipe()
