--- a/wigeoningress/conn.go
+++ b/wigeoningress/conn.go
@@ -37,6 +37,8 @@
 	BeginRequest()
 	// WriteInterim writes a response that is not the last one to its request.
 	WriteInterim(b []byte) (int, error)
+	// ReadUncounted reads bytes that begin no request.
+	ReadUncounted(b []byte) (int, error)
 }
 
 // Conn is a connection of a client. Read returns only bytes of complete requests, and never those of two requests at once. It
@@ -211,15 +213,24 @@
 	if _, err := c.Conn.Write(response); err != nil {
 		return
 	}
+	c.linger()
+}
+
+// linger ends the sending side of the connection, and throws away what arrives for a while.
+func (c *Conn) linger() {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); !ok || closer.CloseWrite() != nil {
 		return
 	}
 	c.deadlines.Lock()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
 	c.deadlines.Unlock()
+	drain := c.Conn.Read
+	if counter, ok := c.Conn.(requestCounter); ok {
+		drain = counter.ReadUncounted
+	}
 	var scratch [minReadBytes]byte
 	for read := 0; read < lingerBytes; {
-		n, err := c.Conn.Read(scratch[:])
+		n, err := drain(scratch[:])
 		if err != nil {
 			return
 		}
