--- a/wigeoningress/collect.go
+++ b/wigeoningress/collect.go
@@ -277,6 +277,7 @@
 	}
 	if len(c.buffer)-h.start > smallBytes || h.fields > smallFields {
 		lines = append(lines, "Connection: close\r\n")
+		c.last.Store(true)
 	}
 	c.out = [2][]byte{c.buffer[h.start:]}
 	if len(lines) > 0 || h.cutCount > 0 {
--- a/wigeoningress/conn.go
+++ b/wigeoningress/conn.go
@@ -58,6 +58,8 @@
 	// protects it.
 	reclaimed int64
 	closed    atomic.Bool
+	// last is set when the request was made the last one on the connection, although the client may have sent more.
+	last atomic.Bool
 	// deadlines is held while a deadline is set, and by end from the change of the phase on, so that end doesn't replace a
 	// deadline that was set because of that change.
 	deadlines sync.Mutex
@@ -187,8 +189,9 @@
 }
 
 const (
-	// refusalTimeout bounds the writing of a refusal, and lingerTimeout the time for which a refused connection is read and what
-	// arrives is thrown away: a connection that is closed with unread bytes is reset, which may take the refusal from the client.
+	// refusalTimeout bounds the writing of a refusal, and lingerTimeout the time for which a connection is read after its last
+	// response and what arrives is thrown away: a connection that is closed with unread bytes is reset, which may take the response
+	// from the client.
 	refusalTimeout = time.Second
 	lingerTimeout  = 500 * time.Millisecond
 	lingerBytes    = 1 << 20
@@ -282,6 +285,7 @@
 // bound.
 func (c *Conn) abandon(reason Reason) error {
 	c.refused = true
+	c.last.Store(false)
 	c.listener.gate.count(reason, c)
 	return syscall.EPIPE
 }
@@ -295,8 +299,12 @@
 // SetWriteDeadline does nothing, as SetReadDeadline.
 func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
 
-// Close closes the connection and gives back what it holds of the budget.
+// Close closes the connection and gives back what it holds of the budget. After a request that was made the last one, it lingers,
+// so that requests behind it, which are not read, don't take the response from the client.
 func (c *Conn) Close() error {
+	if c.last.Swap(false) && c.enter(phaseIdle, time.Now()) {
+		c.linger()
+	}
 	err := c.Conn.Close()
 	if !c.closed.Swap(true) {
 		c.listener.gate.forget(c)
