--- a/wigeoningress/conn.go
+++ b/wigeoningress/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -36,6 +37,8 @@
 	BeginRequest()
 	// WriteInterim writes a response that is not the last one to its request.
 	WriteInterim(b []byte) (int, error)
+	// ReadUncounted reads bytes that begin no request.
+	ReadUncounted(b []byte) (int, error)
 }
 
 // Conn is a connection of a client. Read returns only bytes of complete requests, and never those of two requests at once. It
@@ -51,9 +54,15 @@
 	since atomic.Int64
 	// endReason is why the connection has to end. It is set before phaseEnding.
 	endReason atomic.Int32
-	// reclaimed is charge at the time at which the connection was told to end. mu of the gate protects it.
+	// reclaimed is what the connection still holds of its charge at the time at which it was told to end. mu of the gate
+	// protects it.
 	reclaimed int64
 	closed    atomic.Bool
+	// last is set when the request was made the last one on the connection, although the client may have sent more.
+	last atomic.Bool
+	// deadlines is held while a deadline is set, and by end from the change of the phase on, so that end doesn't replace a
+	// deadline that was set because of that change.
+	deadlines sync.Mutex
 
 	collector
 	// out holds the bytes of the current request that Read has not returned yet.
@@ -88,6 +97,8 @@
 	if p == phaseHandling || p == phaseEnding {
 		return false
 	}
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
 	c.endReason.Store(int32(reason)) //nolint:gosec // one of a few constants
 	if !c.phase.CompareAndSwap(p, phaseEnding) {
 		return false
@@ -159,15 +170,28 @@
 
 // setReadDeadline sets the deadline of the next read unless the connection has to end.
 func (c *Conn) setReadDeadline(t time.Time) {
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
+	if c.phase.Load() == phaseEnding {
+		t = time.Unix(1, 0)
+	}
 	_ = c.Conn.SetReadDeadline(t)
+}
+
+// setWriteDeadline sets the deadline of the next write of a response unless the connection has to end.
+func (c *Conn) setWriteDeadline(t time.Time) {
+	c.deadlines.Lock()
+	defer c.deadlines.Unlock()
 	if c.phase.Load() == phaseEnding {
-		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+		t = time.Unix(1, 0)
 	}
+	_ = c.Conn.SetWriteDeadline(t)
 }
 
 const (
-	// refusalTimeout bounds the writing of a refusal, and lingerTimeout the time for which a refused connection is read and what
-	// arrives is thrown away: a connection that is closed with unread bytes is reset, which may take the refusal from the client.
+	// refusalTimeout bounds the writing of a refusal, and lingerTimeout the time for which a connection is read after its last
+	// response and what arrives is thrown away: a connection that is closed with unread bytes is reset, which may take the response
+	// from the client.
 	refusalTimeout = time.Second
 	lingerTimeout  = 500 * time.Millisecond
 	lingerBytes    = 1 << 20
@@ -186,17 +210,30 @@
 		return
 	}
 	response := reason.response()
+	c.deadlines.Lock()
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout))
+	c.deadlines.Unlock()
 	if _, err := c.Conn.Write(response); err != nil {
 		return
 	}
+	c.linger()
+}
+
+// linger ends the sending side of the connection, and throws away what arrives for a while.
+func (c *Conn) linger() {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); !ok || closer.CloseWrite() != nil {
 		return
 	}
+	c.deadlines.Lock()
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	c.deadlines.Unlock()
+	drain := c.Conn.Read
+	if counter, ok := c.Conn.(requestCounter); ok {
+		drain = counter.ReadUncounted
+	}
 	var scratch [minReadBytes]byte
 	for read := 0; read < lingerBytes; {
-		n, err := c.Conn.Read(scratch[:])
+		n, err := drain(scratch[:])
 		if err != nil {
 			return
 		}
@@ -217,7 +254,7 @@
 	if c.refused || !c.enter(phaseWriting, now) {
 		return 0, syscall.EPIPE
 	}
-	_ = c.Conn.SetWriteDeadline(now.Add(c.listener.limits().WriteTimeout))
+	c.setWriteDeadline(now.Add(c.listener.limits().WriteTimeout))
 	var n int
 	var err error
 	if len(b) <= coveredBytes {
@@ -248,6 +285,7 @@
 // bound.
 func (c *Conn) abandon(reason Reason) error {
 	c.refused = true
+	c.last.Store(false)
 	c.listener.gate.count(reason, c)
 	return syscall.EPIPE
 }
@@ -261,8 +299,12 @@
 // SetWriteDeadline does nothing, as SetReadDeadline.
 func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
 
-// Close closes the connection and gives back what it holds of the budget.
+// Close closes the connection and gives back what it holds of the budget. After a request that was made the last one, it lingers,
+// so that requests behind it, which are not read, don't take the response from the client.
 func (c *Conn) Close() error {
+	if c.last.Swap(false) && c.enter(phaseIdle, time.Now()) {
+		c.linger()
+	}
 	err := c.Conn.Close()
 	if !c.closed.Swap(true) {
 		c.listener.gate.forget(c)
