--- a/wigeondaemon/where.go
+++ b/wigeondaemon/where.go
@@ -16,7 +16,8 @@
 	// whereView is the prefix of a question where a job would be placed, ownedWhereView of one that is not forwarded any further.
 	whereView      = "where/"
 	ownedWhereView = "owned-where/"
-	// maxWhereRate bounds the questions that a node answers in a second: each looks at all workers of a shard.
+	// maxWhereRate bounds the questions that a node answers in a second: for each, up to 16 steps are compared with all workers of a
+	// service on the event loop of the owner.
 	maxWhereRate = 10
 )
 
--- a/wigeondaemon/where_test.go
+++ b/wigeondaemon/where_test.go
@@ -26,6 +26,7 @@
 			},
 			{Step: 1, Tasks: 1, WaitsFor: "the steps [0]"},
 		},
+		MoreSteps: 240,
 	}
 	var out bytes.Buffer
 	for _, a := range []WhereAnswer{
--- a/wigeondaemon/wheretext.go
+++ b/wigeondaemon/wheretext.go
@@ -48,6 +48,9 @@
 			fmt.Fprintf(b, "  not %d workers, %s: %s\n", u.Count, u.Reason, workersText(u))
 		}
 	}
+	if p.MoreSteps > 0 {
+		fmt.Fprintf(b, "%d more steps are not explained\n", p.MoreSteps)
+	}
 }
 
 func resourcesText(r wigeonstep.Resources) string {
--- a/wigeonshard/where.go
+++ b/wigeonshard/where.go
@@ -12,10 +12,16 @@
 // maxListedWorkers bounds the workers that are listed for one step and one reason.
 const maxListedWorkers = 20
 
+// maxExplainedSteps bounds the steps that are explained for one question, since each is compared with all workers of the service on
+// the event loop of the owner.
+const maxExplainedSteps = 16
+
 // Placement says where the tasks of a job that has not been submitted would be placed now.
 type Placement struct {
 	Team  *TeamShare      `json:"team,omitempty"`
 	Steps []StepPlacement `json:"steps"`
+	// MoreSteps is the number of steps after the last one in Steps.
+	MoreSteps int `json:"more_steps,omitempty"`
 }
 
 // TeamShare is what a team has running in a shard, and what it may have.
@@ -63,6 +69,7 @@
 func (o *Owner) Where(now Timestamp, accepted *wigeonjob.Job) Placement {
 	var p Placement
 	pool := o.pool(now)
+	candidates := o.serviceWorkers(accepted.Service, pool)
 	j := &job{Job: accepted}
 	if t := o.teams[accepted.Team]; t != nil && accepted.Team != "" {
 		j.team = t
@@ -72,22 +79,62 @@
 		}
 	}
 	occ := &occurrence{due: now.Steady}
-	for n := range accepted.Steps {
+	explained := min(len(accepted.Steps), maxExplainedSteps)
+	p.MoreSteps = len(accepted.Steps) - explained
+	for n := range accepted.Steps[:explained] {
 		s := &step{Step: &accepted.Steps[n], job: j, occurrence: occ, number: n, tasksLeft: accepted.Steps[n].Count, waiting: accepted.Steps[n].Count}
 		s.interference = o.interferenceOf(s.Step)
-		p.Steps = append(p.Steps, o.placementOf(now, s, pool))
+		p.Steps = append(p.Steps, s.placement(now, candidates, pool))
 	}
 	return p
 }
 
+// serviceWorker is a worker of the service of a job.
+type serviceWorker struct {
+	*worker
+	// place is that in the pool; negative for a worker that is not in it.
+	place int
+}
+
+// serviceWorkers returns the listed workers of a service.
+func (o *Owner) serviceWorkers(service wigeonstep.ServiceName, pool []*worker) []serviceWorker {
+	places := make(map[*worker]int, len(pool))
+	for i, w := range pool {
+		places[w] = i
+	}
+	var all []serviceWorker
+	for _, w := range o.sortedWorkers {
+		if w.Service != service || !w.listed {
+			continue
+		}
+		place, inPool := places[w]
+		if !inPool {
+			place = -1
+		}
+		all = append(all, serviceWorker{w, place})
+	}
+	return all
+}
+
 // ratedWorker is a worker that could take a task.
 type ratedWorker struct {
-	*worker
+	serviceWorker
 	score score
 }
 
-// placementOf says where the first task of a step would be placed on the workers of the pool.
-func (o *Owner) placementOf(now Timestamp, s *step, pool []*worker) StepPlacement {
+// compare orders workers as placement chooses them: by score, and the first one in the pool among equal ones.
+func (w ratedWorker) compare(other ratedWorker) int {
+	switch {
+	case w.score.less(other.score):
+		return -1
+	case other.score.less(w.score):
+		return 1
+	}
+	return cmp.Compare(w.place, other.place)
+}
+
+// placement says where the first task of a step would be placed on the workers of the pool.
+func (s *step) placement(now Timestamp, candidates []serviceWorker, pool []*worker) StepPlacement {
 	p := StepPlacement{Step: s.number, Tasks: s.Count}
 	switch at := s.job.DueAt(0); {
 	case len(s.After) > 0:
@@ -97,11 +144,7 @@
 		p.WaitsFor = fmt.Sprintf("its first occurrence, in %d ms", at-now.Wall)
 		return p
 	}
-	inPool := map[*worker]bool{}
-	for _, w := range pool {
-		inPool[w] = true
-	}
-	onRack := inPool
+	var onRack map[*worker]bool
 	if s.SameRack {
 		onRack = map[*worker]bool{}
 		for _, w := range s.smallestFittingRack(labelled(s, pool)) {
@@ -112,29 +155,18 @@
 	reserved := s.Reserved()
 	var suitable []ratedWorker
 	places := map[string]int{}
-	for _, w := range o.sortedWorkers {
-		if w.Service != s.job.Service || !w.listed {
-			continue
-		}
-		reason := s.unsuitability(t, w, inPool[w])
-		if reason == "" && !onRack[w] {
+	for _, w := range candidates {
+		reason := s.unsuitability(t, w.worker, w.place >= 0)
+		if reason == "" && s.SameRack && !onRack[w.worker] {
 			reason = "rack: another one has room for all tasks of the step"
 		}
 		if reason == "" {
-			suitable = append(suitable, ratedWorker{w, s.score(t, w, reserved)})
+			suitable = append(suitable, ratedWorker{w, s.score(t, w.worker, reserved)})
 			continue
 		}
 		p.addUnsuitable(places, reason, w.ID)
 	}
-	slices.SortStableFunc(suitable, func(a, b ratedWorker) int {
-		switch {
-		case a.score.less(b.score):
-			return -1
-		case b.score.less(a.score):
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(suitable, ratedWorker.compare)
 	slices.SortStableFunc(p.Unsuitable, func(a, b UnsuitableWorkers) int { return -cmp.Compare(a.Count, b.Count) })
 	p.Suitable = len(suitable)
 	for _, w := range suitable[:min(len(suitable), maxListedWorkers)] {
--- a/wigeonshard/where_test.go
+++ b/wigeonshard/where_test.go
@@ -96,3 +96,41 @@
 	job.Team = "team"
 	o.c.Assert(o.Where(o.now, job).Steps[0].WaitsFor, qt.Contains, "the limit of team team (quota)")
 }
+
+// Guards against a question that holds the event loop of the owner for as many steps as a job may have.
+func TestWhereExplainsFewSteps(t *testing.T) {
+	o := newDisturbedOwner(t, 2, nil)
+	steps := make([]wigeonjob.Step, 256)
+	for i := range steps {
+		steps[i] = testStep(1)
+	}
+	answer := o.Where(o.now, testJob("asked", steps...))
+	o.c.Assert(answer.Steps, qt.HasLen, 16)
+	o.c.Assert(answer.MoreSteps, qt.Equals, 240)
+	answer = o.Where(o.now, testJob("asked", steps[:16]...))
+	o.c.Assert(answer.Steps, qt.HasLen, 16)
+	o.c.Assert(answer.MoreSteps, qt.Equals, 0)
+}
+
+// Guards against an answer that names another first worker than placement takes: among equal ones, those whose last runs failed come
+// last in the pool.
+func TestWhereFollowsPool(t *testing.T) {
+	for name, data := range map[string]wigeonstep.Label{"plain": "", "scored": "rack"} {
+		t.Run(name, func(t *testing.T) {
+			o := newDisturbedOwner(t, 6, nil)
+			for _, id := range []wigeonstep.WorkerID{"w00", "w01", "w02", "w03", "w04"} {
+				o.workers[id].backoff.until = o.now.Steady + time.Second
+			}
+			s := testStep(1)
+			s.DataRack = data
+			job := testJob("asked", s)
+			workers := o.Where(o.now, job).Steps[0].Workers
+			o.c.Assert(len(workers) > 1, qt.IsTrue)
+			o.c.Assert(workers[0].Worker, qt.Equals, wigeonstep.WorkerID("w05"))
+			before := len(o.starts)
+			o.AddJob(o.now, job, wigeonjob.Progress{}, false)
+			o.advance(100 * time.Millisecond)
+			o.c.Assert(o.starts[before:], qt.DeepEquals, []string{"asked on w05"})
+		})
+	}
+}
