--- a/wigeoninterference/model.go
+++ b/wigeoninterference/model.go
@@ -124,7 +124,8 @@
 // neighbours explain is left out. The effect of the pair itself is not: a wrong one would confirm itself.
 func (m *Model) compare(v *image, ob Observation, tail float64, middle [2]*report) {
 	for _, n := range ob.Neighbours {
-		if n.Exposure > 0 {
+		// Without a difference in exposure there is no evidence, and Decay would delete the pair.
+		if n.Exposure > 0 && relativeExposure(ob.Neighbours, middle, n.Image) != 0 {
 			m.ensurePair(ob.At, v, n.Image)
 		}
 	}
@@ -133,8 +134,7 @@
 	deviation := min(max(tail-(middle[0].tail+middle[1].tail)/2, -maxDeviation), maxDeviation)
 	known := v.knownEffect(ob.Neighbours) - (v.knownEffect(middle[0].neighbours)+v.knownEffect(middle[1].neighbours))/2
 	for _, p := range v.pairs {
-		exposure := exposureTo(ob.Neighbours, p.neighbour) -
-			(exposureTo(middle[0].neighbours, p.neighbour)+exposureTo(middle[1].neighbours, p.neighbour))/2
+		exposure := relativeExposure(ob.Neighbours, middle, p.neighbour)
 		own := p.knownEffect() * exposure
 		p.observe(ob.At, ob.Worker, exposure, deviation-(known-own), before)
 		m.judge(p)
@@ -142,6 +142,11 @@
 	v.addToHistory(ob.At, ob.Worker, deviation-known)
 }
 
+// relativeExposure returns the exposure to an image relative to the reports in the middle.
+func relativeExposure(neighbours []Neighbour, middle [2]*report, image wigeonstep.ImageName) float64 {
+	return exposureTo(neighbours, image) - (exposureTo(middle[0].neighbours, image)+exposureTo(middle[1].neighbours, image))/2
+}
+
 func exposureTo(neighbours []Neighbour, image wigeonstep.ImageName) float64 {
 	for _, n := range neighbours {
 		if n.Image == image {
@@ -271,7 +276,9 @@
 		}
 		return forgotten
 	})
-	m.version++
+	if m.suspectedCount > 0 {
+		m.version++
+	}
 }
 
 // keepImage prevents that the neighbour of a known pair is forgotten before the pair.
@@ -318,7 +325,9 @@
 // PairCounts returns the number of pairs about which there is evidence, and of those that are suspected.
 func (m *Model) PairCounts() (known, suspected int) { return m.pairCount, m.suspectedCount }
 
-// Version changes whenever the results of Suspected may have changed.
+// Version changes when a pair is suspected from then on or no longer, and with each Decay while one is. The slowdowns of suspected
+// pairs also change with each Observe; the version leaves these out until the next Decay, so that a caller may keep the results of
+// Suspected for that long.
 func (m *Model) Version() uint64 { return m.version }
 
 // TakeChanges returns the changes since the last call.
