--- a/wigeoninterference/model.go
+++ b/wigeoninterference/model.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	// maxImages and maxPairs bound the state of a model. Further images and pairs are left out until others are forgotten.
+	// maxImages and maxPairs bound the state of a model. A further image replaces one without a suspected pair; further pairs are
+	// left out until others are forgotten.
 	maxImages = 64
 	maxPairs  = 1024
 	// maxRecent is the number of workers whose newest reports of an image are kept for comparison.
@@ -124,6 +125,9 @@
 // neighbours explain is left out. The effect of the pair itself is not: a wrong one would confirm itself.
 func (m *Model) compare(v *image, ob Observation, tail float64, middle [2]*report) {
 	for _, n := range ob.Neighbours {
+		if i := m.byName[n.Image]; i != nil {
+			i.seenAt = ob.At
+		}
 		// Without a difference in exposure there is no evidence, and Decay would delete the pair.
 		if n.Exposure > 0 && relativeExposure(ob.Neighbours, middle, n.Image) != 0 {
 			m.ensurePair(ob.At, v, n.Image)
@@ -197,11 +201,12 @@
 	v.recent = append(v.recent, r)
 }
 
-// ensureImage returns the image, and adds it when it is not known; nil when there are maxImages others or its name is too long.
+// ensureImage returns the image, and adds it when it is not known; nil when its name is too long or there are maxImages others of which
+// none can be replaced.
 func (m *Model) ensureImage(now time.Duration, name wigeonstep.ImageName) *image {
 	i := m.byName[name]
 	if i == nil {
-		if len(m.images) == maxImages || len(name) > maxNameBytes {
+		if len(name) > maxNameBytes || len(m.images) == maxImages && !m.forgetOldest(now) {
 			return nil
 		}
 		if m.byName == nil {
@@ -215,6 +220,38 @@
 	return i
 }
 
+// forgetOldest forgets the image without a suspected pair that was seen longest ago, with its pairs, and reports whether there was one
+// from before now. Clients choose the names: without this, one with maxImages invented names would keep all others out for
+// imageRetention.
+func (m *Model) forgetOldest(now time.Duration) bool {
+	suspected := map[wigeonstep.ImageName]bool{}
+	for _, v := range m.images {
+		for _, p := range v.pairs {
+			if p.suspected {
+				suspected[p.victim], suspected[p.neighbour] = true, true
+			}
+		}
+	}
+	var oldest *image
+	for _, i := range m.images {
+		if i.seenAt < now && !suspected[i.name] && (oldest == nil || i.seenAt < oldest.seenAt) {
+			oldest = i
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	m.pairCount -= len(oldest.pairs)
+	m.images = slices.DeleteFunc(m.images, func(i *image) bool { return i == oldest })
+	delete(m.byName, oldest.name)
+	for _, v := range m.images {
+		before := len(v.pairs)
+		v.pairs = slices.DeleteFunc(v.pairs, func(p *pair) bool { return p.neighbour == oldest.name })
+		m.pairCount -= before - len(v.pairs)
+	}
+	return true
+}
+
 // ensurePair adds the pair unless it is known or there are maxPairs others.
 func (m *Model) ensurePair(now time.Duration, v *image, neighbour wigeonstep.ImageName) {
 	if m.ensureImage(now, neighbour) == nil || v.findPair(neighbour) != nil || m.pairCount == maxPairs {
--- a/wigeoninterference/model_test.go
+++ b/wigeoninterference/model_test.go
@@ -193,3 +193,29 @@
 	m.Decay(at + time.Second)
 	c.Assert(m.Version(), qt.Not(qt.Equals), before)
 }
+
+// Guards against a client with many invented names of images that keeps the model from learning of others, or makes it forget a
+// suspicion.
+func TestInventedNamesKeepNoImageOut(t *testing.T) {
+	c := qt.New(t)
+	var m wigeoninterference.Model
+	invent := func(at time.Duration, prefix string) {
+		for i := range 200 {
+			at += time.Millisecond
+			m.Observe(wigeoninterference.Observation{At: at, Worker: "w0", Victim: wigeonstep.ImageName(fmt.Sprintf("%s%d", prefix, i)), Tail: time.Millisecond})
+		}
+	}
+	invent(0, "a")
+	at := observe(&m, time.Second, 40, interfere)
+	c.Assert(m.Suspected("cure"), qt.HasLen, 1)
+	invent(at, "b")
+	c.Assert(m.Suspected("cure"), qt.HasLen, 1)
+	c.Assert(m.Suspected("mill"), qt.HasLen, 1)
+	for range 300 {
+		at += time.Second
+		m.Decay(at)
+	}
+	c.Assert(m.Empty(), qt.IsTrue)
+	known, suspected := m.PairCounts()
+	c.Assert(known+suspected, qt.Equals, 0)
+}
