--- a/wigeondaemon/wheretext.go
+++ b/wigeondaemon/wheretext.go
@@ -17,6 +17,9 @@
 	} else {
 		fmt.Fprintf(&b, "queue %s, service %s, partition %d, owner %s\n", a.Queue, a.Service, a.Partition, a.Owner)
 	}
+	if a.Known != "" {
+		fmt.Fprintf(&b, "a job with the id is known and %s; nothing would be placed\n", a.Known)
+	}
 	if a.Placement != nil {
 		writePlacement(&b, a.Placement)
 	}
@@ -48,6 +51,9 @@
 			fmt.Fprintf(b, "  not %d workers, %s: %s\n", u.Count, u.Reason, workersText(u))
 		}
 	}
+	if p.MoreSteps > 0 {
+		fmt.Fprintf(b, "%d more steps are not explained\n", p.MoreSteps)
+	}
 }
 
 func resourcesText(r wigeonstep.Resources) string {
--- a/wigeoninterference/model.go
+++ b/wigeoninterference/model.go
@@ -15,7 +15,8 @@
 )
 
 const (
-	// maxImages and maxPairs bound the state of a model. Further images and pairs are left out until others are forgotten.
+	// maxImages and maxPairs bound the state of a model. A further image replaces one without a suspected pair; further pairs are
+	// left out until others are forgotten.
 	maxImages = 64
 	maxPairs  = 1024
 	// maxRecent is the number of workers whose newest reports of an image are kept for comparison.
@@ -133,8 +134,7 @@
 	deviation := min(max(tail-(middle[0].tail+middle[1].tail)/2, -maxDeviation), maxDeviation)
 	known := v.knownEffect(ob.Neighbours) - (v.knownEffect(middle[0].neighbours)+v.knownEffect(middle[1].neighbours))/2
 	for _, p := range v.pairs {
-		exposure := exposureTo(ob.Neighbours, p.neighbour) -
-			(exposureTo(middle[0].neighbours, p.neighbour)+exposureTo(middle[1].neighbours, p.neighbour))/2
+		exposure := relativeExposure(ob.Neighbours, middle, p.neighbour)
 		own := p.knownEffect() * exposure
 		p.observe(ob.At, ob.Worker, exposure, deviation-(known-own), before)
 		m.judge(p)
@@ -142,6 +142,11 @@
 	v.addToHistory(ob.At, ob.Worker, deviation-known)
 }
 
+// relativeExposure returns the exposure to an image relative to the reports in the middle.
+func relativeExposure(neighbours []Neighbour, middle [2]*report, image wigeonstep.ImageName) float64 {
+	return exposureTo(neighbours, image) - (exposureTo(middle[0].neighbours, image)+exposureTo(middle[1].neighbours, image))/2
+}
+
 func exposureTo(neighbours []Neighbour, image wigeonstep.ImageName) float64 {
 	for _, n := range neighbours {
 		if n.Image == image {
@@ -192,11 +197,12 @@
 	v.recent = append(v.recent, r)
 }
 
-// ensureImage returns the image, and adds it when it is not known; nil when there are maxImages others or its name is too long.
+// ensureImage returns the image, and adds it when it is not known; nil when its name is too long or there are maxImages others of which
+// none can be replaced.
 func (m *Model) ensureImage(now time.Duration, name wigeonstep.ImageName) *image {
 	i := m.byName[name]
 	if i == nil {
-		if len(m.images) == maxImages || len(name) > maxNameBytes {
+		if len(name) > maxNameBytes || len(m.images) == maxImages && !m.forgetOldest(now) {
 			return nil
 		}
 		if m.byName == nil {
@@ -210,6 +216,38 @@
 	return i
 }
 
+// forgetOldest forgets the image without a suspected pair that was seen longest ago, with its pairs, and reports whether there was one
+// from before now. Clients choose the names: without this, one with maxImages invented names would keep all others out for
+// imageRetention.
+func (m *Model) forgetOldest(now time.Duration) bool {
+	suspected := map[wigeonstep.ImageName]bool{}
+	for _, v := range m.images {
+		for _, p := range v.pairs {
+			if p.suspected {
+				suspected[p.victim], suspected[p.neighbour] = true, true
+			}
+		}
+	}
+	var oldest *image
+	for _, i := range m.images {
+		if i.seenAt < now && !suspected[i.name] && (oldest == nil || i.seenAt < oldest.seenAt) {
+			oldest = i
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	m.pairCount -= len(oldest.pairs)
+	m.images = slices.DeleteFunc(m.images, func(i *image) bool { return i == oldest })
+	delete(m.byName, oldest.name)
+	for _, v := range m.images {
+		before := len(v.pairs)
+		v.pairs = slices.DeleteFunc(v.pairs, func(p *pair) bool { return p.neighbour == oldest.name })
+		m.pairCount -= before - len(v.pairs)
+	}
+	return true
+}
+
 // ensurePair adds the pair unless it is known or there are maxPairs others.
 func (m *Model) ensurePair(now time.Duration, v *image, neighbour wigeonstep.ImageName) {
 	if m.ensureImage(now, neighbour) == nil || v.findPair(neighbour) != nil || m.pairCount == maxPairs {
@@ -271,7 +309,9 @@
 		}
 		return forgotten
 	})
-	m.version++
+	if m.suspectedCount > 0 {
+		m.version++
+	}
 }
 
 // keepImage prevents that the neighbour of a known pair is forgotten before the pair.
@@ -318,7 +358,9 @@
 // PairCounts returns the number of pairs about which there is evidence, and of those that are suspected.
 func (m *Model) PairCounts() (known, suspected int) { return m.pairCount, m.suspectedCount }
 
-// Version changes whenever the results of Suspected may have changed.
+// Version changes when a pair is suspected from then on or no longer, and with each Decay while one is. The slowdowns of suspected
+// pairs also change with each Observe; the version leaves these out until the next Decay, so that a caller may keep the results of
+// Suspected for that long.
 func (m *Model) Version() uint64 { return m.version }
 
 // TakeChanges returns the changes since the last call.
