--- a/wigeondaemon/configurationaccess.go
+++ b/wigeondaemon/configurationaccess.go
@@ -147,7 +147,8 @@
 		}
 	}
 	if newest.GetConfirmed() && newest.GetVersion() <= uint64(d.configurationVersion()) {
-		d.configurationAccess.confirm(sent)
+		// The peer's last read, not its answer, shows that the version is the newest one.
+		d.configurationAccess.confirm(sent - time.Duration(max(newest.GetAgeNanos(), 0)))
 	}
 }
 
@@ -191,7 +192,10 @@
 func (d *Daemon) answerConfigurationQuery(query *wigeonwire.ConfigurationQuery) *wigeonwire.PeerResponse {
 	data := &wigeonwire.ConfigurationData{}
 	// Whether the log is read is determined first: a version that is confirmed must not be older than the last read.
-	data.Confirmed = d.configurationAccess.readsLog(d.config.Now().Steady)
+	now := d.config.Now().Steady
+	if data.Confirmed = d.configurationAccess.readsLog(now); data.Confirmed {
+		data.AgeNanos = int64(max(now-time.Duration(d.configurationAccess.readAt.Load()), 0))
+	}
 	if table := d.routes.Load(); table != nil {
 		data.Version = uint64(table.version)
 		if data.Version > query.GetVersion() {
