--- a/wigeonquota/division.go
+++ b/wigeonquota/division.go
@@ -322,9 +322,14 @@
 	}
 	var changes []Change
 	d.writing = false
-	d.epochsWritten()
+	reissued := d.epochsWritten()
+	d.divideDue(now)
 	for _, name := range d.names {
 		t := d.teams[name]
+		if !t.writing && !reissued {
+			// Nothing has changed for the team. Its reports are divided by divideDue.
+			continue
+		}
 		if t.writing {
 			t.writing, t.recorded = false, true
 			for _, h := range t.holders {
@@ -344,14 +349,15 @@
 	return changes
 }
 
-// epochsWritten takes over the epochs in the newest records. The owners with new ones get new grants.
-func (d *Division) epochsWritten() {
+// epochsWritten takes over the epochs in the newest records and reports whether any has changed. The owners with new ones get new
+// grants of all teams.
+func (d *Division) epochsWritten() (changed bool) {
 	for _, part := range slices.Sorted(maps.Keys(d.writingEpochs)) {
 		epoch := d.writingEpochs[part]
 		if d.epochs[part] == epoch {
 			continue
 		}
-		d.epochs[part] = epoch
+		d.epochs[part], changed = epoch, true
 		if d.newEpochs[part] == epoch {
 			delete(d.newEpochs, part)
 		}
@@ -360,4 +366,5 @@
 		}
 	}
 	d.writingEpochs = nil
+	return changed
 }
--- a/wigeonquota/ledger.go
+++ b/wigeonquota/ledger.go
@@ -20,8 +20,8 @@
 	refused []*Allowance
 	// division is the fencing token of the division that has received the reports.
 	division wigeonstep.FencingToken
-	// next is the index in names at which the next report begins.
-	next int
+	// next is the index in names at which the next report begins; reports counts the reports.
+	next, reports int
 }
 
 // SetLimits puts the limits of the teams of a newer configuration in force. An allowance is kept when its team has no limit any
@@ -101,12 +101,18 @@
 			others = append(others, u)
 		}
 	}
-	l.next++
+	l.reports++
 	all := slices.Concat(urgent, others)
-	if len(all) == 0 && l.next%refreshInterval == 0 {
+	if len(all) == 0 && l.reports%refreshInterval == 0 {
 		all = l.refresh(demand)
 	}
-	return all[:min(len(all), maxReported)]
+	if len(all) > maxReported {
+		// The teams after the last one that fits come next, so that each gets its turn.
+		all = all[:maxReported]
+		last, _ := slices.BinarySearch(l.names, all[maxReported-1].Team)
+		l.next = last + 1
+	}
+	return all
 }
 
 // refreshInterval is the number of reports after which one without changes repeats the use of one team. A report that the division
@@ -116,7 +122,7 @@
 // refresh returns the use of the next team that has an allowance.
 func (l *Ledger) refresh(demand func(wigeonstep.TeamName) Demand) []Use {
 	for i := range l.names {
-		a := l.allowances[l.names[(l.next/refreshInterval+i)%len(l.names)]]
+		a := l.allowances[l.names[(l.reports/refreshInterval+i)%len(l.names)]]
 		if a.Limited() {
 			d := demand(a.team)
 			return []Use{a.report(d.Use, d.Ready)}
--- a/wigeonquota/ledger_test.go
+++ b/wigeonquota/ledger_test.go
@@ -1,6 +1,7 @@
 package wigeonquota_test
 
 import (
+	"fmt"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -62,3 +63,33 @@
 		})
 	}
 }
+
+// Guards against teams whose figures reach the division only after many seconds, because each report repeats most teams of the one
+// before while all of them change.
+func TestEachBusyTeamIsReportedInTurn(t *testing.T) {
+	c := qt.New(t)
+	const count, perReport = 300, 12
+	var teams []wigeonstep.Team
+	for i := range count {
+		teams = append(teams, wigeonstep.Team{Name: wigeonstep.TeamName(fmt.Sprintf("team-%03d", i)), Limit: cpu(100)})
+	}
+	var l wigeonquota.Ledger
+	l.SetLimits(1, teams)
+	use, reported := 0, map[wigeonstep.TeamName]bool{}
+	// The first round has each team as new, the second one only as changed.
+	for i := range 2 * count / perReport {
+		if i == count/perReport {
+			clear(reported)
+		}
+		use += 10
+		uses := l.Report(func(wigeonstep.TeamName) wigeonquota.Demand { return wigeonquota.Demand{Use: cpu(use)} })
+		c.Assert(uses, qt.HasLen, perReport)
+		l.Received(1, uses)
+		for _, u := range uses {
+			reported[u.Team] = true
+		}
+	}
+	c.Assert(reported, qt.HasLen, count)
+	first := l.Report(func(wigeonstep.TeamName) wigeonquota.Demand { return wigeonquota.Demand{Use: cpu(use + 10)} })
+	c.Assert(first[0].Team, qt.Equals, teams[0].Name)
+}
