--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -394,8 +394,12 @@
 	d.reportLoad(now.Steady)
 }
 
-// stepOwners lets each owner act on the events so far.
+// stepOwners lets each owner act on the events so far. Until a configuration is read, the limits of the teams are not known, so
+// nothing may start.
 func (d *Daemon) stepOwners(now wigeonshard.Timestamp) {
+	if d.routes.Load() == nil {
+		return
+	}
 	for _, sh := range d.sortedShards {
 		if sh.owner == nil {
 			continue
--- a/wigeondaemon/operator.go
+++ b/wigeondaemon/operator.go
@@ -127,10 +127,14 @@
 // applyConfiguration puts a configuration in force unless the current version is the same or newer. source is the log or the
 // address of the peer that it comes from.
 func (d *Daemon) applyConfiguration(table *routeTable, source string) {
-	if current := d.routes.Load(); current != nil && table.version <= current.version {
+	current := d.routes.Load()
+	if current != nil && table.version <= current.version {
 		return
 	}
 	d.routes.Store(table)
+	if current == nil && len(table.directory.Teams()) > 0 {
+		d.restartOwners()
+	}
 	for _, sh := range d.sortedShards {
 		if sh.owner != nil {
 			sh.owner.SetTeams(table.directory.Teams())
@@ -146,6 +150,16 @@
 	d.updateReady()
 }
 
+// restartOwners makes the state of the owners anew with the first configuration. They have not acted yet, and have taken in their
+// jobs without the rates and limits of the teams.
+func (d *Daemon) restartOwners() {
+	for _, sh := range d.sortedShards {
+		if sh.owner != nil {
+			d.startOwner(sh, d.config.Now())
+		}
+	}
+}
+
 // maxTeamFaults bounds the faults of teams that are logged for one configuration.
 const maxTeamFaults = 20
 
--- a/wigeondaemon/quota.go
+++ b/wigeondaemon/quota.go
@@ -77,9 +77,11 @@
 	division.SetPartitions(usedPartitions(sh.replica.ServicePartitions))
 	allowances, epochs := division.Plan(now.Steady)
 	var records []wigeonstep.KeyedRecord
+	failed := false
 	add := func(key string, value []byte, err error) {
 		if err != nil {
 			d.config.Logger.Error("allowance_record_failed", zap.String("key", key), zap.Error(err))
+			failed = true
 			return
 		}
 		records = append(records, wigeonstep.KeyedRecord{Key: key, Value: value})
@@ -92,6 +94,13 @@
 		value, err := wigeonjob.EncodeShardEpochs(epochs)
 		add(wigeonjob.ShardEpochsKey, value, err)
 	}
+	if failed {
+		// The division takes all records of a plan for durable once one append is acknowledged. A new one begins with what the log
+		// holds.
+		d.dropShard(sh, "a record of an allowance cannot be encoded")
+		sh.retryClaimAt = now.Steady + claimRetryDelay
+		return nil
+	}
 	return records
 }
 
--- a/wigeondaemon/reservation.go
+++ b/wigeondaemon/reservation.go
@@ -163,10 +163,11 @@
 // restoreReplaced writes the records of jobs that were replaced by those of another team, if this process owns the shard: the id was
 // not reserved, because the owner did not answer or had changed.
 func (d *Daemon) restoreReplaced(sh *shard) {
+	if sh.owner == nil {
+		// The replica keeps the list for the time when this process owns the shard.
+		return
+	}
 	for _, job := range sh.replica.TakeReplaced() {
-		if sh.owner == nil {
-			continue
-		}
 		value, err := wigeonjob.EncodeJob(job)
 		if err != nil {
 			d.config.Logger.Error("restore_failed", zap.String("job", string(job.ID)), zap.Error(err))
@@ -177,6 +178,9 @@
 		record := wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindJob, job.ID), Value: value}
 		go func() {
 			for delay := minAppendDelay; ctx.Err() == nil; delay = min(2*delay, maxAppendDelay) {
+				if keeps, ok := queryLoop(ctx, d, func() bool { return d.keepsJob(sh, job.ID) }); !ok || !keeps {
+					return
+				}
 				err := d.appendBatched(ctx, part, record)
 				if err == nil || errors.Is(err, wigeonstep.ErrRejected) {
 					return
@@ -186,3 +190,17 @@
 		}()
 	}
 }
+
+// restoreMargin is the time before the removal of an ended job from which its record is not restored any more: a record that is
+// written after the removal would start the job again.
+const restoreMargin = 10 * time.Second
+
+// keepsJob reports whether the job is held here and is not about to be removed.
+func (d *Daemon) keepsJob(sh *shard, id wigeonstep.JobID) bool {
+	e := sh.replica.Find(id)
+	if e == nil {
+		return false
+	}
+	removed := e.Progress.Ended + wigeonstep.UnixMillis(d.config.Retention.Milliseconds())
+	return !e.Progress.State.Terminal() || e.Progress.Ended == 0 || d.config.Now().Wall < removed-wigeonstep.UnixMillis(restoreMargin.Milliseconds())
+}
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -330,6 +330,11 @@
 		d.publishOwnerAddress(sh)
 		return
 	}
+	d.startOwner(sh, now)
+}
+
+// startOwner makes the state of the owner of a shard from the replica.
+func (d *Daemon) startOwner(sh *shard, now wigeonshard.Timestamp) {
 	sh.owner = wigeonshard.NewOwner(d.config.Shard, sh.fence, now, sh.replica.Owner)
 	if table := d.routes.Load(); table != nil {
 		sh.owner.SetTeams(table.directory.Teams())
@@ -344,6 +349,7 @@
 		}
 	}
 	d.pushWorkersTo(sh, now)
+	d.restoreReplaced(sh)
 }
 
 // publishOwnerAddress appends a record with this process's peer address, so that other processes find the owner of the
