--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -8,8 +8,8 @@
 	"github.com/wigeonstep/wigeonstep"
 )
 
-// roomHold is room on a worker that is kept for one long-running task, so that no other task takes it. The task has no
-// run, or only runs that are being stopped or have to leave their worker.
+// roomHold is room on a worker that is kept for one task, so that no other task takes it: a long-running task, or a finite one of a
+// team below its fair share. The task has no run, or only runs that are being stopped or have to leave their worker.
 type roomHold struct {
 	task   *task
 	worker *worker
@@ -153,15 +153,21 @@
 			continue
 		}
 		eligible := o.eligibleWorkers(now, s, pool)
+		held := o.uncountedHolds(s)
 		for _, t := range s.tasks {
 			if !t.needsRoom(now.Steady) {
 				continue
 			}
+			// Kept room is no use of the team, so the limit has to allow all tasks with kept room together.
+			if !s.limitAllowsBesides(held) {
+				break
+			}
 			w := s.soonestWorker(now.Steady, t, eligible)
 			if w == nil {
 				break
 			}
 			o.holdRoom(t, w, false)
+			held = held.Add(s.Required)
 		}
 	}
 }
--- a/wigeonshard/holdshare.go
+++ b/wigeonshard/holdshare.go
@@ -34,14 +34,21 @@
 	if d.lent == (wigeonstep.Resources{}) {
 		return
 	}
-	added, most := 0, max(len(r.pool)/maxShareHoldPart, 1)
+	searches, most := 0, max(len(r.pool)/maxShareHoldPart, 1)
+	capacities := largestCapacities(r.pool)
+	var searchedFor *team
 	for _, e := range o.finiteSteps.entries {
-		if added >= maxNewShareHolds || len(d.held) >= most {
+		if searches >= maxNewShareHolds || len(d.held) >= most {
 			return
 		}
-		if t := o.taskToHoldFor(now, e); t != nil && e.fitsOnEmpty(r.pool) {
-			added++
-			if w := e.soonestWorker(now.Steady, t, r.pool); w != nil {
+		if e.job.team == searchedFor || !anyCovers(capacities[e.job.Service], e.reserved) {
+			continue
+		}
+		if t := o.taskToHoldFor(now, e); t != nil {
+			searches++
+			// Steps of one team that find no worker must not use up the searches of the others.
+			searchedFor = e.job.team
+			if w := e.soonestWorker(now.Steady, t, r.pool); w != nil && e.limitAllowsBesides(o.uncountedHolds(e.step)) {
 				o.holdRoom(t, w, false)
 				d.held = append(d.held, t)
 				r.order = newRoomOrder(r.pool)
@@ -69,9 +76,16 @@
 	return e.tasks[i]
 }
 
-// fitsOnEmpty reports whether a worker of the pool without any run would have room for a task of the step.
-func (e openStep) fitsOnEmpty(pool []*worker) bool {
-	return slices.ContainsFunc(pool, func(w *worker) bool { return w.Service == e.job.Service && w.Capacity.Covers(e.reserved) })
+// largestCapacities returns the capacity of each worker that no other worker's of its service covers. A task that fits into none of
+// them would not fit on an empty worker.
+func largestCapacities(pool []*worker) map[wigeonstep.ServiceName][]wigeonstep.Resources {
+	largest := map[wigeonstep.ServiceName][]wigeonstep.Resources{}
+	for _, w := range pool {
+		if found := largest[w.Service]; !anyCovers(found, w.Capacity) {
+			largest[w.Service] = append(found, w.Capacity)
+		}
+	}
+	return largest
 }
 
 // placeHeldShares plans runs for the tasks whose kept room is free, and returns their number.
--- a/wigeonshard/isolation.go
+++ b/wigeonshard/isolation.go
@@ -67,9 +67,13 @@
 // task, and waits until its youngest run is old enough.
 func (o *Owner) placeSuspect(now Timestamp, t *task, pool []*worker) int {
 	s := t.step
-	if !s.withinLimit() {
+	if !s.limitAllows() {
 		// The worker would be kept for a task that can't start.
 		o.dropIsolation(t)
+		// A task that has no worker must not ask for the limit, which would stay unused.
+		if !s.refusedAlready() && o.mayIsolate(s) && s.chooseIsolated(now.Steady, t, o.eligibleWorkers(now, s, pool)) != nil {
+			s.withinLimit()
+		}
 		return 0
 	}
 	if t.isolation == nil {
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -251,24 +251,24 @@
 // placeStep plans runs for the waiting tasks of a step and returns their number.
 func (o *Owner) placeStep(now Timestamp, s *step, r *round) int {
 	reserved := s.Reserved()
+	planned := 0
 	if s.suspects > 0 {
 		r.order = nil
-		planned := o.placeSuspects(now, s, r.pool)
+		planned = o.placeSuspects(now, s, r.pool)
 		if s.Gang {
 			return planned
 		}
 		r.pool = slices.DeleteFunc(slices.Clone(r.pool), func(w *worker) bool { return w.isolation != nil })
 	}
-	held := 0
 	if s.LongRunning {
 		r.order = nil
-		held = o.placeHeldTasks(now, s, r.pool)
+		planned += o.placeHeldTasks(now, s, r.pool)
 	}
 	if r.cannotFit(s.job.Service, reserved) {
-		return held
+		return planned
 	}
 	if s.plain() {
-		return held + o.placePlainStep(now, s, r)
+		return o.placePlainStep(now, s, r, planned)
 	}
 	r.order = nil
 	pool := o.eligibleWorkers(now, s, r.pool)
@@ -278,7 +278,6 @@
 	if s.Gang {
 		return o.placeGang(s, pool)
 	}
-	planned := held
 	for _, t := range s.tasks {
 		if !t.needsRun() || now.Steady < t.retryAt || t.mustIsolate(now.Steady) {
 			continue
@@ -302,10 +301,9 @@
 	return planned
 }
 
-// placePlainStep plans runs for the waiting tasks of a plain step and returns their number.
-func (o *Owner) placePlainStep(now Timestamp, s *step, r *round) int {
+// placePlainStep plans runs for the waiting tasks of a plain step, of which some are planned already, and returns the number of all.
+func (o *Owner) placePlainStep(now Timestamp, s *step, r *round, planned int) int {
 	reserved := s.Reserved()
-	planned := 0
 	for _, t := range s.tasks {
 		if !t.needsRun() || now.Steady < t.retryAt || t.mustIsolate(now.Steady) {
 			continue
@@ -340,6 +338,13 @@
 
 // placeGang plans a run for each task of a gang, all with the same run number, or none when a task doesn't fit.
 func (o *Owner) placeGang(s *step, pool []*worker) int {
+	// The limit is asked for all members at once, so it is not asked again for each.
+	if !s.limitAllows() {
+		if s.fitsLimit() && s.chooseWorker(s.tasks[0], pool, s.Reserved()) != nil {
+			s.withinLimit()
+		}
+		return 0
+	}
 	number := wigeonstep.RunNumber(0)
 	for _, t := range s.tasks {
 		number = max(number, t.lastRun)
@@ -349,7 +354,7 @@
 	var members []*run
 	for _, t := range s.tasks {
 		w := s.chooseWorker(t, pool, reserved)
-		if w == nil || !s.withinLimit() {
+		if w == nil {
 			for _, r := range members {
 				o.detach(r)
 			}
--- a/wigeonshard/quota.go
+++ b/wigeonshard/quota.go
@@ -166,10 +166,39 @@
 	return a.Allows(use, s.Required)
 }
 
-// refusedAlready reports whether a task that requires no more than one of the step was refused in this round.
+// refusedAlready reports whether the step can't start a task because of the limit of its team, and need not be tried: it asks for
+// nothing, or a refusal was recorded in this round. A step that the limit allows is tried whatever was refused, because a task that
+// may exceed the limit can require more than a refused gang.
 func (s *step) refusedAlready() bool {
 	a := s.allowance()
-	return a != nil && a.Refused() != (wigeonstep.Resources{}) && s.Required.Covers(a.Refused())
+	if a == nil || s.limitAllows() {
+		return false
+	}
+	return !s.fitsLimit() || a.Refused() != (wigeonstep.Resources{}) && (s.Gang || s.Required.Covers(a.Refused()))
+}
+
+// uncountedHolds returns what the tasks of the step's team require that have no run but room kept for them, and are not yet part of
+// the use of the team.
+func (o *Owner) uncountedHolds(s *step) wigeonstep.Resources {
+	var sum wigeonstep.Resources
+	if s.allowance() == nil {
+		return sum
+	}
+	for _, w := range o.sortedWorkers {
+		for _, h := range w.held.holds {
+			if t := h.task; t.step.job.team == s.job.team && !h.counted && len(t.runs) == 0 {
+				sum = sum.Add(t.step.Required)
+			}
+		}
+	}
+	return sum
+}
+
+// limitAllowsBesides reports whether the limit of the step's team allows a run of another of its tasks, besides runs that require an
+// amount. The step is no gang.
+func (s *step) limitAllowsBesides(planned wigeonstep.Resources) bool {
+	a := s.allowance()
+	return a == nil || a.Allows(s.job.team.use.Add(planned), s.Required)
 }
 
 // keepsLimit reports whether the part of the limit that a run had is kept for the next run of its task: it was stopped so that it
--- a/wigeonshard/quota_test.go
+++ b/wigeonshard/quota_test.go
@@ -265,3 +265,89 @@
 	c.Assert(m.highestRunning(6*time.Second), qt.Equals, 2)
 	c.Assert(m.violations, qt.HasLen, 0)
 }
+
+// Guards against room that is kept on many workers for tasks of a team whose limit allows only one of them.
+func TestRoomIsKeptWithinLimit(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 6, 3)
+	m.outcome = func(wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) {
+		return 700 * time.Millisecond, wigeonstep.EndDone
+	}
+	o := m.addOwner()
+	m.limitTeam(o.Owner, 1, 1)
+	m.submitJob(testJob("other", testStep(30)))
+	m.advance(100 * time.Millisecond)
+	longRunning := testStep(3)
+	longRunning.LongRunning = true
+	m.submitJob(teamJob("team", longRunning))
+	most := 0
+	for until := m.now + 2*time.Second; m.now < until; m.advance(5 * time.Millisecond) {
+		holds := 0
+		for _, w := range o.sortedWorkers {
+			holds += len(w.held.holds)
+		}
+		most = max(most, holds)
+	}
+	c.Assert(most, qt.Equals, 1)
+	c.Assert(m.runningTasks(), qt.Equals, 1)
+}
+
+// Guards against a task that may exceed the limit and is skipped because a gang that requires less in all was refused before it.
+func TestRefusedGangDoesNotStopTaskThatMayExceed(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 7, 4)
+	o := m.addOwner()
+	m.limitTeam(o.Owner, 1, 3)
+	a := o.quotas.Allowance(testTeam)
+	bound := func(n wigeonstep.MilliCPU) wigeonstep.Resources {
+		return wigeonstep.Resources{CPU: n * 1800, Memory: wigeonquota.Unlimited, GPU: wigeonquota.Unlimited}
+	}
+	o.ApplyGrants([]wigeonquota.Grant{{
+		Team: testTeam, Number: wigeonquota.GrantNumber{Epoch: 1, Counter: 2}, Version: 1,
+		Allowance: bound(2), Limit: bound(3), Total: bound(3), MayExceed: true,
+	}})
+	gang, large := testStep(3), testStep(1)
+	gang.Gang = true
+	large.Required = wigeonstep.Resources{CPU: 3*1800 + 100, Memory: 3 * gang.Required.Memory}
+	m.submitJob(teamJob("gang", gang))
+	m.advance(200 * time.Millisecond)
+	c.Assert(a.Refused().CPU, qt.Equals, wigeonstep.MilliCPU(3*1800))
+	m.submitJob(teamJob("large", large))
+	m.advance(200 * time.Millisecond)
+	c.Assert(o.teams[testTeam].use.CPU, qt.Equals, large.Required.CPU)
+}
+
+// Guards against a suspected task that asks for the limit of its team although there is no worker for it.
+func TestSuspectedTaskWithoutWorkerIsNotRefused(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 4, 4)
+	m.groupConfirms, m.vmList = true, true
+	o := m.addOwner()
+	longRunning := testStep(1)
+	longRunning.LongRunning = true
+	m.submitJob(teamJob("serving", longRunning))
+	m.advance(time.Second)
+	task := wigeonstep.TaskID{Job: "crashing"}
+	m.crashingTasks[task] = 100 * time.Millisecond
+	m.submitJob(teamJob("crashing", testStep(1)))
+	for deadline := m.now + 10*time.Second; m.crashes[task] < 2 && m.now < deadline; {
+		m.advance(10 * time.Millisecond)
+	}
+	c.Assert(m.crashes[task], qt.Equals, 2)
+	m.limitTeam(o.Owner, 1, 1)
+	a := o.quotas.Allowance(testTeam)
+	refused := func() bool {
+		for until := m.now + time.Second; m.now < until; m.advance(5 * time.Millisecond) {
+			if a.Refused() != (wigeonstep.Resources{}) {
+				return true
+			}
+		}
+		return false
+	}
+	c.Assert(refused(), qt.IsTrue)
+	others := testStep(4 * 4)
+	others.LongRunning = true
+	m.submitJob(testJob("others", others))
+	m.advance(2 * time.Second)
+	c.Assert(refused(), qt.IsFalse)
+}
--- a/wigeonshard/sharing_test.go
+++ b/wigeonshard/sharing_test.go
@@ -93,6 +93,31 @@
 	}
 }
 
+// Guards against a team whose steps can have room on no worker, and that uses up the searches for all teams.
+func TestStepsWithoutWorkerDoNotStopLargeTasksOfOthers(t *testing.T) {
+	c := qt.New(t)
+	b := newBurst(20)
+	b.owner.SetTeams(testTeams(10, "hot", "blocked", "large"))
+	serving := taskOf(4000, 20)
+	serving.LongRunning, serving.MaxPerWorker = true, 1
+	b.submitFor("", serving)
+	b.advance(100*time.Millisecond, 0)
+	for range 250 {
+		b.submitHot(20)
+		b.advance(8*time.Millisecond, 0)
+	}
+	var blocked []*job
+	for range 3 {
+		blocked = append(blocked, b.submitFor("blocked", taskOf(b.owner.sortedWorkers[0].Capacity.CPU, 1)))
+	}
+	j := b.submitFor("large", taskOf(20_000, 1))
+	waited := b.timeUntilStart(j, 10*time.Second, func() { b.submitHot(20) })
+	c.Assert(waited <= 3*time.Second, qt.IsTrue, qt.Commentf("%s", waited))
+	for _, j := range blocked {
+		c.Assert(j.occurrences[0].steps[0].waiting, qt.Equals, 1)
+	}
+}
+
 // Guards against room that stays kept for a task after its team, or all teams, have left the configuration.
 func TestRoomKeptForATeamIsGivenUp(t *testing.T) {
 	c := qt.New(t)
