--- a/wigeonshard/quota_test.go
+++ b/wigeonshard/quota_test.go
@@ -351,3 +351,22 @@
 	m.advance(2 * time.Second)
 	c.Assert(refused(), qt.IsFalse)
 }
+
+// Guards against a search over the pool in each round for gangs that the limit never lets start, or after another was refused.
+func TestGangsThatCannotStartAreNotTried(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 8, 6)
+	o := m.addOwner()
+	m.limitTeam(o.Owner, 1, 3, 2)
+	gangOf := func(id wigeonstep.JobID, n int) *step {
+		s := testStep(n)
+		s.Gang = true
+		m.submitJob(teamJob(id, s))
+		m.advance(200 * time.Millisecond)
+		return o.jobs[id].occurrences[0].steps[0]
+	}
+	c.Assert(gangOf("never", 5).refusedAlready(), qt.IsTrue)
+	c.Assert(o.quotas.Allowance(testTeam).Refused(), qt.Equals, wigeonstep.Resources{})
+	c.Assert(gangOf("later", 3).refusedAlready(), qt.IsTrue)
+	c.Assert(o.quotas.Allowance(testTeam).Refused().CPU, qt.Equals, wigeonstep.MilliCPU(3*1800))
+}
