--- a/wigeonshard/bench_test.go
+++ b/wigeonshard/bench_test.go
@@ -70,25 +70,10 @@
 	var base float64
 	for _, size := range []struct{ workers, waiting int }{{50, 100}, {90, 600}, {350, 600}, {7300, 600}} {
 		b.Run(fmt.Sprintf("workers=%d/waiting=%d", size.workers, size.waiting), func(b *testing.B) {
-			o, now := newOwnerWithFullWorkers(size.workers, size.waiting)
-			ends := map[wigeonstep.WorkerID]uint64{}
+			l := newEndLoop(newOwnerWithFullWorkers(size.workers, size.waiting))
 			b.ResetTimer()
 			for i := range b.N {
-				now.Steady += time.Millisecond
-				w := o.sortedWorkers[i%len(o.sortedWorkers)]
-				pending := o.pendHeartbeat(now, w)
-				if len(w.runs) > 0 {
-					r := w.runs[0]
-					ends[w.ID]++
-					o.HeartbeatAnswered(now, pending, wigeonstep.HeartbeatResult{Clock: 5000, Ended: []wigeonstep.EndedRun{{Number: ends[w.ID], Run: r.id(), Cause: wigeonstep.EndStopped}}, Running: runReports(w, r)}, nil)
-				}
-				a := o.Step(now)
-				if a.Append != nil {
-					o.AppendAcknowledged(now, now.Steady)
-				}
-				for _, s := range o.Step(now).Starts {
-					o.StartAnswered(now, s, wigeonstep.StartResult{Verdict: wigeonstep.StartAccepted, Clock: 5000})
-				}
+				l.turn(i)
 			}
 			per := float64(b.Elapsed().Nanoseconds()) / float64(b.N)
 			if base == 0 {
--- a/wigeonshard/sharing_bench_test.go
+++ b/wigeonshard/sharing_bench_test.go
@@ -17,8 +17,7 @@
 	took  time.Duration
 }
 
-func newEndLoop(workers, waiting int, prepare func(*Owner), change func(int, *wigeonjob.Job)) *endLoop {
-	o, now := newOwnerWithWorkers(workers, waiting, prepare, change)
+func newEndLoop(o *Owner, now Timestamp) *endLoop {
 	return &endLoop{owner: o, now: now, ends: map[wigeonstep.WorkerID]uint64{}}
 }
 
@@ -75,11 +74,11 @@
 					}
 				}
 			}
-			without := newEndLoop(350, 1500, func(*Owner) {}, queue)
-			with := newEndLoop(350, 1500, func(o *Owner) { o.SetTeams(configured) }, func(i int, j *wigeonjob.Job) {
+			without := newEndLoop(newOwnerWithWorkers(350, 1500, func(*Owner) {}, queue))
+			with := newEndLoop(newOwnerWithWorkers(350, 1500, func(o *Owner) { o.SetTeams(configured) }, func(i int, j *wigeonjob.Job) {
 				queue(i, j)
 				j.Team = configured[i%teams].Name
-			})
+			}))
 			without.took, with.took = 0, 0
 			b.ResetTimer()
 			for i := range b.N {
