--- a/wigeoningress/chunks.go
+++ b/wigeoningress/chunks.go
@@ -129,7 +129,7 @@
 	return None
 }
 
-// addTrailer takes a byte of the trailers, which are thrown away, up to the empty line at their end.
+// addTrailer takes a byte of the trailers, which are discarded, up to the empty line at their end.
 func (d *chunkDecoder) addTrailer(c byte, l *Limits) Reason {
 	d.trailer++
 	if d.trailer > l.TrailerBytes+2 {
--- a/wigeoningress/conn.go
+++ b/wigeoningress/conn.go
@@ -54,7 +54,7 @@
 	since atomic.Int64
 	// endReason is why the connection has to end. It is set before phaseEnding.
 	endReason atomic.Int32
-	// reclaimed is what the connection still holds of its charge at the time at which it was told to end. mu of the gate
+	// reclaimed is what the connection still holds of its charge at the time at which its eviction began. mu of the gate
 	// protects it.
 	reclaimed int64
 	closed    atomic.Bool
@@ -190,7 +190,7 @@
 
 const (
 	// refusalTimeout bounds the writing of a refusal, and lingerTimeout the time for which a connection is read after its last
-	// response and what arrives is thrown away: a connection that is closed with unread bytes is reset, which may take the response
+	// response and what arrives is discarded: a connection that is closed with unread bytes is reset, which may take the response
 	// from the client.
 	refusalTimeout = time.Second
 	lingerTimeout  = 500 * time.Millisecond
--- a/wigeoningress/gate.go
+++ b/wigeoningress/gate.go
@@ -57,7 +57,7 @@
 
 	mu    sync.Mutex
 	conns map[*Conn]struct{}
-	// reclaiming is what connections still hold that have been told to end, as far as they held it then.
+	// reclaiming is what the connections that are being evicted still hold of what they held when that began.
 	reclaiming int64
 	// senders and candidates are reused by endVictim.
 	senders    []sender
@@ -86,7 +86,7 @@
 // MaxBodyBytes returns the size of the largest body that any configuration may allow.
 func (g *Gate) MaxBodyBytes() int { return max(int(g.total/bodyFraction), DefaultBodyBytes) }
 
-// take takes n bytes of the budget for the connection. It returns false if nobody else can give way; the bytes are then taken
+// take takes n bytes of the budget for the connection. It returns false if no other connection can be evicted; the bytes are then taken
 // all the same, and the connection has to end.
 func (g *Gate) take(c *Conn, n int64) bool {
 	c.charge.Add(n)
@@ -118,7 +118,7 @@
 }
 
 // makeRoom ends connections until what the others hold is within the budget. It returns false if c has to end itself: nobody else
-// can, c costs the most, or those that were told to end still hold too much.
+// can, c costs the most, or those that are being evicted still hold too much.
 func (g *Gate) makeRoom(c *Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -184,7 +184,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	count, limits := l.byAddress[c.address], &l.base
-	// Both counts are checked before a victim is told to end, so that none ends for a connection that is not admitted.
+	// Both counts are checked before a victim is evicted, so that none ends for a connection that is not admitted.
 	switch {
 	case count >= withOverdraft(limits.AddressConnections):
 		return TooManyAddressConnections
@@ -204,7 +204,7 @@
 	return None
 }
 
-// withOverdraft returns the number of connections that may be open at a limit. Those that were told to end are still open for a
+// withOverdraft returns the number of connections that may be open at a limit. Those that are being evicted are still open for a
 // while, so the limit may be exceeded by a quarter.
 func withOverdraft(limit int) int { return limit + max(limit/overdraftFraction, 1) }
 
--- a/wigeoningress/gate_test.go
+++ b/wigeoningress/gate_test.go
@@ -39,7 +39,7 @@
 }
 
 // Guards against a budget that is exceeded, that ends a request that is being handled, or that refuses an ordinary caller while a
-// costlier sender could give way.
+// costlier sender could be evicted.
 func TestBudgetEndsTheCostliestSender(t *testing.T) {
 	const total = 1 << 20
 	g := NewGate(Settings{MemoryBytes: memoryFraction * total})
@@ -64,7 +64,7 @@
 	qt.Assert(t, g.reclaiming, qt.Equals, int64(0))
 	qt.Assert(t, g.take(small, total/8), qt.IsTrue)
 	qt.Assert(t, small.phase.Load(), qt.Equals, phaseCollecting)
-	// Nobody else can give way, so the sender itself has to.
+	// No other connection can be evicted, so the sender itself is.
 	qt.Assert(t, g.take(small, total), qt.IsFalse)
 	qt.Assert(t, handled.phase.Load(), qt.Equals, phaseHandling)
 	qt.Assert(t, small.Close(), qt.IsNil)
@@ -84,7 +84,7 @@
 		}
 		conns = append(conns, newConns(t, l, 1)...)
 		qt.Assert(t, conns[0].phase.Load(), qt.Equals, phaseEnding)
-		// The connection that was told to end is still open, and so many more are too many.
+		// The evicted connection is still open, and so many more are too many.
 		_, err := accept(t, l, &scriptedConn{})
 		qt.Assert(t, err, qt.Equals, net.ErrClosed)
 		qt.Assert(t, conns[4].phase.Load(), qt.Equals, phaseFresh)
@@ -179,7 +179,7 @@
 	qt.Assert(t, c.listener.gate.counters[WriteTimeout].unlogged.Load(), qt.Equals, int64(1))
 }
 
-// Guards against bytes that count as still to come after a victim has given them back, so that nobody else gives way.
+// Guards against bytes that count as still to come after a victim has given them back, so that nobody else is evicted.
 func TestReclaimingEndsWithRelease(t *testing.T) {
 	const total = 1 << 20
 	g := NewGate(Settings{MemoryBytes: memoryFraction * total})
@@ -194,7 +194,7 @@
 	first.freeBuffer()
 	qt.Assert(t, g.reclaiming, qt.Equals, int64(connectionCharge))
 	qt.Assert(t, second.takeBuffer(total/4), qt.IsTrue)
-	// The buffer of the first connection is free already, so the second one has to give way.
+	// The buffer of the first connection is free already, so the second one has to be evicted.
 	qt.Assert(t, g.take(ordinary, total/4), qt.IsTrue)
 	qt.Assert(t, second.phase.Load(), qt.Equals, phaseEnding)
 	for _, c := range conns {
@@ -242,7 +242,7 @@
 	qt.Assert(t, inner.read.After(time.Unix(1, 0)), qt.IsTrue)
 }
 
-// Guards against a victim that waits for its deadline before it gives way, or that is told nothing.
+// Guards against a victim that waits for its deadline before it closes, or that is not notified.
 func TestVictimIsToldAtOnce(t *testing.T) {
 	client, server := net.Pipe()
 	c, err := accept(t, NewGate(Settings{}).Listen(&scriptedListener{}, ListenerSettings{Limits: Limits{HeadTimeout: time.Hour}}), server)
--- a/wigeoningress/victim.go
+++ b/wigeoningress/victim.go
@@ -26,11 +26,11 @@
 // cost orders senders: what they hold, times for how long.
 func (s sender) cost() float64 { return float64(s.charge) * float64(max(s.age, minAge)) }
 
-// overdue reports whether the sender gives way before all others.
+// overdue reports whether the sender is evicted before all others.
 func (s sender) overdue() bool { return s.unfinished && s.age > ordinaryAge }
 
-// chooseVictim returns the index of the sender that gives way, -1 if there is none: among those with an overdue request, or
-// among all if there are none, the one with the highest cost. Of equals, the first gives way.
+// chooseVictim returns the index of the sender to evict, -1 if there is none: among those with an overdue request, or
+// among all if there are none, the one with the highest cost. Of equals, the first is evicted.
 func chooseVictim(senders []sender) int {
 	victim := -1
 	for i, s := range senders {
--- a/wigeoningress/victim_test.go
+++ b/wigeoningress/victim_test.go
@@ -8,7 +8,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against an ordinary caller that gives way to a hostile one.
+// Guards against an ordinary caller that is evicted in place of a hostile one.
 func TestVictim(t *testing.T) {
 	ordinary := sender{charge: 30 << 10, age: 20 * time.Millisecond, unfinished: true}
 	idle := sender{charge: 24 << 10, age: 10 * time.Second}
