Show the stages of jobs and the work of owners in log and metrics

Cause: when a class of jobs is late, the log of an owner could not tell whether jobs wait for the log, the registry, the relays, the workers or for room, nor how much a process does for others, and pool_size did not say how old the VM list is from which it is planned. Change: shard_load (workers, waiting tasks, count, mean and longest time of six stages of a job), counts of the work in loop_load, list_age in pool_size, and metrics of the same. No logic changes.

--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -229,6 +229,11 @@
 
 // HandlePeer answers a request of a peer. It returns nil if ctx ends first.
 func (d *Daemon) HandlePeer(ctx context.Context, request *wigeonwire.PeerRequest) *wigeonwire.PeerResponse {
+	kind := workPeerCalls
+	if request.GetJob() != nil {
+		kind = workJobQueries
+	}
+	d.work.add(kind, 1)
 	if report := request.GetShard(); report != nil {
 		orders, ok := queryLoop(ctx, d, func() *wigeonwire.ShardOrders { return d.handleReport(report) })
 		if !ok {
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -160,6 +160,7 @@
 	// registrySlots bounds the calls to the registry in flight.
 	registrySlots chan struct{}
 	load          loopLoad
+	work          workCounts
 	teamGauges    teamGauges
 	relays        relays
 	fleet         fleet
--- a/wigeondaemon/execute.go
+++ b/wigeondaemon/execute.go
@@ -19,6 +19,8 @@
 	if a.Append != nil {
 		e.appendProgress(sh, a.Append)
 	}
+	d.work.add(workOrders, len(a.Heartbeats)+len(a.Stops)+len(a.Starts)+len(a.Throttles))
+	d.work.add(workWritten, len(a.Append))
 	for _, h := range a.Heartbeats {
 		e.sendHeartbeat(h)
 	}
@@ -63,6 +65,7 @@
 
 func (e execution) deliver(event func()) {
 	if e.ctx.Err() == nil {
+		e.work.add(workAnswers, 1)
 		event()
 	}
 }
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -47,8 +47,10 @@
 	// lastList is the time of the newest request for the VM list that has ended, with a list or an error. Lists requested
 	// before minListTime are ignored, because they may not show the newest moves and maintenance.
 	lastList, minListTime time.Duration
-	listInFlight          bool
-	writeInFlight         bool
+	// listedAt is the time of the request for the newest list that is in vms.
+	listedAt      time.Duration
+	listInFlight  bool
+	writeInFlight bool
 	// confirmedMaintenance and confirmedMoves hold the orders that the platform has confirmed and whose records are not yet
 	// handed to the log.
 	confirmedMaintenance []wigeonjob.MaintenanceOrder
@@ -178,7 +180,7 @@
 	if now.Steady-f.lastSizeLog > sizeLogInterval {
 		f.lastSizeLog = now.Steady
 		for _, size := range plan.PoolSizes {
-			d.config.Logger.Info("pool_size", zap.String("pool", string(size.Pool)), zap.Int("vms", size.VMs), zap.Int("idle", size.Idle), zap.Int("need", size.Need), zap.Int("missing", size.Missing), zap.Duration("age", size.Age))
+			d.config.Logger.Info("pool_size", zap.String("pool", string(size.Pool)), zap.Int("vms", size.VMs), zap.Int("idle", size.Idle), zap.Int("need", size.Need), zap.Int("missing", size.Missing), zap.Duration("age", size.Age), zap.Duration("list_age", now.Steady-f.listedAt))
 		}
 	}
 	var records []wigeonstep.KeyedRecord
@@ -269,6 +271,7 @@
 			if now < f.minListTime {
 				return
 			}
+			f.listedAt = now
 			f.losses.applyList(now, vms)
 			f.vms = make(map[wigeonstep.VMID]wigeonstep.PooledVM, len(vms))
 			for _, vm := range vms {
--- a/wigeondaemon/loopload.go
+++ b/wigeondaemon/loopload.go
@@ -75,10 +75,15 @@
 	fields = append(fields, zap.String("gc", fmt.Sprintf("%.2f", (gcSeconds-l.gcSeconds)/elapsed.Seconds())))
 	processSeconds := processorSeconds()
 	fields = append(fields, zap.String("process", fmt.Sprintf("%.2f", (processSeconds-l.processSeconds)/elapsed.Seconds())))
+	for kind, n := range d.work.take() {
+		d.config.Metrics.work[kind].Add(n)
+		fields = append(fields, zap.Int(workKindNames[kind], n))
+	}
 	if l.since != 0 && total.Seconds() > minLoggedLoad*elapsed.Seconds() {
 		d.config.Logger.Info("loop_load", fields...)
 	}
 	*l = loopLoad{since: now, gcSeconds: gcSeconds, processSeconds: processSeconds}
+	d.reportShardLoads()
 }
 
 // collectorSeconds returns the processor time that the garbage collector has taken, as of its last cycle.
--- a/wigeondaemon/metrics.go
+++ b/wigeondaemon/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonshard"
 )
 
 // Metrics holds the counters and histograms of a daemon.
@@ -30,6 +31,11 @@
 	observedPairs, suspectedPairs *metrics.Gauge
 	// loopSeconds counts the time that each part of the event loop's work took.
 	loopSeconds [loopPartCount]*metrics.FloatCounter
+	// work counts what the process handles besides, by kind.
+	work [workKindCount]*metrics.Counter
+	// stageSeconds and stageCounts sum up the stages of the jobs of the owned shards.
+	stageSeconds [wigeonshard.StageCount]*metrics.FloatCounter
+	stageCounts  [wigeonshard.StageCount]*metrics.Counter
 }
 
 // NewMetrics returns metrics that are registered in the set.
@@ -53,6 +59,13 @@
 	for _, reason := range unauthorizedReasons {
 		m.unauthorized[reason] = set.NewCounter(fmt.Sprintf(`wigeonstep_unauthorized_total{reason=%q}`, reason))
 	}
+	for kind, name := range workKindNames {
+		m.work[kind] = set.NewCounter(fmt.Sprintf(`wigeonstep_work_total{kind=%q}`, name))
+	}
+	for stage := range wigeonshard.StageCount {
+		m.stageSeconds[stage] = set.NewFloatCounter(fmt.Sprintf(`wigeonstep_stage_seconds_total{stage=%q}`, stage))
+		m.stageCounts[stage] = set.NewCounter(fmt.Sprintf(`wigeonstep_stage_total{stage=%q}`, stage))
+	}
 	for part, name := range loopPartNames {
 		m.loopSeconds[part] = set.NewFloatCounter(fmt.Sprintf(`wigeonstep_loop_seconds_total{part=%q}`, name))
 	}
--- a/wigeondaemon/register.go
+++ b/wigeondaemon/register.go
@@ -36,7 +36,7 @@
 
 func (e execution) registered(part wigeonstep.Partition, id wigeonstep.JobID, holder wigeonstep.Partition) {
 	if holder == part {
-		e.owner.JobRegistered(id)
+		e.owner.JobRegistered(e.config.Now(), id)
 		return
 	}
 	e.owner.JobMoved(e.config.Now(), id, holder)
@@ -71,6 +71,7 @@
 		return false, ctx.Err()
 	}
 	defer func() { <-d.registrySlots }()
+	d.work.add(workRegistrations, 1)
 	return d.config.Registry.Register(ctx, id, part)
 }
 
--- a/wigeondaemon/registry.go
+++ b/wigeondaemon/registry.go
@@ -66,6 +66,7 @@
 	if d.workers.entries == nil {
 		d.workers.entries = map[wigeonstep.WorkerID]*workerEntry{}
 	}
+	d.work.add(workListings, len(b.Records))
 	changed := false
 	if b.Reset {
 		present := map[string]bool{}
--- a/wigeondaemon/relays.go
+++ b/wigeondaemon/relays.go
@@ -156,6 +156,7 @@
 		}
 		d.post(func() {
 			if !l.Closed() {
+				d.work.add(workFrames, 1)
 				l.Apply(d.config.Now().Steady, frame)
 			}
 		})
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -181,6 +181,7 @@
 		records = records[min(int(sh.nextOffset-b.From), len(records)):] //nolint:gosec // a batch is small
 		sh.nextOffset = max(sh.nextOffset, b.Next)
 	}
+	d.work.add(workRecords, len(records))
 	for _, record := range records {
 		if err := applyRecord(sh.replica, record); err != nil {
 			d.config.Logger.Warn("job_record_skipped", zap.String("key", record.Key), zap.Error(err))
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -15,10 +15,11 @@
 
 // flush is the state that becomes durable with one append.
 type flush struct {
-	jobs     []flushedJob
-	runs     []*run
-	workers  []*worker
-	releases int
+	startedAt time.Duration
+	jobs      []flushedJob
+	runs      []*run
+	workers   []*worker
+	releases  int
 	// recordedLapses holds the workers whose lapses are in the owner record; nil when the append carries none.
 	recordedLapses map[wigeonstep.WorkerID]bool
 }
@@ -39,7 +40,7 @@
 		}
 		return
 	}
-	f := &flush{releases: len(o.pendingReleases)}
+	f := &flush{startedAt: now.Steady, releases: len(o.pendingReleases)}
 	var records []wigeonstep.KeyedRecord
 	if !o.ownerRecordDurable || o.ownerRecordOutdated {
 		records = append(records, o.encodeOwnerRecord(f))
@@ -145,6 +146,7 @@
 		return
 	}
 	o.flush = nil
+	o.stages[StageRecorded].add(now.Steady - f.startedAt)
 	o.Confirm(sentAt)
 	o.logConfirmedAt = max(o.logConfirmedAt, sentAt)
 	if f.recordedLapses != nil {
@@ -171,6 +173,7 @@
 	}
 	for _, fj := range f.jobs {
 		if fj.state.Terminal() && !fj.job.durableState.Terminal() {
+			o.recordEnd(now, fj.job)
 			o.recordJobDecision("job_ended", fj.job, fj.state.String(), now.Steady-fj.job.acceptedAt)
 		}
 		fj.job.durableState = fj.state
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -31,6 +31,8 @@
 	j.recordsTasks = accepted.TaskCount()*accepted.Occurrences() > o.settings.tasksPerRecord()
 	j.objective = accepted.Objective()
 	j.acceptedAt = now.Steady - time.Duration(max(now.Wall-accepted.Accepted, 0))*time.Millisecond
+	j.readAt = now.Steady
+	o.stages[StageRead].add(j.readAt - j.acceptedAt)
 	o.placementDue = true
 	o.jobs[accepted.ID] = j
 	if j.Repeats > 0 {
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -52,6 +52,8 @@
 	objective time.Duration
 	// acceptedAt is the time at which the job was accepted, on the steady clock.
 	acceptedAt time.Duration
+	// readAt is the time at which this owner read the job.
+	readAt time.Duration
 	// liveRuns counts the runs of all tasks.
 	liveRuns int
 	// clearedTasks counts the tasks that were suspected of crashing their workers and have been cleared.
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -99,6 +99,9 @@
 	if r == nil || r.phase != runStarting {
 		return
 	}
+	if r.startTries == 0 {
+		o.stages[StageAnswered].add(now.Steady - r.startSentAt)
+	}
 	switch result.Verdict {
 	case wigeonstep.StartAccepted, wigeonstep.StartSuperseded:
 		o.markBegun(now, r)
@@ -327,6 +330,7 @@
 	r.startSentAt, r.progressedAt, r.reportedAt = now.Steady, now.Steady, now.Steady
 	if j := r.task.step.job; !j.startRecorded {
 		j.startRecorded = true
+		o.stages[StageStarted].add(now.Steady - j.acceptedAt)
 		o.recordRunDecision("job_started", r, "its first task starts", now.Steady-j.acceptedAt)
 	}
 	o.sendStart(now, r)
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -111,6 +111,8 @@
 	crashedTasks map[wigeonstep.WorkerID][]*task
 	// recentLosses holds the losses of workers in the last lossRetention.
 	recentLosses []serviceLoss
+	// stages holds the times of the stages since the last TakeLoad.
+	stages [StageCount]StageTimes
 	// flush is the state in the pending append; nil when none is pending.
 	flush *flush
 	// out collects the actions that the next Step returns.
--- a/wigeonshard/register.go
+++ b/wigeonshard/register.go
@@ -21,12 +21,13 @@
 }
 
 // JobRegistered records that the job is assigned to this shard, so that its runs may start.
-func (o *Owner) JobRegistered(id wigeonstep.JobID) {
+func (o *Owner) JobRegistered(now Timestamp, id wigeonstep.JobID) {
 	j := o.jobs[id]
 	if j == nil || j.registered {
 		return
 	}
 	j.registered = true
+	o.stages[StageRegistered].add(now.Steady - j.readAt)
 	if j.cancelled && !j.state.Terminal() {
 		o.setFinalState(j, wigeonjob.StateCancelled)
 	}
--- a/wigeonshard/register_test.go
+++ b/wigeonshard/register_test.go
@@ -129,7 +129,7 @@
 	c.Assert(s.registrations, qt.DeepEquals, []wigeonstep.JobID{twiceJob, "00000000000000bb"})
 	c.Assert(s.starts, qt.HasLen, 0)
 	s.JobMoved(s.now, twiceJob, 2)
-	s.JobRegistered("00000000000000bb")
+	s.JobRegistered(s.now, "00000000000000bb")
 	s.advance(time.Second)
 	c.Assert(s.starts, qt.HasLen, 2)
 	state, known := s.JobState(twiceJob)
@@ -154,7 +154,7 @@
 	s.takeOver()
 	s.advance(10 * time.Second)
 	c.Assert(s.registrations, qt.DeepEquals, []wigeonstep.JobID{twiceJob})
-	s.JobRegistered(twiceJob)
+	s.JobRegistered(s.now, twiceJob)
 	s.advance(time.Second)
 	c.Assert(s.starts, qt.HasLen, 2)
 }
@@ -205,7 +205,7 @@
 						holder = s.part
 					}
 					if holder == s.part {
-						s.JobRegistered(id)
+						s.JobRegistered(s.now, id)
 					} else {
 						s.JobMoved(s.now, id, holder)
 					}
