Use VM lists that are read while VMs move

Cause: the owner of the fleet partition ignored a list whenever a move or maintenance was confirmed between its request and its answer. While pools swing, some VM is always being moved, so that the newest list was up to 7.9 s old (list_age). VMs that had been switched off stayed unused, and VMs that had arrived counted twice, as usable and as on their way: the planner believed in 999 VMs and no need while 453 had arrived and 3,300 tasks waited. Losses of workers were noticed late for the same reason. Change: a VM whose change was confirmed after the request of a list stays as it is known; all others are taken from the list.

--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -44,13 +44,14 @@
 	// vms is the newest VM list, with the moves and maintenance that the platform has confirmed since; nil until the first
 	// list has been read.
 	vms map[wigeonstep.VMID]wigeonstep.PooledVM
-	// lastList is the time of the newest request for the VM list that has ended, with a list or an error. Lists requested
-	// before minListTime are ignored, because they may not show the newest moves and maintenance.
-	lastList, minListTime time.Duration
-	// listedAt is the time of the request for the newest list that is in vms.
-	listedAt      time.Duration
-	listInFlight  bool
-	writeInFlight bool
+	// confirmedAt holds the time of the newest confirmed move or maintenance of each VM for which vms shows that, and not yet a
+	// list that was requested later.
+	confirmedAt map[wigeonstep.VMID]time.Duration
+	// lastList is the time of the newest request for the VM list that has ended, with a list or an error, listedAt that of the
+	// request for the newest list in vms.
+	lastList, listedAt time.Duration
+	listInFlight       bool
+	writeInFlight      bool
 	// confirmedMaintenance and confirmedMoves hold the orders that the platform has confirmed and whose records are not yet
 	// handed to the log.
 	confirmedMaintenance []wigeonjob.MaintenanceOrder
@@ -80,6 +81,7 @@
 func newFleet(callRate float64) fleet {
 	return fleet{
 		calls:       wigeonlimit.Limiter{MaxOpen: maxMachineCalls, Rate: machineCallShare * callRate},
+		confirmedAt: map[wigeonstep.VMID]time.Duration{},
 		wavePlanner: &wigeonwave.Planner{}, movePlanner: &wigeonbalance.Planner{}, reportedWaves: map[int]bool{}, waveReportInFlight: map[int]bool{},
 		shardDemands: map[wigeonstep.PoolName]map[uint32]wigeonbalance.Demand{},
 		demands:      map[wigeonstep.PoolName]wigeonbalance.Demand{}, released: map[uint32]map[wigeonstep.WorkerID]bool{},
@@ -253,34 +255,6 @@
 	return false
 }
 
-func (d *Daemon) listVMs(sh *shard, now time.Duration) {
-	d.fleet.listInFlight = true
-	ctx := sh.ctx
-	go func() {
-		vms, err := d.config.Machines.ListPooledVMs(ctx)
-		d.post(func() {
-			if ctx.Err() != nil {
-				return
-			}
-			f := &d.fleet
-			f.listInFlight, f.lastList = false, now
-			if err != nil {
-				d.config.Logger.Warn("vm_list_failed", zap.Error(err))
-				return
-			}
-			if now < f.minListTime {
-				return
-			}
-			f.listedAt = now
-			f.losses.applyList(now, vms)
-			f.vms = make(map[wigeonstep.VMID]wigeonstep.PooledVM, len(vms))
-			for _, vm := range vms {
-				f.vms[vm.ID] = vm
-			}
-		})
-	}()
-}
-
 // writeOrders appends the records of orders. Planning pauses until they are durable.
 func (d *Daemon) writeOrders(sh *shard, records []wigeonstep.KeyedRecord) {
 	if len(records) == 0 {
@@ -319,13 +293,7 @@
 	case err == nil:
 		order.Phase = wigeonjob.OrderDone
 		f.confirmedMoves = append(f.confirmedMoves, order)
-		if vm, ok := f.vms[order.VM]; ok {
-			// Show the move until the next VM list does.
-			vm.State, vm.Pool = wigeonstep.VMMoving, order.Pool
-			f.vms[order.VM] = vm
-		}
-		// A list that was requested before now may still show the VM in its former pool.
-		f.minListTime = now
+		f.showConfirmed(now, order.VM, func(vm *wigeonstep.PooledVM) { vm.State, vm.Pool = wigeonstep.VMMoving, order.Pool })
 	case errors.Is(err, wigeonstep.ErrFenced):
 		d.dropShard(sh, "the machines' service has seen a higher fence")
 		sh.retryClaimAt = now + claimRetryDelay
@@ -354,13 +322,7 @@
 	case err == nil:
 		order.Phase = wigeonjob.OrderDone
 		f.confirmedMaintenance = append(f.confirmedMaintenance, order)
-		if vm, ok := f.vms[order.VM]; ok {
-			// Show the maintenance until the next VM list does.
-			vm.State = wigeonstep.VMMaintenance
-			f.vms[order.VM] = vm
-		}
-		// A list that was requested before now may still show the VM as up.
-		f.minListTime = now
+		f.showConfirmed(now, order.VM, func(vm *wigeonstep.PooledVM) { vm.State = wigeonstep.VMMaintenance })
 	case errors.Is(err, wigeonstep.ErrFenced):
 		d.dropShard(sh, "the machines' service has seen a higher fence")
 		sh.retryClaimAt = now + claimRetryDelay
