Judge the loss of several workers whose runs are all too old to be the cause

Cause: when three workers close their connections at once and all of their runs are older than 50 ms, none of the runs is a likely cause, and the judgement read the first element of that empty list. Change: whether a likely cause is isolated is asked of all of them. Result: TestOldRunsOfWorkersLostTogether panics without the change and passes with it.

--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -99,7 +99,7 @@
 	}
 	cause := fmt.Sprintf("%d of its runs may have crashed it", len(suspects))
 	together := o.lostTogether(w)
-	common := together >= commonLossWorkers && !suspects[0].isolated()
+	common := together >= commonLossWorkers && !slices.ContainsFunc(suspects, (*run).isolated)
 	if common {
 		cause = fmt.Sprintf("%d workers of its service were lost at once, so none of its runs has crashed it", together)
 	}
--- a/wigeonshard/loss_test.go
+++ b/wigeonshard/loss_test.go
@@ -111,3 +111,25 @@
 	c.Assert(m.violations, qt.HasLen, 0)
 	c.Assert(m.unfinishedJobs(), qt.HasLen, 0)
 }
+
+// Guards against a panic, which ends the ownership of all shards in the process, when several workers crash at once and none of
+// their runs is young enough to have crashed them.
+func TestOldRunsOfWorkersLostTogether(t *testing.T) {
+	c := qt.New(t)
+	m := newClusterModel(t, 5, 4)
+	m.heartbeatsWait, m.vmList = true, true
+	m.addOwner()
+	longRunning := testStep(4)
+	longRunning.LongRunning, longRunning.MaxPerWorker = true, 1
+	m.submitJob(testJob("lasting", longRunning))
+	m.advance(2 * time.Second)
+	for _, l := range m.listed[:commonLossWorkers] {
+		c.Assert(m.workers[l.ID].runs, qt.HasLen, 1)
+		m.crash(l.ID, true)
+	}
+	m.advance(3 * time.Second)
+	c.Assert(m.violations, qt.HasLen, 0)
+	for i := range longRunning.Count {
+		c.Assert(m.liveRuns[wigeonstep.TaskID{Job: "lasting", Index: i}], qt.Equals, 1)
+	}
+}
