--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -160,10 +160,11 @@
 	// registrySlots bounds the calls to the registry in flight.
 	registrySlots chan struct{}
 	load          loopLoad
-	work          workCounts
-	teamGauges    teamGauges
-	relays        relays
-	fleet         fleet
+	// work counts what the process does for its owners and for other processes; any goroutine may add to it.
+	work       workCounts
+	teamGauges teamGauges
+	relays     relays
+	fleet      fleet
 	// lastReport is the time of the last reports of the owned shards to the owner of the fleet partition.
 	lastReport     time.Duration
 	reportInFlight bool
--- a/wigeondaemon/fleet.go
+++ b/wigeondaemon/fleet.go
@@ -41,8 +41,8 @@
 	movePlanner *wigeonbalance.Planner
 	// calls bounds the calls that change VMs.
 	calls wigeonlimit.Limiter
-	// vms is the newest VM list, with the moves and maintenance that the platform has confirmed since; nil until the first
-	// list has been read.
+	// vms is the newest VM list, with the moves and maintenance that the platform has confirmed since its request; nil until the
+	// first list has been read.
 	vms map[wigeonstep.VMID]wigeonstep.PooledVM
 	// confirmedAt holds the time of the newest confirmed move or maintenance of each VM for which vms shows that, and not yet a
 	// list that was requested later.
--- a/wigeondaemon/vmlist.go
+++ b/wigeondaemon/vmlist.go
@@ -8,6 +8,7 @@
 	"github.com/wigeonstep/wigeonstep"
 )
 
+// listVMs requests a VM list and puts it in force when it has arrived.
 func (d *Daemon) listVMs(sh *shard, now time.Duration) {
 	d.fleet.listInFlight = true
 	ctx := sh.ctx
--- a/wigeondaemon/work.go
+++ b/wigeondaemon/work.go
@@ -13,7 +13,7 @@
 type workKind int
 
 const (
-	// workOrders counts the orders of owners to workers, workAnswers the answers to them.
+	// workOrders counts the orders of owners to workers, workAnswers the results of all calls that reached the owners.
 	workOrders workKind = iota
 	workAnswers
 	// workFrames counts the frames of results that relays sent to this process.
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -15,6 +15,7 @@
 
 // flush is the state that becomes durable with one append.
 type flush struct {
+	// startedAt is the time at which the append was handed to the caller.
 	startedAt time.Duration
 	jobs      []flushedJob
 	runs      []*run
