--- a/wigeonshard/stages.go
+++ b/wigeonshard/stages.go
@@ -18,6 +18,7 @@
 	StageAnswered
 	// StageEnded lasts from the acceptance of a job until its last state is durable. A late end is one after the objective.
 	StageEnded
+	// StageCount is the number of stages.
 	StageCount
 )
 
