Close the in-memory connection of the relay tests once

Cause: both ends of the fake connection share one channel, and each checked whether it was closed before closing it, from several goroutines. Change: one sync.OnceFunc for both ends. What the tests check is unchanged.

--- a/wigeonrelay/link_test.go
+++ b/wigeonrelay/link_test.go
@@ -29,11 +29,14 @@
 type pipe struct {
 	in, out chan []byte
 	closed  chan struct{}
+	// close closes the channel closed of both ends, once; several goroutines close an end at the same time.
+	close func()
 }
 
 func newPipe() (owner, relay *pipe) {
 	a, b, closed := make(chan []byte, 100), make(chan []byte, 100), make(chan struct{})
-	return &pipe{in: a, out: b, closed: closed}, &pipe{in: b, out: a, closed: closed}
+	closeBoth := sync.OnceFunc(func() { close(closed) })
+	return &pipe{in: a, out: b, closed: closed, close: closeBoth}, &pipe{in: b, out: a, closed: closed, close: closeBoth}
 }
 
 func (p *pipe) Send(message proto.Message) error {
@@ -58,13 +61,7 @@
 	}
 }
 
-func (p *pipe) Close() {
-	select {
-	case <-p.closed:
-	default:
-		close(p.closed)
-	}
-}
+func (p *pipe) Close() { p.close() }
 
 // recordingWorkers records the orders that it gets and answers them after delay.
 type recordingWorkers struct {
