Withdraw the review's cases of crashed tasks

In both cases two workers or more had crashed under each task. Change: review/7 (lasting tasks that wait for isolation) and review/9 (a lasting task that is given up) are removed, with what only they used.

--- a/review/case2/cases.go
+++ b/review/case2/cases.go
@@ -26,8 +26,7 @@
 	readyLimit = 20 * time.Second
 	// settleTime is the time from readiness to the start of traffic.
 	settleTime = 3 * time.Second
-	// calmTime and waitTime are from LOST: a task has not run for waitTime, after calmTime without a disruption.
-	calmTime = 4 * time.Second
+	// waitTime is from LOST: a job has nothing running for so long.
 	waitTime = 3 * time.Second
 	// finishTime is finish_s of the small deployments.
 	finishTime = 14 * time.Second
--- a/review/case2/worker.go
+++ b/review/case2/worker.go
@@ -524,6 +524,9 @@
 	return f, nil
 }
 
+// rackOf returns the rack of a machine; four share one.
+func rackOf(machine int) string { return fmt.Sprintf("rack-%d", machine/4) }
+
 func machineID(i int) string { return fmt.Sprintf("machine-%d", i) }
 
 // boot starts a new life of a machine.
@@ -532,7 +535,7 @@
 	f.lives++
 	id := fmt.Sprintf("worker-%d-%d", machine, f.lives)
 	f.mu.Unlock()
-	w, err := startWorker(f.d.ctx, f.p, f.d.store, id, fmt.Sprintf("rack-%d", machine/4), kind)
+	w, err := startWorker(f.d.ctx, f.p, f.d.store, id, rackOf(machine), kind)
 	if err != nil {
 		return err
 	}
@@ -562,57 +565,21 @@
 	})
 }
 
-// runs returns the number of runs of a job that are at work or about to be.
-func (f *fleet) runs(job string) int {
-	n := 0
-	for _, r := range f.current() {
-		if strings.HasPrefix(r.task, job+".") {
-			n++
-		}
-	}
-	return n
-}
-
-// fullest returns the machine with the most runs of a job.
-func (f *fleet) fullest(job string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	best, most := 0, -1
-	for i, w := range f.workers {
-		if w == nil {
-			continue
-		}
-		n := 0
-		w.mu.Lock()
-		for _, r := range w.runs {
-			if strings.HasPrefix(r.task, job+".") {
-				n++
-			}
-		}
-		w.mu.Unlock()
-		if n > most {
-			best, most = i, n
-		}
-	}
-	return best
-}
-
 // sampleTime is the time between two samples of what runs.
 const sampleTime = 50 * time.Millisecond
 
-// sighting is what was running at some moment of a span, and the most CPU that was in use at one.
+// sighting holds the jobs that had a run at some moment of a span, and the most CPU that was in use at one.
 type sighting struct {
-	tasks, jobs map[string]bool
-	mostCPU     int64
+	jobs    map[string]bool
+	mostCPU int64
 }
 
 // watch samples what runs for a while.
 func (f *fleet) watch(span time.Duration) sighting {
-	s := sighting{tasks: map[string]bool{}, jobs: map[string]bool{}}
+	s := sighting{jobs: map[string]bool{}}
 	for until := time.Now().Add(span); time.Now().Before(until); time.Sleep(sampleTime) {
 		used := int64(0)
 		for _, r := range f.current() {
-			s.tasks[r.task] = true
 			s.jobs[r.task[:strings.IndexByte(r.task, '.')]] = true
 			used += r.step.CPU
 		}
