--- a/review/case2/harness.go
+++ b/review/case2/harness.go
@@ -7,6 +7,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -63,6 +64,9 @@
 	running *exec.Cmd
 	// ends counts the ends of the process that the case did not ask for, overMemory those for memory over the limit.
 	ends, overMemory int
+	// asked is set while the case has asked the process to end. disturbed holds the times of its signals and starts.
+	asked     bool
+	disturbed []time.Time
 	// peakMB is the most memory that the process has used.
 	peakMB  int
 	stopped bool
@@ -78,8 +82,9 @@
 	r         *recorder
 	store     *wigeonstandin.Store
 	cloud     *wigeonstandin.MachineService
-	workers   []*wigeonstandin.Worker
 	nodes     []*node
+	// storeAddress and cloudAddress are the addresses that the nodes get, if they are not those of store and cloud.
+	storeAddress, cloudAddress string
 }
 
 func newDeployment(r *recorder) (*deployment, error) {
@@ -112,7 +117,7 @@
 // startNodes starts n node processes that reach the store at the address.
 func (d *deployment) startNodes(count int) error {
 	for i := range count {
-		n, err := d.newNode(fmt.Sprintf("edge-%d", i+1), d.store.Address())
+		n, err := d.newNode(fmt.Sprintf("edge-%d", i+1))
 		if err != nil {
 			return err
 		}
@@ -122,7 +127,7 @@
 	return nil
 }
 
-func (d *deployment) newNode(name, store string) (*node, error) {
+func (d *deployment) newNode(name string) (*node, error) {
 	// Each process has a loopback address of its own, so that no outgoing connection occupies its ports while it is down.
 	ip := fmt.Sprintf("127.%d.%d.%d", 2+os.Getpid()%250, 1+os.Getpid()/250%250, 1+len(d.nodes))
 	addresses, err := freeAddresses(ip, 4)
@@ -131,7 +136,7 @@
 	}
 	settings := wigeonstandin.NodeSettings{
 		Name: name, IP: ip, ClientAddress: addresses[0], ReadyAddress: addresses[1], PeerAddress: addresses[2], MetricsAddress: addresses[3],
-		StoreAddress: store, MachineServiceAddress: d.cloud.Address(), Partitions: partitions, Grace: 6 * time.Second, MemoryMB: memoryMB, MaxFDs: 4100,
+		StoreAddress: cmp.Or(d.storeAddress, d.store.Address()), MachineServiceAddress: cmp.Or(d.cloudAddress, d.cloud.Address()), Partitions: partitions, Grace: 6 * time.Second, MemoryMB: memoryMB, MaxFDs: 4100,
 	}
 	environment, err := settings.Write(filepath.Join(d.directory, name+".json"))
 	if err != nil {
@@ -165,6 +170,7 @@
 		c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 		err := c.Start()
 		n.running = c
+		n.disturbed = append(n.disturbed, time.Now())
 		n.mu.Unlock()
 		if err != nil {
 			n.r.printf("%s: %v", n.name, err)
@@ -190,7 +196,8 @@
 		}
 		n.mu.Lock()
 		n.running = nil
-		expected := n.stopped
+		expected := n.stopped || n.asked
+		n.asked = false
 		if !expected {
 			n.ends++
 			if over > 0 {
@@ -223,6 +230,25 @@
 	return 0
 }
 
+// signal asks the process to end.
+func (n *node) signal(s syscall.Signal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.running != nil {
+		n.asked = true
+		n.disturbed = append(n.disturbed, time.Now())
+		_ = n.running.Process.Signal(s)
+		n.r.printf("%s: %v", n.name, s)
+	}
+}
+
+// calmAt reports whether the process was neither started nor asked to end in the time before.
+func (n *node) calmAt(at time.Time, window time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !slices.ContainsFunc(n.disturbed, func(d time.Time) bool { return d.Before(at) && at.Sub(d) < window })
+}
+
 func (n *node) stop() {
 	n.mu.Lock()
 	n.stopped = true
