--- a/review/case2/handover.go
+++ b/review/case2/handover.go
@@ -19,7 +19,9 @@
 		gap      = 2 * time.Second
 		// untilTouch is stable_window_ms.
 		untilTouch = 3 * time.Second
-		watched    = 38 * time.Second
+		watched    = 74 * time.Second
+		// again is the time of the second pair of waves, on the same machines.
+		again = 37 * time.Second
 	)
 	p := newPool(r)
 	d, err := newDeployment(r)
@@ -60,14 +62,28 @@
 	for i := range machines {
 		names = append(names, machineID(i))
 	}
-	for wave, part := range [][]string{names[:due], names[due:]} {
-		if err := d.store.PutWave(wave+1, maxDown, part...); err != nil {
-			return invalid
+	halves := [][]string{names[:due], names[due:]}
+	waves := 0
+	startWaves := func() error {
+		for _, part := range halves {
+			waves++
+			if err := d.store.PutWave(waves, maxDown, part...); err != nil {
+				return err
+			}
+			r.printf("wave %d of %d of %d machines, %d at once", waves, len(part), machines, maxDown)
 		}
-		r.printf("wave %d of %d of %d machines, %d at once", wave+1, len(part), machines, maxDown)
+		return nil
+	}
+	if err := startWaves(); err != nil {
+		return invalid
 	}
 	began := time.Now()
 	for i := 0; time.Since(began) < watched; i++ {
+		if waves == len(halves) && time.Since(began) > again {
+			if err := startWaves(); err != nil {
+				return invalid
+			}
+		}
 		if trouble {
 			d.nodes[i%len(d.nodes)].signal(syscall.SIGTERM)
 		}
