Add review case 9: a long task is stopped again and again

Cause: a finite run whose whole percent hasn't gone up for 1.2 s counts as stalled, whatever its estimate; it is stopped, and its worker gets no run for 3 s.

--- a/review/case2/main.go
+++ b/review/case2/main.go
@@ -9,7 +9,7 @@
 )
 
 func main() {
-	cases := map[string]func(*recorder, bool) int{"overdue": playOverdue, "handover": playHandover, "gang": playGang}
+	cases := map[string]func(*recorder, bool) int{"overdue": playOverdue, "handover": playHandover, "gang": playGang, "long": playLong}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: case2 CASE RECORD")
 		os.Exit(invalid)
--- a/review/case2/worker.go
+++ b/review/case2/worker.go
@@ -21,14 +21,16 @@
 
 // Bounds of the small deployments (SYSTEM.md) and of PROTOCOL.md.
 const (
-	holdMax       = 10 * time.Second
-	stopTime      = 100 * time.Millisecond
-	gangTime      = 3 * time.Second
-	heartbeatTime = 1500 * time.Millisecond
-	startupTime   = 100 * time.Millisecond
-	workerCPU     = 32000
-	workerMemory  = 65536
-	maxEnds       = 500
+	holdMax = 10 * time.Second
+	// defaultStopTime and shortStopTime are below stop_ms, 200 ms.
+	defaultStopTime = 100 * time.Millisecond
+	shortStopTime   = 10 * time.Millisecond
+	gangTime        = 3 * time.Second
+	heartbeatTime   = 1500 * time.Millisecond
+	startupTime     = 100 * time.Millisecond
+	workerCPU       = 32000
+	workerMemory    = 65536
+	maxEnds         = 500
 )
 
 // stepSpec is a step of a job as its client sends it.
@@ -58,6 +60,8 @@
 	jobs  map[string]jobSpec
 	gangs map[string]map[*taskRun]bool
 	r     *recorder
+	// stopTime is the time that a stop takes.
+	stopTime time.Duration
 	// onStart is called, without a lock, after a run has started.
 	onStart func(w *worker, r *taskRun)
 	// runsFailed holds, by step (ID.K.STEP), the runs of which a task ended failed.
@@ -65,7 +69,7 @@
 }
 
 func newPool(r *recorder) *pool {
-	return &pool{jobs: map[string]jobSpec{}, gangs: map[string]map[*taskRun]bool{}, r: r, runsFailed: map[string]map[uint32]bool{}}
+	return &pool{stopTime: defaultStopTime, jobs: map[string]jobSpec{}, gangs: map[string]map[*taskRun]bool{}, r: r, runsFailed: map[string]map[uint32]bool{}}
 }
 
 func (p *pool) add(id string, j jobSpec) {
@@ -425,7 +429,7 @@
 	}
 	w.mu.Unlock()
 	if first {
-		time.AfterFunc(stopTime, func() { w.p.end(r, "stopped") })
+		time.AfterFunc(w.p.stopTime, func() { w.p.end(r, "stopped") })
 	}
 	w.answer(out, http.StatusOK, map[string]any{})
 }
