--- a/review/case2/cloud.go
+++ b/review/case2/cloud.go
@@ -17,10 +17,8 @@
 const (
 	upkeepTime = 2 * time.Second
 	leaseTime  = 3 * time.Second
-	// cloudAnswer is the time that an answer of the machine service takes, and cloudSlow the factor of cloud_slow
-	// (fleetbench kinds: "answers take x (50) times as long").
+	// cloudAnswer is the time that an answer of the machine service takes, like one of the store.
 	cloudAnswer = 4 * time.Millisecond
-	cloudSlow   = 50
 )
 
 // machineOrder is an order for a machine that has arrived at the machine service.
@@ -37,7 +35,6 @@
 	listener net.Listener
 
 	mu     sync.Mutex
-	slow   bool
 	tokens map[string]uint64
 	state  []string
 	kept   []map[int]bool
@@ -64,23 +61,10 @@
 
 func (c *cloud) Address() string { return c.listener.Addr().String() }
 
-func (c *cloud) setSlow(slow bool) {
-	c.mu.Lock()
-	c.slow = slow
-	c.mu.Unlock()
-	c.f.p.r.printf("the machine service is slow: %t", slow)
-}
-
 // serve carries a call out when it arrives, and answers it after the time of an answer.
 func (c *cloud) serve(out http.ResponseWriter, in *http.Request) {
 	status, body := c.call(in)
-	c.mu.Lock()
-	delay := cloudAnswer
-	if c.slow {
-		delay *= cloudSlow
-	}
-	c.mu.Unlock()
-	time.Sleep(delay)
+	time.Sleep(cloudAnswer)
 	out.Header().Set("Content-Type", "application/json")
 	out.WriteHeader(status)
 	_ = json.NewEncoder(out).Encode(body)
--- a/review/case2/handover.go
+++ b/review/case2/handover.go
@@ -9,8 +9,8 @@
 	"github.com/wigeonstep/wigeonstep/platform/wigeonstandin"
 )
 
-// playHandover: machines are due for upkeep while the machine service is slow, and the machines of the system are stopped and started
-// in turn. Without trouble the nodes aren't stopped.
+// playHandover: machines are due for upkeep, and the machines of the system are stopped and started in turn. Without trouble the
+// nodes aren't stopped.
 func playHandover(r *recorder, trouble bool) int {
 	const (
 		machines = 49
@@ -57,7 +57,6 @@
 		return invalid
 	}
 	time.Sleep(settleTime)
-	c.setSlow(true)
 	var names []string
 	for i := range machines {
 		names = append(names, machineID(i))
