--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -354,3 +354,10 @@
 	}
 	answer(w, 200, map[string]any{"generation": s.group.generation, "parts": rows})
 }
+
+// holderOf returns the name of the member that has a partition of the group.
+func (s *store) holderOf(part int) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.holder[part]
+}
