--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -12,7 +12,7 @@
 	"lock":   {nodes: 3, workers: 6, memoryMB: 284, play: playLock},
 	"memory": {nodes: 3, workers: 6, memoryMB: 284, play: playMemory},
 	"cancel": {nodes: 3, workers: 6, memoryMB: 284, play: playCancel},
-	"twice":  {nodes: 3, workers: 6, memoryMB: 284, play: playTwice},
+	"twice":  {nodes: 3, workers: 7, memoryMB: 284, play: playTwice},
 	"zero":   {nodes: 3, workers: 6, memoryMB: 284, play: playZero},
 }
 
@@ -52,7 +52,13 @@
 	return map[string]any{"spec": "*:ms=200,cpu=500,mem=128", "steps": steps}
 }
 
-// playLock hands in three wide jobs that can never be done, and ordinary ones after them.
+const (
+	// wideJobs is the number of wide jobs, of which each comes among wideEvery ordinary ones.
+	wideJobs  = 3
+	wideEvery = 20
+)
+
+// playLock hands in ordinary jobs, and three wide jobs among them that can never be done.
 func playLock(w *world) (verdict, error) {
 	var early, late []string
 	for i := range 5 {
@@ -66,18 +72,14 @@
 		return verdict{}, fmt.Errorf("early jobs have not ended: %v", open)
 	}
 	var hopeless []string
-	if w.trouble {
-		for i, tasks := range []int{30000, 30000, 30000} {
+	for i := range 100 {
+		if w.trouble && i%wideEvery == wideEvery-1 && len(hopeless) < wideJobs {
 			id := newID()
-			if !w.submit(id, wideJob(tasks), i) {
+			if !w.submit(id, wideJob(30000), i) {
 				return verdict{}, fmt.Errorf("a wide job was not accepted")
 			}
 			hopeless = append(hopeless, id)
-			time.Sleep(1500 * time.Millisecond)
 		}
-	}
-	time.Sleep(2 * time.Second)
-	for i := range 60 {
 		id := newID()
 		if w.submit(id, oneStep(2, 300, 1000), i) {
 			late = append(late, id)
@@ -216,9 +218,10 @@
 			}
 			jobs = append(jobs, c)
 		}
-		time.Sleep(4 * time.Second)
+		// The late starts come some 7 s after the cancellations, when all processes have run undisturbed for stable_window_ms.
+		time.Sleep(11 * time.Second)
 	}
-	time.Sleep(14 * time.Second)
+	time.Sleep(2 * time.Second)
 	var late []string
 	broken := 0
 	for _, c := range jobs {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -20,6 +20,8 @@
 	prefix  = "/bake/"
 	service = "bake"
 	readyIn = 25 * time.Second
+	// maxPlay is the time after which a play is given up.
+	maxPlay = 115 * time.Second
 )
 
 // world is a small deployment.
@@ -57,7 +59,8 @@
 	os.Exit(run(s, *recordPath, *program, *keep))
 }
 
-func run(s scenario, recordPath, program, dir string) int {
+func run(s scenario, recordPath, program, keep string) int {
+	dir := keep
 	log, err := openRecord(recordPath)
 	if err != nil {
 		fmt.Println(err)
@@ -79,10 +82,17 @@
 	interrupted := make(chan os.Signal, 1)
 	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
-		<-interrupted
+		select {
+		case <-interrupted:
+		case <-time.After(maxPlay):
+		}
+		log.say("could not run: interrupted, or not done in time")
 		for _, n := range w.nodes {
 			n.stop()
 		}
+		if keep == "" {
+			_ = os.RemoveAll(dir)
+		}
 		os.Exit(2)
 	}()
 	if err := w.start(s, program, dir); err != nil {
