Let the next owner await a start that nobody recorded

Cause: that a start got no answer is recorded when the worker is found silent. A successor took the absence of that record for an answer.

Change: starts leave within 3 s of the record of their run, so PlannedAt bounds the last one that a successor may not know of, and it awaits the run from there. LiveRun.Begun says that the run has begun and nothing is on its way; it is written with the next record, for long-running tasks at once.

TestYoungWorkerWithoutFormerProcessHasAUsualLease took over before the log could tell that the run had begun; it lets one append pass now and keeps its bound.

--- a/wigeonjob/progress.go
+++ b/wigeonjob/progress.go
@@ -75,6 +75,9 @@
 	// worker, or renew its lease there, as of the loss of the worker; 0 if there is none. If the newest such order was answered, it is
 	// the time of the answer less the time for which an order may be on its way, so that nothing is awaited but the lease.
 	UnansweredAt wigeonstep.UnixMillis
+	// Begun is set if a process of the worker is known to have begun the run, and no start of it may still be on its way. If neither
+	// Begun nor UnansweredAt is set, a start may have been sent since the record was written.
+	Begun bool
 }
 
 // WorkerCrash is the loss of a worker with a run of a task that may have crashed it.
--- a/wigeonjob/record.go
+++ b/wigeonjob/record.go
@@ -170,7 +170,10 @@
 		GivenUp:    t.GivenUp,
 	}
 	for _, run := range t.Runs {
-		task.Runs = append(task.Runs, &wigeonwire.RunProgress{Run: uint32(run.Number), Worker: string(run.Worker), PlannedUnixMs: int64(run.PlannedAt), UnansweredUnixMs: int64(run.UnansweredAt)})
+		task.Runs = append(task.Runs, &wigeonwire.RunProgress{
+			Run: uint32(run.Number), Worker: string(run.Worker),
+			PlannedUnixMs: int64(run.PlannedAt), UnansweredUnixMs: int64(run.UnansweredAt), Begun: run.Begun,
+		})
 	}
 	for _, number := range t.LostRuns {
 		task.LostRuns = append(task.LostRuns, uint32(number))
@@ -225,6 +228,7 @@
 		task.Runs = append(task.Runs, LiveRun{
 			Number: wigeonstep.RunNumber(run.GetRun()), Worker: wigeonstep.WorkerID(run.GetWorker()),
 			PlannedAt: wigeonstep.UnixMillis(run.GetPlannedUnixMs()), UnansweredAt: wigeonstep.UnixMillis(run.GetUnansweredUnixMs()),
+			Begun: run.GetBegun(),
 		})
 	}
 	for _, number := range t.GetLostRuns() {
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -137,6 +137,8 @@
 		if until := r.renewedUntil(); until != 0 && (r.worker.failures > 0 || !r.worker.answered) {
 			live.UnansweredAt = r.recordedOrder(now, until)
 		}
+		live.Begun = r.certainlyBegun()
+		r.begunRecorded = live.Begun
 		p.Runs = append(p.Runs, live)
 	}
 	return p
--- a/wigeonshard/formerprocess.go
+++ b/wigeonshard/formerprocess.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
 )
 
 // A worker may start again under its id, and a call that was sent to its earlier process may reach the later one: the id that the
@@ -121,7 +122,7 @@
 	if !young || recorded || w.reached || w.gone || w.formerOrdersEnd != 0 {
 		return
 	}
-	w.formerOrdersEnd = o.settings.longestLeaseEnd(o.ownedSince + o.settings.ConfirmLimit + maxOrderDelay)
+	w.formerOrdersEnd = o.settings.longestLeaseEnd(o.formerOrdersUntil() + maxOrderDelay)
 	if w.leasesEndWall != 0 {
 		// Without the margin for the wall clock in inheritedRunsEnd, which each later owner would add again.
 		w.leasesEndWall = max(w.leasesEndWall, now.wallTime(w.formerOrdersEnd))
@@ -182,10 +183,47 @@
 	return max(begins, r.worker.renewals.until())
 }
 
+// certainlyBegun reports whether a process of the worker has begun the run and no other one may.
+func (r *run) certainlyBegun() bool {
+	if r.phase == runUnknown && r.inherited {
+		return r.recordedBegun
+	}
+	return r.begun() && r.processKnown && r.renewedUntil() == 0
+}
+
+// recordBegin writes the record of a long-running task anew once its run has certainly begun, so that a later owner doesn't wait for a
+// start that may be on its way. For other tasks the next record tells of it.
+func (o *Owner) recordBegin(r *run) {
+	if r.task.step.LongRunning && !r.begunRecorded && r.certainlyBegun() {
+		o.markTaskDirty(r.task)
+	}
+}
+
+// inheritOrders sets what an inherited run has to wait for: the order without an answer in its record, or a start that its owner may
+// have sent after it wrote the record, if no record says what became of it.
+func (o *Owner) inheritOrders(now Timestamp, r *run, live *wigeonjob.LiveRun) {
+	r.recordedBegun = live.Begun
+	switch {
+	case live.UnansweredAt != 0:
+		r.unansweredWall = live.UnansweredAt
+		r.unansweredAt = min(now.latest(live.UnansweredAt), now.Steady)
+	case !live.Begun && live.PlannedAt != 0:
+		r.unansweredAt = min(now.latest(live.PlannedAt)+maxStartDelay, o.formerOrdersUntil())
+	}
+}
+
+// latest returns the latest time on the steady clock of this process at which the wall clock of another VM may have shown a time.
+func (t Timestamp) latest(shown wigeonstep.UnixMillis) time.Duration {
+	return t.Steady + time.Duration(shown-t.Wall)*time.Millisecond + wallMargin
+}
+
+// formerOrdersUntil returns the time until which an earlier owner that has not noticed this one may send orders.
+func (o *Owner) formerOrdersUntil() time.Duration { return o.ownedSince + o.settings.ConfirmLimit }
+
 // recordedOrder returns what the record of the run holds of an order that counts until renewedUntil. The record of an earlier owner stays
-// as it is: each owner that reads it allows for the wall clocks once.
+// as it is, also if it holds none: each owner that reads it allows for the wall clocks once.
 func (r *run) recordedOrder(now Timestamp, renewedUntil time.Duration) wigeonstep.UnixMillis {
-	if r.unansweredWall != 0 && renewedUntil == r.mayBeginUntil() {
+	if r.inherited && renewedUntil == r.mayBeginUntil() {
 		return r.unansweredWall
 	}
 	return now.wallTime(renewedUntil - maxOrderDelay)
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -379,6 +379,7 @@
 		r.stopping, r.unanswered = false, false
 	}
 	r.processKnown = true
+	o.recordBegin(r)
 	r.task.setCheckpoint(report.Checkpoint)
 	if report.ProgressPercent > r.progressPercent {
 		r.progressedAt = now.Steady
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -76,11 +76,7 @@
 		if live.PlannedAt != 0 {
 			r.plannedAt -= time.Duration(now.Wall-live.PlannedAt) * time.Millisecond
 		}
-		if live.UnansweredAt != 0 {
-			r.unansweredWall = live.UnansweredAt
-			// The wall clock of this process may be ahead of that of the former owner.
-			r.unansweredAt = now.Steady - max(time.Duration(now.Wall-live.UnansweredAt)*time.Millisecond-wallMargin, 0)
-		}
+		o.inheritOrders(now, r, &live)
 		o.attach(r)
 		o.inheritIsolation(r)
 	}
--- a/wigeonshard/laterowner_test.go
+++ b/wigeonshard/laterowner_test.go
@@ -232,6 +232,8 @@
 	run := first.submit("job", 1)
 	first.answerStarts(100_060)
 	first.answerHeartbeat(wigeonstep.HeartbeatResult{Clock: 100_100, StartedAt: 1, Running: listRunning(run...)})
+	// The log has to tell that the run has begun.
+	first.advance(20 * time.Millisecond)
 	second := first.nextOwner()
 	second.silence(testSettings.ConfirmLimit + testSettings.Lease + time.Second)
 	second.assertRunning()
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -211,6 +211,8 @@
 	onlyStopAnswered bool
 	// inherited is set for runs of an earlier owner.
 	inherited bool
+	// recordedBegun is set if the record of an earlier owner says that the run has begun, begunRecorded once a record of this one may.
+	recordedBegun, begunRecorded bool
 	// crashCounted is set once the end of the worker's process was counted against the run, or found not to be its fault.
 	crashCounted bool
 	// stopSentAt is the time at which the newest stop was sent; zero when none was sent or the newest one failed.
@@ -219,9 +221,9 @@
 	stopTries  int
 	startTries int
 	// sentAt is the time at which the newest start was sent, and unansweredAt that of the newest one that got no answer; 0 if there
-	// is none. For an inherited run unansweredAt comes from its record (LiveRun.UnansweredAt).
+	// is none. For an inherited run unansweredAt comes from its record, by LiveRun.UnansweredAt or LiveRun.PlannedAt.
 	sentAt, unansweredAt time.Duration
-	// unansweredWall is the time in the record of an earlier owner that unansweredAt allows for; 0 if there is none.
+	// unansweredWall is LiveRun.UnansweredAt in the record of an earlier owner.
 	unansweredWall wigeonstep.UnixMillis
 	// token is the fencing token of the newest start; 0 for runs of earlier owners.
 	token wigeonstep.FencingToken
@@ -233,7 +235,7 @@
 	// owner read them from the log.
 	startSentAt time.Duration
 	// plannedWall is the time at which the record of the run was first written, plannedAt the same time on this process's steady
-	// clock for an inherited run.
+	// clock. It is by the clocks of two VMs for an inherited run.
 	plannedWall wigeonstep.UnixMillis
 	plannedAt   time.Duration
 	// progressPercent, tailLatency and cpu are from the newest report of the worker, which arrived at
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -14,6 +14,9 @@
 	// maxStartsPerStep bounds the first starts of one Step. The caller sends each on its own, so an owner that may start more than
 	// its processor can send falls behind with everything else, and its starts become too late to be sent.
 	maxStartsPerStep = 64
+	// maxStartDelay is the time from the record of a run within which its starts are sent. A later owner goes by it: nothing but that
+	// record tells it of a start whose answer its sender didn't live to see.
+	maxStartDelay = 3 * time.Second
 	// startRetryDelay is the delay before a start without an answer is repeated on the same worker. It is also the base of
 	// the exponential delay between heartbeats without an answer.
 	startRetryDelay = 100 * time.Millisecond
@@ -69,7 +72,7 @@
 	}
 	w.ordersInFlight++
 	o.out.Starts = append(o.out.Starts, Start{
-		Worker: w.ref(), SendBefore: o.startsSafeUntil(w), SentAt: now.Steady, Clock: w.clock, Order: order,
+		Worker: w.ref(), SendBefore: min(o.startsSafeUntil(w), r.startBefore()), SentAt: now.Steady, Clock: w.clock, Order: order,
 	})
 }
 
@@ -117,6 +120,7 @@
 	case wigeonstep.StartAccepted, wigeonstep.StartSuperseded:
 		o.markBegun(now, r)
 		o.confirmProcess(now, r, sent, result.Clock)
+		o.recordBegin(r)
 	case wigeonstep.StartUnknown:
 		r.startTries++
 		r.phase, r.unansweredAt = runUnknown, sent.SentAt
@@ -287,12 +291,17 @@
 		mayStart, safe := o.mayStartOn(now, w), now.Steady < o.startsSafeUntil(w)
 		var unwanted []*run
 		for _, r := range w.runs {
-			if r.repeatsStart(now.Steady) && (r.mustStartElsewhere() || w.overCapacity()) {
-				// The first start may have begun the run, so the task isn't free for another worker yet.
+			tooLate := now.Steady >= r.startBefore()
+			// A start that was sent may have begun the run, so the task isn't free for another worker yet.
+			switch {
+			case !r.repeatsStart(now.Steady):
+			case r.mustStartElsewhere() || w.overCapacity():
 				o.giveUpStarts(r, "its start was not answered and its worker is leaving or over its capacity")
+			case tooLate:
+				o.giveUpStarts(r, "its start was not answered and may not be repeated any more")
 			}
 			switch {
-			case r.phase == runDurable && (r.stopping || !mayStart || r.mustStartElsewhere()):
+			case r.phase == runDurable && (r.stopping || !mayStart || tooLate || r.mustStartElsewhere()):
 				unwanted = append(unwanted, r)
 			case w.ordersInFlight >= maxOrdersInFlight:
 			case r.phase == runDurable && !r.task.step.job.registered:
@@ -355,6 +364,9 @@
 	return (!w.listed || w.Draining || w.released || w.cordoned != "" && !r.onCordoned) && !r.task.step.Gang
 }
 
+// startBefore returns the time until which starts of a run of this owner may be sent.
+func (r *run) startBefore() time.Duration { return r.plannedAt + maxStartDelay }
+
 // repeatsStart reports whether the start of the run got no answer and is due again.
 func (r *run) repeatsStart(now time.Duration) bool {
 	return r.phase == runUnknown && !r.stopping && r.startTries > 0 && now >= r.retryAt
--- a/wigeonshard/tasksrecord.go
+++ b/wigeonshard/tasksrecord.go
@@ -163,7 +163,7 @@
 	for _, t := range tasks {
 		for _, r := range t.runs {
 			if r.phase == runPlanned {
-				r.phase, r.plannedWall = runWriting, e.now.Wall
+				r.phase, r.plannedWall, r.plannedAt = runWriting, e.now.Wall, e.now.Steady
 				e.runs = append(e.runs, r)
 			}
 		}
