--- a/wigeondaemon/clients.go
+++ b/wigeondaemon/clients.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -101,15 +102,31 @@
 // findJob returns the partition, the team and the queue of the job in the replica that holds it; the second result is false if none
 // does. A queue may change its service between two requests with the same id, and the job is then in a shard of the former service.
 func (d *Daemon) findJob(ctx context.Context, id wigeonstep.JobID) (jobLookup, bool) {
-	v, _ := queryLoop(ctx, d, func() jobLookup {
-		for _, sh := range d.sortedShards {
-			if e := sh.replica.Find(id); e != nil && e.State() != wigeonjob.StateMoved {
-				return jobLookup{part: sh.part, known: true, team: e.Job.Team, queue: e.Job.Queue}
-			}
+	v, _ := queryLoop(ctx, d, func() jobLookup { return d.lookUpReplicas(id) })
+	return v, v.known
+}
+
+// lookUpReplicas is findJob on the event loop.
+func (d *Daemon) lookUpReplicas(id wigeonstep.JobID) jobLookup {
+	for _, sh := range d.sortedShards {
+		if e := sh.replica.Find(id); e != nil && e.State() != wigeonjob.StateMoved {
+			return jobLookup{part: sh.part, known: true, team: e.Job.Team, queue: e.Job.Queue}
 		}
-		return jobLookup{}
+	}
+	return jobLookup{}
+}
+
+// findSubmitted is findJob for a job that is being submitted; withdrawn is set if the job does not exist and was cancelled before.
+func (d *Daemon) findSubmitted(ctx context.Context, job *wigeonjob.Job) (v jobLookup, withdrawn bool) {
+	type result struct {
+		jobLookup
+		withdrawn bool
+	}
+	r, _ := queryLoop(ctx, d, func() result {
+		withdrawn := slices.ContainsFunc(d.sortedShards, func(sh *shard) bool { return sh.replica.Withdrawn(job) })
+		return result{d.lookUpReplicas(job.ID), withdrawn}
 	})
-	return v, v.known
+	return r.jobLookup, r.withdrawn
 }
 
 // lookUpAnywhere looks a job up in the shard of the partition and, if it is not known there, in the shard that holds it.
@@ -133,8 +150,18 @@
 	began := time.Now()
 	job.Queue, job.Service, job.Policy, job.Team = queue.Name, queue.Service, queue.Policy, caller.Team
 	job.Accepted = d.config.Now().Wall
-	if v, known := d.findJob(ctx, job.ID); known {
+	if d.pauses.stale(d.config.Now().Steady) {
+		d.logRequest("submit", job.ID, queue, responseStale, time.Since(began))
+		return responseStale
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxSubmissionTime)
+	defer cancel()
+	switch v, withdrawn := d.findSubmitted(ctx, job); {
+	case v.known:
 		return d.answerKnownJob(v, job.ID, caller)
+	case withdrawn:
+		d.logRequest("submit", job.ID, queue, responseWithdrawn, time.Since(began))
+		return responseWithdrawn
 	}
 	value, err := wigeonjob.EncodeJob(job)
 	if err != nil {
@@ -264,6 +291,8 @@
 		return &wigeonwire.PeerResponse{Error: "this process does not answer such a request"}
 	case query.GetReserve():
 		return d.answerReservation(ctx, query)
+	case query.GetWithdraw():
+		return d.answerWithdrawQuery(ctx, query)
 	}
 	return d.answerJobQuery(ctx, query)
 }
@@ -336,11 +365,19 @@
 	return v, wigeonstep.NotRunResponse(http.StatusServiceUnavailable, "the job log can't be read to its end", "look up", "job log", refusalRetryAfter)
 }
 
-// Cancel writes a cancellation to the job log, unless the job has already ended.
-// A job that the caller may not access is answered like one that does not exist.
+// Cancel writes a cancellation to the job log, unless the job has already ended. That of a job that does not exist is written as a
+// withdrawal, so that a submission which is still under way has no effect. A job that the caller may not access is answered like one
+// that does not exist.
 func (d *Daemon) Cancel(ctx context.Context, id wigeonstep.JobID, queue wigeonstep.Queue, caller wigeonteam.Caller) wigeonstep.Response {
 	began := time.Now()
-	v, response := d.lookUpForCaller(ctx, id, queue, caller)
+	v, response := d.lookUpJob(ctx, id, queue)
+	switch {
+	case response.Status == http.StatusOK && !caller.MayAccess(v.team, v.queue):
+		d.logForeignJob("look_up_refused", id, caller, v.team)
+		response = responseNoSuchJob
+	case response.Status == http.StatusGone:
+		response = d.withdraw(ctx, id, queue, caller)
+	}
 	if response.Status != http.StatusOK || v.state.Terminal() {
 		d.logRequest("cancel", id, queue, response, time.Since(began))
 		return response
--- a/wigeondaemon/daemon.go
+++ b/wigeondaemon/daemon.go
@@ -141,6 +141,7 @@
 	configurationAccess configurationAccess
 	// standbys holds the addresses of the standbys that last asked for the directory.
 	standbys addressList
+	pauses   pauseWatch
 	// unauthorizedLines bounds the log lines about refused credentials.
 	unauthorizedLines *rate.Limiter
 
@@ -233,6 +234,7 @@
 		case <-timer.C:
 		}
 		now := d.config.Now().Steady
+		d.pauses.turn(now)
 		if wait := lastStep + d.stepPause() - now; wait > 0 {
 			timer.Reset(wait)
 			continue
@@ -365,7 +367,7 @@
 	maxSweptJobs  = 100
 )
 
-// sweepEndedJobs removes jobs from the owned shards that ended longer than Config.Retention ago.
+// sweepEndedJobs removes jobs from the owned shards that ended longer than Config.Retention ago, and withdrawals that have ended.
 func (d *Daemon) sweepEndedJobs(now wigeonshard.Timestamp) {
 	if now.Steady-d.lastSweep < sweepInterval {
 		return
@@ -375,6 +377,7 @@
 	for _, sh := range d.sortedShards {
 		if sh.owner != nil {
 			sh.owner.DropEndedJobs(sh.replica.Expired(before, maxSweptJobs))
+			d.sweepWithdrawals(sh, now.Wall)
 		}
 	}
 }
--- a/wigeondaemon/shard.go
+++ b/wigeondaemon/shard.go
@@ -224,11 +224,14 @@
 	return replica.Apply(record)
 }
 
-// notifyOwner passes the job of a record to the shard's owner if the record is a job or a cancellation.
+// notifyOwner passes the job of a record to the shard's owner if the record is a job, a cancellation or a withdrawal.
 func (d *Daemon) notifyOwner(sh *shard, key string) {
 	kind, id, _ := wigeonjob.SplitKey(key)
-	if kind == wigeonjob.KindJob || kind == wigeonjob.KindCancel {
+	switch kind {
+	case wigeonjob.KindJob, wigeonjob.KindCancel:
 		d.notifyOwnerOfJob(sh, wigeonstep.JobID(id))
+	case wigeonjob.KindWithdrawal:
+		d.notifyOwnerOfJob(sh, wigeonjob.WithdrawnJob(id))
 	}
 }
 
--- a/wigeondaemon/writerecord.go
+++ b/wigeondaemon/writerecord.go
@@ -38,6 +38,7 @@
 // the same key and value. ctx must have a deadline.
 func (d *Daemon) writeRecord(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord) wigeonstep.Response {
 	deadline, _ := ctx.Deadline()
+	began := d.config.Now().Steady
 	writers := d.recordWriters(ctx, part, record)
 	if len(writers) == 0 {
 		return refusedByLog("the log does not answer here, and no other process that reaches it is known", "job log")
@@ -45,6 +46,9 @@
 	mayBeWritten := false
 	for attempt := 1; ; attempt++ {
 		w := writers[(attempt-1)%len(writers)]
+		if d.config.Now().Steady-began > maxSubmissionTime {
+			return lateRecord(mayBeWritten)
+		}
 		err := d.attemptWrite(ctx, w, deadline)
 		if err == nil {
 			d.wakeOwnedShard(part)
@@ -64,6 +68,14 @@
 	}
 }
 
+// lateRecord returns the response for a record that is written no more, because the process was paused meanwhile.
+func lateRecord(mayBeWritten bool) wigeonstep.Response {
+	if mayBeWritten {
+		return wigeonstep.UnknownResponse(true, "the process was paused", "record", "process")
+	}
+	return responseStale
+}
+
 // refusedByLog returns the response for a record that was certainly not written. Its retry delay is randomised, so that
 // clients do not all retry at the same time after an outage.
 func refusedByLog(reason, peer string) wigeonstep.Response {
@@ -123,10 +135,12 @@
 	return fmt.Errorf("append through %s: %w", address, wigeonstep.ErrUnavailable)
 }
 
-// appendForPeer writes a job or cancellation record on behalf of a peer, unless the log is unreachable from here too.
+// appendForPeer writes the record of a client's request on behalf of a peer, unless the log is unreachable from here too or the request
+// may be old.
 func (d *Daemon) appendForPeer(ctx context.Context, a *wigeonwire.AppendRequest) *wigeonwire.AppendResult {
 	kind, _, _ := wigeonjob.SplitKey(a.GetKey())
-	if d.logUnreachable() || kind != wigeonjob.KindJob && kind != wigeonjob.KindCancel {
+	forClients := kind == wigeonjob.KindJob || kind == wigeonjob.KindCancel || kind == wigeonjob.KindWithdrawal
+	if d.logUnreachable() || !forClients || d.pauses.stale(d.config.Now().Steady) {
 		return &wigeonwire.AppendResult{}
 	}
 	part := wigeonstep.Partition(a.GetPartition())
--- a/wigeonjob/key.go
+++ b/wigeonjob/key.go
@@ -16,6 +16,7 @@
 	KindProgress    Kind = 'p'
 	KindTasks       Kind = 't'
 	KindCancel      Kind = 'c'
+	KindWithdrawal  Kind = 'w'
 	KindOwner       Kind = 'o'
 	KindMaintenance Kind = 'u'
 	KindRelease     Kind = 'r'
--- a/wigeonreplica/replica.go
+++ b/wigeonreplica/replica.go
@@ -63,7 +63,8 @@
 	// Releases holds the release of each drained worker, on which its shard starts no more runs.
 	Releases map[wigeonstep.WorkerID]wigeonjob.Release
 
-	jobs map[wigeonstep.JobID]*JobEntry
+	jobs        map[wigeonstep.JobID]*JobEntry
+	withdrawals withdrawals
 	// replaced holds the jobs that TakeReplaced returns.
 	replaced []*wigeonjob.Job
 	// pending counts the jobs in StatePending of each queue.
@@ -117,6 +118,8 @@
 		return r.applyJob(kind, wigeonstep.JobID(id), record.Value)
 	case wigeonjob.KindTasks:
 		return r.applyTasks(id, record.Value)
+	case wigeonjob.KindWithdrawal:
+		return r.applyWithdrawal(record.Value)
 	case wigeonjob.KindOwner:
 		owner, err := wigeonjob.DecodeOwner(record.Value)
 		if err != nil {
@@ -195,6 +198,7 @@
 			return err
 		}
 		e.Job = job
+		r.cancelWithdrawn(e)
 		r.trimEnded(e)
 	case wigeonjob.KindProgress:
 		progress, err := wigeonjob.DecodeProgress(value)
@@ -301,5 +305,7 @@
 		delete(r.MoveOrders, wigeonstep.VMID(id))
 	case wigeonjob.KindRelease:
 		delete(r.Releases, wigeonstep.WorkerID(id))
+	case wigeonjob.KindWithdrawal:
+		r.withdrawals.remove(wigeonjob.Key(kind, id))
 	}
 }
--- a/wigeonshard/flush.go
+++ b/wigeonshard/flush.go
@@ -35,7 +35,7 @@
 	if o.flush != nil {
 		return
 	}
-	if len(o.dirtyJobs) == 0 && len(o.pendingReleases) == 0 && len(o.droppedJobs) == 0 && len(o.expiredReleases) == 0 && o.ownerRecordDurable && !o.ownerRecordOutdated {
+	if len(o.dirtyJobs) == 0 && len(o.pendingReleases) == 0 && len(o.droppedJobs) == 0 && len(o.droppedKeys) == 0 && len(o.expiredReleases) == 0 && o.ownerRecordDurable && !o.ownerRecordOutdated {
 		for _, w := range o.sortedWorkers {
 			w.durableEnd = w.lastEnd
 		}
@@ -58,6 +58,10 @@
 		}
 	}
 	o.droppedJobs = nil
+	for _, key := range o.droppedKeys {
+		records = append(records, wigeonstep.KeyedRecord{Key: key})
+	}
+	o.droppedKeys = nil
 	for _, id := range o.expiredReleases {
 		records = append(records, wigeonstep.KeyedRecord{Key: wigeonjob.Key(wigeonjob.KindRelease, id)})
 	}
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -99,8 +99,9 @@
 	pendingReleases []wigeonjob.Release
 	// expiredReleases holds the workers whose releases are to be removed from the log.
 	expiredReleases []wigeonstep.WorkerID
-	// droppedJobs holds the ended jobs that are to be removed from the log.
+	// droppedJobs holds the ended jobs that are to be removed from the log, droppedKeys the keys of other records.
 	droppedJobs []wigeonstep.JobID
+	droppedKeys []string
 	// ownerRecordDurable is set once a record of this owner is durable; ownerRecordOutdated is set while the lapses in the
 	// newest one are out of date.
 	ownerRecordDurable  bool
@@ -185,6 +186,11 @@
 	}
 }
 
+// DropRecords removes records from the log that no decision of the owner depends on.
+func (o *Owner) DropRecords(keys []string) {
+	o.droppedKeys = append(o.droppedKeys, keys...)
+}
+
 // SetWorkers replaces the list of the workers of this shard's services.
 func (o *Owner) SetWorkers(now Timestamp, listed []wigeonstep.ListedWorker) {
 	o.placementDue = true
