--- a/wigeonshard/burst_test.go
+++ b/wigeonshard/burst_test.go
@@ -161,12 +161,33 @@
 			return fmt.Sprintf("job %s: %d steps with claims; counted are %d", j.ID, claiming, j.claimingSteps)
 		}
 	}
+	for _, w := range o.sortedWorkers {
+		if wrong := w.wrongCounters(); wrong != "" {
+			return wrong
+		}
+	}
 	if o.opening.claims != counted {
 		return fmt.Sprintf("claims %+v; counted are %+v", counted, o.opening.claims)
 	}
 	return ""
 }
 
+func (w *worker) wrongCounters() string {
+	unsent := 0
+	for _, r := range w.runs {
+		if w.findRun(r.id()) != r {
+			return fmt.Sprintf("worker %s: run %v is not found", w.ID, r.id())
+		}
+		if r.unsent() {
+			unsent++
+		}
+	}
+	if w.unsentRuns == unsent && len(w.runIndex) == len(w.runs) {
+		return ""
+	}
+	return fmt.Sprintf("worker %s: %d runs, %d unsent; counted are %d and %d", w.ID, len(w.runs), unsent, len(w.runIndex), w.unsentRuns)
+}
+
 func (s *step) wrongCounters() string {
 	done, live, blocked := s.base, 0, 0
 	for _, t := range s.tasks {
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -74,8 +74,9 @@
 // inheritedRunsEnded counts the end of a process of a worker that ended before this owner knew the worker against the runs of
 // earlier owners that were planned before the present process was started and that it does not list.
 func (o *Owner) inheritedRunsEnded(now Timestamp, w *worker, result wigeonstep.HeartbeatResult) {
+	listed := listedRuns(result)
 	lost := slices.DeleteFunc(w.sentRuns(), func(r *run) bool {
-		return !r.inherited || r.plannedWall == 0 || r.plannedWall >= result.StartedAt || listsRun(result, r.id())
+		return !r.inherited || r.plannedWall == 0 || r.plannedWall >= result.StartedAt || listed[r.id()]
 	})
 	o.countCrash(now, w, lost, true)
 }
--- a/wigeonshard/fakeworker_test.go
+++ b/wigeonshard/fakeworker_test.go
@@ -50,7 +50,9 @@
 }
 
 type fakeRun struct {
-	id         wigeonstep.RunID
+	id wigeonstep.RunID
+	// name is the id as text, by which the runs are listed in a fixed order.
+	name       string
 	reserved   wigeonstep.Resources
 	terminated bool
 	// unavoidable is set for a run that counts for none of the invariants, because no owner could have prevented its start.
@@ -95,7 +97,7 @@
 	for _, r := range f.runs {
 		runs = append(runs, r)
 	}
-	slices.SortFunc(runs, func(a, b *fakeRun) int { return cmp.Compare(fmt.Sprint(a.id), fmt.Sprint(b.id)) })
+	slices.SortFunc(runs, func(a, b *fakeRun) int { return cmp.Compare(a.name, b.name) })
 	return runs
 }
 
@@ -123,7 +125,7 @@
 		return result
 	}
 	m.recordHistory(order.Run.Task, "run %d starts on %s by %d", order.Run.Number, f.listed.ID, order.Fence)
-	run := &fakeRun{id: order.Run, reserved: step.Reserved(), unavoidable: f.unavoidable(order)}
+	run := &fakeRun{id: order.Run, name: fmt.Sprint(order.Run), reserved: step.Reserved(), unavoidable: f.unavoidable(order)}
 	if run.unavoidable {
 		run.reserved = wigeonstep.Resources{}
 	} else {
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -249,10 +249,16 @@
 	return max(o.settings.HeartbeatPause, min(longer, maxHeartbeatPause))
 }
 
-// listsRun reports whether the answer lists the run as running or ended.
-func listsRun(result wigeonstep.HeartbeatResult, id wigeonstep.RunID) bool {
-	return slices.ContainsFunc(result.Running, func(e wigeonstep.RunningRun) bool { return e.Run == id }) ||
-		slices.ContainsFunc(result.Ended, func(e wigeonstep.EndedRun) bool { return e.Run == id })
+// listedRuns returns the runs that the answer lists as running or ended.
+func listedRuns(result wigeonstep.HeartbeatResult) map[wigeonstep.RunID]bool {
+	listed := make(map[wigeonstep.RunID]bool, len(result.Running)+len(result.Ended))
+	for _, e := range result.Running {
+		listed[e.Run] = true
+	}
+	for _, e := range result.Ended {
+		listed[e.Run] = true
+	}
+	return listed
 }
 
 func (o *Owner) applyEnds(now Timestamp, w *worker, ended []wigeonstep.EndedRun) {
--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -136,7 +136,7 @@
 		if t.hold == nil || !t.needsRun() || now.Steady < t.retryAt || t.suspected() {
 			continue
 		}
-		if w := t.hold.worker; slices.Contains(pool, w) && w.isolation == nil && t.hold.roomFree() && (t.hold.counted || s.withinLimit()) {
+		if w := t.hold.worker; slices.Contains(pool, w) && w.isolation == nil && s.maySendOrdersTo(w) && t.hold.roomFree() && (t.hold.counted || s.withinLimit()) {
 			o.planRun(t, w, t.lastRun+1)
 			planned++
 		}
@@ -178,7 +178,7 @@
 	var best *worker
 	var bestWait time.Duration
 	for _, w := range pool {
-		if w.Service != s.job.Service || t.runsOn(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
+		if w.Service != s.job.Service || t.runsOn(w) || !s.maySendOrdersTo(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
 			continue
 		}
 		wait, ok := w.timeUntilRoom(now, s.Reserved())
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -202,12 +202,14 @@
 )
 
 // run is one execution of a task on a worker. An owner goes over all runs of a worker for each event about it, so the size of a run
-// counts: it fills three cache lines of 64 bytes, with the flags beside each other.
+// counts: it fits into four cache lines of 64 bytes, with the flags beside each other.
 type run struct {
 	task   *task
 	number wigeonstep.RunNumber
 	worker *worker
 	phase  runPhase
+	// place is the position of the run among those that were added to its worker.
+	place uint64
 	// listedIn is the number of the last heartbeat in whose answer the worker listed the run; 0 if none did.
 	listedIn uint64
 	// startKnownAt is the time from which it is certain that the worker has begun the run or never will; negative while
--- a/wigeonshard/orders.go
+++ b/wigeonshard/orders.go
@@ -11,6 +11,9 @@
 const (
 	// maxOrdersInFlight bounds the starts, stops and throttles without an answer to one worker. Heartbeats are not counted.
 	maxOrdersInFlight = 6
+	// maxUnsentRuns bounds the runs on one worker whose first start has not been sent, so that each is sent within maxStartDelay even if
+	// the worker takes half a second for an answer. Runs beyond it are planned on other workers or later.
+	maxUnsentRuns = 4 * maxOrdersInFlight
 	// maxStartsPerStep bounds the first starts of one Step. The caller sends each on its own, so an owner that may start more than
 	// its processor can send falls behind with everything else, and its starts become too late to be sent.
 	maxStartsPerStep = 64
@@ -56,6 +59,9 @@
 // sendStart sends the start of a run, for the first time or again.
 func (o *Owner) sendStart(now Timestamp, r *run) {
 	w := r.worker
+	if r.unsent() {
+		w.unsentRuns--
+	}
 	r.phase = runStarting
 	r.retryAt = 0
 	r.sentAt, r.token, w.orderedAt = now.Steady, o.token(w), now.Steady
@@ -303,6 +309,9 @@
 			switch {
 			case r.phase == runDurable && (r.stopping || !mayStart || tooLate || r.mustStartElsewhere()):
 				unwanted = append(unwanted, r)
+				if tooLate {
+					o.lateRuns++
+				}
 			case w.ordersInFlight >= maxOrdersInFlight:
 			case r.phase == runDurable && !r.task.step.job.registered:
 			case r.phase == runDurable && safe && starts < maxStartsPerStep:
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -118,6 +118,8 @@
 	recentLosses []serviceLoss
 	// stages holds the times of the stages since the last TakeLoad.
 	stages [StageCount]StageTimes
+	// lateRuns counts the runs that were withdrawn since the last TakeLoad because their starts could not be sent in time.
+	lateRuns int
 	// flush is the state in the pending append; nil when none is pending.
 	flush *flush
 	// out collects the actions that the next Step returns.
@@ -321,7 +323,8 @@
 		o.recordLoss(now, w, false)
 	}
 	// A run that the new process lists was begun by it, and so has not ended with the former one.
-	lost := slices.DeleteFunc(w.sentRuns(), func(r *run) bool { return listsRun(result, r.id()) })
+	listed := listedRuns(result)
+	lost := slices.DeleteFunc(w.sentRuns(), func(r *run) bool { return listed[r.id()] })
 	o.countCrash(now, w, lost, true)
 	o.confirmCrash(now, w.ID)
 	prepareForNextProcess(w)
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -113,15 +113,30 @@
 type unplaceableRequest struct {
 	service  wigeonstep.ServiceName
 	reserved wigeonstep.Resources
+	// orderPlaces is that of the step if workers have room for the request, and too many runs whose starts have not been sent; 0 if
+	// none has room.
+	orderPlaces int
 }
 
 // limitReached reports whether no further task of the current step may be planned.
 func (r *round) limitReached(planned int) bool { return r.taskLimit > 0 && planned >= r.taskLimit }
 
+// noteUnplaceable records that no worker takes a task of the step that needs no particular one.
+func (r *round) noteUnplaceable(s *step, reserved wigeonstep.Resources) {
+	request := unplaceableRequest{service: s.job.Service, reserved: reserved}
+	awaitsOrders := func(w *worker) bool {
+		return w.Service == s.job.Service && !s.maySendOrdersTo(w) && w.free().Covers(reserved)
+	}
+	if slices.ContainsFunc(r.pool, awaitsOrders) {
+		request.orderPlaces = s.orderPlaces()
+	}
+	r.unplaceable = append(r.unplaceable, request)
+}
+
 // cannotFit reports whether a request that is no larger has already been found not to fit in this round.
-func (r *round) cannotFit(service wigeonstep.ServiceName, reserved wigeonstep.Resources) bool {
+func (r *round) cannotFit(s *step, reserved wigeonstep.Resources) bool {
 	for _, f := range r.unplaceable {
-		if f.service == service && reserved.Covers(f.reserved) {
+		if f.service == s.job.Service && reserved.Covers(f.reserved) && (f.orderPlaces == 0 || s.orderPlaces() <= f.orderPlaces) {
 			return true
 		}
 	}
@@ -267,7 +282,7 @@
 		r.order = nil
 		planned += o.placeHeldTasks(now, s, r.pool)
 	}
-	if r.cannotFit(s.job.Service, reserved) {
+	if r.cannotFit(s, reserved) {
 		return planned
 	}
 	if s.plain() {
@@ -291,7 +306,7 @@
 		w := s.chooseWorker(t, pool, reserved)
 		if w == nil {
 			if s.unrestricted() && len(t.runs) == 0 {
-				r.unplaceable = append(r.unplaceable, unplaceableRequest{service: s.job.Service, reserved: reserved})
+				r.noteUnplaceable(s, reserved)
 			}
 			break
 		}
@@ -320,7 +335,7 @@
 		place, ok := r.order.choose(s, t, reserved)
 		if !ok {
 			if s.unrestricted() && len(t.runs) == 0 {
-				r.unplaceable = append(r.unplaceable, unplaceableRequest{service: s.job.Service, reserved: reserved})
+				r.noteUnplaceable(s, reserved)
 			}
 			break
 		}
--- a/wigeonshard/roomorder.go
+++ b/wigeonshard/roomorder.go
@@ -41,17 +41,22 @@
 // is none. The worker on which the task failed is chosen only when no other one fits.
 func (order roomOrder) choose(s *step, t *task, reserved wigeonstep.Resources) (place int, ok bool) {
 	first, _ := slices.BinarySearchFunc(order, reserved.CPU, func(w orderedWorker, need wigeonstep.MilliCPU) int { return cmp.Compare(w.freeCPU, need) })
-	avoided := -1
+	avoided, crowded := -1, -1
 	for i := first; i < len(order); i++ {
 		w := order[i].worker
 		switch {
 		case !s.accepts(t, w, reserved):
-		case w.ID != t.avoidWorker:
-			return i, true
-		case avoided < 0:
+		case w.ID == t.avoidWorker:
 			avoided = i
+		case w.crowding() == 0:
+			return i, true
+		case crowded < 0 || w.crowding() < order[crowded].crowding():
+			crowded = i
 		}
 	}
+	if crowded >= 0 {
+		return crowded, true
+	}
 	return avoided, avoided >= 0
 }
 
--- a/wigeonshard/stages.go
+++ b/wigeonshard/stages.go
@@ -58,12 +58,14 @@
 	WaitingTasks int
 	// DeferredOccurrences counts the due occurrences and the steps that wait until the tasks of others are done.
 	DeferredOccurrences int
+	// LateRuns counts the runs that were withdrawn because their starts could not be sent in time.
+	LateRuns int
 }
 
 // TakeLoad returns the load since the last call.
 func (o *Owner) TakeLoad() Load {
-	load := Load{Stages: o.stages, Workers: len(o.sortedWorkers), Jobs: len(o.jobs), DeferredOccurrences: o.opening.deferred}
-	o.stages = [StageCount]StageTimes{}
+	load := Load{Stages: o.stages, Workers: len(o.sortedWorkers), Jobs: len(o.jobs), DeferredOccurrences: o.opening.deferred, LateRuns: o.lateRuns}
+	o.stages, o.lateRuns = [StageCount]StageTimes{}, 0
 	for _, s := range o.finiteSteps.entries {
 		if !s.closed() && s.ready() {
 			load.WaitingTasks += s.waiting
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -1,6 +1,7 @@
 package wigeonshard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -48,9 +49,14 @@
 	// lapseRecorded is set while the owner record in the log may hold leasesEndWall; no lease is renewed then.
 	lapseRecorded bool
 
-	runs []*run
-	used wigeonstep.Resources
-	held heldRoom
+	// runs holds the runs on the worker in the order in which they were added, by run.place; runIndex holds the same runs.
+	runs      []*run
+	runIndex  map[wigeonstep.RunID]*run
+	nextPlace uint64
+	// unsentRuns counts the runs of which no start has been sent.
+	unsentRuns int
+	used       wigeonstep.Resources
+	held       heldRoom
 	// bestEffort counts the best-effort runs.
 	bestEffort int
 	// speedChangedAt is the time at which the speed of the best-effort runs last changed.
@@ -230,7 +236,16 @@
 
 func (w *worker) attach(r *run) {
 	w.settled = false
+	if w.runIndex == nil {
+		w.runIndex = map[wigeonstep.RunID]*run{}
+	}
+	w.nextPlace++
+	r.place = w.nextPlace
 	w.runs = append(w.runs, r)
+	w.runIndex[r.id()] = r
+	if r.unsent() {
+		w.unsentRuns++
+	}
 	w.used = w.used.Add(r.task.step.Reserved())
 	if r.task.step.BestEffort {
 		w.bestEffort++
@@ -241,12 +256,16 @@
 }
 
 func (w *worker) detach(r *run) {
-	i := slices.Index(w.runs, r)
-	if i < 0 {
+	i, found := slices.BinarySearchFunc(w.runs, r.place, func(other *run, place uint64) int { return cmp.Compare(other.place, place) })
+	if !found {
 		return
 	}
 	w.settled = false
 	w.runs = slices.Delete(w.runs, i, i+1)
+	delete(w.runIndex, r.id())
+	if r.unsent() {
+		w.unsentRuns--
+	}
 	w.used = w.used.Sub(r.task.step.Reserved())
 	if r.task.step.BestEffort {
 		w.bestEffort--
@@ -270,14 +289,7 @@
 }
 
 // findRun returns the run on the worker, or nil.
-func (w *worker) findRun(id wigeonstep.RunID) *run {
-	for _, r := range w.runs {
-		if r.number == id.Number && r.task.id == id.Task {
-			return r
-		}
-	}
-	return nil
-}
+func (w *worker) findRun(id wigeonstep.RunID) *run { return w.runIndex[id] }
 
 // countTasks returns the number of runs on the worker, and of holds, for tasks of the step of one occurrence.
 func (w *worker) countTasks(s *step) int {
