Give calls on public queues a bounded part of the withdrawals

Calls without a team had no bound of their own, so clients of public queues could have taken the place of all teams' withdrawals. Where teams have credentials, they share one part now.

TestWithdrawalsAreBounded covers the new bound.

--- a/wigeondaemon/withdrawal.go
+++ b/wigeondaemon/withdrawal.go
@@ -30,7 +30,8 @@
 	// the time after a longer one in which submissions are refused.
 	maxPause   = 10 * time.Second
 	stalePause = 5 * time.Second
-	// maxWithdrawals and maxTeamWithdrawals bound the withdrawals in one partition, and those of one team in it.
+	// maxWithdrawals and maxTeamWithdrawals bound the withdrawals in one partition, and those of one team, or of all calls without
+	// one, in it.
 	maxWithdrawals     = 1 << 13
 	maxTeamWithdrawals = 1 << 10
 	// maxSweptWithdrawals bounds the withdrawals that are removed from one shard in a sweep.
@@ -97,7 +98,9 @@
 		return false
 	}
 	ofTeam, all := sh.replica.CountWithdrawals(team)
-	return all >= maxWithdrawals || team != "" && ofTeam >= maxTeamWithdrawals
+	// Where teams have credentials, calls without a team are those on public queues.
+	hasShare := team != "" || d.requiresCredentials(d.routes.Load())
+	return all >= maxWithdrawals || hasShare && ofTeam >= maxTeamWithdrawals
 }
 
 // answerWithdrawQuery answers a standby that is about to write a withdrawal.
--- a/wigeondaemon/withdrawal_test.go
+++ b/wigeondaemon/withdrawal_test.go
@@ -231,6 +231,14 @@
 	status := func(team wigeonstep.TeamName) int {
 		return d.Cancel(w.ctx, listedJob, listedQueue, wigeonteam.Caller{Team: team}).Status
 	}
+	other := w.addDaemon()
+	other.routes.Store(newRouteTable(teamsConfiguration(1)))
+	for i := range maxTeamWithdrawals {
+		withdrawal := wigeonjob.Withdrawal{Job: wigeonstep.JobID(fmt.Sprintf("%016x", i)), PublicQueue: "public"}
+		value, err := wigeonjob.EncodeWithdrawal(withdrawal)
+		w.Assert(err, qt.IsNil)
+		w.Assert(other.shards[listedPartition].replica.Apply(wigeonstep.KeyedRecord{Key: withdrawal.Key(), Value: value}), qt.IsNil)
+	}
 	add("one", maxTeamWithdrawals)
 	w.Assert(status("one"), qt.Equals, http.StatusTooManyRequests)
 	w.Assert(status("two"), qt.Equals, http.StatusGone)
@@ -242,6 +250,9 @@
 	w.Assert(answer.GetJob().GetWithdrawalsFull(), qt.IsTrue)
 	w.Assert(w.log.withdrawals(), qt.Equals, 2)
 
+	// Calls on public queues have a part of their own only.
+	w.Assert(other.countsAsFull(listedPartition, ""), qt.IsTrue)
+
 	queryLoop(w.ctx, d, func() bool {
 		sh.owned = true
 		d.startOwnership(sh)
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -178,21 +178,6 @@
 	return j.durableState, true
 }
 
-// DropEndedJobs removes ended jobs from the log and from memory. Jobs that this owner still holds are skipped.
-func (o *Owner) DropEndedJobs(ended []wigeonstep.JobID) {
-	for _, id := range ended {
-		if o.jobs[id] == nil {
-			delete(o.ended, id)
-			o.droppedJobs = append(o.droppedJobs, id)
-		}
-	}
-}
-
-// DropRecords removes records from the log that no decision of the owner depends on.
-func (o *Owner) DropRecords(keys []string) {
-	o.droppedKeys = append(o.droppedKeys, keys...)
-}
-
 // SetWorkers replaces the list of the workers of this shard's services.
 func (o *Owner) SetWorkers(now Timestamp, listed []wigeonstep.ListedWorker) {
 	o.placementDue = true
