Extend the steps of teams, too, when their tasks in memory are planned

The search that asks for more was part of the placement without teams, so with teams a step ended there.

Change: the search stands before both kinds of placement.

TestStepsAreExtendedUntilTheyAreDone failed with two teams and passes.

--- a/wigeonshard/claims.go
+++ b/wigeonshard/claims.go
@@ -192,9 +192,19 @@
 	return p.size+size <= limit
 }
 
+// extendFiniteSteps lets the finite steps that will soon have planned all their tasks in memory wait to be extended. Long-running ones
+// are opened as a whole.
+func (o *Owner) extendFiniteSteps(now Timestamp) {
+	for _, s := range o.finiteSteps.entries {
+		if s.needsTasks() {
+			o.enqueueStep(now, s.step)
+		}
+	}
+}
+
 // needsTasks reports whether the step is open and few of its tasks in memory have had no run, so that more should follow.
 func (s *step) needsTasks() bool {
-	return !s.queued && s.isOpen() && s.openEnd() < s.Count && s.tasks[max(len(s.tasks)-openAhead/2, 0)].lastRun > 0
+	return s.openEnd() < s.Count && !s.queued && s.isOpen() && s.tasks[max(len(s.tasks)-openAhead/2, 0)].lastRun > 0
 }
 
 // suitableWorkers finds out whether any worker could run a step if it had no other run, once for all steps that require the same.
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -61,6 +61,7 @@
 		o.placeOnCordoned(now, longRunning)
 		o.moveRuns(now, r.pool)
 	}
+	o.extendFiniteSteps(now)
 	r.order = newRoomOrder(r.pool)
 	if o.sharing.active {
 		o.placeShared(now, &r)
@@ -170,9 +171,6 @@
 	var found []candidate
 	rooms := pool.largestRooms()
 	for _, s := range o.finiteSteps.entries {
-		if s.needsTasks() {
-			o.enqueueStep(now, s.step)
-		}
 		// With an empty pool the steps are looked at all the same, so that another round is due.
 		if len(pool) == 0 || s.suspects > 0 || anyCovers(rooms, s.reserved) {
 			found = appendIfPlaceable(found, now, s.step)
--- a/wigeonshard/widejobs_test.go
+++ b/wigeonshard/widejobs_test.go
@@ -128,6 +128,31 @@
 	watch()
 }
 
+// Guards against a step that ends with the tasks with which it was opened, by this owner or by one that found a few of them running:
+// with and without teams the tasks of a step are placed in different orders.
+func TestStepsAreExtendedUntilTheyAreDone(t *testing.T) {
+	for _, teams := range [][]wigeonstep.TeamName{nil, {"a", "b"}} {
+		t.Run(fmt.Sprintf("%d teams", len(teams)), func(t *testing.T) {
+			c := qt.New(t)
+			m := newClusterModel(t, 17, 4)
+			for i := range 2 {
+				job := testJob(wigeonstep.JobID(fmt.Sprintf("wide%d", i)), testStep(13), largeStep(3*openAhead, 0))
+				if teams != nil {
+					job.Team = teams[i]
+				}
+				m.submitJob(job)
+			}
+			for range 3 {
+				m.addOwner().SetTeams(testTeams(2, teams...))
+				m.advance(700 * time.Millisecond)
+			}
+			m.advance(30 * time.Second)
+			c.Assert(m.violations, qt.HasLen, 0)
+			c.Assert(m.unfinishedJobs(), qt.HasLen, 0)
+		})
+	}
+}
+
 // Guards against a step that is closed in the middle of its work, and then repeats tasks or never ends: each limit is far below what the
 // jobs have, so that steps are closed and opened all the time, also across changes of the owner.
 func TestClosedStepsGoOnWhereTheyWere(t *testing.T) {
