--- a/wigeondaemon/work.go
+++ b/wigeondaemon/work.go
@@ -56,7 +56,7 @@
 		load := sh.owner.TakeLoad()
 		fields := []zap.Field{
 			zap.Int("partition", int(sh.part)), zap.Int("workers", load.Workers), zap.Int("jobs", load.Jobs),
-			zap.Int("waiting_tasks", load.WaitingTasks), zap.Int("deferred_occurrences", load.DeferredOccurrences), zap.Int("late_runs", load.LateRuns), zap.Int("late", load.Stages[wigeonshard.StageEnded].Late),
+			zap.Int("waiting_tasks", load.WaitingTasks), zap.Int("deferred_occurrences", load.DeferredOccurrences), zap.Int("late_runs", load.LateRuns), zap.Int("small_runs", load.SmallRuns), zap.Int("late", load.Stages[wigeonshard.StageEnded].Late),
 		}
 		active := false
 		for stage, times := range load.Stages {
--- a/wigeonshard/claims.go
+++ b/wigeonshard/claims.go
@@ -19,7 +19,8 @@
 	bypassShare = 8
 )
 
-// claims counts what open steps and further occurrences take of the limit on open tasks.
+// claims counts what open steps and further occurrences take of the limit on open tasks. Tasks with a run have no part in it: the room
+// of the workers and the limit on small runs bound those, and they may last for as long as they like.
 type claims struct {
 	// size is the size of all claims; further is the part of it that is not the first claim of a job.
 	size, further int
@@ -30,8 +31,8 @@
 // claim is what one step takes of the limit.
 type claim struct {
 	size, further int
-	// first is set for the first claim of a job, bypass for one that was made past another.
-	first, bypass bool
+	// open is set while the step has a claim, first for the first claim of a job, bypass for one that was made past another.
+	open, first, bypass bool
 }
 
 // allowsFurther reports whether the limit allows a claim of a job that has one already.
@@ -51,11 +52,29 @@
 		c.bypassed += size - of.size
 	}
 	of.size, of.further = size, further
-	if size == 0 {
-		*of = claim{}
+}
+
+// updateClaim sets the claim of a step, if it has one, to what its tasks in memory take.
+func (p *opening) updateClaim(s *step) {
+	if s.claim.open {
+		p.set(&s.claim, s.claimSize())
 	}
 }
 
+// claimSize returns what the step takes of the limit: its tasks in memory without a run and, unless all its tasks have one, stepSize.
+func (s *step) claimSize() int {
+	switch {
+	case !s.isOpen():
+		return 0
+	case s.allRun():
+		return len(s.tasks) - s.tasksWithRuns
+	}
+	return stepSize + len(s.tasks) - s.tasksWithRuns
+}
+
+// allRun reports whether each task of the step has a run or is done, so that a round of placement doesn't look at it.
+func (s *step) allRun() bool { return s.waiting == 0 && s.openEnd() == s.Count && !s.Speculative }
+
 // occurrenceOpened counts an occurrence that was opened beside another one of its job.
 func (p *opening) occurrenceOpened(j *job, occ *occurrence) {
 	occ.further = len(j.occurrences) > 0
@@ -78,10 +97,11 @@
 
 // release ends the claim of a step.
 func (p *opening) release(s *step) {
-	if s.claim.size > 0 && s.tasksLeft > 0 {
+	if s.claim.open && s.tasksLeft > 0 {
 		s.job.claimingSteps--
 	}
 	p.set(&s.claim, 0)
+	s.claim = claim{}
 	p.searchDue = p.searchDue || p.deferred > 0
 }
 
@@ -126,8 +146,8 @@
 // claimsFirst reports whether the next claim of the step is the first one of its job.
 func (s *step) claimsFirst() bool { return !s.isOpen() && s.job.claimingSteps == 0 }
 
-// openSteps opens or extends the steps that wait, as far as the limit allows. Steps that no worker of their service could run now come
-// after all others, and have no part in the half of the limit that is reserved for first claims.
+// openSteps opens or extends the steps that wait, as far as the limit allows. Steps that no worker of their service could run now, or of
+// which no further run is allowed, come after all others, and have no part in the half of the limit that is reserved for first claims.
 func (o *Owner) openSteps(now Timestamp) {
 	p := &o.opening
 	if len(p.steps) == 0 {
@@ -144,7 +164,7 @@
 		switch {
 		case s.over() || s.openEnd() >= s.Count:
 			s.queued = false
-		case !suits.any(s):
+		case !suits.any(s), o.runsLeft(s) == 0:
 			unsuitable = append(unsuitable, s)
 		case o.mayClaim(s, s.claimsFirst(), reserved):
 			extend(s, s.claimsFirst())
--- a/wigeonshard/closedsteps.go
+++ b/wigeonshard/closedsteps.go
@@ -73,7 +73,7 @@
 
 func (o *Owner) extendStepTo(now Timestamp, s *step, end int, first bool) {
 	s.claim.first = s.claim.first || first
-	if !s.isOpen() && s.tasksLeft > 0 {
+	if !s.claim.open && s.tasksLeft > 0 {
 		s.job.claimingSteps++
 	}
 	o.addTasks(now, s, end)
@@ -92,7 +92,8 @@
 		id := wigeonstep.TaskID{Job: s.job.ID, Occurrence: s.occurrence.number, Step: s.number, Index: i}
 		s.tasks = append(s.tasks, &task{id: id, step: s, waitingSince: now.Steady})
 	}
-	o.opening.set(&s.claim, stepSize+len(s.tasks))
+	s.claim.open = true
+	o.opening.updateClaim(s)
 }
 
 // restoreClosed gives the tasks of a step that was closed the progress that they had.
@@ -123,7 +124,7 @@
 			s.tasks = s.tasks[:len(s.tasks)-1]
 		}
 		s.tasks = slices.Clip(s.tasks)
-		o.opening.set(&s.claim, stepSize+len(s.tasks))
+		o.opening.updateClaim(s)
 	}
 }
 
@@ -140,7 +141,7 @@
 		s.tasks = slices.Clone(s.tasks[perRecord:])
 		s.base += perRecord
 	}
-	o.opening.set(&s.claim, stepSize+len(s.tasks))
+	o.opening.updateClaim(s)
 }
 
 // mayClose reports whether the tasks of the step can be restored from what is recorded of them: none has a run, or is suspected of
--- a/wigeonshard/demand.go
+++ b/wigeonshard/demand.go
@@ -99,7 +99,7 @@
 			d.MissingWorkers = n
 		}
 	}
-	for _, s := range o.finiteSteps.entries {
+	for s := range o.finiteSteps.all() {
 		if d := index[s.job.Service]; d != nil && !s.closed() && s.ready() {
 			d.ReadyWork += s.readyWork()
 		}
--- a/wigeonshard/explain.go
+++ b/wigeonshard/explain.go
@@ -63,6 +63,8 @@
 		return fmt.Sprintf("room for its tasks in the memory of the owner: %d tasks and steps of the shard are open", o.opening.size)
 	case waiting == 0:
 		return ""
+	case o.runsLeft(s) == 0:
+		return fmt.Sprintf("the end of other runs: the owner has %d of tasks that are small for their service", o.smallRuns.count)
 	case retrying == waiting:
 		return "the pause after a failure"
 	case !s.limitAllows():
--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -120,6 +120,11 @@
 	return services
 }
 
+// hasHold reports whether room is kept for a task of the step.
+func (s *step) hasHold() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.hold != nil })
+}
+
 func (s *step) hasTaskWithoutRoom(now time.Duration) bool {
 	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.needsRoom(now) })
 }
--- a/wigeonshard/interference.go
+++ b/wigeonshard/interference.go
@@ -265,7 +265,7 @@
 	more := 0
 	last := wigeonstep.JobID("")
 	for _, list := range []*openSteps{&o.longRunningSteps, &o.finiteSteps} {
-		for _, e := range list.entries {
+		for e := range list.all() {
 			if e.interference == nil || e.Image != image || e.BestEffort != bestEffort || e.closed() || e.job.ID == last {
 				continue
 			}
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -134,15 +134,21 @@
 
 // attach adds a run to its task and its worker, and to their counters.
 func (o *Owner) attach(r *run) {
-	if len(r.task.runs) == 0 && !r.task.done {
-		r.task.step.waiting--
+	s := r.task.step
+	if len(r.task.runs) == 0 {
+		s.tasksWithRuns++
+		if !r.task.done {
+			s.waiting--
+		}
 	}
 	r.task.runs = append(r.task.runs, r)
-	r.task.step.liveRuns++
-	r.task.step.job.liveRuns++
-	if team := r.task.step.job.team; team != nil {
-		team.use = team.use.Add(r.task.step.Required)
-		team.share.AddUse(r.task.step.Reserved())
+	s.liveRuns++
+	s.job.liveRuns++
+	o.opening.updateClaim(s)
+	o.smallRuns.attached(r)
+	if team := s.job.team; team != nil {
+		team.use = team.use.Add(s.Required)
+		team.share.AddUse(s.Reserved())
 	}
 	r.worker.attach(r)
 	o.interference.attached(r)
@@ -154,13 +160,20 @@
 		return
 	}
 	r.task.runs = slices.Delete(r.task.runs, i, i+1)
-	if len(r.task.runs) == 0 && !r.task.done {
-		r.task.step.waiting++
+	s := r.task.step
+	if len(r.task.runs) == 0 {
+		s.tasksWithRuns--
+		if !r.task.done {
+			s.waiting++
+			o.openStepsOf(s).taskNeedsRun(s)
+		}
 	}
-	r.task.step.liveRuns--
-	r.task.step.job.liveRuns--
-	if team := r.task.step.job.team; team != nil {
-		team.share.SubUse(r.task.step.Reserved())
+	s.liveRuns--
+	s.job.liveRuns--
+	o.opening.updateClaim(s)
+	o.smallRuns.detached(r)
+	if team := s.job.team; team != nil {
+		team.share.SubUse(s.Reserved())
 		r.leaveTeam()
 	}
 	r.worker.detach(r)
@@ -337,6 +350,7 @@
 			o.stopTask(now, member)
 		}
 	}
+	o.opening.updateClaim(s)
 	if s.tasksLeft == 0 {
 		o.stepDone(now, s)
 	}
--- a/wigeonshard/missingworkers.go
+++ b/wigeonshard/missingworkers.go
@@ -39,7 +39,7 @@
 func (o *Owner) missingWorkers() map[wigeonstep.ServiceName]int {
 	missing := map[wigeonstep.ServiceName]int{}
 	bins := map[wigeonstep.ServiceName][]*bin{}
-	for _, open := range o.longRunningSteps.entries {
+	for open := range o.longRunningSteps.all() {
 		s := open.step
 		n := s.tasksToPlace()
 		if n == 0 || s.closed() {
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -127,8 +127,10 @@
 	waiting int
 	// blocked counts the steps in After with tasks that are not done.
 	blocked int
-	// liveRuns counts the runs of all tasks of the step.
-	liveRuns int
+	// liveRuns counts the runs of all tasks of the step, tasksWithRuns the tasks that have one.
+	liveRuns, tasksWithRuns int
+	// setApart is set while the step is in openSteps.running.
+	setApart bool
 	// suspects counts the tasks whose crash history is suspicious.
 	suspects int
 	// records holds the state of the records of the tasks, in the order of the tasks; empty unless job.recordsTasks is set.
@@ -226,6 +228,8 @@
 	onlyStopAnswered bool
 	// inherited is set for runs of an earlier owner.
 	inherited bool
+	// small is set if the run was counted as a small one when it was planned.
+	small bool
 	// recordedBegun is set if the record of an earlier owner says that the run has begun, begunRecorded once a record of this one may.
 	recordedBegun, begunRecorded bool
 	// crashCounted is set once the end of the worker's process was counted against the run, or found not to be its fault.
--- a/wigeonshard/opensteps.go
+++ b/wigeonshard/opensteps.go
@@ -1,6 +1,7 @@
 package wigeonshard
 
 import (
+	"iter"
 	"slices"
 	"time"
 
@@ -12,8 +13,12 @@
 // and not over all waiting jobs. The zero value is empty.
 type openSteps struct {
 	entries []openStep
-	// lastCleanup is the time of the last removal of steps that are done.
-	lastCleanup time.Duration
+	// running holds the steps without a task to place, and perhaps some that have come back to the end of entries since, with the first
+	// task that needs a run. returned is set if there are any.
+	running  []openStep
+	returned bool
+	// lastCleanup is the time of the last cleanUp, lastRunningCleanup that of the last removal of steps that are done from running.
+	lastCleanup, lastRunningCleanup time.Duration
 }
 
 // openStep is a step with the resources that each of its tasks reserves.
@@ -23,30 +28,70 @@
 }
 
 func (l *openSteps) add(s *step) {
+	l.returned = l.returned || s.setApart
+	s.setApart = false
 	l.entries = append(l.entries, openStep{step: s, reserved: s.Reserved()})
 }
 
+// all goes over the steps with tasks to place, and then over the others.
+func (l *openSteps) all() iter.Seq[openStep] {
+	return func(yield func(openStep) bool) {
+		for _, e := range l.entries {
+			if !yield(e) {
+				return
+			}
+		}
+		for _, e := range l.running {
+			if e.setApart && !yield(e) {
+				return
+			}
+		}
+	}
+}
+
 // closed reports whether the step needs no more runs, or is not open.
 func (s *step) closed() bool {
 	return s.over() || !s.isOpen()
 }
 
-// openStepsCleanupInterval is the time between two removals of the steps that are done.
-const openStepsCleanupInterval = 50 * time.Millisecond
+const (
+	// openStepsCleanupInterval is the time between two removals of the steps that are done, or have no task to place, from those that
+	// each round of placement goes over, runningCleanupInterval that between two removals from the others.
+	openStepsCleanupInterval = 50 * time.Millisecond
+	runningCleanupInterval   = time.Second
+)
 
-// cleanUp removes the steps that are done, every openStepsCleanupInterval.
+// cleanUp removes the steps that are done, and sets those apart that have no task to place.
 func (l *openSteps) cleanUp(now time.Duration) {
 	if now-l.lastCleanup < openStepsCleanupInterval {
 		return
 	}
 	l.lastCleanup = now
 	l.removeClosed()
+	if l.returned || now-l.lastRunningCleanup >= runningCleanupInterval {
+		l.lastRunningCleanup, l.returned = now, false
+		l.running = slices.DeleteFunc(l.running, func(e openStep) bool { return e.closed() || !e.setApart })
+	}
+	l.entries = slices.DeleteFunc(l.entries, func(e openStep) bool {
+		if e.allRun() {
+			l.running = append(l.running, e)
+			e.setApart = true
+		}
+		return e.setApart
+	})
 }
 
 func (l *openSteps) removeClosed() {
 	l.entries = slices.DeleteFunc(l.entries, func(e openStep) bool { return e.closed() })
 }
 
+// taskNeedsRun lists a step among those with tasks to place, if it was set apart.
+func (l *openSteps) taskNeedsRun(s *step) {
+	if s.setApart {
+		l.add(s)
+	}
+}
+
 // openStepsOf returns the list for steps of the same kind.
 func (o *Owner) openStepsOf(s *step) *openSteps {
 	if s.LongRunning {
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -31,8 +31,10 @@
 	RegisterJobs bool
 	// TasksPerRecord is the number of tasks in one record, wigeonjob.TasksPerRecord by default.
 	TasksPerRecord int
-	// MaxOpenTasks limits the tasks in memory, those of open steps; defaultMaxOpenTasks by default.
+	// MaxOpenTasks limits the tasks in memory, those of open steps, that have no run; defaultMaxOpenTasks by default.
 	MaxOpenTasks int
+	// MaxSmallRuns limits the runs of tasks that are small for their service; defaultMaxSmallRuns by default.
+	MaxSmallRuns int
 	// RateWindow is the window over which the jobs of a team are counted against its rate. Without it no job is excess.
 	RateWindow wigeonshare.Window
 	// FlushBytes is the size of the progress records of one append above which further ones wait for the next append,
@@ -56,6 +58,8 @@
 	ended map[wigeonstep.JobID]endedJob
 	// opening is the state of the occurrences of jobs that are not open.
 	opening opening
+	// smallRuns counts the runs that the capacity of the workers doesn't bound enough.
+	smallRuns smallRuns
 	// longRunningSteps and finiteSteps hold the steps that are not done, and perhaps some that are.
 	longRunningSteps, finiteSteps openSteps
 	workers                       map[wigeonstep.WorkerID]*worker
@@ -206,6 +210,7 @@
 		}
 	}
 	o.removeUnlistedWorkers(now)
+	o.smallRuns.setWorkers(o.sortedWorkers)
 }
 
 // removeUnlistedWorkers removes the workers that are neither listed nor have a run or an order without an answer, once the
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -159,7 +159,9 @@
 func (o *Owner) longRunningCandidates(now Timestamp) []candidate {
 	var found []candidate
 	for _, s := range o.longRunningSteps.entries {
-		found = appendIfPlaceable(found, now, s.step)
+		if o.runsLeft(s.step) > 0 || s.hasHold() {
+			found = appendIfPlaceable(found, now, s.step)
+		}
 	}
 	slices.SortStableFunc(found, compareCandidates)
 	return found
@@ -172,7 +174,7 @@
 	rooms := pool.largestRooms()
 	for _, s := range o.finiteSteps.entries {
 		// With an empty pool the steps are looked at all the same, so that another round is due.
-		if len(pool) == 0 || s.suspects > 0 || anyCovers(rooms, s.reserved) {
+		if (len(pool) == 0 || s.suspects > 0 || anyCovers(rooms, s.reserved)) && o.runsLeft(s.step) > 0 {
 			found = appendIfPlaceable(found, now, s.step)
 		}
 	}
@@ -280,11 +282,12 @@
 		r.order = nil
 		planned += o.placeHeldTasks(now, s, r.pool)
 	}
-	if r.cannotFit(s, reserved) {
+	left := o.runsLeft(s)
+	if left == 0 || r.cannotFit(s, reserved) {
 		return planned
 	}
 	if s.plain() {
-		return o.placePlainStep(now, s, r, planned)
+		return o.placePlainStep(now, s, r, planned, left)
 	}
 	r.order = nil
 	pool := o.eligibleWorkers(now, s, r.pool)
@@ -298,7 +301,7 @@
 		if !t.needsRun() || now.Steady < t.retryAt || t.mustIsolate(now.Steady) {
 			continue
 		}
-		if r.limitReached(planned) {
+		if r.limitReached(planned) || left == 0 {
 			break
 		}
 		w := s.chooseWorker(t, pool, reserved)
@@ -313,18 +316,20 @@
 		}
 		o.planRun(t, w, t.lastRun+1)
 		planned++
+		left--
 	}
 	return planned
 }
 
-// placePlainStep plans runs for the waiting tasks of a plain step, of which some are planned already, and returns the number of all.
-func (o *Owner) placePlainStep(now Timestamp, s *step, r *round, planned int) int {
+// placePlainStep plans at most left runs for the waiting tasks of a plain step, of which some are planned already, and returns the number
+// of all.
+func (o *Owner) placePlainStep(now Timestamp, s *step, r *round, planned, left int) int {
 	reserved := s.Reserved()
 	for _, t := range s.tasks {
 		if !t.needsRun() || now.Steady < t.retryAt || t.mustIsolate(now.Steady) {
 			continue
 		}
-		if r.limitReached(planned) {
+		if r.limitReached(planned) || left == 0 {
 			break
 		}
 		if r.order == nil {
@@ -343,6 +348,7 @@
 		o.planRun(t, r.order[place].worker, t.lastRun+1)
 		r.order.reorder(place)
 		planned++
+		left--
 	}
 	return planned
 }
--- a/wigeonshard/sharing.go
+++ b/wigeonshard/sharing.go
@@ -200,7 +200,7 @@
 	for i := range o.finiteSteps.entries {
 		e := &o.finiteSteps.entries[i]
 		// With an empty pool the steps are looked at all the same, so that another round is due.
-		if len(pool) > 0 && e.suspects == 0 && !anyCovers(rooms, e.reserved) || e.closed() || !e.ready() || !e.hasPlaceableTask(now.Steady) {
+		if len(pool) > 0 && e.suspects == 0 && !anyCovers(rooms, e.reserved) || e.closed() || !e.ready() || !e.hasPlaceableTask(now.Steady) || o.runsLeft(e.step) == 0 {
 			continue
 		}
 		if len(found) == 0 {
--- a/wigeonshard/stages.go
+++ b/wigeonshard/stages.go
@@ -60,11 +60,13 @@
 	DeferredOccurrences int
 	// LateRuns counts the runs that were withdrawn because their starts could not be sent in time.
 	LateRuns int
+	// SmallRuns counts the runs of tasks that are small for their service.
+	SmallRuns int
 }
 
 // TakeLoad returns the load since the last call.
 func (o *Owner) TakeLoad() Load {
-	load := Load{Stages: o.stages, Workers: len(o.sortedWorkers), Jobs: len(o.jobs), DeferredOccurrences: o.opening.deferred, LateRuns: o.lateRuns}
+	load := Load{Stages: o.stages, Workers: len(o.sortedWorkers), Jobs: len(o.jobs), DeferredOccurrences: o.opening.deferred, LateRuns: o.lateRuns, SmallRuns: o.smallRuns.count}
 	o.stages, o.lateRuns = [StageCount]StageTimes{}, 0
 	for _, s := range o.finiteSteps.entries {
 		if !s.closed() && s.ready() {
--- /dev/null
+++ b/wigeonshard/standingclaims_test.go
@@ -0,0 +1,118 @@
+package wigeonshard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/wigeonstep/wigeonstep"
+	"github.com/wigeonstep/wigeonstep/wigeonjob"
+)
+
+// tinyStep returns a step whose tasks take next to no room.
+func tinyStep(count int) wigeonjob.Step {
+	return wigeonjob.Step{Count: count, Required: wigeonstep.Resources{CPU: 1, Memory: 1}, Estimate: sleepTime}
+}
+
+func lasting(s wigeonjob.Step) wigeonjob.Step {
+	s.LongRunning = true
+	return s
+}
+
+func together(s wigeonjob.Step) wigeonjob.Step {
+	s.Gang = true
+	return s
+}
+
+// Guards against a limit of the owner that is used up for good by what runs, or waits, and never ends, so that ordinary jobs don't start
+// although the workers have room for them. Each case fills one limit; the limits are small, so that a
+// few hundred jobs are enough.
+func TestStandingClaimsLeaveRoomForOrdinaryJobs(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		jobs  int
+		steps []wigeonjob.Step
+		teams int
+		// maxSmallRuns is the limit on small runs, and unreachable the number of workers that get no calls from the start.
+		maxSmallRuns, unreachable int
+	}{
+		{name: "narrow jobs at work", jobs: 300, steps: []wigeonjob.Step{tinyStep(1)}},
+		{name: "narrow jobs of several teams at work", jobs: 300, steps: []wigeonjob.Step{tinyStep(1)}, teams: 3},
+		{name: "long-running jobs at work", jobs: 300, steps: []wigeonjob.Step{lasting(tinyStep(1))}},
+		{name: "gangs at work", jobs: 20, steps: []wigeonjob.Step{together(tinyStep(40))}},
+		{name: "wide steps at work", jobs: 8, steps: []wigeonjob.Step{tinyStep(300)}},
+		{name: "narrow jobs at work with steps that wait for them", jobs: 300, steps: []wigeonjob.Step{tinyStep(1), largeStep(40, 0)}},
+		{name: "small runs at their limit", jobs: 300, steps: []wigeonjob.Step{tinyStep(1)}, maxSmallRuns: 100},
+		{name: "small long-running runs at their limit", jobs: 300, steps: []wigeonjob.Step{lasting(tinyStep(1))}, maxSmallRuns: 100},
+		{name: "small runs of teams at their limit", jobs: 30, steps: []wigeonjob.Step{tinyStep(30)}, maxSmallRuns: 100, teams: 3},
+		{name: "gangs larger than what is left of the limit", jobs: 30, steps: []wigeonjob.Step{together(tinyStep(30))}, maxSmallRuns: 100},
+		{name: "orders to workers that don't answer", jobs: 8, steps: []wigeonjob.Step{tinyStep(40)}, unreachable: 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			m := newClusterModel(t, 21, 4)
+			m.settings.MaxOpenTasks, m.settings.MaxSmallRuns = 600, test.maxSmallRuns
+			usual := m.outcome
+			m.outcome = func(id wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) {
+				if m.jobs[id.Task.Job].Spec == "sleep" {
+					return sleepTime, wigeonstep.EndDone
+				}
+				return usual(id)
+			}
+			var teams []wigeonstep.TeamName
+			for i := range test.teams {
+				teams = append(teams, wigeonstep.TeamName(fmt.Sprintf("team%d", i)))
+			}
+			addOwner := func() *fakeOwner {
+				o := m.addOwner()
+				if test.teams > 0 {
+					o.SetTeams(testTeams(1, teams...))
+				}
+				return o
+			}
+			submit := func(id wigeonstep.JobID, spec string, n int, steps ...wigeonjob.Step) {
+				job := testJob(id, steps...)
+				job.Spec = spec
+				if test.teams > 0 {
+					job.Team = teams[n%test.teams]
+				}
+				m.submitJob(job)
+			}
+			ordinary := 0
+			submitOrdinary := func() {
+				id := wigeonstep.JobID(fmt.Sprintf("ordinary%03d", ordinary))
+				submit(id, "", ordinary, testStep(2))
+				ordinary++
+				m.schedule(6*time.Second, func() {
+					if state := m.log.Find(id).State(); state != wigeonjob.StateCompleted {
+						m.reportViolation("job %s is %s after 6 s", id, state)
+					}
+				})
+			}
+			o := addOwner()
+			for i := range test.unreachable {
+				o.unreachable[m.listed[i].ID] = true
+			}
+			m.advance(time.Second)
+			for i := range test.jobs {
+				submit(wigeonstep.JobID(fmt.Sprintf("standing%03d", i)), "sleep", i, test.steps...)
+			}
+			m.advance(time.Second)
+			for range 30 {
+				submitOrdinary()
+				m.advance(500 * time.Millisecond)
+			}
+			m.owners[0].crashed = true
+			m.advance(time.Second)
+			addOwner()
+			for range 30 {
+				m.advance(500 * time.Millisecond)
+				submitOrdinary()
+			}
+			m.advance(6 * time.Second)
+			c.Assert(m.violations, qt.HasLen, 0)
+		})
+	}
+}
