--- a/wigeonshard/holdroom.go
+++ b/wigeonshard/holdroom.go
@@ -16,6 +16,8 @@
 	// granted is set once the room is free and the old run of the task may be stopped. Granted holds and runs together never
 	// exceed the capacity of a worker; other holds may, until finite runs have ended.
 	granted bool
+	// since is the time from which the room is kept.
+	since time.Duration
 	// counted is set while the hold keeps the part of the team's limit that the stopped run of its task had.
 	counted bool
 }
@@ -49,10 +51,14 @@
 	return n
 }
 
+// maxHoldTime is the longest time for which room that is not free is kept, or a worker for a suspected task. Nothing is kept on that worker
+// for as long afterwards, so that what never ends on it, and what waits for its room, doesn't keep others out for good.
+const maxHoldTime = 6 * time.Second
+
 // holdRoom keeps room on the worker for the task, in place of an earlier hold of the task.
 func (o *Owner) holdRoom(t *task, w *worker, granted bool) {
 	dropHold(t)
-	t.hold = &roomHold{task: t, worker: w, granted: granted}
+	t.hold = &roomHold{task: t, worker: w, granted: granted, since: o.lastPlacement}
 	w.held.add(t.hold)
 }
 
@@ -96,12 +102,16 @@
 	return !h.granted && len(h.task.runs) > 0
 }
 
-// dropUnneededHolds gives up the holds that are not needed any more. In the services in waiting it also gives up those for
-// runs that are not stopped yet, because tasks without a run come first.
-func (o *Owner) dropUnneededHolds(pool []*worker, waiting map[wigeonstep.ServiceName]bool) {
+// dropUnneededHolds gives up the holds that are not needed any more, and those that have waited for too long. In the services in waiting
+// it also gives up those for runs that are not stopped yet, because tasks without a run come first.
+func (o *Owner) dropUnneededHolds(now Timestamp, pool []*worker, waiting map[wigeonstep.ServiceName]bool) {
 	for _, w := range o.sortedWorkers {
 		for _, h := range slices.Clone(w.held.holds) {
-			if !h.needed(pool) || h.movesLater() && waiting[w.Service] {
+			expired := !h.granted && now.Steady-h.since > maxHoldTime
+			if expired {
+				w.keepNothingUntil = now.Steady + maxHoldTime
+			}
+			if expired || !h.needed(pool) || h.movesLater() && waiting[w.Service] {
 				dropHold(h.task)
 			}
 		}
@@ -177,17 +187,20 @@
 	}
 }
 
+// mayBeKept reports whether room on the worker may be kept that is not free, or the worker for a suspected task.
+func (w *worker) mayBeKept(now time.Duration) bool { return now >= w.keepNothingUntil }
+
 // soonestWorker returns the worker of the pool on which finite runs are expected to leave room for the task first, or nil
-// when the long-running runs and the kept room leave too little on each.
+// when the long-running runs and the kept room leave too little on each, or it would take longer than maxHoldTime.
 func (s *step) soonestWorker(now time.Duration, t *task, pool []*worker) *worker {
 	var best *worker
 	var bestWait time.Duration
 	for _, w := range pool {
-		if w.Service != s.job.Service || t.runsOn(w) || !s.maySendOrdersTo(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
+		if !w.mayBeKept(now) || w.Service != s.job.Service || t.runsOn(w) || !s.maySendOrdersTo(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
 			continue
 		}
 		wait, ok := w.timeUntilRoom(now, s.Reserved())
-		if ok && (best == nil || wait < bestWait) {
+		if ok && wait <= maxHoldTime && (best == nil || wait < bestWait) {
 			best, bestWait = w, wait
 		}
 	}
--- a/wigeonshard/isolation.go
+++ b/wigeonshard/isolation.go
@@ -129,11 +129,11 @@
 	var best *worker
 	var least harm
 	for _, w := range pool {
-		if w.Service != s.job.Service || w.isolation != nil || w.hasSuspect() || t.runsOn(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
+		if !w.mayBeKept(now) || w.Service != s.job.Service || w.isolation != nil || w.hasSuspect() || t.runsOn(w) || s.MaxPerWorker > 0 && w.countTasks(s) >= s.MaxPerWorker {
 			continue
 		}
 		wait, ok := w.timeUntilRoom(now, s.Reserved())
-		if !ok {
+		if !ok || wait > maxHoldTime {
 			continue
 		}
 		h := harm{runs: len(w.runs)}
@@ -216,6 +216,9 @@
 		case i.run == nil && (!i.worker.usable() || !i.worker.canHave(t.step) || !t.needsRun() || !t.suspected() || t.step.job.state.Terminal()),
 			i.run == nil && now.Steady-i.since >= maxIsolation && i.worker.hasUnsettledRun():
 			o.dropIsolation(t)
+		case i.run == nil && now.Steady-i.since > maxHoldTime:
+			i.worker.keepNothingUntil = now.Steady + maxHoldTime
+			o.dropIsolation(t)
 		case i.run != nil && i.run.phase == runAccepted && now.Steady-i.run.startKnownAt >= maxIsolation:
 			o.dropIsolation(t)
 		case now.Steady >= i.nextCheckAt && i.needsReport(now.Steady):
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -53,7 +53,7 @@
 	o.quotas.BeginRound()
 	longRunning := o.longRunningCandidates(now)
 	r := round{pool: o.pool(now)}
-	o.dropUnneededHolds(r.pool, servicesWithWaitingTasks(now, longRunning))
+	o.dropUnneededHolds(now, r.pool, servicesWithWaitingTasks(now, longRunning))
 	o.placeSteps(now, longRunning, &r)
 	if now.Steady-o.lastEmptying >= emptyInterval {
 		o.lastEmptying = now.Steady
--- a/wigeonshard/standingclaims_test.go
+++ b/wigeonshard/standingclaims_test.go
@@ -16,27 +16,46 @@
 	return wigeonjob.Step{Count: count, Required: wigeonstep.Resources{CPU: 1, Memory: 1}, Estimate: sleepTime}
 }
 
+// tallStep returns a step of which each worker of a model runs one task.
+func tallStep(count int, cpu wigeonstep.MilliCPU) wigeonjob.Step {
+	return wigeonjob.Step{Count: count, Required: wigeonstep.Resources{CPU: cpu, Memory: 1000}, Estimate: sleepTime, MaxPerWorker: 1}
+}
+
 func lasting(s wigeonjob.Step) wigeonjob.Step {
 	s.LongRunning = true
 	return s
 }
 
+func underestimated(s wigeonjob.Step) wigeonjob.Step {
+	s.Estimate = time.Second
+	return s
+}
+
 func together(s wigeonjob.Step) wigeonjob.Step {
 	s.Gang = true
 	return s
 }
 
+// The times in which an ordinary job should be done: beside runs that last, and where room or workers are kept for others in turns.
+const (
+	besideRunsLimit = 6 * time.Second
+	keptRoomLimit   = 14 * time.Second
+)
+
 // Guards against a limit of the owner that is used up for good by what runs, or waits, and never ends, so that ordinary jobs don't start
-// although the workers have room for them. Each case fills one limit; the limits are small, so that a
+// although the workers have room for them. Each case fills one limit, or makes one claim on each worker; the limits are small, so that a
 // few hundred jobs are enough.
 func TestStandingClaimsLeaveRoomForOrdinaryJobs(t *testing.T) {
 	for _, test := range []struct {
-		name  string
-		jobs  int
-		steps []wigeonjob.Step
-		teams int
+		name string
+		jobs int
+		// steps are those of each job; later holds the steps of as many further jobs, which come a second after them.
+		steps, later []wigeonjob.Step
+		teams        int
 		// maxSmallRuns is the limit on small runs, and unreachable the number of workers that get no calls from the start.
 		maxSmallRuns, unreachable int
+		// crash is set if the first task of each later job crashes its workers.
+		crash bool
 	}{
 		{name: "narrow jobs at work", jobs: 300, steps: []wigeonjob.Step{tinyStep(1)}},
 		{name: "narrow jobs of several teams at work", jobs: 300, steps: []wigeonjob.Step{tinyStep(1)}, teams: 3},
@@ -49,10 +68,20 @@
 		{name: "small runs of teams at their limit", jobs: 30, steps: []wigeonjob.Step{tinyStep(30)}, maxSmallRuns: 100, teams: 3},
 		{name: "gangs larger than what is left of the limit", jobs: 30, steps: []wigeonjob.Step{together(tinyStep(30))}, maxSmallRuns: 100},
 		{name: "orders to workers that don't answer", jobs: 8, steps: []wigeonjob.Step{tinyStep(40)}, unreachable: 2},
+		{name: "room kept behind runs that last", jobs: 1, steps: []wigeonjob.Step{tallStep(4, 3500)}, later: []wigeonjob.Step{lasting(tallStep(4, 5000))}},
+		{name: "room kept behind runs that last longer than estimated", jobs: 1, steps: []wigeonjob.Step{underestimated(tallStep(4, 3500))}, later: []wigeonjob.Step{lasting(tallStep(4, 5000))}},
+		{name: "room kept for many behind runs that last", jobs: 5, steps: []wigeonjob.Step{tallStep(4, 700)}, later: []wigeonjob.Step{lasting(tallStep(4, 5000))}},
+		{name: "room kept for teams behind runs that last", jobs: 2, steps: []wigeonjob.Step{tallStep(4, 1750)}, later: []wigeonjob.Step{lasting(tallStep(4, 5000))}, teams: 2},
+		{name: "room kept for teams' finite tasks behind runs that last", jobs: 2, steps: []wigeonjob.Step{tallStep(4, 1750)}, later: []wigeonjob.Step{tallStep(4, 5000)}, teams: 2},
+		{name: "workers kept for tasks that crash them", jobs: 1, steps: []wigeonjob.Step{tallStep(4, 3500)}, later: []wigeonjob.Step{tallStep(1, 5000)}, crash: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
 			m := newClusterModel(t, 21, 4)
+			limit := besideRunsLimit
+			if test.later != nil {
+				limit = keptRoomLimit
+			}
 			m.settings.MaxOpenTasks, m.settings.MaxSmallRuns = 600, test.maxSmallRuns
 			usual := m.outcome
 			m.outcome = func(id wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) {
@@ -85,9 +114,9 @@
 				id := wigeonstep.JobID(fmt.Sprintf("ordinary%03d", ordinary))
 				submit(id, "", ordinary, testStep(2))
 				ordinary++
-				m.schedule(6*time.Second, func() {
+				m.schedule(limit, func() {
 					if state := m.log.Find(id).State(); state != wigeonjob.StateCompleted {
-						m.reportViolation("job %s is %s after 6 s", id, state)
+						m.reportViolation("job %s is %s after %v", id, state, limit)
 					}
 				})
 			}
@@ -100,6 +129,15 @@
 				submit(wigeonstep.JobID(fmt.Sprintf("standing%03d", i)), "sleep", i, test.steps...)
 			}
 			m.advance(time.Second)
+			if test.later != nil {
+				for i := range test.jobs {
+					id := wigeonstep.JobID(fmt.Sprintf("later%03d", i))
+					submit(id, "sleep", i, test.later...)
+					if test.crash {
+						m.crashingTasks[wigeonstep.TaskID{Job: id}] = 100 * time.Millisecond
+					}
+				}
+			}
 			for range 30 {
 				submitOrdinary()
 				m.advance(500 * time.Millisecond)
@@ -111,7 +149,7 @@
 				m.advance(500 * time.Millisecond)
 				submitOrdinary()
 			}
-			m.advance(6 * time.Second)
+			m.advance(limit)
 			c.Assert(m.violations, qt.HasLen, 0)
 		})
 	}
--- a/wigeonshard/worker.go
+++ b/wigeonshard/worker.go
@@ -57,6 +57,8 @@
 	unsentRuns int
 	used       wigeonstep.Resources
 	held       heldRoom
+	// keepNothingUntil is the earliest time at which room that is not free may be kept on the worker again.
+	keepNothingUntil time.Duration
 	// bestEffort counts the best-effort runs.
 	bestEffort int
 	// speedChangedAt is the time at which the speed of the best-effort runs last changed.
