--- a/wigeonshard/burst_test.go
+++ b/wigeonshard/burst_test.go
@@ -1,6 +1,7 @@
 package wigeonshard
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -142,7 +143,7 @@
 				counted.further += len(occ.steps)
 			}
 			for _, s := range occ.steps {
-				if wrong := s.wrongCounters(); wrong != "" {
+				if wrong := cmp.Or(s.wrongCounters(), s.wrongTasks()); wrong != "" {
 					return wrong
 				}
 				if s.isOpen() && s.tasksLeft > 0 {
@@ -202,13 +203,18 @@
 
 // waitingInMemory returns what the step takes of the limit on tasks without a run.
 func (s *step) waitingInMemory() int {
-	waiting, needed := 0, s.Count-s.openEnd()
+	waiting, needed := 0, s.Count-s.base
 	for _, t := range s.tasks {
 		if len(t.runs) == 0 {
 			waiting++
 		}
-		if len(t.runs) == 0 && !t.done {
-			needed++
+		if len(t.runs) > 0 || t.done {
+			needed--
+		}
+	}
+	for _, c := range s.closedTasks {
+		if c.done {
+			needed--
 		}
 	}
 	if s.isOpen() && (needed > 0 || s.Speculative) {
@@ -217,6 +223,36 @@
 	return waiting
 }
 
+// wrongTasks says what is wrong with the lists of the step's tasks.
+func (s *step) wrongTasks() string {
+	missing := s.end - s.base - len(s.tasks)
+	last, closed := s.base-1, s.closedTasks
+	for _, t := range s.tasks {
+		for len(closed) > 0 && closed[0].index < t.id.Index {
+			closed = closed[1:]
+		}
+		if t.id.Index <= last || t.id.Index >= s.end || len(closed) > 0 && closed[0].index == t.id.Index {
+			return fmt.Sprintf("job %s, step %d: task %d is out of place", s.job.ID, s.number, t.id.Index)
+		}
+		last = t.id.Index
+	}
+	last = s.base - 1
+	for i := range s.closedTasks {
+		c := &s.closedTasks[i]
+		if c.index <= last {
+			return fmt.Sprintf("job %s, step %d: closed task %d is out of place", s.job.ID, s.number, c.index)
+		}
+		last = c.index
+		if c.done && s.isOpen() {
+			missing--
+		}
+	}
+	if s.evicted != missing {
+		return fmt.Sprintf("job %s, step %d: %d tasks are missing; counted are %d", s.job.ID, s.number, missing, s.evicted)
+	}
+	return ""
+}
+
 // wrongLists says which steps can't be found by a search for tasks to place.
 func (l *openSteps) wrongLists() string {
 	listed := map[*step]bool{}
--- a/wigeonshard/claims.go
+++ b/wigeonshard/claims.go
@@ -73,7 +73,7 @@
 }
 
 // allRun reports whether each task of the step has a run or is done, so that a round of placement doesn't look at it.
-func (s *step) allRun() bool { return s.waiting == 0 && s.openEnd() == s.Count && !s.Speculative }
+func (s *step) allRun() bool { return s.waiting == 0 && s.end == s.Count && !s.Speculative }
 
 // occurrenceOpened counts an occurrence that was opened beside another one of its job.
 func (p *opening) occurrenceOpened(j *job, occ *occurrence) {
@@ -162,7 +162,7 @@
 	}
 	for _, s := range p.steps {
 		switch {
-		case s.over() || s.openEnd() >= s.Count:
+		case s.over() || s.end >= s.Count && s.evicted == 0:
 			s.queued = false
 		case !suits.any(s), o.runsLeft(s) == 0:
 			unsuitable = append(unsuitable, s)
@@ -197,7 +197,7 @@
 // another step has waited too long. A single claim is always allowed.
 func (o *Owner) mayClaim(s *step, first, reserved bool) bool {
 	p, limit := &o.opening, o.settings.maxOpenTasks()
-	size := s.nextEnd() - s.openEnd()
+	size := s.evicted + s.nextEnd() - s.end
 	if !s.isOpen() {
 		size = stepSize + s.nextEnd() - s.base
 	}
@@ -222,9 +222,13 @@
 	}
 }
 
-// needsTasks reports whether the step is open and few of its tasks in memory have had no run, so that more should follow.
+// needsTasks reports whether the step is open, and tasks of it were removed from memory or few of those there have had no run, so that
+// more should follow.
 func (s *step) needsTasks() bool {
-	return s.openEnd() < s.Count && !s.queued && s.isOpen() && s.tasks[max(len(s.tasks)-openAhead/2, 0)].lastRun > 0
+	if s.queued || !s.isOpen() {
+		return false
+	}
+	return s.evicted > 0 || s.end < s.Count && s.tasks[max(len(s.tasks)-openAhead/2, 0)].lastRun > 0
 }
 
 // suitableWorkers finds out whether any worker could run a step if it had no other run, once for all steps that require the same.
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -124,7 +124,7 @@
 			o.recordRunDecision("crash_suspected", r, "its worker crashed", 0)
 		}
 		o.setCrashes(t, append(slices.Clone(t.crashes), crash))
-		o.crashedTasks[w.ID] = append(o.crashedTasks[w.ID], t)
+		o.crashedTasks[w.ID] = append(o.crashedTasks[w.ID], crashedTask{t.step, t.id.Index})
 	}
 	for _, t := range counted {
 		o.judge(now, t)
@@ -151,7 +151,7 @@
 		first := !slices.ContainsFunc(t.crashes, func(c wigeonjob.WorkerCrash) bool { return c.Explained })
 		crash := wigeonjob.WorkerCrash{Run: r.number, Worker: w.ID, RunAge: r.ageWhenLost(), Ended: ended, Likely: true, Explained: first}
 		o.setCrashes(t, append(slices.Clone(t.crashes), crash))
-		o.crashedTasks[w.ID] = append(o.crashedTasks[w.ID], t)
+		o.crashedTasks[w.ID] = append(o.crashedTasks[w.ID], crashedTask{t.step, t.id.Index})
 		o.judge(now, t)
 	}
 }
@@ -218,6 +218,45 @@
 	return t.counter().crashes.suspicious()
 }
 
+// crashedTask names a task with a crash history, whether or not it is in memory.
+type crashedTask struct {
+	step  *step
+	index int
+}
+
+func (c crashedTask) id() wigeonstep.TaskID { return c.step.taskID(c.index) }
+
+// closed returns the task if it is closed, or nil.
+func (c crashedTask) closed() *closedTask {
+	if found := c.step.closedBetween(c.index, c.index+1); len(found) > 0 {
+		return &found[0]
+	}
+	return nil
+}
+
+// crashes returns the crash history of the task; none once its job doesn't need it any more.
+func (c crashedTask) crashes() crashHistory {
+	if t := c.step.task(c.index); t != nil {
+		return t.crashes
+	}
+	if closed := c.closed(); closed != nil {
+		return closed.crashes
+	}
+	return nil
+}
+
+// changeCrashes replaces the crash history of a task with one that is no more suspicious.
+func (o *Owner) changeCrashes(c crashedTask, h crashHistory) {
+	if t := c.step.task(c.index); t != nil {
+		o.setCrashes(t, h)
+		return
+	}
+	if closed := c.closed(); closed != nil {
+		closed.crashes = h
+		o.markProgressDirty(c.step, c.index)
+	}
+}
+
 // setCrashes replaces the crash history of a task.
 func (o *Owner) setCrashes(t *task, h crashHistory) {
 	if t.crashes.suspicious() {
@@ -280,9 +319,9 @@
 // clearOthers lifts the suspicion from the other tasks that were lost with the workers that the task has crashed.
 func (o *Owner) clearOthers(culprit *task) {
 	for _, c := range culprit.crashes {
-		for _, t := range o.crashedTasks[c.Worker] {
-			if t != culprit {
-				o.setCrashes(t, t.crashes.explained(c.Worker))
+		for _, other := range o.crashedTasks[c.Worker] {
+			if other.step != culprit.step || other.index != culprit.id.Index {
+				o.changeCrashes(other, other.crashes().explained(c.Worker))
 			}
 		}
 	}
@@ -306,8 +345,12 @@
 
 // confirmCrash records in the crash histories that name a worker that its process has certainly ended.
 func (o *Owner) confirmCrash(now Timestamp, id wigeonstep.WorkerID) {
-	for _, t := range o.crashedTasks[id] {
-		if h, changed := t.crashes.ended(id); changed {
+	for _, crashed := range o.crashedTasks[id] {
+		h, changed := crashed.crashes().ended(id)
+		if !changed {
+			continue
+		}
+		if t := o.openTask(now, crashed.id()); t != nil {
 			o.setCrashes(t, h)
 			o.judge(now, t)
 		}
@@ -316,17 +359,18 @@
 
 // disproveCrash removes a loss of a worker from the crash histories after its process has answered again.
 func (o *Owner) disproveCrash(id wigeonstep.WorkerID) {
-	for _, t := range o.crashedTasks[id] {
-		if h := t.crashes.without(id); len(h) < len(t.crashes) {
-			o.setCrashes(t, h)
+	for _, crashed := range o.crashedTasks[id] {
+		before := crashed.crashes()
+		if h := before.without(id); len(h) < len(before) {
+			o.changeCrashes(crashed, h)
 		}
 	}
 }
 
 // removeSettledCrashes forgets the workers that no crash history names any more.
 func (o *Owner) removeSettledCrashes() {
-	maps.DeleteFunc(o.crashedTasks, func(id wigeonstep.WorkerID, tasks []*task) bool {
-		return !slices.ContainsFunc(tasks, func(t *task) bool { return t.crashes.names(id) && !t.step.job.durableState.Terminal() })
+	maps.DeleteFunc(o.crashedTasks, func(id wigeonstep.WorkerID, tasks []crashedTask) bool {
+		return !slices.ContainsFunc(tasks, func(t crashedTask) bool { return t.crashes().names(id) && !t.step.job.durableState.Terminal() })
 	})
 }
 
--- a/wigeonshard/explain.go
+++ b/wigeonshard/explain.go
@@ -61,6 +61,8 @@
 		return "the steps before it"
 	case !s.isOpen():
 		return fmt.Sprintf("room for its tasks in the memory of the owner: %d tasks and steps of the shard are open", o.opening.size)
+	case waiting == 0 && s.evicted > 0:
+		return fmt.Sprintf("room for more of its tasks in the memory of the owner: %d tasks and steps of the shard are open", o.opening.size)
 	case waiting == 0:
 		return ""
 	case o.runsLeft(s) == 0:
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -321,14 +321,19 @@
 	return nil
 }
 
-// openTask returns the task with the id, and opens its step for it if the step was closed after it had begun.
+// openTask returns the task with the id, and brings it into memory if it had a run and is not done.
 func (o *Owner) openTask(now Timestamp, id wigeonstep.TaskID) *task {
 	s := o.findStep(id)
 	if s == nil {
 		return nil
 	}
-	if !s.isOpen() && !s.over() && len(s.closedTasks) > 0 {
-		o.reopenStep(now, s)
+	closed := crashedTask{s, id.Index}.closed()
+	switch {
+	case s.over(), closed != nil && closed.done:
+	case !s.isOpen() && closed != nil:
+		o.reopenStep(now, s, func(c *closedTask) bool { return c.index == id.Index })
+	case s.evicted > 0 && s.task(id.Index) == nil:
+		o.restoreEvicted(now, s, id.Index)
 	}
 	return s.task(id.Index)
 }
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -93,7 +93,7 @@
 	if !opens {
 		return
 	}
-	o.reopenStep(now, s)
+	o.reopenStep(now, s, func(c *closedTask) bool { return c.live })
 	for i := range recorded {
 		if t := s.task(recorded[i].Index); t != nil {
 			o.restoreCrashes(t, recorded[i].Crashes)
@@ -128,7 +128,7 @@
 		t.step.suspects++
 	}
 	for _, c := range recorded {
-		o.crashedTasks[c.Worker] = append(o.crashedTasks[c.Worker], t)
+		o.crashedTasks[c.Worker] = append(o.crashedTasks[c.Worker], crashedTask{t.step, t.id.Index})
 	}
 }
 
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -107,13 +107,15 @@
 	job        *job
 	occurrence *occurrence
 	number     int
-	// tasks holds the tasks in memory, from the one with the index base on; none unless the step is open. Those before base are done,
-	// those behind have never had a run.
-	tasks []*task
-	base  int
-	// closedTasks holds the progress of the tasks that had a run, in their order, while the step is not open. It lacks those before
-	// base and, if the job records its tasks apart, those of a step that is done.
+	// tasks holds the tasks in memory in their order; none unless the step is open. All have indexes from base to before end. Those before
+	// base are done; those from end on have never had a run while the step is open, and end is base while it is not.
+	tasks     []*task
+	base, end int
+	// closedTasks holds the progress of the tasks that had a run and are not in memory, in their order. It lacks those before base and,
+	// if the job records its tasks apart, those of a step that is done.
 	closedTasks []closedTask
+	// evicted counts the tasks before end that are neither done nor in memory, while the step is open.
+	evicted int
 	// claim is what the step takes of the limit on open tasks.
 	claim claim
 	// activeAt is the time at which a run of the step was last planned, or the step was opened or extended.
--- a/wigeonshard/owner.go
+++ b/wigeonshard/owner.go
@@ -117,7 +117,7 @@
 	// isolations holds the workers that are kept for suspected tasks, in the order in which they were chosen.
 	isolations []*isolation
 	// crashedTasks holds the tasks whose crash history names a worker, or has done so.
-	crashedTasks map[wigeonstep.WorkerID][]*task
+	crashedTasks map[wigeonstep.WorkerID][]crashedTask
 	// recentLosses holds the losses of workers in the last lossRetention.
 	recentLosses []serviceLoss
 	// stages holds the times of the stages since the last TakeLoad.
@@ -151,7 +151,7 @@
 		absentSince:     map[wigeonstep.WorkerID]time.Duration{},
 		arrivals:        map[wigeonstep.ServiceName]*arrivalRate{},
 		teams:           map[wigeonstep.TeamName]*team{},
-		crashedTasks:    map[wigeonstep.WorkerID][]*task{},
+		crashedTasks:    map[wigeonstep.WorkerID][]crashedTask{},
 	}
 }
 
--- a/wigeonshard/standingclaims_test.go
+++ b/wigeonshard/standingclaims_test.go
@@ -31,6 +31,15 @@
 	return s
 }
 
+// specialLabel is a label of two workers.
+const specialLabel = wigeonstep.Label("special")
+
+// special returns the step for workers with specialLabel, each with room for 1,024 of the tasks.
+func special(s wigeonjob.Step) wigeonjob.Step {
+	s.RequiredLabel, s.Required.Memory = specialLabel, 8
+	return s
+}
+
 func together(s wigeonjob.Step) wigeonjob.Step {
 	s.Gang = true
 	return s
@@ -54,8 +63,10 @@
 		teams        int
 		// maxSmallRuns is the limit on small runs, and unreachable the number of workers that get no calls from the start.
 		maxSmallRuns, unreachable int
-		// crash is set if the first task of each later job crashes its workers.
-		crash bool
+		// crash is set if the first task of each later job crashes its workers, and straggling if only the first task of each job lasts.
+		crash, straggling bool
+		// leaves is set if one of the two workers that run the jobs leaves.
+		leaves bool
 	}{
 		{name: "narrow jobs at work", jobs: 300, steps: []wigeonjob.Step{tinyStep(1)}},
 		{name: "narrow jobs of several teams at work", jobs: 300, steps: []wigeonjob.Step{tinyStep(1)}, teams: 3},
@@ -67,6 +78,9 @@
 		{name: "small long-running runs at their limit", jobs: 300, steps: []wigeonjob.Step{lasting(tinyStep(1))}, maxSmallRuns: 100},
 		{name: "small runs of teams at their limit", jobs: 30, steps: []wigeonjob.Step{tinyStep(30)}, maxSmallRuns: 100, teams: 3},
 		{name: "gangs larger than what is left of the limit", jobs: 30, steps: []wigeonjob.Step{together(tinyStep(30))}, maxSmallRuns: 100},
+		{name: "wide steps with a straggler", jobs: 8, steps: []wigeonjob.Step{tinyStep(300)}, straggling: true},
+		{name: "wide steps with a straggler and others after them", jobs: 8, steps: []wigeonjob.Step{tinyStep(300), largeStep(300)}, straggling: true},
+		{name: "wide steps of which a part has lost its worker", jobs: 12, steps: []wigeonjob.Step{special(tinyStep(160))}, leaves: true},
 		{name: "orders to workers that don't answer", jobs: 8, steps: []wigeonjob.Step{tinyStep(40)}, unreachable: 2},
 		{name: "room kept behind runs that last", jobs: 1, steps: []wigeonjob.Step{tallStep(4, 3500)}, later: []wigeonjob.Step{lasting(tallStep(4, 5000))}},
 		{name: "room kept behind runs that last longer than estimated", jobs: 1, steps: []wigeonjob.Step{underestimated(tallStep(4, 3500))}, later: []wigeonjob.Step{lasting(tallStep(4, 5000))}},
@@ -85,7 +99,7 @@
 			m.settings.MaxOpenTasks, m.settings.MaxSmallRuns = 600, test.maxSmallRuns
 			usual := m.outcome
 			m.outcome = func(id wigeonstep.RunID) (time.Duration, wigeonstep.EndCause) {
-				if m.jobs[id.Task.Job].Spec == "sleep" {
+				if m.jobs[id.Task.Job].Spec == "sleep" && (!test.straggling || id.Task.Index == 0) {
 					return sleepTime, wigeonstep.EndDone
 				}
 				return usual(id)
@@ -120,6 +134,9 @@
 					}
 				})
 			}
+			for i := range m.listed[:2] {
+				m.listed[i].Labels = append(m.listed[i].Labels, specialLabel)
+			}
 			o := addOwner()
 			for i := range test.unreachable {
 				o.unreachable[m.listed[i].ID] = true
@@ -138,6 +155,12 @@
 					}
 				}
 			}
+			if test.leaves {
+				m.advance(10 * time.Second)
+				m.crash(m.listed[0].ID, false)
+				m.listed = m.listed[1:]
+				m.owners[0].SetWorkers(m.eventTime(), m.listed)
+			}
 			for range 30 {
 				submitOrdinary()
 				m.advance(500 * time.Millisecond)
--- a/wigeonshard/tasksrecord.go
+++ b/wigeonshard/tasksrecord.go
@@ -31,11 +31,14 @@
 }
 
 // markTaskDirty records that the progress of the task has changed.
-func (o *Owner) markTaskDirty(t *task) {
-	if r := o.recordOf(t.step, t.id.Index); r != nil {
+func (o *Owner) markTaskDirty(t *task) { o.markProgressDirty(t.step, t.id.Index) }
+
+// markProgressDirty records that the progress of a task has changed, whether or not it is in memory.
+func (o *Owner) markProgressDirty(s *step, index int) {
+	if r := o.recordOf(s, index); r != nil {
 		r.dirty = true
 	}
-	o.markDirty(t.step.job)
+	o.markDirty(s.job)
 }
 
 // setCheckpoint sets the newest checkpoint of the task, unless it is empty or too large to be recorded.
@@ -128,7 +131,7 @@
 		}
 		begun = true
 		r.dirty, r.written = false, true
-		value, err := wigeonjob.EncodeTasks(e.recordTasks(s.tasksBetween(n*perRecord, (n+1)*perRecord)))
+		value, err := wigeonjob.EncodeTasks(e.recordStep(s, n*perRecord, (n+1)*perRecord))
 		e.add(s.recordID(n).Key(), value, err)
 	}
 	return true
@@ -146,10 +149,7 @@
 			if j.recordsTasks || j.state.Terminal() {
 				continue
 			}
-			for i := range s.closedTasks {
-				p.Tasks = append(p.Tasks, s.closedTasks[i].progress(s))
-			}
-			p.Tasks = append(p.Tasks, e.recordTasks(s.tasks)...)
+			p.Tasks = append(p.Tasks, e.recordStep(s, 0, s.Count)...)
 		}
 	}
 	value, err := wigeonjob.EncodeProgress(&p)
@@ -160,6 +160,16 @@
 	j.removedRecords = nil
 }
 
+// recordStep returns the progress of those of the tasks with indexes from begin to before end that ever had a run.
+func (e *progressEncoder) recordStep(s *step, begin, end int) []wigeonjob.TaskProgress {
+	var recorded []wigeonjob.TaskProgress
+	closed := s.closedBetween(begin, end)
+	for i := range closed {
+		recorded = append(recorded, closed[i].progress(s))
+	}
+	return append(recorded, e.recordTasks(s.tasksBetween(begin, end))...)
+}
+
 // recordTasks returns the progress of those of the tasks that ever had a run, and adds the planned runs to those that the append
 // makes durable.
 func (e *progressEncoder) recordTasks(tasks []*task) []wigeonjob.TaskProgress {
