--- a/wigeondaemon/appendbatch.go
+++ b/wigeondaemon/appendbatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/wigeonstep/wigeonstep"
@@ -30,9 +31,17 @@
 
 type queuedRecord struct {
 	record wigeonstep.KeyedRecord
+	// until is the time from which on the record must not be written any more; the zero time sets none.
+	until  time.Time
 	result chan error
 }
 
+// expired reports whether the record must not be written any more.
+func (q *queuedRecord) expired(now time.Time) bool { return !q.until.IsZero() && !now.Before(q.until) }
+
+// errExpired is the result of a record that has waited for the appends before it for too long.
+var errExpired = fmt.Errorf("the record has waited for earlier appends until its deadline: %w", wigeonstep.ErrUnavailable)
+
 // recordSize returns an upper bound of the size of the encoded record.
 func recordSize(record wigeonstep.KeyedRecord) int {
 	return len(record.Key) + len(record.Value) + recordOverhead
@@ -47,12 +56,13 @@
 }
 
 // appendBatched writes a record in a batch with the records of concurrent requests and waits for the result. A record that is too
-// large is rejected at once, since the log would reject the whole batch.
-func (d *Daemon) appendBatched(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord) error {
+// large is rejected at once, since the log would reject the whole batch. No append of the record begins after the time until, unless
+// that is zero; one may begin after the end of ctx.
+func (d *Daemon) appendBatched(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord, until time.Time) error {
 	if err := d.checkRecordSize(record); err != nil {
 		return err
 	}
-	queued := queuedRecord{record: record, result: make(chan error, 1)}
+	queued := queuedRecord{record: record, until: until, result: make(chan error, 1)}
 	enqueue := func() bool {
 		d.enqueueAppend(part, queued)
 		return true
@@ -92,13 +102,27 @@
 	return len(queued)
 }
 
+// withoutExpired returns the records that may still be written, and answers for the others. After a pause of the process none that has a
+// time limit may be: the clock may not show how long it was.
+func (d *Daemon) withoutExpired(queued []queuedRecord) []queuedRecord {
+	now, stale := time.Now(), d.pauses.stale(d.config.Now().Steady)
+	return slices.DeleteFunc(queued, func(q queuedRecord) bool {
+		late := q.expired(now) || stale && !q.until.IsZero()
+		if late {
+			q.result <- errExpired
+		}
+		return late
+	})
+}
+
 // appendNextBatch appends the queued records of the partition that fit into one append, and the next ones after that append has
 // ended.
 func (d *Daemon) appendNextBatch(part wigeonstep.Partition) {
 	a := &d.appends
-	batch := a.queued[part]
+	batch := d.withoutExpired(a.queued[part])
 	a.inFlight[part] = len(batch) > 0
 	if len(batch) == 0 {
+		delete(a.queued, part)
 		return
 	}
 	rest := batch[batchLength(batch, d.config.MaxAppendBytes):]
--- a/wigeondaemon/appendbatch_test.go
+++ b/wigeondaemon/appendbatch_test.go
@@ -51,6 +51,6 @@
 	c.Assert(response.Refusal.Reason, qt.Contains, "the limit is 262144")
 	c.Assert(appended, qt.Equals, 0)
 	record := wigeonstep.KeyedRecord{Key: "j/1", Value: make([]byte, defaultRecordBytes)}
-	c.Assert(d.appendBatched(ctx, listedPartition, record), qt.ErrorIs, wigeonstep.ErrRejected)
+	c.Assert(d.appendBatched(ctx, listedPartition, record, time.Time{}), qt.ErrorIs, wigeonstep.ErrRejected)
 	c.Assert(appended, qt.Equals, 0)
 }
--- a/wigeondaemon/register.go
+++ b/wigeondaemon/register.go
@@ -87,7 +87,7 @@
 	go func() {
 		for delay := minAppendDelay; e.ctx.Err() == nil; delay = min(2*delay, maxAppendDelay) {
 			ctx, cancel := context.WithTimeout(e.ctx, batchAppendTimeout)
-			err := e.appendBatched(ctx, c.Holder, record)
+			err := e.appendBatched(ctx, c.Holder, record, time.Time{})
 			cancel()
 			if err == nil {
 				e.config.Logger.Info("cancel_forwarded", zap.String("job", string(c.Job)), zap.Int("partition", int(c.Holder)))
--- a/wigeondaemon/reservation.go
+++ b/wigeondaemon/reservation.go
@@ -181,7 +181,7 @@
 				if keeps, ok := queryLoop(ctx, d, func() bool { return d.keepsJob(sh, job.ID) }); !ok || !keeps {
 					return
 				}
-				err := d.appendBatched(ctx, part, record)
+				err := d.appendBatched(ctx, part, record, time.Time{})
 				if err == nil || errors.Is(err, wigeonstep.ErrRejected) {
 					return
 				}
--- a/wigeondaemon/withdrawal.go
+++ b/wigeondaemon/withdrawal.go
@@ -17,15 +17,23 @@
 
 // This file makes the cancellation of a job that does not exist hold for a submission of it that is still under way: in the buffers of a
 // process that is paused, at a slow log, or at a process that follows an older configuration. The answer to the client follows a
-// record, the withdrawal, in each partition to which the submission may be written. Withdrawals end, and so submissions have to: no
-// process writes one that may be older than maxSubmissionTime.
+// record, the withdrawal, in each partition to which the submission may be written. Withdrawals end, and so submissions have to. From the
+// first byte of a request on, all waits count against the deadline of its client and maxSubmissionTime: for its head and body
+// (wigeoningress), for the appends before it (appendbatch.go), and for a peer that writes it (writerecord.go).
 
 const (
-	// withdrawalLifetime is the time for which a withdrawal holds. It is more than a submission may take in all: maxPause in buffers,
-	// maxSubmissionTime in a process, as much again in a peer that writes the record, and some seconds at the log.
-	withdrawalLifetime = time.Minute
+	// withdrawalLifetime is the time for which a withdrawal holds: the longest time for which a submission may be under way, in which
+	// the process may be paused twice without noticing it, and the difference between the clocks of the process that wrote the
+	// withdrawal and of the one that removes it.
+	withdrawalLifetime = 2*maxPause + maxSubmissionTime + maxClockDifference + maxPeerWriteTime + batchAppendTimeout + maxLateAppend + maxClockDifference
 	// maxSubmissionTime is the time after which a process writes no record of a request any more.
 	maxSubmissionTime = 15 * time.Second
+	// maxPeerWriteTime is the time after which a peer writes no record that it was asked to write.
+	maxPeerWriteTime = 5 * time.Second
+	// maxLateAppend is the time after which the log carries out no append any more whose answer was lost.
+	maxLateAppend = 10 * time.Second
+	// maxClockDifference bounds the difference between the wall clocks of two VMs.
+	maxClockDifference = 5 * time.Second
 	// maxPause is the longest pause of the process after which the requests in its buffers are handled like others, and stalePause
 	// the time after a longer one in which submissions are refused.
 	maxPause   = 10 * time.Second
--- a/wigeondaemon/writerecord.go
+++ b/wigeondaemon/writerecord.go
@@ -35,7 +35,7 @@
 
 // writeRecord writes a record that any process may write and returns the response for the client. While the log is
 // unreachable from this process, peers are asked to write the record. Repeated writes are harmless, because they have
-// the same key and value. ctx must have a deadline.
+// the same key and value. ctx must have a deadline, after which no attempt begins anywhere.
 func (d *Daemon) writeRecord(ctx context.Context, part wigeonstep.Partition, record wigeonstep.KeyedRecord) wigeonstep.Response {
 	deadline, _ := ctx.Deadline()
 	began := d.config.Now().Steady
@@ -46,7 +46,7 @@
 	mayBeWritten := false
 	for attempt := 1; ; attempt++ {
 		w := writers[(attempt-1)%len(writers)]
-		if d.config.Now().Steady-began > maxSubmissionTime {
+		if now := d.config.Now().Steady; now-began > maxSubmissionTime || d.pauses.stale(now) {
 			return lateRecord(mayBeWritten)
 		}
 		err := d.attemptWrite(ctx, w, deadline)
@@ -97,8 +97,9 @@
 		// would then be unknown, and the client could not be told that the job never runs.
 		return d.relayWriters(d.relayAddresses(ctx), part, record)
 	}
+	until, _ := ctx.Deadline()
 	own := recordWriter{peer: "job log", write: func(ctx context.Context) error {
-		return d.appendBatched(ctx, part, record)
+		return d.appendBatched(ctx, part, record, until)
 	}}
 	peers, _ := queryLoop(ctx, d, d.ownerAddresses)
 	return append([]recordWriter{own}, d.relayWriters(peers, part, record)...)
@@ -140,13 +141,13 @@
 func (d *Daemon) appendForPeer(ctx context.Context, a *wigeonwire.AppendRequest) *wigeonwire.AppendResult {
 	kind, _, _ := wigeonjob.SplitKey(a.GetKey())
 	forClients := kind == wigeonjob.KindJob || kind == wigeonjob.KindCancel || kind == wigeonjob.KindWithdrawal
-	if d.logUnreachable() || !forClients || d.pauses.stale(d.config.Now().Steady) {
+	if d.logUnreachable() || !forClients || d.pauses.stale(d.config.Now().Steady) || d.heldUp(a) {
 		return &wigeonwire.AppendResult{}
 	}
 	part := wigeonstep.Partition(a.GetPartition())
 	ctx, cancel := context.WithTimeout(ctx, recordAttemptTimeout)
 	defer cancel()
-	err := d.appendBatched(ctx, part, wigeonstep.KeyedRecord{Key: a.GetKey(), Value: a.GetValue()})
+	err := d.appendBatched(ctx, part, wigeonstep.KeyedRecord{Key: a.GetKey(), Value: a.GetValue()}, time.Now().Add(maxPeerWriteTime))
 	if err == nil {
 		d.wakeOwnedShard(part)
 		return &wigeonwire.AppendResult{Done: true}
@@ -155,6 +156,21 @@
 	return &wigeonwire.AppendResult{Maybe: !notWritten}
 }
 
+// heldUp reports whether the record is that of a submission which was under way for too long before it arrived here, as over a connection
+// that was cut for a while.
+func (d *Daemon) heldUp(a *wigeonwire.AppendRequest) bool {
+	kind, id, _ := wigeonjob.SplitKey(a.GetKey())
+	if kind != wigeonjob.KindJob {
+		return false
+	}
+	job, err := wigeonjob.DecodeJob(wigeonstep.JobID(id), a.GetValue())
+	if err != nil {
+		return true
+	}
+	age := time.Duration(d.config.Now().Wall-job.Accepted) * time.Millisecond
+	return age > maxSubmissionTime+maxClockDifference
+}
+
 // wakeOwnedShard makes the tail of the shard read at once if this process owns it.
 func (d *Daemon) wakeOwnedShard(part wigeonstep.Partition) {
 	d.post(func() {
--- a/wigeoningress/collect.go
+++ b/wigeoningress/collect.go
@@ -37,10 +37,11 @@
 
 // collector is the request that a connection collects.
 type collector struct {
-	// begun is set from the first byte of the request on.
-	begun  bool
-	head   headScanner
-	chunks chunkDecoder
+	// begun is set from the first byte of the request on, which was read at begunAt.
+	begun   bool
+	begunAt time.Time
+	head    headScanner
+	chunks  chunkDecoder
 	// buffer holds the head, from the first empty line before it, and the content of the body as far as it has arrived.
 	buffer []byte
 	// bufferCharge is what the buffers hold of the budget, handlingCharge what the request holds that is being handled.
@@ -61,6 +62,7 @@
 		return 0, Reason(c.endReason.Load())
 	}
 	if len(c.rest) > 0 {
+		c.begunAt = c.restAt
 		if counter, ok := c.Conn.(requestCounter); ok {
 			counter.BeginRequest()
 		}
@@ -77,7 +79,8 @@
 	if n == 0 {
 		return 0, c.failure(err, Disconnected)
 	}
-	c.begun = true
+	c.begun, c.begunAt = true, time.Now()
+	c.restAt = c.begunAt
 	if reason := c.head.scan(direct[:n], l); reason != None {
 		return 0, reason
 	}
@@ -112,7 +115,7 @@
 	}
 	c.buffer = append(newBuffer(size), first...)
 	if c.head.end == 0 {
-		c.setReadDeadline(now.Add(l.HeadTimeout))
+		c.setReadDeadline(now.Add(min(l.HeadTimeout, l.RequestTimeout)))
 	}
 	if reason := c.collectHead(l); reason != None {
 		return reason
@@ -146,6 +149,21 @@
 	return l.BodyGrace + time.Duration(n)*time.Second/time.Duration(l.BodyRate)
 }
 
+// setBodyDeadline sets the deadline of the next read of a body, which is at most that of the request, and returns the reason of a refusal
+// if it passes.
+func (c *Conn) setBodyDeadline(body time.Time, l *Limits) Reason {
+	request := c.begunAt.Add(l.RequestTimeout)
+	if c.head.deadline > 0 && c.head.deadline < l.RequestTimeout {
+		request = c.begunAt.Add(c.head.deadline)
+	}
+	if request.Before(body) {
+		c.setReadDeadline(request)
+		return RequestTimeout
+	}
+	c.setReadDeadline(body)
+	return BodyTimeout
+}
+
 // collectBody collects a body with a length, which may be 0.
 func (c *Conn) collectBody(l *Limits) Reason {
 	if c.head.length > l.BodyBytes {
@@ -159,8 +177,8 @@
 	}
 	began := time.Now()
 	for len(c.buffer) < size {
-		c.setReadDeadline(began.Add(l.bodyTime(len(c.buffer) - c.head.end)))
-		if reason := c.readMore(size-len(c.buffer), size, BodyTimeout); reason != None {
+		timeout := c.setBodyDeadline(began.Add(l.bodyTime(len(c.buffer)-c.head.end)), l)
+		if reason := c.readMore(size-len(c.buffer), size, timeout); reason != None {
 			return reason
 		}
 	}
@@ -198,11 +216,12 @@
 			}
 			return None
 		}
-		c.setReadDeadline(began.Add(l.bodyTime(c.chunks.content)))
+		timeout := c.setBodyDeadline(began.Add(l.bodyTime(c.chunks.content)), l)
 		var err error
 		if n, err = c.Conn.Read(scratch); n == 0 {
-			return c.failure(err, BodyTimeout)
+			return c.failure(err, timeout)
 		}
+		c.restAt = time.Now()
 	}
 }
 
--- a/wigeoningress/conn.go
+++ b/wigeoningress/conn.go
@@ -67,8 +67,9 @@
 	collector
 	// out holds the bytes of the current request that Read has not returned yet.
 	out [2][]byte
-	// rest holds bytes behind the current request.
-	rest []byte
+	// rest holds bytes behind the current request, which were read at restAt at the earliest.
+	rest   []byte
+	restAt time.Time
 	// refused is set when the connection takes no further request.
 	refused bool
 }
--- a/wigeoningress/gate_test.go
+++ b/wigeoningress/gate_test.go
@@ -302,7 +302,7 @@
 	qt.Assert(t, *l.limits(), qt.Equals, Limits{
 		HeadBytes: 16384, RequestLineBytes: 16384, Fields: 1024, EmptyLines: 4, BodyBytes: 1 << 20, ChunkLineBytes: 256, Chunks: 1 << 20, FramingRatio: 8,
 		TrailerBytes: 4096, PipelinedBytes: 4096, HeadTimeout: 3 * time.Second, IdleTimeout: time.Minute, WriteTimeout: 10 * time.Second,
-		BodyGrace: 5 * time.Second, BodyRate: 1000, Connections: 981, AddressConnections: 735,
+		BodyGrace: 5 * time.Second, BodyRate: 1000, RequestTimeout: 15 * time.Second, Connections: 981, AddressConnections: 735,
 	})
 	configured = wigeonstep.ClientLimits{HeaderBytes: 8000, BodyBytes: 262144, HeaderTimeoutMS: 2000, IdleTimeoutMS: 15000}
 	limits := l.limits()
--- a/wigeoningress/head.go
+++ b/wigeoningress/head.go
@@ -1,6 +1,10 @@
 package wigeoningress
 
-import "bytes"
+import (
+	"bytes"
+	"strconv"
+	"time"
+)
 
 // span is a part of a head, from its first byte to the one behind its last.
 type span struct{ from, to int }
@@ -28,8 +32,10 @@
 	hasHost         bool
 	hasTrailer      bool
 	http10          bool
-	cuts            [maxCuts]span
-	cutCount        int
+	// deadline is the shortest time that the client asks for; 0 without any.
+	deadline time.Duration
+	cuts     [maxCuts]span
+	cutCount int
 }
 
 // scan reads on in b, which holds all bytes since the start. It returns None with end 0 if the head goes on behind b.
@@ -98,7 +104,7 @@
 	if s.fields > l.Fields {
 		return TooManyFields
 	}
-	return s.addField(text, line)
+	return s.addField(text, line, l)
 }
 
 // addRequestLine checks that the line has the form METHOD TARGET HTTP/1.1.
@@ -130,7 +136,7 @@
 
 // addField checks a field and notes those that frame the body. A line that continues the one before begins with a blank, which
 // no name has.
-func (s *headScanner) addField(text []byte, line span) Reason {
+func (s *headScanner) addField(text []byte, line span, l *Limits) Reason {
 	name, value, found := bytes.Cut(text, []byte{':'})
 	if !found || !isToken(name) || !isText(value) {
 		return MalformedHead
@@ -173,10 +179,25 @@
 			}
 			s.hasHost = true
 		}
+	default:
+		if l.DeadlineField != "" && isName(name, l.DeadlineField) {
+			s.addDeadline(bytes.Trim(value, " \t"))
+		}
 	}
 	return None
 }
 
+// addDeadline takes the value of the deadline field. One that is no positive number is ignored.
+func (s *headScanner) addDeadline(value []byte) {
+	ms, err := strconv.ParseInt(string(value), 10, 64)
+	if err != nil || ms <= 0 {
+		return
+	}
+	if d := milliseconds(ms); s.deadline == 0 || d < s.deadline {
+		s.deadline = d
+	}
+}
+
 // maxLengthDigits is the number of digits of a length that fits into an int.
 const maxLengthDigits = 18
 
--- a/wigeoningress/limits.go
+++ b/wigeoningress/limits.go
@@ -28,6 +28,10 @@
 	// average since the end of the grace.
 	BodyGrace time.Duration
 	BodyRate  int
+	// RequestTimeout bounds the time from the first byte of a request to its last. A client may ask for less by the field with the name
+	// DeadlineField, in lower case, which holds a number of milliseconds; empty for none.
+	RequestTimeout time.Duration
+	DeadlineField  string
 	// Connections bounds the connections, AddressConnections those from one IP address.
 	Connections, AddressConnections int
 	// AllowHTTP10 accepts requests of HTTP/1.0, which have no body in chunks.
@@ -50,6 +54,7 @@
 	DefaultWriteTimeout   = 10 * time.Second
 	DefaultBodyGrace      = 5 * time.Second
 	DefaultBodyRate       = 1000
+	DefaultRequestTimeout = 15 * time.Second
 )
 
 const (
@@ -86,6 +91,7 @@
 	setDefault(&l.WriteTimeout, DefaultWriteTimeout)
 	setDefault(&l.BodyGrace, DefaultBodyGrace)
 	setDefault(&l.BodyRate, DefaultBodyRate)
+	setDefault(&l.RequestTimeout, DefaultRequestTimeout)
 	setDefault(&l.Connections, connections)
 	// One address may be a load balancer, which brings nearly all of the connections.
 	setDefault(&l.AddressConnections, max(1, l.Connections*3/4))
@@ -155,6 +161,7 @@
 	flags.DurationVar(&l.WriteTimeout, "write-timeout", DefaultWriteTimeout, "time for which a client may leave a response unread")
 	flags.DurationVar(&l.BodyGrace, "body-grace", DefaultBodyGrace, "time after which a body must arrive at the least rate")
 	flags.IntVar(&l.BodyRate, "min-body-rate", DefaultBodyRate, "least bytes a second of a body after its grace")
+	flags.DurationVar(&l.RequestTimeout, "request-timeout", DefaultRequestTimeout, "time for a request from its first byte to its last; the client's deadline holds where it is shorter")
 	flags.IntVar(&l.Connections, "max-connections", 0, "connections of clients; 0 for a number that follows from limits.max_fds and limits.memory_mb")
 	flags.IntVar(&l.AddressConnections, "max-address-connections", 0, "connections of clients from one IP address; 0 for three quarters of all")
 }
--- a/wigeoningress/refusal.go
+++ b/wigeoningress/refusal.go
@@ -31,6 +31,7 @@
 	TrailersTooLarge
 	HeadTimeout
 	BodyTimeout
+	RequestTimeout
 	WriteTimeout
 	BudgetExhausted
 	TooManyConnections
@@ -65,6 +66,7 @@
 	TrailersTooLarge:          {"trailer_bytes", http.StatusRequestHeaderFieldsTooLarge, "the trailers are too large"},
 	HeadTimeout:               {"head_timeout", http.StatusRequestTimeout, "the head did not arrive in time"},
 	BodyTimeout:               {"body_timeout", http.StatusRequestTimeout, "the body did not arrive in time"},
+	RequestTimeout:            {"request_timeout", http.StatusServiceUnavailable, "the request did not arrive before its deadline"},
 	WriteTimeout:              {"write_timeout", 0, ""},
 	BudgetExhausted:           {"budget", http.StatusServiceUnavailable, "the memory for requests is used up"},
 	TooManyConnections:        {"connections", http.StatusServiceUnavailable, "too many connections"},
