--- a/wigeonshard/claims.go
+++ b/wigeonshard/claims.go
@@ -61,19 +61,19 @@
 	}
 }
 
-// claimSize returns what the step takes of the limit: its tasks in memory without a run and, unless all its tasks have one, stepSize.
+// claimSize returns what the step takes of the limit: its tasks in memory without a run and, if any of them waits for one, stepSize.
 func (s *step) claimSize() int {
 	switch {
 	case !s.isOpen():
 		return 0
-	case s.allRun():
-		return len(s.tasks) - s.tasksWithRuns
+	case s.hasWaiting():
+		return stepSize + len(s.tasks) - s.tasksWithRuns
 	}
-	return stepSize + len(s.tasks) - s.tasksWithRuns
+	return len(s.tasks) - s.tasksWithRuns
 }
 
-// allRun reports whether each task of the step has a run or is done, so that a round of placement doesn't look at it.
-func (s *step) allRun() bool { return s.waiting == 0 && s.end == s.Count && !s.Speculative }
+// hasWaiting reports whether a task in memory needs a run, so that a round of placement looks at the step.
+func (s *step) hasWaiting() bool { return s.waiting > s.notInMemory() || s.Speculative }
 
 // occurrenceOpened counts an occurrence that was opened beside another one of its job.
 func (p *opening) occurrenceOpened(j *job, occ *occurrence) {
@@ -155,23 +155,33 @@
 	}
 	var held, unsuitable []*step
 	suits := suitableWorkers{owner: o}
-	reserved := false
+	// The first claim that has waited for too long comes before all others, one that is not the first of its job before others like it.
+	reservedFirst, reservedFurther := false, false
+	heldFirst := false
 	extend := func(s *step, first bool) {
 		s.queued = false
 		o.extendStep(now, s, first)
 	}
 	for _, s := range p.steps {
+		first := s.claimsFirst()
+		reserved := reservedFirst || !first && reservedFurther
 		switch {
 		case s.over() || s.end >= s.Count && s.evicted == 0:
 			s.queued = false
 		case !suits.any(s), o.runsLeft(s) == 0:
 			unsuitable = append(unsuitable, s)
-		case o.mayClaim(s, s.claimsFirst(), reserved):
-			extend(s, s.claimsFirst())
+		case s.evicted > 0 && heldFirst:
+			// It has had a turn in which nothing of it could run, and the other has had none.
+			held = append(held, s)
+		case o.mayClaim(s, first, reserved):
+			extend(s, first)
 			s.bypass(p, reserved)
 		default:
 			held = append(held, s)
-			reserved = reserved || now.Steady-s.queuedAt > maxBypass
+			heldFirst = heldFirst || first
+			if now.Steady-s.queuedAt > maxBypass {
+				reservedFirst, reservedFurther = reservedFirst || first, true
+			}
 		}
 	}
 	for _, s := range unsuitable {
@@ -199,7 +209,10 @@
 	p, limit := &o.opening, o.settings.maxOpenTasks()
 	size := s.evicted + s.nextEnd() - s.end
 	if !s.isOpen() {
-		size = stepSize + s.nextEnd() - s.base
+		size = s.nextEnd() - s.base
+	}
+	if !s.isOpen() || !s.hasWaiting() {
+		size += stepSize
 	}
 	switch {
 	case p.size == 0:
--- a/wigeonshard/closedsteps.go
+++ b/wigeonshard/closedsteps.go
@@ -40,6 +40,9 @@
 	return min(s.Count, touched+tasksAhead(s.Step))
 }
 
+// notInMemory returns the number of tasks of an open step that are neither done nor in memory.
+func (s *step) notInMemory() int { return s.evicted + s.Count - s.end }
+
 // task returns a task of the step, or nil if it is not in memory.
 func (s *step) task(index int) *task {
 	if place, found := s.searchTask(index); found {
@@ -87,11 +90,11 @@
 // reopenStep opens a closed step with the needed ones of its closed tasks, of which there is at least one, and with all tasks if they are
 // only opened together. The others follow as the limit allows.
 func (o *Owner) reopenStep(now Timestamp, s *step, needed func(*closedTask) bool) {
-	if s.LongRunning || s.Gang {
+	if s.Gang {
 		o.extendStep(now, s, s.claimsFirst())
 		return
 	}
-	o.beginClaim(s, s.claimsFirst())
+	o.beginClaim(s, false)
 	o.openStepsOf(s).add(s)
 	s.end = s.lastClosed() + 1
 	s.closedTasks = slices.DeleteFunc(s.closedTasks, func(c closedTask) bool {
@@ -131,6 +134,7 @@
 	if !s.isOpen() {
 		o.openStepsOf(s).add(s)
 	}
+	o.openStepsOf(s).taskNeedsRun(s)
 	if len(s.closedTasks) > 0 || s.evicted > 0 {
 		s.mergeClosed(now)
 	}
@@ -193,6 +197,7 @@
 	place, _ := s.searchTask(index)
 	s.tasks = slices.Insert(s.tasks, place, t)
 	s.evicted--
+	o.openStepsOf(s).taskNeedsRun(s)
 	o.opening.updateClaim(s)
 }
 
@@ -213,7 +218,7 @@
 	switch {
 	case s.tasksLeft == 0 && s.mayClose(), idle && s.mayClose():
 		o.closeStep(now, s)
-	case s.liveRuns > 0 && !s.LongRunning && !s.Gang:
+	case s.liveRuns > 0 && !s.Gang:
 		o.evictTasks(now, s, idle)
 	}
 }
@@ -233,12 +238,17 @@
 	}
 	s.sortClosed()
 	s.tasks = kept
+	// Others of the step run, so what it claims from now on is not the first claim of its job.
+	s.claim.first = false
 	if idle {
 		// Those at the end that never had a run are as if they had not been opened.
 		s.end = max(kept[len(kept)-1].id.Index, s.lastClosed()) + 1
 	}
 	s.countEvicted()
 	o.opening.updateClaim(s)
+	if s.notInMemory() > 0 {
+		o.enqueueStep(now, s)
+	}
 }
 
 // mayEvict reports whether the task can be restored from its progress, and needs no run or couldn't get one lately.
--- a/wigeonshard/emptyworkers.go
+++ b/wigeonshard/emptyworkers.go
@@ -133,7 +133,7 @@
 // mayStop reports whether the run can be stopped without exceeding the MaxUnavailable of its step, which counts as 1 when
 // it is 0.
 func (s *step) mayStop(stopped *run) bool {
-	unavailable := 0
+	unavailable := s.notInMemory()
 	for _, t := range s.tasks {
 		if t == stopped.task {
 			continue
--- a/wigeonshard/missingworkers.go
+++ b/wigeonshard/missingworkers.go
@@ -68,7 +68,7 @@
 	if !s.LongRunning || !s.ready() {
 		return 0
 	}
-	n := 0
+	n := s.notInMemory()
 	for _, t := range s.tasks {
 		switch {
 		case t.hold != nil, t.givenUp:
--- a/wigeonshard/opensteps.go
+++ b/wigeonshard/opensteps.go
@@ -13,8 +13,8 @@
 // and not over all waiting jobs. The zero value is empty.
 type openSteps struct {
 	entries []openStep
-	// running holds the steps without a task to place, and perhaps some that have come back to the end of entries since, with the first
-	// task that needs a run. returned is set if there are any.
+	// running holds the steps without a task in memory to place, and perhaps some that have come back to the end of entries since, with
+	// the first task that needs a run. returned is set if there are any.
 	running  []openStep
 	returned bool
 	// lastCleanup is the time of the last cleanUp, lastRunningCleanup that of the last removal of steps that are done from running.
@@ -73,7 +73,7 @@
 		l.running = slices.DeleteFunc(l.running, func(e openStep) bool { return e.closed() || !e.setApart })
 	}
 	l.entries = slices.DeleteFunc(l.entries, func(e openStep) bool {
-		if e.allRun() {
+		if !e.hasWaiting() && (e.queued || e.notInMemory() == 0) {
 			l.running = append(l.running, e)
 			e.setApart = true
 		}
