--- a/wigeonshard/stages.go
+++ b/wigeonshard/stages.go
@@ -68,7 +68,7 @@
 func (o *Owner) TakeLoad() Load {
 	load := Load{Stages: o.stages, Workers: len(o.sortedWorkers), Jobs: len(o.jobs), DeferredOccurrences: o.opening.deferred, LateRuns: o.lateRuns, SmallRuns: o.smallRuns.count}
 	o.stages, o.lateRuns = [StageCount]StageTimes{}, 0
-	for _, s := range o.finiteSteps.entries {
+	for s := range o.finiteSteps.all() {
 		if !s.closed() && s.ready() {
 			load.WaitingTasks += s.waiting
 		}
