--- a/wigeonshard/claims.go
+++ b/wigeonshard/claims.go
@@ -72,8 +72,8 @@
 	return len(s.tasks) - s.tasksWithRuns
 }
 
-// hasWaiting reports whether a task in memory needs a run, so that a round of placement looks at the step.
-func (s *step) hasWaiting() bool { return s.waiting > s.notInMemory() || s.Speculative }
+// hasWaiting reports whether a task in memory needs a run, or another one, so that a round of placement looks at the step.
+func (s *step) hasWaiting() bool { return s.waiting > s.notInMemory() || s.copiesNeeded > 0 }
 
 // occurrenceOpened counts an occurrence that was opened beside another one of its job.
 func (p *opening) occurrenceOpened(j *job, occ *occurrence) {
--- a/wigeonshard/closedsteps.go
+++ b/wigeonshard/closedsteps.go
@@ -231,6 +231,7 @@
 	var kept []*task
 	for _, t := range s.tasks {
 		if t.mayEvict(idle) {
+			o.setNeedsCopy(t, false)
 			s.keepClosed(now, t)
 		} else {
 			kept = append(kept, t)
@@ -327,6 +328,7 @@
 	}
 	s.sortClosed()
 	s.tasks, s.end, s.evicted = nil, s.base, 0
+	s.copiesNeeded = 0
 	o.opening.release(s)
 	if !s.over() {
 		o.enqueueStep(now, s)
--- a/wigeonshard/crash.go
+++ b/wigeonshard/crash.go
@@ -334,7 +334,7 @@
 		members = t.step.tasks
 	}
 	for _, member := range members {
-		member.needsCopy = false
+		o.setNeedsCopy(member, false)
 		for _, r := range slices.Clone(member.runs) {
 			if r.phase == runPlanned || r.phase == runDurable {
 				o.endUnstartedRun(now, r)
--- a/wigeonshard/heartbeat.go
+++ b/wigeonshard/heartbeat.go
@@ -222,7 +222,7 @@
 	for _, r := range w.runs {
 		t := r.task
 		if t.step.Speculative && len(t.runs) == 1 && !t.needsCopy && !t.suspected() && !slices.Contains(suspects, r) {
-			t.needsCopy = true
+			o.setNeedsCopy(t, true)
 			o.recordRunDecision("copy_planned", r, "its worker does not answer", now.Steady-r.reportedAt)
 		}
 	}
--- a/wigeonshard/jobs.go
+++ b/wigeonshard/jobs.go
@@ -339,6 +339,7 @@
 			continue
 		}
 		member.done = true
+		o.setNeedsCopy(member, false)
 		if len(member.runs) == 0 {
 			s.waiting--
 		}
--- a/wigeonshard/model.go
+++ b/wigeonshard/model.go
@@ -131,6 +131,8 @@
 	blocked int
 	// liveRuns counts the runs of all tasks of the step, tasksWithRuns the tasks that have one.
 	liveRuns, tasksWithRuns int
+	// copiesNeeded counts the tasks whose needsCopy is set.
+	copiesNeeded int
 	// setApart is set while the step is in openSteps.running.
 	setApart bool
 	// suspects counts the tasks whose crash history is suspicious.
--- a/wigeonshard/opensteps.go
+++ b/wigeonshard/opensteps.go
@@ -92,6 +92,22 @@
 	}
 }
 
+// setNeedsCopy sets whether a second run of the task should start.
+func (o *Owner) setNeedsCopy(t *task, needed bool) {
+	if t.needsCopy == needed {
+		return
+	}
+	t.needsCopy = needed
+	s := t.step
+	if needed {
+		s.copiesNeeded++
+		o.openStepsOf(s).taskNeedsRun(s)
+	} else {
+		s.copiesNeeded--
+	}
+	o.opening.updateClaim(s)
+}
+
 // openStepsOf returns the list for steps of the same kind.
 func (o *Owner) openStepsOf(s *step) *openSteps {
 	if s.LongRunning {
--- a/wigeonshard/place.go
+++ b/wigeonshard/place.go
@@ -204,7 +204,7 @@
 // hasPlaceableTask reports whether a task of the step can be placed now. A gang is placed only while none of its members
 // has a run.
 func (s *step) hasPlaceableTask(now time.Duration) bool {
-	if s.waiting == 0 && !s.Speculative || s.Gang && s.liveRuns > 0 {
+	if !s.hasWaiting() || s.Gang && s.liveRuns > 0 {
 		return false
 	}
 	for _, t := range s.tasks {
@@ -406,6 +406,6 @@
 // commitRun makes a reserved run the newest run of its task.
 func (o *Owner) commitRun(r *run) {
 	r.task.lastRun = r.number
-	r.task.needsCopy = false
+	o.setNeedsCopy(r.task, false)
 	o.markTaskDirty(r.task)
 }
--- a/wigeonshard/progress.go
+++ b/wigeonshard/progress.go
@@ -102,7 +102,7 @@
 			r.task.avoidWorker = w.ID
 		case s.Speculative && len(r.task.runs) == 1 && !r.task.suspected() && o.claimOtherWorker(r, claimed):
 			r.task.avoidWorker = w.ID
-			r.task.needsCopy = true
+			o.setNeedsCopy(r.task, true)
 		}
 	}
 }
--- a/wigeonshard/standingclaims_test.go
+++ b/wigeonshard/standingclaims_test.go
@@ -46,6 +46,11 @@
 	return s
 }
 
+func speculative(s wigeonjob.Step) wigeonjob.Step {
+	s.Speculative = true
+	return s
+}
+
 func together(s wigeonjob.Step) wigeonjob.Step {
 	s.Gang = true
 	return s
@@ -79,6 +84,7 @@
 		{name: "narrow jobs at work", jobs: 120, steps: []wigeonjob.Step{tinyStep(1)}, allBegin: true},
 		{name: "narrow jobs of several teams at work", jobs: 120, steps: []wigeonjob.Step{tinyStep(1)}, teams: 3},
 		{name: "long-running jobs at work", jobs: 120, steps: []wigeonjob.Step{lasting(tinyStep(1))}},
+		{name: "speculative jobs at work", jobs: 120, steps: []wigeonjob.Step{speculative(tinyStep(1))}},
 		{name: "gangs at work", jobs: 20, steps: []wigeonjob.Step{together(tinyStep(40))}},
 		{name: "wide steps at work", jobs: 8, steps: []wigeonjob.Step{tinyStep(300)}},
 		{name: "narrow jobs at work with steps that wait for them", jobs: 120, steps: []wigeonjob.Step{tinyStep(1), largeStep(40, 0)}},
