--- a/wigeonshard/crash_test.go
+++ b/wigeonshard/crash_test.go
@@ -256,6 +256,7 @@
 // Guards against tasks that crash their workers without limit, and against innocent tasks that are given up or never run, while
 // owners replace each other, workers crash by themselves or are cut off, calls are lost or late, and the log is unavailable.
 func TestSeededCrashingTasks(t *testing.T) {
+	t.Parallel()
 	seeds := 40
 	if testing.Short() {
 		seeds = 20
--- a/wigeonshard/formerprocess_test.go
+++ b/wigeonshard/formerprocess_test.go
@@ -293,6 +293,7 @@
 // Guards against tasks that run twice at the same time, or are lost, when workers start again under their ids, take calls that were
 // meant for their former process, and are cut off soon after, while long tasks run and owners are replaced.
 func TestSeededRestartsAndCuts(t *testing.T) {
+	t.Parallel()
 	seeds := *cutSeeds
 	switch {
 	case seeds > 0:
--- a/wigeonshard/latefaults_test.go
+++ b/wigeonshard/latefaults_test.go
@@ -20,6 +20,7 @@
 // are paused and read answers late and in any order, workers restart within a moment, at another address too, and the log is
 // slow, in addition to the faults of TestSeededFaults.
 func TestSeededLateAnswers(t *testing.T) {
+	t.Parallel()
 	seeds := *lateSeeds
 	switch {
 	case seeds > 0:
--- a/wigeonshard/opening_test.go
+++ b/wigeonshard/opening_test.go
@@ -45,6 +45,7 @@
 // Guards against an owner that runs out of memory because a client submits one scheduled job whose start lies hours in the past, so
 // that all its occurrences are due at once. Every owner of the shard ended like that, and no job behind it ran.
 func TestOverdueScheduledJobDoesNotFillItsOwner(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	m := newClusterModel(t, 1, 20)
 	o := m.addOwner()
--- a/wigeonshard/owner_test.go
+++ b/wigeonshard/owner_test.go
@@ -230,11 +230,13 @@
 // Guards against tasks that run twice at the same time, are lost, or start after their end was acknowledged, while owners
 // replace each other, calls are lost or delayed, workers crash and restart, and the log is unavailable.
 func TestSeededFaults(t *testing.T) {
+	t.Parallel()
 	playSeededFaults(t, testSettings)
 }
 
 // Guards against the same when the progress of a job is in several records, which go out with several appends.
 func TestSeededFaultsWithSmallRecords(t *testing.T) {
+	t.Parallel()
 	settings := testSettings
 	settings.TasksPerRecord, settings.FlushBytes = 2, 100
 	playSeededFaults(t, settings)
--- a/wigeonshard/ownerloss_test.go
+++ b/wigeonshard/ownerloss_test.go
@@ -19,6 +19,7 @@
 // Guards against tasks that run twice when a worker crashes silently as orders arrive and their sender ends before it finds that out:
 // the next owner has nothing but the records from before the orders, and the worker carries them out when it is back under its id.
 func TestSeededOwnerLossesAfterCrashes(t *testing.T) {
+	t.Parallel()
 	seeds := *lossSeeds
 	switch {
 	case seeds > 0:
--- a/wigeonshard/silentrestarts_test.go
+++ b/wigeonshard/silentrestarts_test.go
@@ -15,6 +15,7 @@
 // and are back under their ids before an owner or the list of workers shows it, get jobs at once and are cut off within a tenth of a
 // second. Some restart twice in a row, and owners are replaced in between.
 func TestSeededSilentRestartsAndCuts(t *testing.T) {
+	t.Parallel()
 	seeds := *cutSeeds
 	switch {
 	case seeds > 0:
--- a/wigeonshard/sizelesstasks_test.go
+++ b/wigeonshard/sizelesstasks_test.go
@@ -14,6 +14,7 @@
 // Guards against tasks that take no room, or hardly any, and are all planned on one worker: the orders of the tasks of other jobs there
 // wait behind them, while the other workers have nothing to do.
 func TestSizelessTasksLeaveRoomForOrders(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name     string
 		required wigeonstep.Resources
--- a/wigeonshard/standingclaims_test.go
+++ b/wigeonshard/standingclaims_test.go
@@ -66,6 +66,7 @@
 // although the workers have room for them. Each case fills one limit, or makes one claim on each worker; the limits are small, so that a
 // few hundred jobs are enough.
 func TestStandingClaimsLeaveRoomForOrdinaryJobs(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name string
 		jobs int
@@ -105,6 +106,7 @@
 		{name: "workers kept for tasks that crash them", jobs: 1, steps: []wigeonjob.Step{tallStep(4, 3500)}, later: []wigeonjob.Step{tallStep(1, 5000)}, crash: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			m := newClusterModel(t, 21, 4)
 			limit := besideRunsLimit
--- a/wigeonshard/tasksrecord_test.go
+++ b/wigeonshard/tasksrecord_test.go
@@ -39,6 +39,7 @@
 // Guards against a job whose progress is larger than the log accepts in one record, so that its queue stops: all records and
 // appends are bounded, the jobs behind it complete, and so does the job itself, across changes of owner.
 func TestLargeJobDoesNotStopItsQueue(t *testing.T) {
+	t.Parallel()
 	c := qt.New(t)
 	m := newClusterModel(t, 1, 20)
 	m.addOwner()
--- a/wigeonshard/widejobs_test.go
+++ b/wigeonshard/widejobs_test.go
@@ -45,6 +45,7 @@
 // Guards against jobs that hold the limit on open tasks with what can't run, or waits for something else, so that ordinary jobs behind
 // them never start: wide jobs and many narrow ones, of which a task has run, or one runs for minutes.
 func TestIdleClaimsKeepNoOtherJobWaiting(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name  string
 		jobs  int
@@ -62,6 +63,7 @@
 		{name: "many wide steps of which few tasks run at a time", jobs: 250, steps: []wigeonjob.Step{narrowLongStep(300)}, sleeps: true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			c := qt.New(t)
 			m := newClusterModel(t, 13, 4)
 			usual := m.outcome
@@ -173,6 +175,7 @@
 // Guards against a step that is closed in the middle of its work, and then repeats tasks or never ends: each limit is far below what the
 // jobs have, so that steps are closed and opened all the time, also across changes of the owner.
 func TestClosedStepsGoOnWhereTheyWere(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		c := qt.New(t)
 		m := newClusterModel(t, seed, 3)
